--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Targets for people; CI calls the same ones.
+.PHONY: build test lint race model demo proofs bench
+
+BIN := bin
+export CGO_ENABLED := 1
+
+build:
+	mkdir -p $(BIN)
+	go build -o $(BIN)/ ./cmd/...
+
+test:
+	go test ./...
+
+race:
+	go test -race ./pkg/...
+
+lint:
+	test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
+	go vet ./...
+	go tool staticcheck ./...
+
+model:
+	./spec/check.sh
+
+demo: build
+	./scripts/demo.sh
--- /dev/null
+++ b/cmd/radishturn/main.go
@@ -0,0 +1,4 @@
+// Command radishturn is filled in by its package.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/radishturnd/main.go
@@ -0,0 +1,101 @@
+// Command radishturnd is the daemon of the query tier.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"syscall"
+
+	"github.com/oklog/run"
+
+	"radishturn.example/radishturn"
+	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/settings"
+
+	_ "radishturn.example/radishturn/pkg/modules"
+)
+
+const (
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+func main() {
+	file := flag.String("config", "", "settings file, JSON with comments")
+	flag.Parse()
+	os.Exit(serve(*file))
+}
+
+func serve(file string) int {
+	s, err := settings.Load(file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if err := events.Setup(os.Stderr, s.Log.Format, s.Log.Level); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if err := runUntilStopped(s); err != nil {
+		events.Emit(events.ProcessFailed, err)
+		return exitFailure
+	}
+	return 0
+}
+
+// runUntilStopped runs every module until one fails or a signal asks for a
+// planned stop. On a signal the modules drain while all of them still run.
+func runUntilStopped(s *settings.Settings) error {
+	k, err := radishturn.Load(s)
+	if err != nil {
+		return err
+	}
+	var g run.Group
+	for _, actor := range k.Actors() {
+		ctx, cancel := context.WithCancel(context.Background())
+		g.Add(
+			func() error {
+				if err := actor.Run(ctx); err != nil {
+					return fmt.Errorf("%s: %w", actor.ID, err)
+				}
+				return nil
+			},
+			func(error) { cancel() },
+		)
+	}
+	g.Add(plannedStop(k))
+	events.Emit(events.ProcessStarted, s.Instance.ID, s.Instance.AvailabilityZone, radishturn.Version)
+
+	err = g.Run()
+	if errors.Is(err, errPlannedStop) {
+		err = nil
+	}
+	events.Emit(events.ProcessStopped, err)
+	return errors.Join(err, k.Cleanup())
+}
+
+var errPlannedStop = errors.New("planned stop")
+
+// plannedStop is the actor that waits for a signal and then drains the modules.
+func plannedStop(k *radishturn.Kernel) (execute func() error, interrupt func(error)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	wait, stop := run.SignalHandler(ctx, syscall.SIGINT, syscall.SIGTERM)
+	execute = func() error {
+		var signal *run.SignalError
+		if err := wait(); !errors.As(err, &signal) {
+			return err
+		}
+		events.Emit(events.ProcessStopping, signal.Signal.String())
+		if err := k.Drain(ctx); err != nil {
+			events.Emit(events.DrainIncomplete, err)
+		}
+		return errPlannedStop
+	}
+	return execute, func(err error) {
+		cancel()
+		stop(err)
+	}
+}
--- /dev/null
+++ b/context.go
@@ -0,0 +1,45 @@
+package radishturn
+
+import (
+	"fmt"
+	"reflect"
+
+	"radishturn.example/radishturn/pkg/settings"
+)
+
+// Context carries the settings and the services that modules offer to each
+// other. It is used by one goroutine at a time, while modules are provisioned.
+type Context struct {
+	// Settings are the checked settings of this instance. Modules read them only.
+	Settings *settings.Settings
+
+	services map[reflect.Type]any
+}
+
+// NewContext returns a Context without services.
+func NewContext(s *settings.Settings) *Context {
+	return &Context{Settings: s, services: make(map[reflect.Type]any)}
+}
+
+// Provide offers service to modules that are provisioned later, under type T.
+// It fails if another module has offered T already.
+func Provide[T any](c *Context, service T) error {
+	t := reflect.TypeFor[T]()
+	if _, ok := c.services[t]; ok {
+		return fmt.Errorf("service %s provided twice", t)
+	}
+	c.services[t] = service
+	return nil
+}
+
+// Require returns the service offered under type T. A missing service means
+// that the caller's ModuleInfo lacks an After entry.
+func Require[T any](c *Context) (T, error) {
+	t := reflect.TypeFor[T]()
+	service, ok := c.services[t].(T)
+	if !ok {
+		var zero T
+		return zero, fmt.Errorf("service %s is not provided", t)
+	}
+	return service, nil
+}
--- /dev/null
+++ b/kernel.go
@@ -0,0 +1,100 @@
+package radishturn
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"radishturn.example/radishturn/pkg/settings"
+)
+
+// Kernel holds the loaded modules of one process.
+type Kernel struct {
+	loaded []loadedModule
+}
+
+type loadedModule struct {
+	id     ModuleID
+	module Module
+}
+
+// Actor is one module with a loop, ready for a run group.
+type Actor struct {
+	ID  ModuleID
+	Run func(ctx context.Context) error
+}
+
+// Load creates, provisions and validates every registered module. If one
+// fails, those loaded before it are cleaned up.
+func Load(s *settings.Settings) (*Kernel, error) {
+	infos, err := Modules()
+	if err != nil {
+		return nil, err
+	}
+	k := &Kernel{}
+	c := NewContext(s)
+	for _, info := range infos {
+		if err := k.load(c, info); err != nil {
+			return nil, errors.Join(err, k.Cleanup())
+		}
+	}
+	return k, nil
+}
+
+func (k *Kernel) load(c *Context, info ModuleInfo) error {
+	m := info.New()
+	k.loaded = append(k.loaded, loadedModule{info.ID, m})
+	if p, ok := m.(Provisioner); ok {
+		if err := p.Provision(c); err != nil {
+			return fmt.Errorf("provision %s: %w", info.ID, err)
+		}
+	}
+	if v, ok := m.(Validator); ok {
+		if err := v.Validate(); err != nil {
+			return fmt.Errorf("validate %s: %w", info.ID, err)
+		}
+	}
+	return nil
+}
+
+// Actors returns the modules that have a loop, in order of provisioning.
+func (k *Kernel) Actors() []Actor {
+	var actors []Actor
+	for _, l := range k.loaded {
+		if r, ok := l.module.(Runner); ok {
+			actors = append(actors, Actor{ID: l.id, Run: r.Run})
+		}
+	}
+	return actors
+}
+
+// Drain asks each module, last provisioned first, to finish its work.
+func (k *Kernel) Drain(ctx context.Context) error {
+	var errs []error
+	for _, l := range slices.Backward(k.loaded) {
+		d, ok := l.module.(Drainer)
+		if !ok {
+			continue
+		}
+		if err := d.Drain(ctx); err != nil {
+			errs = append(errs, fmt.Errorf("drain %s: %w", l.id, err))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// Cleanup releases what the modules hold, last provisioned first.
+func (k *Kernel) Cleanup() error {
+	var errs []error
+	for _, l := range slices.Backward(k.loaded) {
+		c, ok := l.module.(CleanerUp)
+		if !ok {
+			continue
+		}
+		if err := c.Cleanup(); err != nil {
+			errs = append(errs, fmt.Errorf("clean up %s: %w", l.id, err))
+		}
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/pkg/events/catalogue.go
@@ -0,0 +1,174 @@
+package events
+
+import "github.com/apex/log"
+
+// Numbers of the events. The thousands name the part: 1 process, 2 mesh,
+// 3 control, 4 leases and grants, 5 queries and targets, 6 orders, 7 moves,
+// 8 operators, 9 stand-in.
+const (
+	UnknownEvent      Number = 1000
+	ProcessStarted    Number = 1001
+	ProcessStopping   Number = 1002
+	ProcessStopped    Number = 1003
+	ProcessFailed     Number = 1004
+	InstanceReady     Number = 1005
+	InstanceNotReady  Number = 1006
+	DrainIncomplete   Number = 1007
+	ListenerServing   Number = 1008
+	PlatformListLost  Number = 1101
+	PlatformListFound Number = 1102
+
+	PeerConnected    Number = 2001
+	PeerDisconnected Number = 2002
+	PeerRefused      Number = 2003
+
+	GroupFormed        Number = 3001
+	LeaderElected      Number = 3002
+	LeadershipLost     Number = 3003
+	JournalTailCut     Number = 3004
+	JournalFailed      Number = 3005
+	SnapshotWritten    Number = 3006
+	SnapshotInstalled  Number = 3007
+	MemberAdded        Number = 3008
+	MemberReplaced     Number = 3009
+	MemberRemoved      Number = 3010
+	DataFolderIsNew    Number = 3011
+	ReplicaRestored    Number = 3012
+	ReplicaNotInGroup  Number = 3013
+	DataFolderOccupied Number = 3014
+
+	LeaseGranted     Number = 4001
+	LeaseExpired     Number = 4002
+	LeaseControlLost Number = 4003
+	LeaseCutOff      Number = 4004
+	LeaseReturned    Number = 4005
+	RulesInForce     Number = 4006
+	EvidenceDropped  Number = 4007
+
+	SnapshotPinned      Number = 5001
+	TargetEjected       Number = 5002
+	TargetReadmitted    Number = 5003
+	TargetCold          Number = 5004
+	TargetWarm          Number = 5005
+	TargetDied          Number = 5006
+	TargetLeaving       Number = 5007
+	ReplyDropped        Number = 5008
+	FingerprintCondemn  Number = 5009
+	FingerprintLifted   Number = 5010
+	EntryOverloaded     Number = 5011
+	SnapshotUnavailable Number = 5012
+
+	OrderOutcomeUnknown   Number = 6001
+	OrderClaimUnconfirmed Number = 6002
+	OrderOutcomeUnsaved   Number = 6003
+
+	MoveStarted       Number = 7001
+	MoveStepped       Number = 7002
+	MoveFinished      Number = 7003
+	MoveTakenBack     Number = 7004
+	VersionStopped    Number = 7005
+	MoveLate          Number = 7006
+	MoveSuspended     Number = 7007
+	MoveStepUncertain Number = 7008
+
+	RulesAccepted Number = 8001
+	RulesRefused  Number = 8002
+	AdminRefused  Number = 8003
+	BudgetBurning Number = 8004
+
+	StandinServing Number = 9001
+	StandinFault   Number = 9002
+)
+
+const (
+	debug = log.DebugLevel
+	info  = log.InfoLevel
+	warn  = log.WarnLevel
+	fail  = log.ErrorLevel
+)
+
+// Catalogue lists every event in order of number.
+var Catalogue = []Event{
+	{UnknownEvent, fail, "event without a catalogue entry", []string{"number"}},
+	{ProcessStarted, info, "process started", []string{"instance", "availabilityZone", "version"}},
+	{ProcessStopping, info, "planned stop begins", []string{"reason"}},
+	{ProcessStopped, info, "process stopped", []string{"error"}},
+	{ProcessFailed, fail, "process cannot go on", []string{"error"}},
+	{InstanceReady, info, "instance is ready for new work", nil},
+	{InstanceNotReady, warn, "instance is not ready for new work", []string{"reason"}},
+	{DrainIncomplete, warn, "stop goes on with unfinished work", []string{"error"}},
+	{ListenerServing, info, "listener is serving", []string{"listener", "address"}},
+	{PlatformListLost, warn, "platform list cannot be read", []string{"error"}},
+	{PlatformListFound, info, "platform list is read", []string{"sequence", "targets", "instances"}},
+
+	{PeerConnected, debug, "peer connected", []string{"peer", "address"}},
+	{PeerDisconnected, debug, "peer disconnected", []string{"peer", "error"}},
+	{PeerRefused, warn, "peer refused", []string{"address", "error"}},
+
+	{GroupFormed, info, "control group formed", []string{"members"}},
+	{LeaderElected, info, "leader elected", []string{"leader", "term"}},
+	{LeadershipLost, warn, "leadership lost", []string{"term", "reason"}},
+	{JournalTailCut, warn, "torn end of the journal cut off", []string{"file", "offset"}},
+	{JournalFailed, fail, "journal cannot be written; the process stops", []string{"error"}},
+	{SnapshotWritten, info, "snapshot written", []string{"index", "bytes"}},
+	{SnapshotInstalled, info, "snapshot of the leader installed", []string{"index", "leader"}},
+	{MemberAdded, info, "member added as learner", []string{"member"}},
+	{MemberReplaced, info, "member replaced", []string{"old", "new"}},
+	{MemberRemoved, info, "member removed", []string{"member"}},
+	{DataFolderIsNew, warn, "data folder is new", []string{"disk"}},
+	{ReplicaRestored, info, "state restored from the data folder", []string{"index", "entries", "milliseconds"}},
+	{ReplicaNotInGroup, warn, "this disk is not a member of the control group", []string{"disk"}},
+	{DataFolderOccupied, fail, "data folder is in use by another process", []string{"folder"}},
+
+	{LeaseGranted, info, "lease granted", []string{"leader", "revision"}},
+	{LeaseExpired, warn, "lease expired", []string{"lastRenewal"}},
+	{LeaseControlLost, warn, "control is lost; queries go on, orders are refused", []string{"reached", "known"}},
+	{LeaseCutOff, warn, "instance is cut off from control; work is refused", []string{"reached", "known"}},
+	{LeaseReturned, info, "lease handed back", nil},
+	{RulesInForce, info, "configuration is in force here", []string{"revision"}},
+	{EvidenceDropped, warn, "evidence dropped because its bound is reached", []string{"kind"}},
+
+	{SnapshotPinned, info, "newest whole snapshot changed", []string{"collection", "snapshot"}},
+	{TargetEjected, warn, "target ejected", []string{"target", "reason"}},
+	{TargetReadmitted, info, "target admitted again", []string{"target"}},
+	{TargetCold, info, "target counts as cold", []string{"target", "boot", "reason"}},
+	{TargetWarm, info, "target counts as warm", []string{"target", "boot"}},
+	{TargetDied, warn, "target died with requests in flight", []string{"target", "suspects"}},
+	{TargetLeaving, info, "target is leaving", []string{"target", "reason"}},
+	{ReplyDropped, warn, "reply does not match its request", []string{"target", "request", "error"}},
+	{FingerprintCondemn, warn, "request condemned; it is refused from now on", []string{"fingerprint", "deaths"}},
+	{FingerprintLifted, info, "quarantine lifted", []string{"fingerprint", "author"}},
+	{EntryOverloaded, warn, "instance sheds queries", []string{"inFlight", "limit"}},
+	{SnapshotUnavailable, warn, "no whole snapshot of the collection", []string{"collection"}},
+
+	{OrderOutcomeUnknown, warn, "outcome of an order is unknown", []string{"request", "error"}},
+	{OrderClaimUnconfirmed, warn, "claim of an order could not be confirmed", []string{"request", "error"}},
+	{OrderOutcomeUnsaved, warn, "outcome of an order could not be recorded", []string{"request", "error"}},
+
+	{MoveStarted, info, "move started", []string{"collection", "from", "to", "by"}},
+	{MoveStepped, info, "move stepped", []string{"collection", "share"}},
+	{MoveFinished, info, "move finished", []string{"collection", "version"}},
+	{MoveTakenBack, warn, "move taken back", []string{"collection", "version", "evidence"}},
+	{VersionStopped, warn, "this instance stopped using a version", []string{"collection", "version", "reason"}},
+	{MoveLate, warn, "move cannot finish by its deadline", []string{"collection", "by", "reason"}},
+	{MoveSuspended, info, "move waits", []string{"collection", "reason"}},
+	{MoveStepUncertain, warn, "outcome of a step is unknown; it is tried again", []string{"collection", "error"}},
+
+	{RulesAccepted, info, "rules accepted", []string{"revision", "author", "hash"}},
+	{RulesRefused, warn, "rules refused", []string{"author", "error"}},
+	{AdminRefused, warn, "request of an operator refused", []string{"remote", "error"}},
+	{BudgetBurning, warn, "error budget burns too fast", []string{"collection", "objective", "window", "rate"}},
+
+	{StandinServing, info, "stand-in serving", []string{"targets", "platform"}},
+	{StandinFault, info, "stand-in fault set", []string{"target", "fault"}},
+}
+
+var byNumber = indexCatalogue()
+
+func indexCatalogue() map[Number]Event {
+	m := make(map[Number]Event, len(Catalogue))
+	for _, e := range Catalogue {
+		m[e.Number] = e
+	}
+	return m
+}
--- /dev/null
+++ b/pkg/events/events.go
@@ -0,0 +1,82 @@
+// Package events writes the log: every line is an event with a number that
+// docs/EVENTS.md explains. Levels and fields come from the catalogue, so code
+// only names the event.
+package events
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/apex/log/handlers/text"
+)
+
+// Number identifies a kind of event and never changes its meaning.
+type Number int
+
+// Event describes one kind of event.
+type Event struct {
+	Number Number
+	Level  log.Level
+	// Message is the fixed text of the log line.
+	Message string
+	// Fields names the fields that come with it, apart from "event".
+	Fields []string
+}
+
+// String returns the number as written in logs, such as "RT1001".
+func (n Number) String() string { return fmt.Sprintf("RT%04d", int(n)) }
+
+// Setup selects the form, level and destination of the log.
+func Setup(w io.Writer, format, level string) error {
+	l, err := log.ParseLevel(level)
+	if err != nil {
+		return fmt.Errorf("log level %q: %w", level, err)
+	}
+	log.SetLevel(l)
+	if format == "text" {
+		log.SetHandler(text.New(w))
+		return nil
+	}
+	log.SetHandler(json.New(w))
+	return nil
+}
+
+// Emit writes event n with its fields. Values are given in the order of the
+// catalogue's Fields; a surplus value is dropped and a lacking one left out.
+func Emit(n Number, values ...any) {
+	e, ok := byNumber[n]
+	if !ok {
+		e = byNumber[UnknownEvent]
+		values = []any{n.String()}
+	}
+	fields := log.Fields{"event": e.Number.String()}
+	for i, name := range e.Fields {
+		if i < len(values) {
+			fields[name] = fieldValue(values[i])
+		}
+	}
+	write(log.WithFields(fields), e)
+}
+
+// fieldValue renders errors as text, since the JSON handler would write "{}".
+func fieldValue(v any) any {
+	if err, ok := v.(error); ok {
+		return err.Error()
+	}
+	return v
+}
+
+func write(entry *log.Entry, e Event) {
+	switch e.Level {
+	case log.DebugLevel:
+		entry.Debug(e.Message)
+	case log.WarnLevel:
+		entry.Warn(e.Message)
+	case log.ErrorLevel:
+		entry.Error(e.Message)
+	default:
+		entry.Info(e.Message)
+	}
+}
--- /dev/null
+++ b/pkg/failure/failure.go
@@ -0,0 +1,111 @@
+// Package failure defines the errors that reach callers and operators. Each
+// carries the step and the peer at which it arose and what is known about
+// whether the request ran.
+package failure
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Ran states what is known about the effect of a request.
+type Ran string
+
+const (
+	// NotRun is said only when it is certain that no target ran the request.
+	NotRun Ran = "not-run"
+	// DidRun is said when a target has confirmed the request.
+	DidRun Ran = "ran"
+	// Unknown is said when a request was sent at most once and no reply proves either.
+	Unknown Ran = "unknown"
+)
+
+// Code names a kind of failure; it is part of the caller API.
+type Code string
+
+// Codes of the caller and admin APIs.
+const (
+	BadRequest         Code = "bad-request"
+	TooLarge           Code = "too-large"
+	UnknownCollection  Code = "unknown-collection"
+	UnknownLeaf        Code = "unknown-leaf"
+	DeadlineExceeded   Code = "deadline-exceeded"
+	Overloaded         Code = "overloaded"
+	CallerLimit        Code = "caller-limit"
+	Quarantined        Code = "quarantined"
+	NoSnapshot         Code = "no-snapshot"
+	CoverageTooLow     Code = "coverage-too-low"
+	LeaseExpired       Code = "lease-expired"
+	Draining           Code = "draining"
+	NoQuorum           Code = "no-quorum"
+	NotLeader          Code = "not-leader"
+	Conflict           Code = "conflict"
+	KeyReused          Code = "key-reused"
+	Unauthorized       Code = "unauthorized"
+	NotFound           Code = "not-found"
+	TargetFailed       Code = "target-failed"
+	TargetShed         Code = "target-shed"
+	NotHeld            Code = "not-held"
+	NoTarget           Code = "no-target"
+	MismatchedReply    Code = "mismatched-reply"
+	PeerUnreachable    Code = "peer-unreachable"
+	OutcomeUnknown     Code = "outcome-unknown"
+	Internal           Code = "internal"
+	DataFolderDamaged  Code = "data-folder-damaged"
+	DataFolderReadOnly Code = "data-folder-read-only"
+)
+
+// Error is a failure at a known step.
+type Error struct {
+	Code Code
+	// Step is what was being done, such as "claim" or "dial".
+	Step string
+	// Peer is the other side: an instance, a target or an address; empty if none.
+	Peer string
+	// Ran defaults to Unknown when empty.
+	Ran Ran
+	// RetryAfter is how long the caller should wait; 0 means not stated.
+	RetryAfter time.Duration
+	// Err is the cause and may be nil.
+	Err error
+}
+
+// New returns an Error with a formatted cause. The format accepts %w.
+func New(code Code, ran Ran, step, peer, format string, args ...any) *Error {
+	return &Error{Code: code, Ran: ran, Step: step, Peer: peer, Err: fmt.Errorf(format, args...)}
+}
+
+// Error returns "step peer: code: cause".
+func (e *Error) Error() string {
+	where := e.Step
+	if e.Peer != "" {
+		where += " " + e.Peer
+	}
+	if e.Err == nil {
+		return fmt.Sprintf("%s: %s", where, e.Code)
+	}
+	return fmt.Sprintf("%s: %s: %v", where, e.Code, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// CodeOf returns the code of the first Error in the chain of err, or Internal.
+func CodeOf(err error) Code {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return Internal
+}
+
+// RanOf returns what the first Error in the chain of err knows about the
+// effect. An error of another type proves nothing, so it is Unknown.
+func RanOf(err error) Ran {
+	var e *Error
+	if errors.As(err, &e) && e.Ran != "" {
+		return e.Ran
+	}
+	return Unknown
+}
--- /dev/null
+++ b/pkg/keys/keys.go
@@ -0,0 +1,158 @@
+// Package keys makes and loads the keys for mutual TLS: an authority, and
+// certificates for instances and operators signed by it.
+package keys
+
+import (
+	"crypto"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"io/fs"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Role is what a certificate's holder may do; it stands in the certificate as
+// the organizational unit.
+type Role string
+
+// Roles of certificate holders.
+const (
+	// RoleInstance may take part in the mesh and read over the admin API.
+	RoleInstance Role = "instance"
+	// RoleOperator may use the admin API.
+	RoleOperator Role = "operator"
+)
+
+// serverName stands in every instance certificate in place of a host name,
+// since instances are reached by IP number. Who a peer is comes from the
+// certificate's common name.
+const serverName = "radishturn.internal"
+
+// Names of the files that this package writes.
+const (
+	AuthorityCertificateFile = "authority.pem"
+	AuthorityKeyFile         = "authority.key"
+	keyFileMode              = 0o600
+	folderMode               = 0o700
+	serialBits               = 128
+	clockSkew                = 5 * time.Minute
+)
+
+// Authority signs certificates.
+type Authority struct {
+	certificate *x509.Certificate
+	key         crypto.Signer
+}
+
+// InitAuthority makes a new authority in folder. It refuses to replace one.
+func InitAuthority(folder string, validFor time.Duration) error {
+	keyFile := filepath.Join(folder, AuthorityKeyFile)
+	if _, err := os.Stat(keyFile); !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("authority key %s exists or cannot be checked: %w", keyFile, fs.ErrExist)
+	}
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return fmt.Errorf("make key folder: %w", err)
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return fmt.Errorf("make authority key: %w", err)
+	}
+	template, err := newTemplate("radishturn authority", "", validFor)
+	if err != nil {
+		return err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return fmt.Errorf("sign authority certificate: %w", err)
+	}
+	return writePair(filepath.Join(folder, AuthorityCertificateFile), keyFile, der, key)
+}
+
+// LoadAuthority reads the authority in folder.
+func LoadAuthority(folder string) (*Authority, error) {
+	pair, err := tls.LoadX509KeyPair(filepath.Join(folder, AuthorityCertificateFile), filepath.Join(folder, AuthorityKeyFile))
+	if err != nil {
+		return nil, fmt.Errorf("load authority: %w", err)
+	}
+	signer, ok := pair.PrivateKey.(crypto.Signer)
+	if !ok {
+		return nil, errors.New("load authority: its key cannot sign")
+	}
+	return &Authority{certificate: pair.Leaf, key: signer}, nil
+}
+
+// Issue writes NAME.pem and NAME.key to folder: a certificate for the holder
+// name with the given role.
+func (a *Authority) Issue(folder, name string, role Role, validFor time.Duration) error {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return fmt.Errorf("make key of %s: %w", name, err)
+	}
+	template, err := newTemplate(name, role, validFor)
+	if err != nil {
+		return err
+	}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}
+	if role == RoleInstance {
+		template.ExtKeyUsage = append(template.ExtKeyUsage, x509.ExtKeyUsageServerAuth)
+		template.DNSNames = []string{serverName}
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, key.Public(), a.key)
+	if err != nil {
+		return fmt.Errorf("sign certificate of %s: %w", name, err)
+	}
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return fmt.Errorf("make key folder: %w", err)
+	}
+	return writePair(filepath.Join(folder, name+".pem"), filepath.Join(folder, name+".key"), der, key)
+}
+
+func newTemplate(name string, role Role, validFor time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, fmt.Errorf("make serial number: %w", err)
+	}
+	subject := pkix.Name{CommonName: name}
+	if role != "" {
+		subject.OrganizationalUnit = []string{string(role)}
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      subject,
+		NotBefore:    now.Add(-clockSkew),
+		NotAfter:     now.Add(validFor),
+	}, nil
+}
+
+func writePair(certificateFile, keyFile string, der []byte, key *ecdsa.PrivateKey) error {
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return fmt.Errorf("encode key: %w", err)
+	}
+	if err := writePEM(keyFile, "PRIVATE KEY", keyDER); err != nil {
+		return err
+	}
+	return writePEM(certificateFile, "CERTIFICATE", der)
+}
+
+func writePEM(file, kind string, der []byte) error {
+	block := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	if err := os.WriteFile(file, block, keyFileMode); err != nil {
+		return fmt.Errorf("write %s: %w", file, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/keys/tls.go
@@ -0,0 +1,125 @@
+package keys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+)
+
+// Files names the files of one holder.
+type Files struct {
+	Authority   string
+	Certificate string
+	Key         string
+}
+
+// Credentials are the loaded keys of one holder.
+type Credentials struct {
+	pair  tls.Certificate
+	roots *x509.CertPool
+}
+
+// Load reads the files and checks that the certificate is signed by the
+// authority and valid now.
+func Load(f Files) (*Credentials, error) {
+	pair, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
+	if err != nil {
+		return nil, fmt.Errorf("load certificate %s: %w", f.Certificate, err)
+	}
+	authority, err := os.ReadFile(f.Authority)
+	if err != nil {
+		return nil, fmt.Errorf("load authority: %w", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(authority) {
+		return nil, fmt.Errorf("load authority %s: no certificate in it", f.Authority)
+	}
+	c := &Credentials{pair: pair, roots: roots}
+	if err := c.verify(time.Now()); err != nil {
+		return nil, fmt.Errorf("certificate %s: %w", f.Certificate, err)
+	}
+	return c, nil
+}
+
+func (c *Credentials) verify(now time.Time) error {
+	_, err := c.pair.Leaf.Verify(x509.VerifyOptions{
+		Roots:       c.roots,
+		CurrentTime: now,
+		KeyUsages:   []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	})
+	return err
+}
+
+// Name returns the holder's name.
+func (c *Credentials) Name() string { return c.pair.Leaf.Subject.CommonName }
+
+// ServerConfig returns a configuration that demands a client certificate of
+// the authority with one of the given roles.
+func (c *Credentials) ServerConfig(protocols []string, roles ...Role) *tls.Config {
+	return &tls.Config{
+		MinVersion:       tls.VersionTLS13,
+		Certificates:     []tls.Certificate{c.pair},
+		ClientAuth:       tls.RequireAndVerifyClientCert,
+		ClientCAs:        c.roots,
+		NextProtos:       protocols,
+		VerifyConnection: func(s tls.ConnectionState) error { return verifyRole(s, roles) },
+	}
+}
+
+// ClientConfig returns a configuration for reaching an instance. An empty name
+// accepts any instance of the authority.
+func (c *Credentials) ClientConfig(protocols []string, name string) *tls.Config {
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{c.pair},
+		RootCAs:      c.roots,
+		ServerName:   serverName,
+		NextProtos:   protocols,
+		VerifyConnection: func(s tls.ConnectionState) error {
+			return verifyPeer(s, name)
+		},
+	}
+}
+
+func verifyPeer(s tls.ConnectionState, name string) error {
+	if err := verifyRole(s, []Role{RoleInstance}); err != nil {
+		return err
+	}
+	if got := PeerName(s); name != "" && got != name {
+		return fmt.Errorf("peer is %q, wanted %q", got, name)
+	}
+	return nil
+}
+
+func verifyRole(s tls.ConnectionState, roles []Role) error {
+	if len(s.PeerCertificates) == 0 {
+		return errors.New("peer has no certificate")
+	}
+	for _, unit := range s.PeerCertificates[0].Subject.OrganizationalUnit {
+		for _, role := range roles {
+			if unit == string(role) {
+				return nil
+			}
+		}
+	}
+	return fmt.Errorf("peer %q has none of the roles %v", PeerName(s), roles)
+}
+
+// PeerName returns the name in the peer's certificate, or "" without one.
+func PeerName(s tls.ConnectionState) string {
+	if len(s.PeerCertificates) == 0 {
+		return ""
+	}
+	return s.PeerCertificates[0].Subject.CommonName
+}
+
+// PeerRole returns the role in the peer's certificate, or "" without one.
+func PeerRole(s tls.ConnectionState) Role {
+	if len(s.PeerCertificates) == 0 || len(s.PeerCertificates[0].Subject.OrganizationalUnit) == 0 {
+		return ""
+	}
+	return Role(s.PeerCertificates[0].Subject.OrganizationalUnit[0])
+}
--- /dev/null
+++ b/pkg/mesh/mesh_test.go
@@ -0,0 +1,127 @@
+package mesh_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/keys"
+	"radishturn.example/radishturn/pkg/mesh"
+	"radishturn.example/radishturn/pkg/model"
+)
+
+func TestMesh(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "mesh")
+}
+
+type greeting struct {
+	Text string `cbor:"1,keyasint"`
+}
+
+const greet mesh.Kind = "test.greet"
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+func issue(folder, authority, name string, role keys.Role) *keys.Credentials {
+	a, err := keys.LoadAuthority(authority)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(a.Issue(folder, name, role, time.Hour)).To(Succeed())
+	c, err := keys.Load(keys.Files{
+		Authority:   authority + "/" + keys.AuthorityCertificateFile,
+		Certificate: folder + "/" + name + ".pem",
+		Key:         folder + "/" + name + ".key",
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return c
+}
+
+func start(ctx context.Context, c *keys.Credentials) *mesh.QUIC {
+	m, err := mesh.Listen(loopback, c, false)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(m.Close)
+	mesh.Handle(m, greet, func(_ context.Context, from model.InstanceID, g *greeting) (*greeting, error) {
+		if g.Text == "" {
+			return nil, failure.New(failure.Conflict, failure.NotRun, "greet", "x", "nothing to say")
+		}
+		return &greeting{Text: string(from) + " says " + g.Text}, nil
+	})
+	go func() {
+		defer GinkgoRecover()
+		Expect(m.Run(ctx)).To(Succeed())
+	}()
+	return m
+}
+
+var _ = Describe("QUIC mesh", func() {
+	var folder string
+	var ctx context.Context
+
+	BeforeEach(func() {
+		folder = GinkgoT().TempDir()
+		Expect(keys.InitAuthority(folder, time.Hour)).To(Succeed())
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+	})
+
+	It("carries typed requests, replies and failures", func() {
+		a := start(ctx, issue(folder, folder, "a", keys.RoleInstance))
+		b := start(ctx, issue(folder, folder, "b", keys.RoleInstance))
+		a.SetPeer("b", b.Address())
+		reply, err := mesh.Call[greeting, greeting](ctx, a, "b", greet, &greeting{Text: "hello"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Text).To(Equal("a says hello"))
+		_, err = mesh.Call[greeting, greeting](ctx, a, "b", greet, &greeting{})
+		Expect(failure.CodeOf(err)).To(Equal(failure.Conflict))
+		Expect(failure.RanOf(err)).To(Equal(failure.NotRun))
+	})
+
+	It("proves that a request to an unknown peer was not run", func() {
+		a := start(ctx, issue(folder, folder, "a", keys.RoleInstance))
+		_, err := mesh.Call[greeting, greeting](ctx, a, "nobody", greet, &greeting{Text: "hello"})
+		Expect(failure.RanOf(err)).To(Equal(failure.NotRun))
+	})
+
+	DescribeTable("refuses peers", func(makePeer func() *keys.Credentials) {
+		a := start(ctx, issue(folder, folder, "a", keys.RoleInstance))
+		b := start(ctx, makePeer())
+		b.SetPeer("a", a.Address())
+		_, err := mesh.Call[greeting, greeting](ctx, b, "a", greet, &greeting{Text: "hello"})
+		Expect(failure.CodeOf(err)).To(Equal(failure.PeerUnreachable))
+	},
+		Entry("with a foreign authority", func() *keys.Credentials {
+			foreign := GinkgoT().TempDir()
+			Expect(keys.InitAuthority(foreign, time.Hour)).To(Succeed())
+			return issue(foreign, foreign, "b", keys.RoleInstance)
+		}),
+		Entry("with an operator's certificate", func() *keys.Credentials {
+			other := issue(folder, folder, "anvil", keys.RoleOperator)
+			return other
+		}),
+	)
+
+	It("refuses a peer under another name", func() {
+		a := start(ctx, issue(folder, folder, "a", keys.RoleInstance))
+		b := start(ctx, issue(folder, folder, "b", keys.RoleInstance))
+		a.SetPeer("c", b.Address())
+		_, err := mesh.Call[greeting, greeting](ctx, a, "c", greet, &greeting{Text: "hello"})
+		Expect(err).To(MatchError(ContainSubstring(`peer is "b", wanted "c"`)))
+	})
+
+	It("does not load an expired certificate", func() {
+		a, err := keys.LoadAuthority(folder)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Issue(folder, "old", keys.RoleInstance, -time.Minute)).To(Succeed())
+		_, err = keys.Load(keys.Files{
+			Authority:   folder + "/" + keys.AuthorityCertificateFile,
+			Certificate: folder + "/old.pem", Key: folder + "/old.key",
+		})
+		Expect(err).To(MatchError(ContainSubstring("expired")))
+	})
+})
--- /dev/null
+++ b/pkg/mesh/quic.go
@@ -0,0 +1,319 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/quic-go/quic-go"
+
+	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/keys"
+	"radishturn.example/radishturn/pkg/model"
+)
+
+const (
+	protocol = "radishturn/1"
+	// maxMessageBytes bounds one message; a control snapshot has to fit.
+	maxMessageBytes = 64 << 20
+	// maxStreams bounds the requests that one peer may have in progress.
+	maxStreams = 1024
+	// handshakeTimeout bounds the time to reach a peer.
+	handshakeTimeout = 2 * time.Second
+	idleTimeout      = 10 * time.Second
+	keepAlive        = 3 * time.Second
+	// serveTimeout bounds the time that a peer's request may take here.
+	serveTimeout = 30 * time.Second
+)
+
+const (
+	closeNormal quic.ApplicationErrorCode = 0
+	// cancelAbandoned tells the peer that the caller no longer waits.
+	cancelAbandoned quic.StreamErrorCode = 1
+)
+
+// QUIC is the Mesh over QUIC.
+type QUIC struct {
+	self        model.InstanceID
+	credentials *keys.Credentials
+	socket      *net.UDPConn
+	transport   *quic.Transport
+	listener    *quic.Listener
+	dispatcher  dispatcher
+
+	mu    sync.Mutex
+	peers map[model.InstanceID]*peer
+}
+
+var _ Mesh = (*QUIC)(nil)
+
+// peer keeps the connection to one instance; its lock is held while dialing,
+// so that requests at the same time share one dial.
+type peer struct {
+	id model.InstanceID
+
+	mu      sync.Mutex
+	address netip.AddrPort
+	conn    *quic.Conn
+}
+
+// disableOffloadVariable is read by quic-go when a socket is set up.
+const disableOffloadVariable = "QUIC_GO_DISABLE_GSO"
+
+// Listen opens the socket of the mesh. It serves nothing until Run.
+func Listen(address netip.AddrPort, credentials *keys.Credentials, disableOffload bool) (*QUIC, error) {
+	if disableOffload {
+		if err := os.Setenv(disableOffloadVariable, "true"); err != nil {
+			return nil, fmt.Errorf("disable UDP offload: %w", err)
+		}
+	}
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	m := &QUIC{
+		self:        model.InstanceID(credentials.Name()),
+		credentials: credentials,
+		socket:      socket,
+		transport:   &quic.Transport{Conn: socket},
+		dispatcher:  dispatcher{handlers: make(map[Kind]Handler)},
+		peers:       make(map[model.InstanceID]*peer),
+	}
+	server := credentials.ServerConfig([]string{protocol}, keys.RoleInstance)
+	m.listener, err = m.transport.Listen(server, quicConfig())
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("listen on %s: %w", address, err), socket.Close())
+	}
+	return m, nil
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout: handshakeTimeout,
+		MaxIdleTimeout:       idleTimeout,
+		KeepAlivePeriod:      keepAlive,
+		MaxIncomingStreams:   maxStreams,
+	}
+}
+
+// Address returns the address that the socket is bound to.
+func (m *QUIC) Address() netip.AddrPort {
+	return m.socket.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// Self returns the name under which peers know this instance.
+func (m *QUIC) Self() model.InstanceID { return m.self }
+
+// Handle sets the handler of a kind.
+func (m *QUIC) Handle(kind Kind, handler Handler) { m.dispatcher.set(kind, handler) }
+
+// SetPeer tells where an instance is reached.
+func (m *QUIC) SetPeer(id model.InstanceID, address netip.AddrPort) {
+	m.mu.Lock()
+	p, ok := m.peers[id]
+	if !ok {
+		p = &peer{id: id, address: address}
+		m.peers[id] = p
+	}
+	m.mu.Unlock()
+	p.setAddress(address)
+}
+
+// setAddress drops the connection to an address that no longer holds.
+func (p *peer) setAddress(address netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.address == address {
+		return
+	}
+	p.address = address
+	if p.conn != nil {
+		_ = p.conn.CloseWithError(closeNormal, "address changed")
+		p.conn = nil
+	}
+}
+
+// Peers returns the instances with a known address.
+func (m *QUIC) Peers() []model.InstanceID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ids := make([]model.InstanceID, 0, len(m.peers))
+	for id := range m.peers {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Call sends a request and waits for the reply. A request to this instance is
+// served without the network.
+func (m *QUIC) Call(ctx context.Context, to model.InstanceID, kind Kind, request cbor.RawMessage) (cbor.RawMessage, error) {
+	e := &envelope{Kind: kind, Payload: request}
+	if to == m.self {
+		return result(m.dispatcher.serve(ctx, m.self, e))
+	}
+	stream, err := m.openStream(ctx, to)
+	if err != nil {
+		return nil, failure.New(failure.PeerUnreachable, failure.NotRun, "connect for "+string(kind), string(to), "%w", err)
+	}
+	a, err := exchange(ctx, stream, e)
+	if err != nil {
+		return nil, failure.New(failure.PeerUnreachable, failure.Unknown, string(kind), string(to), "%w", err)
+	}
+	return result(a)
+}
+
+func result(a *answer) (cbor.RawMessage, error) {
+	if a.Failure != nil {
+		return nil, a.Failure.toError()
+	}
+	return a.Payload, nil
+}
+
+func (m *QUIC) openStream(ctx context.Context, to model.InstanceID) (*quic.Stream, error) {
+	m.mu.Lock()
+	p := m.peers[to]
+	m.mu.Unlock()
+	if p == nil {
+		return nil, errors.New("no address known")
+	}
+	conn, err := m.connect(ctx, p)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		p.drop(conn)
+		return nil, err
+	}
+	return stream, nil
+}
+
+func (m *QUIC) connect(ctx context.Context, p *peer) (*quic.Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != nil && p.conn.Context().Err() == nil {
+		return p.conn, nil
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	client := m.credentials.ClientConfig([]string{protocol}, string(p.id))
+	conn, err := m.transport.Dial(ctx, net.UDPAddrFromAddrPort(p.address), client, quicConfig())
+	if err != nil {
+		return nil, err
+	}
+	events.Emit(events.PeerConnected, p.id, p.address)
+	p.conn = conn
+	return conn, nil
+}
+
+// drop forgets a connection that failed, unless it was replaced already.
+func (p *peer) drop(conn *quic.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn == conn {
+		_ = conn.CloseWithError(closeNormal, "failed")
+		p.conn = nil
+	}
+}
+
+// exchange sends e and reads the answer; it gives the stream up when ctx is done.
+func exchange(ctx context.Context, stream *quic.Stream, e *envelope) (*answer, error) {
+	stop := context.AfterFunc(ctx, func() {
+		stream.CancelRead(cancelAbandoned)
+		stream.CancelWrite(cancelAbandoned)
+	})
+	defer stop()
+	if err := writeMessage(stream, e); err != nil {
+		return nil, errors.Join(err, ctx.Err())
+	}
+	a := new(answer)
+	if err := readMessage(stream, a); err != nil {
+		return nil, errors.Join(err, ctx.Err())
+	}
+	return a, nil
+}
+
+func writeMessage(stream *quic.Stream, message any) error {
+	payload, err := cbor.Marshal(message)
+	if err != nil {
+		return fmt.Errorf("encode message: %w", err)
+	}
+	if _, err := stream.Write(payload); err != nil {
+		return fmt.Errorf("write message: %w", err)
+	}
+	return stream.Close()
+}
+
+func readMessage(r io.Reader, message any) error {
+	payload, err := io.ReadAll(io.LimitReader(r, maxMessageBytes+1))
+	if err != nil {
+		return fmt.Errorf("read message: %w", err)
+	}
+	if len(payload) > maxMessageBytes {
+		return fmt.Errorf("message is longer than %d bytes", maxMessageBytes)
+	}
+	if err := decodeMode.Unmarshal(payload, message); err != nil {
+		return fmt.Errorf("decode message: %w", err)
+	}
+	return nil
+}
+
+// Run serves the requests of peers until ctx is done or the mesh is closed.
+func (m *QUIC) Run(ctx context.Context) error {
+	for {
+		conn, err := m.listener.Accept(ctx)
+		if ctx.Err() != nil || errors.Is(err, quic.ErrServerClosed) || errors.Is(err, quic.ErrTransportClosed) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept peers: %w", err)
+		}
+		go m.serveConn(ctx, conn)
+	}
+}
+
+func (m *QUIC) serveConn(ctx context.Context, conn *quic.Conn) {
+	from := model.InstanceID(keys.PeerName(conn.ConnectionState().TLS))
+	for {
+		stream, err := conn.AcceptStream(ctx)
+		if err != nil {
+			events.Emit(events.PeerDisconnected, from, err)
+			return
+		}
+		go m.serveStream(ctx, from, stream)
+	}
+}
+
+func (m *QUIC) serveStream(ctx context.Context, from model.InstanceID, stream *quic.Stream) {
+	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+	defer cancel()
+	_ = stream.SetDeadline(time.Now().Add(serveTimeout))
+	e := new(envelope)
+	if err := readMessage(stream, e); err != nil {
+		stream.CancelRead(cancelAbandoned)
+		stream.CancelWrite(cancelAbandoned)
+		return
+	}
+	// The write side's context ends when the caller gives up.
+	stop := context.AfterFunc(stream.Context(), cancel)
+	defer stop()
+	if err := writeMessage(stream, m.dispatcher.serve(ctx, from, e)); err != nil {
+		stream.CancelWrite(cancelAbandoned)
+	}
+}
+
+// Close ends all connections and frees the socket.
+func (m *QUIC) Close() error {
+	return errors.Join(m.listener.Close(), m.transport.Close(), m.socket.Close())
+}
--- /dev/null
+++ b/pkg/replica/replica.go
@@ -0,0 +1,74 @@
+// Package replica runs the replicated log of a control member: it drives the
+// pure state machine of package consensus, the journal and the transport, and
+// feeds accepted commands to a StateMachine.
+package replica
+
+import (
+	"context"
+
+	"radishturn.example/radishturn/pkg/model"
+)
+
+// StateMachine is the state that the log replicates. The replica calls it from
+// one goroutine. Apply must be a pure function of the state and its arguments.
+type StateMachine interface {
+	// Apply carries out an accepted command and returns its result, which the
+	// proposer receives. Index grows by one or more with each call.
+	Apply(index uint64, command []byte) (result []byte)
+	// Snapshot returns the whole state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the whole state.
+	Restore(snapshot []byte) error
+}
+
+// Member is a voter or learner of the group. A member that lost its disk comes
+// back with another Disk and is another member.
+type Member struct {
+	Instance model.InstanceID `json:"instance" cbor:"1,keyasint"`
+	Disk     model.DiskID     `json:"disk" cbor:"2,keyasint"`
+}
+
+// Role is a member's part in the current term.
+type Role string
+
+// Roles of a member.
+const (
+	RoleFollower  Role = "follower"
+	RoleCandidate Role = "candidate"
+	RoleLeader    Role = "leader"
+	RoleLearner   Role = "learner"
+)
+
+// Status describes the group as this member sees it.
+type Status struct {
+	Self Member `json:"self"`
+	Role Role   `json:"role"`
+	Term uint64 `json:"term"`
+	// Leader has an empty Instance while no leader is known.
+	Leader   Member   `json:"leader"`
+	Commit   uint64   `json:"commit"`
+	Applied  uint64   `json:"applied"`
+	Voters   []Member `json:"voters"`
+	Learners []Member `json:"learners"`
+}
+
+// Proposer accepts commands for the replicated state.
+type Proposer interface {
+	// Propose appends command to the log and waits until it is applied here.
+	// Only the leader accepts: elsewhere the error is a *failure.Error with
+	// code not-leader, ran not-run and the leader as peer. When the outcome
+	// cannot be known, such as after losing leadership, ran is unknown.
+	Propose(ctx context.Context, command []byte) (result []byte, err error)
+	// Status returns the current view of the group.
+	Status() Status
+	// AddLearner adds a member that receives the log and has no vote.
+	AddLearner(ctx context.Context, m Member) error
+	// Replace turns the learner next into a voter in place of old, one change
+	// at a time, and only after next has caught up.
+	Replace(ctx context.Context, old, next Member) error
+	// Remove takes a voter or learner out of the group.
+	Remove(ctx context.Context, m Member) error
+	// IsLeader reports whether this member leads and has confirmed it with a
+	// majority within the election timeout.
+	IsLeader() bool
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,211 @@
+// Package settings reads and checks the settings of an instance. They are JSON
+// with comments; docs/CONFIG.md describes each field.
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"radishturn.example/radishturn/pkg/model"
+)
+
+// Settings are all settings of one instance.
+type Settings struct {
+	Instance Instance `json:"instance"`
+	// DataFolder holds the durable state; empty on instances without a disk.
+	DataFolder string `json:"dataFolder,omitempty"`
+	// AvailabilityZones declares every zone that other fields may name.
+	AvailabilityZones []model.AvailabilityZoneID `json:"availabilityZones"`
+	// Peers are the instances known at start, this one included or not.
+	Peers       []Peer       `json:"peers"`
+	Control     Control      `json:"control"`
+	Lease       Lease        `json:"lease"`
+	Keys        Keys         `json:"keys"`
+	Platform    Platform     `json:"platform"`
+	Callers     []Caller     `json:"callers,omitempty"`
+	Collections []Collection `json:"collections"`
+	Log         Log          `json:"log"`
+	Stop        Stop         `json:"stop"`
+}
+
+// Instance says who and where this process is.
+type Instance struct {
+	ID               model.InstanceID         `json:"id"`
+	AvailabilityZone model.AvailabilityZoneID `json:"availabilityZone"`
+	// MeshListen is the UDP address for other instances.
+	MeshListen netip.AddrPort `json:"meshListen"`
+	// MeshAdvertise is the address that peers are told; empty means MeshListen.
+	MeshAdvertise netip.AddrPort `json:"meshAdvertise,omitzero"`
+	// CallerListen is the TCP address for callers.
+	CallerListen netip.AddrPort `json:"callerListen"`
+	// AdminListen is the TCP address for operators, with mutual TLS.
+	AdminListen netip.AddrPort `json:"adminListen"`
+	// DisableUDPOffload turns off segmentation offload for QUIC.
+	DisableUDPOffload bool `json:"disableUDPOffload,omitempty"`
+	// MaxInFlight bounds the queries in progress at this instance.
+	MaxInFlight int `json:"maxInFlight"`
+}
+
+// Peer is the known address of another instance.
+type Peer struct {
+	ID               model.InstanceID         `json:"id"`
+	AvailabilityZone model.AvailabilityZoneID `json:"availabilityZone"`
+	MeshAddress      netip.AddrPort           `json:"meshAddress"`
+}
+
+// Control names the members of the replicated log.
+type Control struct {
+	// Members are the first voters: 1, 3, 5 or 7 instances among the peers.
+	// It forms the group once; later changes go through the admin API.
+	Members []model.InstanceID `json:"members"`
+	// ElectionTimeout is the shortest silence after which a follower campaigns.
+	ElectionTimeout Duration `json:"electionTimeout"`
+	// Heartbeat is the leader's interval between heartbeats.
+	Heartbeat Duration `json:"heartbeat"`
+	// SnapshotEvery is the number of log entries between snapshots.
+	SnapshotEvery int `json:"snapshotEvery"`
+	// ClaimRetention is how long order claims are kept.
+	ClaimRetention Duration `json:"claimRetention"`
+}
+
+// Lease sets the clocks of the entries' leases.
+type Lease struct {
+	Renew    Duration `json:"renew"`
+	Duration Duration `json:"duration"`
+}
+
+// Keys names the files for mutual TLS.
+type Keys struct {
+	Authority   string `json:"authority"`
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+}
+
+// Platform says where the platform's list is.
+type Platform struct {
+	Address netip.AddrPort `json:"address"`
+	Poll    Duration       `json:"poll"`
+	// BalancerLag is how long the balancer may go on sending after this
+	// instance stops being ready.
+	BalancerLag Duration `json:"balancerLag"`
+}
+
+// Caller sets the priority of a known caller.
+type Caller struct {
+	ID model.CallerID `json:"id"`
+	// Priority is 0 for the most important work; larger numbers are shed first.
+	Priority int `json:"priority"`
+	// LimitPerSecond bounds the caller over the whole fleet; 0 means no bound.
+	LimitPerSecond float64 `json:"limitPerSecond,omitempty"`
+}
+
+// Policy says what to do at the deadline of a query that lacks leaves.
+type Policy string
+
+// Policies of a collection.
+const (
+	// PreferTime answers at the deadline with what is there.
+	PreferTime Policy = "time"
+	// PreferCoverage refuses an answer below the collection's MinCoverage.
+	PreferCoverage Policy = "coverage"
+)
+
+// Collection describes the shape and the limits of a collection.
+type Collection struct {
+	ID       model.CollectionID `json:"id"`
+	Services int                `json:"services"`
+	// Leaves is the number of leaves in each service.
+	Leaves int `json:"leaves"`
+	// Slots is the number of targets for each leaf.
+	Slots int `json:"slots"`
+	// Concurrency bounds the requests in progress at one target, over the
+	// fleet; 0 means that only Connections bounds it.
+	Concurrency int `json:"concurrency,omitempty"`
+	// Connections is the number of connections that one target accepts.
+	Connections int `json:"connections"`
+	// ConnectTime is the usual time for a new connection to a target.
+	ConnectTime Duration `json:"connectTime"`
+	// ColdLoad is how many requests at a time a cold target bears, over the fleet.
+	ColdLoad int `json:"coldLoad"`
+	// Deadline applies to requests that state none.
+	Deadline    Duration `json:"deadline"`
+	Policy      Policy   `json:"policy"`
+	MinCoverage float64  `json:"minCoverage"`
+	// HedgeBudget is the share of extra leaf requests, from 0 to 1.
+	HedgeBudget float64    `json:"hedgeBudget"`
+	Objectives  Objectives `json:"objectives"`
+}
+
+// Objectives are the service-level objectives of a collection. Shares are
+// fractions of requests, from 0 to 1.
+type Objectives struct {
+	Latency      Duration `json:"latency"`
+	LatencyShare float64  `json:"latencyShare"`
+	// Coverage is the least covered fraction of a good answer.
+	Coverage      float64 `json:"coverage"`
+	CoverageShare float64 `json:"coverageShare"`
+	OrderShare    float64 `json:"orderShare"`
+}
+
+// Log selects the form of the log.
+type Log struct {
+	// Format is "json" or "text".
+	Format string `json:"format"`
+	// Level is "debug", "info", "warn" or "error".
+	Level string `json:"level"`
+}
+
+// Stop sets the clocks of a planned stop.
+type Stop struct {
+	// Finish bounds the wait for requests in progress after the balancer's lag.
+	Finish Duration `json:"finish"`
+}
+
+// Duration is a time span written as a string with a unit, such as "500ms".
+type Duration time.Duration
+
+// Std returns d as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// UnmarshalText reads a duration with a unit.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalText writes the duration with a unit.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// CollectionByID returns the collection with the given name.
+func (s *Settings) CollectionByID(id model.CollectionID) (Collection, bool) {
+	for _, c := range s.Collections {
+		if c.ID == id {
+			return c, true
+		}
+	}
+	return Collection{}, false
+}
+
+// IsControlMember reports whether this instance is among the first voters.
+func (s *Settings) IsControlMember() bool {
+	for _, id := range s.Control.Members {
+		if id == s.Instance.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// MeshAddress returns the address that peers are told.
+func (i Instance) MeshAddress() netip.AddrPort {
+	if i.MeshAdvertise.IsValid() {
+		return i.MeshAdvertise
+	}
+	return i.MeshListen
+}
--- /dev/null
+++ b/pkg/view/view.go
@@ -0,0 +1,149 @@
+// Package view holds what an entry knows of the replicated configuration: the
+// lease and everything that is in force under it. The lease client publishes a
+// new View with each change; the query and order paths only read it.
+package view
+
+import (
+	"sync/atomic"
+	"time"
+
+	"radishturn.example/radishturn/pkg/model"
+)
+
+// LeaseState says what the instance may do.
+type LeaseState string
+
+// States of the lease.
+const (
+	// LeaseNone: no lease was held since the start; not ready.
+	LeaseNone LeaseState = "none"
+	// LeaseHeld: everything is allowed.
+	LeaseHeld LeaseState = "held"
+	// LeaseControlLost: a majority of instances has no lease either. Queries
+	// go on with the last configuration; orders are refused.
+	LeaseControlLost LeaseState = "control-lost"
+	// LeaseCutOff: this instance alone has no lease. All work is refused.
+	LeaseCutOff LeaseState = "cut-off"
+)
+
+// View is an immutable picture of the configuration in force.
+type View struct {
+	Revision model.Revision
+	// Instances are the live instances of the tier, in order of ID.
+	Instances []model.Instance
+	// ZonesOut are the availability zones that operators have taken out.
+	ZonesOut map[model.AvailabilityZoneID]bool
+	// Drained are the targets that operators have taken out.
+	Drained map[model.TargetID]bool
+	// CallerLimits are fleet-wide limits in requests per second.
+	CallerLimits map[model.CallerID]float64
+	// Moves are the moves of traffic, one at most for each collection.
+	Moves map[model.CollectionID]Move
+	// Grants are this instance's shares of what targets bear.
+	Grants map[model.TargetID]Grant
+	// Quarantined are the fingerprints that every instance refuses.
+	Quarantined map[model.Fingerprint]bool
+}
+
+// Move is the state of a move of traffic as entries need it.
+type Move struct {
+	From model.VersionID `json:"from" cbor:"1,keyasint"`
+	To   model.VersionID `json:"to" cbor:"2,keyasint"`
+	// Share is the part of traffic for To, from 0 to 1.
+	Share float64 `json:"share" cbor:"3,keyasint"`
+	// TakenBack is set once the move was reverted; Share is then 0.
+	TakenBack bool `json:"takenBack" cbor:"4,keyasint,omitempty"`
+}
+
+// Grant is one instance's share of what a target bears. A target without an
+// entry in View.Grants gives this instance nothing.
+type Grant struct {
+	// Connections is how many connections this instance may hold open.
+	Connections int `cbor:"1,keyasint"`
+	// ColdLoad is how many requests at a time it may send while the target is cold.
+	ColdLoad int `cbor:"2,keyasint"`
+}
+
+// Source gives the current view and lease.
+type Source interface {
+	// View returns the newest view; never nil. The result must not be changed.
+	View() *View
+	// Lease returns the state of the lease at the moment of the call. A
+	// process that was stopped sees an expired lease at once.
+	Lease() LeaseState
+	// LeaseLeft returns how long the lease still holds; 0 unless it is held.
+	LeaseLeft() time.Duration
+}
+
+// Evidence is what an entry has seen since its last report. It travels to the
+// leader with the renewal of the lease.
+type Evidence struct {
+	// Deaths are targets that died with requests in flight.
+	Deaths []Death `cbor:"1,keyasint,omitempty"`
+	// Cold are targets that showed signs of being cold.
+	Cold []ColdSign `cbor:"2,keyasint,omitempty"`
+	// Outcomes count the answers of targets for moves, by version and route.
+	Outcomes []Outcome `cbor:"3,keyasint,omitempty"`
+	// Stop lists versions that this entry stopped using on local evidence.
+	Stop []VersionStop `cbor:"4,keyasint,omitempty"`
+	// Warm are targets that answered at full speed under their cold grant.
+	Warm []ColdSign `cbor:"5,keyasint,omitempty"`
+}
+
+// Death is a target that died while the named requests were in flight there.
+type Death struct {
+	Target   model.TargetID      `cbor:"1,keyasint"`
+	Boot     model.BootID        `cbor:"2,keyasint"`
+	Suspects []model.Fingerprint `cbor:"3,keyasint"`
+}
+
+// ColdSign is a sign that a target's incarnation is cold, or that it is warm.
+type ColdSign struct {
+	Target model.TargetID `cbor:"1,keyasint"`
+	Boot   model.BootID   `cbor:"2,keyasint"`
+}
+
+// Outcome counts answers of one version on one route in one window.
+type Outcome struct {
+	Collection model.CollectionID `cbor:"1,keyasint"`
+	Version    model.VersionID    `cbor:"2,keyasint"`
+	Route      model.Route        `cbor:"3,keyasint"`
+	// Window numbers the seconds since the holder's lease was first granted.
+	Window uint64 `cbor:"4,keyasint"`
+	OK     uint64 `cbor:"5,keyasint"`
+	Failed uint64 `cbor:"6,keyasint"`
+	// LatencyBuckets counts OK answers by latency; bucket i holds latencies
+	// below 1 ms × 2^(i/2), the last one all others.
+	LatencyBuckets []uint64 `cbor:"7,keyasint,omitempty"`
+}
+
+// VersionStop reports that an entry stopped sending to a version.
+type VersionStop struct {
+	Collection model.CollectionID `cbor:"1,keyasint"`
+	Version    model.VersionID    `cbor:"2,keyasint"`
+	Reason     string             `cbor:"3,keyasint"`
+}
+
+// Reporter collects evidence for the next renewal. It never blocks; when its
+// bound is reached the oldest evidence of the same kind is dropped and counted.
+type Reporter interface {
+	Report(e Evidence)
+}
+
+// Holder stores the newest view for many readers.
+type Holder struct {
+	view atomic.Pointer[View]
+}
+
+// NewHolder returns a Holder with an empty view.
+func NewHolder() *Holder {
+	h := &Holder{}
+	h.view.Store(&View{})
+	return h
+}
+
+// View returns the newest view.
+func (h *Holder) View() *View { return h.view.Load() }
+
+// Publish replaces the view.
+func (h *Holder) Publish(v *View) { h.view.Store(v) }
--- /dev/null
+++ b/radishturn.go
@@ -0,0 +1,145 @@
+// Package radishturn is the kernel of the query tier: it keeps the registry of
+// modules and carries them through their lifecycle. All behaviour lives in
+// modules, each in a package of its own that registers itself in init.
+//
+// The lifecycle of a module is New, Provision, Validate, Run, Drain, Cleanup.
+// Every step after New is optional and is detected through an interface.
+package radishturn
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+)
+
+// ModuleID names a module. The part before the first dot is its namespace,
+// such as "entry" or "control".
+type ModuleID string
+
+// ModuleInfo describes a registered module.
+type ModuleInfo struct {
+	// ID is unique within the process.
+	ID ModuleID
+	// After lists the modules that have to be provisioned before this one.
+	// A name that is not registered is an error when the kernel is built.
+	After []ModuleID
+	// New returns an empty instance of the module.
+	New func() Module
+}
+
+// Module is a unit of behaviour that the kernel can load.
+type Module interface {
+	// ModuleInfo returns the description under which the module registers.
+	ModuleInfo() ModuleInfo
+}
+
+// Provisioner is implemented by modules that need settings or services from
+// other modules before they run. Provision must not start goroutines that
+// outlive Cleanup.
+type Provisioner interface {
+	Provision(c *Context) error
+}
+
+// Validator is implemented by modules that check themselves after Provision.
+type Validator interface {
+	Validate() error
+}
+
+// Runner is implemented by modules with a loop of their own. Run returns when
+// ctx is done; returning earlier stops the whole process.
+type Runner interface {
+	Run(ctx context.Context) error
+}
+
+// Drainer is implemented by modules that take part in a planned stop. Drain is
+// called in reverse order of provisioning while all modules still run, and
+// returns once the module holds no unfinished work or ctx is done.
+type Drainer interface {
+	Drain(ctx context.Context) error
+}
+
+// CleanerUp is implemented by modules that hold resources after Provision.
+type CleanerUp interface {
+	Cleanup() error
+}
+
+var registry = struct {
+	sync.Mutex
+	modules map[ModuleID]ModuleInfo
+}{modules: make(map[ModuleID]ModuleInfo)}
+
+// RegisterModule adds a module to the registry. It panics on an empty or
+// duplicate ID, since both are mistakes in the program and not in its input.
+func RegisterModule(m Module) {
+	info := m.ModuleInfo()
+	if info.ID == "" || info.New == nil {
+		panic("radishturn: module without ID or New")
+	}
+	registry.Lock()
+	defer registry.Unlock()
+	if _, ok := registry.modules[info.ID]; ok {
+		panic(fmt.Sprintf("radishturn: module %s registered twice", info.ID))
+	}
+	registry.modules[info.ID] = info
+}
+
+// Modules returns the registered modules in an order that respects After.
+// Modules that do not depend on each other are ordered by ID.
+func Modules() ([]ModuleInfo, error) {
+	registry.Lock()
+	defer registry.Unlock()
+	return sortModules(registry.modules)
+}
+
+func sortModules(modules map[ModuleID]ModuleInfo) ([]ModuleInfo, error) {
+	ids := make([]ModuleID, 0, len(modules))
+	for id := range modules {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	s := &sorter{modules: modules, state: make(map[ModuleID]visitState)}
+	for _, id := range ids {
+		if err := s.visit(id); err != nil {
+			return nil, err
+		}
+	}
+	return s.sorted, nil
+}
+
+type visitState int
+
+const (
+	unvisited visitState = iota
+	visiting
+	visited
+)
+
+// sorter orders modules by depth-first search over After.
+type sorter struct {
+	modules map[ModuleID]ModuleInfo
+	state   map[ModuleID]visitState
+	sorted  []ModuleInfo
+}
+
+func (s *sorter) visit(id ModuleID) error {
+	info, ok := s.modules[id]
+	if !ok {
+		return fmt.Errorf("module %s is not registered", id)
+	}
+	switch s.state[id] {
+	case visited:
+		return nil
+	case visiting:
+		return fmt.Errorf("module %s depends on itself", id)
+	}
+	s.state[id] = visiting
+	for _, dep := range info.After {
+		if err := s.visit(dep); err != nil {
+			return fmt.Errorf("module %s: %w", id, err)
+		}
+	}
+	s.state[id] = visited
+	s.sorted = append(s.sorted, info)
+	return nil
+}
