--- a/cmd/radishturn/main.go
+++ b/cmd/radishturn/main.go
@@ -1,4 +1,10 @@
-// Command radishturn is filled in by its package.
+// Command radishturn is the operators' command line.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"radishturn.example/radishturn/pkg/cli"
+)
+
+func main() { os.Exit(int(cli.Main())) }
--- /dev/null
+++ b/pkg/adminapi/module.go
@@ -0,0 +1,133 @@
+// Package adminapi serves operators over HTTPS on a listener of its own. It
+// demands a certificate of an operator, so that callers cannot reach it.
+package adminapi
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"radishturn.example/radishturn"
+	"radishturn.example/radishturn/pkg/control"
+	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/keys"
+	"radishturn.example/radishturn/pkg/problem"
+	"radishturn.example/radishturn/pkg/settings"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+const (
+	maxHeaderBytes = 16 << 10
+	maxBodyBytes   = 4 << 20
+	headerTimeout  = 5 * time.Second
+	bodyTimeout    = 10 * time.Second
+	idleTimeout    = time.Minute
+)
+
+// ModuleName is the ID of the admin module.
+const ModuleName radishturn.ModuleID = "admin"
+
+// Module serves operators.
+type Module struct {
+	settings *settings.Settings
+	admin    control.Admin
+	view     view.Source
+	listener net.Listener
+	server   *http.Server
+}
+
+func init() { radishturn.RegisterModule(&Module{}) }
+
+// ModuleInfo returns the module's description.
+func (*Module) ModuleInfo() radishturn.ModuleInfo {
+	return radishturn.ModuleInfo{
+		ID:    ModuleName,
+		After: []radishturn.ModuleID{"mesh", "control", "lease", "query"},
+		New:   func() radishturn.Module { return &Module{} },
+	}
+}
+
+// Provision finds the services and opens the listener.
+func (m *Module) Provision(c *radishturn.Context) (err error) {
+	m.settings = c.Settings
+	if m.admin, err = radishturn.Require[control.Admin](c); err != nil {
+		return err
+	}
+	if m.view, err = radishturn.Require[view.Source](c); err != nil {
+		return err
+	}
+	credentials, err := radishturn.Require[*keys.Credentials](c)
+	if err != nil {
+		return err
+	}
+	address := c.Settings.Instance.AdminListen.String()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen for operators on %s: %w", address, err)
+	}
+	m.listener = tls.NewListener(listener, credentials.ServerConfig([]string{"http/1.1"}, keys.RoleOperator))
+	m.server = &http.Server{
+		Handler:           m.handler(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          log.New(refusalWriter{}, "", 0),
+	}
+	return nil
+}
+
+// refusalWriter turns the server's complaints, such as failed handshakes, into events.
+type refusalWriter struct{}
+
+func (refusalWriter) Write(line []byte) (int, error) {
+	events.Emit(events.AdminRefused, "", strings.TrimSpace(string(line)))
+	return len(line), nil
+}
+
+func (m *Module) handler() http.Handler {
+	e := echo.New()
+	e.HTTPErrorHandler = problem.HandleError
+	g := e.Group("/admin/v1")
+	g.GET("/status", m.status)
+	g.GET("/rules", m.rules)
+	g.POST("/rules", m.applyRules)
+	g.GET("/rules/history", m.history)
+	g.GET("/rules/:revision/in-force", m.inForce)
+	g.GET("/moves", m.moves)
+	g.GET("/quarantine", m.quarantined)
+	g.DELETE("/quarantine/:fingerprint", m.lift)
+	g.GET("/instances", m.instances)
+	g.GET("/members", m.members)
+	g.POST("/members", m.addMember)
+	g.POST("/members/replace", m.replaceMember)
+	g.POST("/members/remove", m.removeMember)
+	return e
+}
+
+// Run serves operators until ctx is done.
+func (m *Module) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = m.server.Close() })
+	defer stop()
+	events.Emit(events.ListenerServing, "operators", m.listener.Addr())
+	if err := m.server.Serve(m.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Cleanup closes the listener.
+func (m *Module) Cleanup() error {
+	if m.server == nil {
+		return nil
+	}
+	return m.server.Close()
+}
--- /dev/null
+++ b/pkg/cli/client.go
@@ -0,0 +1,103 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/keys"
+	"radishturn.example/radishturn/pkg/problem"
+)
+
+// maxReplyBytes bounds a reply of the admin API.
+const maxReplyBytes = 64 << 20
+
+// adminClient speaks to the admin API of the first instance that answers.
+type adminClient struct {
+	http      *http.Client
+	addresses []string
+}
+
+func (o *options) client() (*adminClient, error) {
+	if len(o.admin) == 0 {
+		return nil, exitWith(ExitInvalid, errors.New("no admin address; use --admin or $"+adminVariable))
+	}
+	if o.keys == "" || o.name == "" {
+		return nil, exitWith(ExitInvalid, errors.New("no keys; use --keys and --operator"))
+	}
+	credentials, err := keys.Load(keys.Files{
+		Authority:   filepath.Join(o.keys, keys.AuthorityCertificateFile),
+		Certificate: filepath.Join(o.keys, o.name+".pem"),
+		Key:         filepath.Join(o.keys, o.name+".key"),
+	})
+	if err != nil {
+		return nil, exitWith(ExitInvalid, err)
+	}
+	transport := &http.Transport{TLSClientConfig: credentials.ClientConfig([]string{"http/1.1"}, "")}
+	return &adminClient{
+		http:      &http.Client{Transport: transport, Timeout: o.timeout},
+		addresses: o.admin,
+	}, nil
+}
+
+// call sends a request to the first instance that can be reached. A request
+// that may have run is not sent to a second instance.
+func (c *adminClient) call(ctx context.Context, method, path string, body, result any) error {
+	var payload []byte
+	if body != nil {
+		var err error
+		if payload, err = json.Marshal(body); err != nil {
+			return fmt.Errorf("encode request: %w", err)
+		}
+	}
+	var failures []error
+	for _, address := range c.addresses {
+		err := c.send(ctx, method, "https://"+address+path, payload, result)
+		if failure.CodeOf(err) != failure.PeerUnreachable || method != http.MethodGet {
+			return err
+		}
+		failures = append(failures, err)
+	}
+	return exitWith(ExitUnreachable, errors.Join(failures...))
+}
+
+func (c *adminClient) send(ctx context.Context, method, url string, payload []byte, result any) (err error) {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(payload))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	if err != nil {
+		return failure.New(failure.PeerUnreachable, failure.Unknown, method, url, "%w", err)
+	}
+	defer func() { err = errors.Join(err, response.Body.Close()) }()
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return failure.New(failure.PeerUnreachable, failure.Unknown, "read reply", url, "%w", err)
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		return replyFailure(url, response.StatusCode, text)
+	}
+	if result == nil || len(text) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(text, result); err != nil {
+		return failure.New(failure.MismatchedReply, failure.Unknown, "read reply", url, "%w", err)
+	}
+	return nil
+}
+
+func replyFailure(url string, status int, text []byte) error {
+	var d problem.Details
+	if err := json.Unmarshal(text, &d); err != nil || d.Code == "" {
+		return failure.New(failure.Internal, failure.Unknown, "call", url, "status %d", status)
+	}
+	return failure.New(d.Code, d.Ran, d.Step, d.Peer, "%s", d.Detail)
+}
--- /dev/null
+++ b/pkg/cli/output.go
@@ -0,0 +1,25 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"text/tabwriter"
+)
+
+// print writes v as JSON, or else as the table that render makes.
+func (o *options) print(v any, render func(w *tabwriter.Writer)) error {
+	if o.json {
+		encoder := json.NewEncoder(o.out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(v)
+	}
+	w := tabwriter.NewWriter(o.out, 0, 0, 2, ' ', 0)
+	render(w)
+	return w.Flush()
+}
+
+// printf writes a line of a table; cells are separated by tabs.
+func printf(w *tabwriter.Writer, format string, args ...any) {
+	// A failed write shows when the table is flushed.
+	_, _ = fmt.Fprintf(w, format+"\n", args...)
+}
--- /dev/null
+++ b/pkg/entryapi/module.go
@@ -0,0 +1,184 @@
+// Package entryapi serves callers over HTTP/1.1 and h2c: queries, orders, and
+// the endpoints for the balancer and for metrics.
+package entryapi
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"golang.org/x/net/netutil"
+
+	"radishturn.example/radishturn"
+	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/order"
+	"radishturn.example/radishturn/pkg/problem"
+	"radishturn.example/radishturn/pkg/query"
+	"radishturn.example/radishturn/pkg/settings"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+const (
+	// maxConnections bounds the callers' connections to one instance.
+	maxConnections = 4096
+	// maxHeaderBytes bounds the headers of one request.
+	maxHeaderBytes = 16 << 10
+	// maxBodyBytes bounds the body of one request.
+	maxBodyBytes = 1 << 20
+	// headerTimeout and bodyTimeout bound slow senders.
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// readinessPoll is how often changes of readiness are logged.
+	readinessPoll = 500 * time.Millisecond
+)
+
+// ModuleName is the ID of the entry module.
+const ModuleName radishturn.ModuleID = "entry"
+
+// Module serves callers.
+type Module struct {
+	settings *settings.Settings
+	queries  query.Service
+	orders   order.Service
+	view     view.Source
+	listener net.Listener
+	server   *http.Server
+	draining atomic.Bool
+}
+
+func init() { radishturn.RegisterModule(&Module{}) }
+
+// ModuleInfo returns the module's description.
+func (*Module) ModuleInfo() radishturn.ModuleInfo {
+	return radishturn.ModuleInfo{
+		ID:    ModuleName,
+		After: []radishturn.ModuleID{"lease", "query", "order"},
+		New:   func() radishturn.Module { return &Module{} },
+	}
+}
+
+// Provision finds the services and opens the listener.
+func (m *Module) Provision(c *radishturn.Context) (err error) {
+	m.settings = c.Settings
+	if m.view, err = radishturn.Require[view.Source](c); err != nil {
+		return err
+	}
+	if m.queries, err = radishturn.Require[query.Service](c); err != nil {
+		return err
+	}
+	if m.orders, err = radishturn.Require[order.Service](c); err != nil {
+		return err
+	}
+	address := c.Settings.Instance.CallerListen.String()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen for callers on %s: %w", address, err)
+	}
+	m.listener = netutil.LimitListener(listener, maxConnections)
+	m.server = newServer(m.handler())
+	return nil
+}
+
+func newServer(handler http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           handler,
+		Protocols:         protocols,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+func (m *Module) handler() http.Handler {
+	e := echo.New()
+	e.HTTPErrorHandler = problem.HandleError
+	e.POST("/v1/collections/:collection/query", m.query)
+	e.POST("/v1/collections/:collection/orders", m.order)
+	e.GET("/healthz", m.healthz)
+	e.GET("/readyz", m.readyz)
+	e.GET("/metrics", m.metrics)
+	return e
+}
+
+// Run serves callers until ctx is done.
+func (m *Module) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = m.server.Close() })
+	defer stop()
+	go m.logReadiness(ctx)
+	events.Emit(events.ListenerServing, "callers", m.listener.Addr())
+	if err := m.server.Serve(m.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	// After Drain has closed the server, the actor goes on until it is interrupted.
+	<-ctx.Done()
+	return nil
+}
+
+// Drain stops being ready, goes on serving for as long as the balancer may
+// still send, and then finishes the requests in progress.
+func (m *Module) Drain(ctx context.Context) error {
+	m.draining.Store(true)
+	select {
+	case <-ctx.Done():
+	case <-time.After(m.settings.Platform.BalancerLag.Std()):
+	}
+	ctx, cancel := context.WithTimeout(ctx, m.settings.Stop.Finish.Std())
+	defer cancel()
+	return m.server.Shutdown(ctx)
+}
+
+// Cleanup closes the listener.
+func (m *Module) Cleanup() error {
+	if m.server == nil {
+		return nil
+	}
+	return m.server.Close()
+}
+
+// notReadyReason returns why the instance takes no new work, or "".
+func (m *Module) notReadyReason() string {
+	if m.draining.Load() {
+		return "planned stop"
+	}
+	switch state := m.view.Lease(); state {
+	case view.LeaseHeld, view.LeaseControlLost:
+		return ""
+	default:
+		return "lease " + string(state)
+	}
+}
+
+func (m *Module) logReadiness(ctx context.Context) {
+	ticker := time.NewTicker(readinessPoll)
+	defer ticker.Stop()
+	last := "starting"
+	for {
+		if reason := m.notReadyReason(); reason != last {
+			last = reason
+			emitReadiness(reason)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func emitReadiness(reason string) {
+	if reason == "" {
+		events.Emit(events.InstanceReady)
+		return
+	}
+	events.Emit(events.InstanceNotReady, reason)
+}
--- /dev/null
+++ b/pkg/problem/problem.go
@@ -0,0 +1,150 @@
+// Package problem writes failures as application/problem+json, the form in
+// which callers and operators receive every error.
+package problem
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/model"
+)
+
+// ContentType is the media type of a problem.
+const ContentType = "application/problem+json"
+
+// Details is the body of an error reply.
+type Details struct {
+	Status    int             `json:"status"`
+	Title     string          `json:"title"`
+	Detail    string          `json:"detail,omitempty"`
+	Code      failure.Code    `json:"code"`
+	Ran       failure.Ran     `json:"ran"`
+	Step      string          `json:"step,omitempty"`
+	Peer      string          `json:"peer,omitempty"`
+	RequestID model.RequestID `json:"requestId,omitempty"`
+	// RetryAfterMs is in milliseconds; 0 means not stated.
+	RetryAfterMs int64 `json:"retryAfterMs,omitempty"`
+}
+
+var statusOf = map[failure.Code]int{
+	failure.BadRequest:        http.StatusBadRequest,
+	failure.TooLarge:          http.StatusRequestEntityTooLarge,
+	failure.UnknownCollection: http.StatusNotFound,
+	failure.UnknownLeaf:       http.StatusNotFound,
+	failure.NotFound:          http.StatusNotFound,
+	failure.DeadlineExceeded:  http.StatusGatewayTimeout,
+	failure.Overloaded:        http.StatusServiceUnavailable,
+	failure.CallerLimit:       http.StatusTooManyRequests,
+	failure.Quarantined:       http.StatusUnprocessableEntity,
+	failure.NoSnapshot:        http.StatusServiceUnavailable,
+	failure.CoverageTooLow:    http.StatusServiceUnavailable,
+	failure.LeaseExpired:      http.StatusServiceUnavailable,
+	failure.Draining:          http.StatusServiceUnavailable,
+	failure.NoQuorum:          http.StatusServiceUnavailable,
+	failure.NotLeader:         http.StatusServiceUnavailable,
+	failure.Conflict:          http.StatusConflict,
+	failure.KeyReused:         http.StatusUnprocessableEntity,
+	failure.Unauthorized:      http.StatusForbidden,
+	failure.TargetFailed:      http.StatusBadGateway,
+	failure.MismatchedReply:   http.StatusBadGateway,
+	failure.TargetShed:        http.StatusServiceUnavailable,
+	failure.NotHeld:           http.StatusServiceUnavailable,
+	failure.NoTarget:          http.StatusServiceUnavailable,
+	failure.PeerUnreachable:   http.StatusServiceUnavailable,
+	failure.OutcomeUnknown:    http.StatusGatewayTimeout,
+}
+
+// Status returns the HTTP status of a failure code.
+func Status(code failure.Code) int {
+	if status, ok := statusOf[code]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// From describes err for the request id.
+func From(err error, id model.RequestID) Details {
+	code := failure.CodeOf(err)
+	d := Details{
+		Status:    Status(code),
+		Title:     http.StatusText(Status(code)),
+		Detail:    err.Error(),
+		Code:      code,
+		Ran:       failure.RanOf(err),
+		RequestID: id,
+	}
+	var e *failure.Error
+	if errors.As(err, &e) {
+		d.Step = e.Step
+		d.Peer = e.Peer
+		d.RetryAfterMs = e.RetryAfter.Milliseconds()
+	}
+	return d
+}
+
+// Write sends err as a problem.
+func Write(c echo.Context, err error, id model.RequestID) error {
+	d := From(err, id)
+	body, err := json.Marshal(d)
+	if err != nil {
+		return err
+	}
+	if d.RetryAfterMs > 0 {
+		seconds := (d.RetryAfterMs + time.Second.Milliseconds() - 1) / time.Second.Milliseconds()
+		c.Response().Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	return c.Blob(d.Status, ContentType, body)
+}
+
+// HandleError is an echo error handler: errors of echo itself, such as an
+// unknown path, were not run.
+func HandleError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	var h *echo.HTTPError
+	if errors.As(err, &h) {
+		err = fromHTTP(h)
+	}
+	_ = Write(c, err, "")
+}
+
+func fromHTTP(h *echo.HTTPError) error {
+	code := failure.BadRequest
+	switch h.Code {
+	case http.StatusNotFound, http.StatusMethodNotAllowed:
+		code = failure.NotFound
+	case http.StatusRequestEntityTooLarge:
+		code = failure.TooLarge
+	}
+	return failure.New(code, failure.NotRun, "route", "", "%v", h.Message)
+}
+
+// Decode reads a JSON body of at most limit bytes into target. Unknown fields
+// and trailing data are refused.
+func Decode(c echo.Context, limit int64, target any) error {
+	r := http.MaxBytesReader(c.Response(), c.Request().Body, limit)
+	decoder := json.NewDecoder(r)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return decodeFailure(err)
+	}
+	if decoder.More() {
+		return failure.New(failure.BadRequest, failure.NotRun, "read body", "", "more than one JSON value")
+	}
+	return nil
+}
+
+func decodeFailure(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return failure.New(failure.TooLarge, failure.NotRun, "read body", "", "body is longer than %d bytes", tooLarge.Limit)
+	}
+	return failure.New(failure.BadRequest, failure.NotRun, "read body", "", "%w", err)
+}
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -1,26 +1,57 @@
 package settings
 
 import (
-	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
-
-	"github.com/tailscale/hujson"
+	"strings"
 )
 
-// Load reads and checks a settings file.
+// Mistake is one fault in a settings file.
+type Mistake struct {
+	// Line and Column count from 1.
+	Line   int `json:"line"`
+	Column int `json:"column"`
+	// Path names the field, such as "collections[0].connections".
+	Path    string `json:"path"`
+	Problem string `json:"problem"`
+	// Mend says what to write instead.
+	Mend string `json:"mend"`
+}
+
+// String returns the mistake as one line.
+func (m Mistake) String() string {
+	return fmt.Sprintf("%d:%d: %s: %s; %s", m.Line, m.Column, m.Path, m.Problem, m.Mend)
+}
+
+// InvalidError lists every mistake of a settings file.
+type InvalidError struct {
+	File     string
+	Mistakes []Mistake
+}
+
+// Error returns one line for each mistake.
+func (e *InvalidError) Error() string {
+	lines := make([]string, 0, len(e.Mistakes))
+	for _, m := range e.Mistakes {
+		lines = append(lines, e.File+":"+m.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads and checks a settings file. Mistakes are returned all at once, as
+// an *InvalidError.
 func Load(file string) (*Settings, error) {
+	if file == "" {
+		return nil, errors.New("no settings file is named; use -config FILE")
+	}
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
 	}
-	standard, err := hujson.Standardize(text)
-	if err != nil {
-		return nil, fmt.Errorf("read settings %s: %w", file, err)
-	}
-	s := new(Settings)
-	if err := json.Unmarshal(standard, s); err != nil {
-		return nil, fmt.Errorf("read settings %s: %w", file, err)
+	s, mistakes := Parse(text)
+	if len(mistakes) > 0 {
+		return nil, &InvalidError{File: file, Mistakes: mistakes}
 	}
 	return s, nil
 }
