Burn report: buckets, keepers, multi-window rates, table and HTML page

Cause: operators need to see which error budget burns, how fast, and by which availability zone, version, route or caller, across restarts of instances.

Weighed: (a) scraping every instance on demand loses the past of an instance that restarts; (b) a row for each combination of labels grows with callers. Taken: one parcel a minute from each instance to every control member, counted once by (instance, incarnation, minute); one row for each value of a dimension, 32 values at most, then 'other'. A restarted keeper takes the whole state of another one, watermarks included, so nothing is counted twice.

Seen: nine specs (resent parcel, restarted instance, restarted keeper, gap, label bound, alarms). First red: a short peak with only one hour of history did burn on the 6 h/3 d alarm, since both windows then hold the same hour; that is what the windows say, so the spec now has the quiet hours before it that its name promised. Not yet seen: the module on real processes.

--- a/pkg/adminapi/handlers.go
+++ b/pkg/adminapi/handlers.go
@@ -101,6 +101,11 @@
 	return reply(c, moves, err)
 }
 
+func (m *Module) burnReport(c echo.Context) error {
+	report, err := m.burn.Report(c.Request().Context())
+	return reply(c, report, err)
+}
+
 func (m *Module) quarantined(c echo.Context) error {
 	list, err := m.admin.Quarantined(c.Request().Context())
 	return reply(c, list, err)
--- a/pkg/adminapi/module.go
+++ b/pkg/adminapi/module.go
@@ -16,6 +16,7 @@
 	"github.com/labstack/echo/v4"
 
 	"radishturn.example/radishturn"
+	"radishturn.example/radishturn/pkg/burn/recorder"
 	"radishturn.example/radishturn/pkg/control"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/keys"
@@ -40,6 +41,7 @@
 	settings *settings.Settings
 	admin    control.Admin
 	view     view.Source
+	burn     recorder.Reporter
 	listener net.Listener
 	server   *http.Server
 }
@@ -50,7 +52,7 @@
 func (*Module) ModuleInfo() radishturn.ModuleInfo {
 	return radishturn.ModuleInfo{
 		ID:    ModuleName,
-		After: []radishturn.ModuleID{"mesh", "control", "lease", "query"},
+		After: []radishturn.ModuleID{"mesh", "control", "lease", "query", recorder.ModuleName},
 		New:   func() radishturn.Module { return &Module{} },
 	}
 }
@@ -64,6 +66,9 @@
 	if m.view, err = radishturn.Require[view.Source](c); err != nil {
 		return err
 	}
+	if m.burn, err = radishturn.Require[recorder.Reporter](c); err != nil {
+		return err
+	}
 	credentials, err := radishturn.Require[*keys.Credentials](c)
 	if err != nil {
 		return err
@@ -105,6 +110,7 @@
 	g.GET("/moves", m.moves)
 	g.GET("/quarantine", m.quarantined)
 	g.DELETE("/quarantine/:fingerprint", m.lift)
+	g.GET("/burn", m.burnReport)
 	g.GET("/instances", m.instances)
 	g.GET("/members", m.members)
 	g.POST("/members", m.addMember)
--- /dev/null
+++ b/pkg/burn/burn_test.go
@@ -0,0 +1,165 @@
+package burn_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/burn"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/settings"
+)
+
+func TestBurn(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "burn")
+}
+
+var shopfront = settings.Collection{
+	ID: "shopfront",
+	Objectives: settings.Objectives{
+		Latency: settings.Duration(100 * time.Millisecond), LatencyShare: 0.99,
+		Coverage: 1, CoverageShare: 0.99, OrderShare: 0.999,
+	},
+}
+
+var start = time.Date(2026, 12, 4, 5, 0, 0, 0, time.UTC)
+
+// minuteOf returns a parcel with good and slow queries of one instance.
+func minuteOf(instance model.InstanceID, incarnation string, at time.Time, good, slow int, zone model.AvailabilityZoneID) burn.Parcel {
+	b := burn.NewBucket()
+	for i := range good + slow {
+		o := burn.Observation{
+			Kind: burn.KindQuery, Collection: "shopfront", AvailabilityZone: zone,
+			Route: "search", Caller: "bakery", Latency: 10 * time.Millisecond, Coverage: 1,
+		}
+		if i < slow {
+			o.Latency = time.Second
+		}
+		b.Observe(o, shopfront.Objectives)
+	}
+	return burn.Parcel{Instance: instance, Incarnation: incarnation, Minute: burn.MinuteOf(at), Data: b.Data()}
+}
+
+func accept(s *burn.Store, p burn.Parcel, now time.Time) bool {
+	counted, err := s.Accept(p, burn.MinuteOf(now))
+	Expect(err).NotTo(HaveOccurred())
+	return counted
+}
+
+func latencyReport(s *burn.Store, now time.Time) burn.ObjectiveReport {
+	for _, o := range burn.BuildReport(s, []settings.Collection{shopfront}, now).Objectives {
+		if o.Objective == burn.ObjectiveLatency {
+			return o
+		}
+	}
+	Fail("no latency objective in the report")
+	return burn.ObjectiveReport{}
+}
+
+var _ = Describe("Store", func() {
+	It("counts a parcel once, however often it arrives", func() {
+		s := burn.NewStore()
+		p := minuteOf("e1", "a", start, 90, 10, "split-a")
+		Expect(accept(s, p, start)).To(BeTrue())
+		Expect(accept(s, p, start)).To(BeFalse())
+		Expect(latencyReport(s, start).Windows[0].Counts).To(Equal(burn.Counts{Good: 90, Bad: 10}))
+	})
+
+	It("counts the minute of a restarted instance beside its earlier half", func() {
+		s := burn.NewStore()
+		accept(s, minuteOf("e1", "a", start, 10, 0, "split-a"), start)
+		accept(s, minuteOf("e1", "b", start, 5, 0, "split-a"), start)
+		Expect(latencyReport(s, start).Windows[0].Counts.Good).To(BeEquivalentTo(15))
+	})
+
+	It("hands its state to a keeper that restarted, without double counting", func() {
+		s := burn.NewStore()
+		p := minuteOf("e1", "a", start, 10, 1, "split-a")
+		accept(s, p, start)
+		copied, err := s.Data().Store()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(accept(copied, p, start)).To(BeFalse())
+		Expect(latencyReport(copied, start)).To(Equal(latencyReport(s, start)))
+	})
+
+	It("refuses minutes from a clock that is far off", func() {
+		s := burn.NewStore()
+		Expect(accept(s, minuteOf("e1", "a", start.Add(time.Hour), 1, 0, "split-a"), start)).To(BeFalse())
+		Expect(accept(s, minuteOf("e1", "a", start.Add(-96*time.Hour), 1, 0, "split-a"), start)).To(BeFalse())
+	})
+
+	It("keeps the counts of old minutes while it merges and then drops them", func() {
+		s := burn.NewStore()
+		now := start
+		for range 8 * 60 {
+			accept(s, minuteOf("e1", "a", now, 1, 0, "split-a"), now)
+			Expect(s.Advance(burn.MinuteOf(now))).To(Succeed())
+			now = now.Add(time.Minute)
+		}
+		report := latencyReport(s, now)
+		longest := report.Windows[len(report.Windows)-1]
+		Expect(longest.Counts.Good).To(BeEquivalentTo(8 * 60))
+		Expect(s.Advance(burn.MinuteOf(now.Add(73 * time.Hour)))).To(Succeed())
+		Expect(s.Data().Spans).To(BeEmpty())
+	})
+})
+
+var _ = Describe("BuildReport", func() {
+	It("burns when both windows of an alarm are above its rate, and names the zone", func() {
+		s := burn.NewStore()
+		now := start
+		for range 60 {
+			accept(s, minuteOf("e1", "a", now, 60, 40, "split-a"), now)
+			accept(s, minuteOf("e2", "a", now, 100, 0, "zadar-b"), now)
+			now = now.Add(time.Minute)
+		}
+		now = now.Add(-time.Minute)
+		o := latencyReport(s, now)
+		Expect(o.Burning).To(BeTrue())
+		Expect(o.Windows[0].Rate).To(BeNumerically("~", 20, 0.01))
+		Expect(o.Causes[0]).To(Equal(burn.Cause{
+			Dimension: burn.DimensionAvailabilityZone, Value: "split-a",
+			Counts: burn.Counts{Good: 3600, Bad: 2400}, Share: 1,
+		}))
+	})
+
+	It("does not burn on a short peak after quiet hours", func() {
+		const minutes, peak = 240, 3
+		s := burn.NewStore()
+		now := start
+		for i := range minutes {
+			slow := 0
+			if i >= minutes-peak {
+				slow = 50
+			}
+			accept(s, minuteOf("e1", "a", now, 100, slow, "split-a"), now)
+			now = now.Add(time.Minute)
+		}
+		Expect(latencyReport(s, now.Add(-time.Minute)).Burning).To(BeFalse())
+	})
+
+	It("shows minutes without data as a gap", func() {
+		s := burn.NewStore()
+		accept(s, minuteOf("e1", "a", start, 10, 0, "split-a"), start)
+		now := start.Add(4 * time.Minute)
+		accept(s, minuteOf("e1", "a", now, 10, 0, "split-a"), now)
+		o := latencyReport(s, now)
+		Expect(o.Windows[0].Present).To(BeNumerically("~", 0.4, 0.001))
+		Expect(o.Timeline).To(HaveLen(2))
+	})
+
+	It("bounds the values of a dimension", func() {
+		b := burn.NewBucket()
+		for i := range 1000 {
+			b.Observe(burn.Observation{
+				Kind: burn.KindOrder, Collection: "shopfront", Caller: model.CallerID(rune('a' + i)),
+			}, shopfront.Objectives)
+		}
+		// Four dimensions of one objective: one total, one zone, version and
+		// route each, and 32 callers with one row for all others.
+		Expect(b.Data().Rows).To(HaveLen(4 + 33))
+	})
+})
--- /dev/null
+++ b/pkg/burn/store.go
@@ -0,0 +1,199 @@
+package burn
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"radishturn.example/radishturn/pkg/model"
+)
+
+// Minute counts the minutes since the Unix epoch.
+type Minute int64
+
+// MinuteOf returns the minute of t.
+func MinuteOf(t time.Time) Minute { return Minute(t.Unix() / 60) }
+
+// Time returns the start of m.
+func (m Minute) Time() time.Time { return time.Unix(int64(m)*60, 0).UTC() }
+
+const (
+	// fineMinutes is how long minutes are kept apart; older ones are merged
+	// into spans of coarseMinutes.
+	fineMinutes   Minute = 6 * 60
+	coarseMinutes Minute = 10
+	// keptMinutes is the longest window of a burn rate.
+	keptMinutes Minute = 3 * 24 * 60
+	// maxFutureMinutes bounds how far an instance's clock may be ahead.
+	maxFutureMinutes Minute = 5
+)
+
+// Parcel is one minute of one incarnation of an instance. The same parcel may
+// arrive more than once; it is counted once.
+type Parcel struct {
+	Instance model.InstanceID `cbor:"1,keyasint"`
+	// Incarnation changes with each start of the instance.
+	Incarnation string     `cbor:"2,keyasint"`
+	Minute      Minute     `cbor:"3,keyasint"`
+	Data        BucketData `cbor:"4,keyasint"`
+}
+
+// Span is a bucket of the fleet with its place in time.
+type Span struct {
+	Start Minute
+	Width Minute
+	// Reports is the number of parcels in the span; 0 means a gap.
+	Reports int
+	bucket  *Bucket
+}
+
+// watermark is the newest minute counted of an instance. Parcels of one
+// incarnation come in order, so everything up to it is counted.
+type watermark struct {
+	incarnation string
+	minute      Minute
+}
+
+// Store holds the buckets of the fleet. It is not safe for many goroutines.
+type Store struct {
+	spans map[Minute]*Span
+	marks map[model.InstanceID]watermark
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		spans: make(map[Minute]*Span),
+		marks: make(map[model.InstanceID]watermark),
+	}
+}
+
+// Accept counts p unless it was counted before or is out of bounds. It reports
+// whether p was counted.
+func (s *Store) Accept(p Parcel, now Minute) (bool, error) {
+	if p.Minute > now+maxFutureMinutes || p.Minute <= now-keptMinutes {
+		return false, nil
+	}
+	mark, ok := s.marks[p.Instance]
+	if ok && mark.incarnation == p.Incarnation && p.Minute <= mark.minute {
+		return false, nil
+	}
+	b, err := p.Data.Bucket()
+	if err != nil {
+		return false, err
+	}
+	span := s.spanAt(p.Minute, now)
+	if err := span.bucket.Merge(b); err != nil {
+		return false, err
+	}
+	span.Reports++
+	s.marks[p.Instance] = watermark{p.Incarnation, p.Minute}
+	return true, nil
+}
+
+// spanAt returns the span that holds m, made if there is none.
+func (s *Store) spanAt(m, now Minute) *Span {
+	start, width := m, Minute(1)
+	if m <= now-fineMinutes {
+		start, width = m-m%coarseMinutes, coarseMinutes
+	}
+	span, ok := s.spans[start]
+	if !ok {
+		span = &Span{Start: start, Width: width, bucket: NewBucket()}
+		s.spans[start] = span
+	}
+	return span
+}
+
+// Advance merges minutes that are no longer kept apart and drops what is older
+// than the longest window.
+func (s *Store) Advance(now Minute) error {
+	for start, span := range s.spans {
+		switch {
+		case start <= now-keptMinutes:
+			delete(s.spans, start)
+		case span.Width == 1 && start-start%coarseMinutes+coarseMinutes <= now-fineMinutes:
+			if err := s.coarsen(span); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (s *Store) coarsen(span *Span) error {
+	delete(s.spans, span.Start)
+	start := span.Start - span.Start%coarseMinutes
+	coarse, ok := s.spans[start]
+	if !ok {
+		span.Start, span.Width = start, coarseMinutes
+		s.spans[start] = span
+		return nil
+	}
+	coarse.Width = coarseMinutes
+	coarse.Reports += span.Reports
+	return coarse.bucket.Merge(span.bucket)
+}
+
+// since returns the spans that begin after now-window, in order of time.
+func (s *Store) since(now, window Minute) []*Span {
+	var spans []*Span
+	for span := range maps.Values(s.spans) {
+		if span.Start > now-window && span.Start <= now {
+			spans = append(spans, span)
+		}
+	}
+	slices.SortFunc(spans, func(a, b *Span) int { return cmp.Compare(a.Start, b.Start) })
+	return spans
+}
+
+// StoreData is the form in which a whole store travels to a keeper that has
+// restarted.
+type StoreData struct {
+	Spans []SpanData `cbor:"1,keyasint"`
+	Marks []MarkData `cbor:"2,keyasint"`
+}
+
+// SpanData is one span of a StoreData.
+type SpanData struct {
+	Start   Minute     `cbor:"1,keyasint"`
+	Width   Minute     `cbor:"2,keyasint"`
+	Reports int        `cbor:"3,keyasint"`
+	Data    BucketData `cbor:"4,keyasint"`
+}
+
+// MarkData is the newest minute counted of one instance.
+type MarkData struct {
+	Instance    model.InstanceID `cbor:"1,keyasint"`
+	Incarnation string           `cbor:"2,keyasint"`
+	Minute      Minute           `cbor:"3,keyasint"`
+}
+
+// Data returns s in its travelling form.
+func (s *Store) Data() StoreData {
+	var d StoreData
+	for _, span := range s.spans {
+		d.Spans = append(d.Spans, SpanData{span.Start, span.Width, span.Reports, span.bucket.Data()})
+	}
+	for id, mark := range s.marks {
+		d.Marks = append(d.Marks, MarkData{id, mark.incarnation, mark.minute})
+	}
+	return d
+}
+
+// Store decodes d.
+func (d StoreData) Store() (*Store, error) {
+	s := NewStore()
+	for _, span := range d.Spans {
+		b, err := span.Data.Bucket()
+		if err != nil {
+			return nil, err
+		}
+		s.spans[span.Start] = &Span{span.Start, span.Width, span.Reports, b}
+	}
+	for _, mark := range d.Marks {
+		s.marks[mark.Instance] = watermark{mark.Incarnation, mark.Minute}
+	}
+	return s, nil
+}
--- a/pkg/cli/root.go
+++ b/pkg/cli/root.go
@@ -123,6 +123,7 @@
 		statusCommand(o),
 		membersCommand(o),
 		quarantineCommand(o),
+		reportCommand(o),
 	)
 	return root
 }
--- a/pkg/entryapi/handlers.go
+++ b/pkg/entryapi/handlers.go
@@ -60,6 +60,7 @@
 		return problem.Write(c, err, id)
 	}
 	answer, err := m.queries.Query(c.Request().Context(), request)
+	m.recordQuery(request, answer, started, err)
 	if err != nil {
 		return problem.Write(c, err, id)
 	}
@@ -116,6 +117,7 @@
 		return problem.Write(c, err, id)
 	}
 	result, err := m.orders.Place(c.Request().Context(), request)
+	m.recordOrder(request, started, err)
 	if err != nil {
 		return problem.Write(c, err, id)
 	}
--- a/pkg/entryapi/module.go
+++ b/pkg/entryapi/module.go
@@ -15,6 +15,7 @@
 	"golang.org/x/net/netutil"
 
 	"radishturn.example/radishturn"
+	"radishturn.example/radishturn/pkg/burn"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/order"
 	"radishturn.example/radishturn/pkg/problem"
@@ -47,6 +48,7 @@
 	queries  query.Service
 	orders   order.Service
 	view     view.Source
+	recorder burn.Recorder
 	listener net.Listener
 	server   *http.Server
 	draining atomic.Bool
@@ -58,7 +60,7 @@
 func (*Module) ModuleInfo() radishturn.ModuleInfo {
 	return radishturn.ModuleInfo{
 		ID:    ModuleName,
-		After: []radishturn.ModuleID{"lease", "query", "order"},
+		After: []radishturn.ModuleID{"lease", "query", "order", "burn"},
 		New:   func() radishturn.Module { return &Module{} },
 	}
 }
@@ -75,6 +77,9 @@
 	if m.orders, err = radishturn.Require[order.Service](c); err != nil {
 		return err
 	}
+	if m.recorder, err = radishturn.Require[burn.Recorder](c); err != nil {
+		return err
+	}
 	address := c.Settings.Instance.CallerListen.String()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
--- a/pkg/modules/modules.go
+++ b/pkg/modules/modules.go
@@ -3,6 +3,7 @@
 package modules
 
 import (
-	_ "radishturn.example/radishturn/pkg/mesh"     // mesh
-	_ "radishturn.example/radishturn/pkg/platform" // platform
+	_ "radishturn.example/radishturn/pkg/burn/recorder" // burn
+	_ "radishturn.example/radishturn/pkg/mesh"          // mesh
+	_ "radishturn.example/radishturn/pkg/platform"      // platform
 )
