Stand-in of targets and platform list

Cause: nothing answers leaf queries or orders yet, so neither the query path nor the order path can be tried against the target protocol.

Weighed: a process for each target (hundreds of processes for one collection) against one process with an HTTP server for each target; the latter keeps faults, order log and statistics in one place and costs one listener each. echo serves the list and the control address; the targets use net/http alone because every leaf request passes there.

Tried by hand: list, one query, one order, health, statistics, a crash of a third of the targets with restart. No load was measured yet.

Conclusion: serves queries, orders, hints, list, faults and statistics.

--- /dev/null
+++ b/pkg/standin/cold.go
@@ -0,0 +1,50 @@
+package standin
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// warmth is how far a target has come from cold start.
+type warmth struct {
+	settings Cold
+	// remaining is the number of requests until the target is warm.
+	remaining atomic.Int64
+}
+
+func (w *warmth) turnCold() { w.remaining.Store(int64(w.settings.Requests)) }
+
+func (w *warmth) isCold() bool { return w.remaining.Load() > 0 }
+
+// served counts a request that the target has run.
+func (w *warmth) served() {
+	if w.remaining.Load() > 0 {
+		w.remaining.Add(-1)
+	}
+}
+
+// overloaded reports whether a cold target has more requests in progress than
+// it bears.
+func (w *warmth) overloaded(inFlight int64) bool {
+	return w.isCold() && inFlight > int64(w.settings.Load)
+}
+
+// crashes reports whether a cold target falls over.
+func (w *warmth) crashes(inFlight int64) bool {
+	return w.isCold() && w.settings.CrashLoad > 0 && inFlight >= int64(w.settings.CrashLoad)
+}
+
+// serviceTime stretches the service time of a cold target: by the rest of its
+// way to warm, and by the load above what it bears.
+func (w *warmth) serviceTime(d time.Duration, inFlight int64) time.Duration {
+	remaining := w.remaining.Load()
+	if remaining <= 0 {
+		return d
+	}
+	share := float64(remaining) / float64(w.settings.Requests)
+	factor := 1 + max(0, w.settings.Factor-1)*share
+	if excess := float64(inFlight) / float64(w.settings.Load); excess > 1 {
+		factor *= excess
+	}
+	return time.Duration(float64(d) * factor)
+}
--- /dev/null
+++ b/pkg/standin/content/content.go
@@ -0,0 +1,70 @@
+// Package content defines the documents that stand-in targets serve. Every hit
+// names its snapshot, its leaf and the query, and scores are a function of the
+// hit's name, so that a checker can compute the one right answer to a query.
+package content
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"slices"
+
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/targetproto"
+)
+
+// HitsPerLeaf is the number of hits that a leaf has for any query.
+const HitsPerLeaf = 5
+
+// scoreSteps is the number of different scores.
+const scoreSteps = 1 << 40
+
+// documentSpread varies the number of documents of leaves, so that a wrong sum
+// shows.
+const documentSpread = 97
+
+// HitID returns the name of the hit with the given number of a leaf.
+func HitID(c model.CollectionID, s model.SnapshotID, l model.LeafID, number int) string {
+	return fmt.Sprintf("%s/%s/%s/doc-%d", c, s, l, number)
+}
+
+// Score returns the score of a hit, between 0 and 1.
+func Score(id string) float64 {
+	return float64(hash(id)%scoreSteps) / scoreSteps
+}
+
+// Hits returns the hits of a leaf in descending order of score.
+func Hits(c model.CollectionID, s model.SnapshotID, l model.LeafID, query string) []targetproto.Hit {
+	hits := make([]targetproto.Hit, 0, HitsPerLeaf)
+	for number := range HitsPerLeaf {
+		id := HitID(c, s, l, number+1)
+		hits = append(hits, targetproto.Hit{ID: id, Score: Score(id), Title: query})
+	}
+	SortHits(hits)
+	return hits
+}
+
+// SortHits sorts hits in descending order of score, then by ID.
+func SortHits(hits []targetproto.Hit) {
+	slices.SortFunc(hits, func(a, b targetproto.Hit) int {
+		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// Documents returns the number of documents of a leaf in a snapshot whose
+// leaves have perLeaf documents or a few more.
+func Documents(c model.CollectionID, s model.SnapshotID, l model.LeafID, perLeaf int) int {
+	return perLeaf + int(hash(HitID(c, s, l, 0))%documentSpread)
+}
+
+// hash is FNV-1a with a final mix, since names differ in few bytes.
+func hash(text string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(text)) //nolint:errcheck // a hash never fails
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x & math.MaxInt64
+}
--- /dev/null
+++ b/pkg/standin/partition.go
@@ -0,0 +1,87 @@
+package standin
+
+import (
+	"fmt"
+
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/standin/content"
+	"radishturn.example/radishturn/pkg/targetproto"
+)
+
+// snapshotKey identifies a snapshot of a collection.
+type snapshotKey struct {
+	collection model.CollectionID
+	snapshot   model.SnapshotID
+}
+
+// partitionMaps holds every snapshot that any target may hold.
+type partitionMaps struct {
+	snapshots []model.Snapshot
+	leaves    map[snapshotKey]map[model.LeafID]*leafContent
+}
+
+func newPartitionMaps(collections []Collection) *partitionMaps {
+	p := &partitionMaps{leaves: make(map[snapshotKey]map[model.LeafID]*leafContent)}
+	for i := range collections {
+		c := &collections[i]
+		for sequence, s := range c.Snapshots {
+			p.add(c, s, uint64(sequence+1))
+		}
+	}
+	return p
+}
+
+func (p *partitionMaps) add(c *Collection, s Snapshot, sequence uint64) {
+	snapshot := model.Snapshot{Collection: c.ID, ID: s.ID, Sequence: sequence}
+	leaves := make(map[model.LeafID]*leafContent)
+	for _, leaf := range c.leafIDs(s.Leaves) {
+		part := model.LeafPart{Leaf: leaf, Documents: content.Documents(c.ID, s.ID, leaf, c.DocumentsPerLeaf)}
+		snapshot.Leaves = append(snapshot.Leaves, part)
+		leaves[leaf] = newLeafContent(c.ID, s.ID, part)
+	}
+	p.snapshots = append(p.snapshots, snapshot)
+	p.leaves[snapshotKey{c.ID, s.ID}] = leaves
+}
+
+// leaf returns a leaf's part of a snapshot, or nil if it has none.
+func (p *partitionMaps) leaf(c model.CollectionID, s model.SnapshotID, l model.LeafID) *leafContent {
+	return p.leaves[snapshotKey{c, s}][l]
+}
+
+// leafIDs names the leaves of all services; 0 leaves means those of the collection.
+func (c *Collection) leafIDs(leaves int) []model.LeafID {
+	if leaves == 0 {
+		leaves = c.Leaves
+	}
+	var ids []model.LeafID
+	for service := range c.Services {
+		name := model.ServiceID(fmt.Sprintf("svc-%02d", service+1))
+		for leaf := range leaves {
+			ids = append(ids, model.LeafID{Service: name, Leaf: leaf + 1})
+		}
+	}
+	return ids
+}
+
+// leafPaths are the paths and names of all leaves, built once.
+type leafPaths struct {
+	query, order map[model.LeafID]string
+	// name is the value of the leaf header.
+	name map[model.LeafID][]string
+}
+
+func newLeafPaths(collections []Collection) leafPaths {
+	p := leafPaths{
+		query: make(map[model.LeafID]string),
+		order: make(map[model.LeafID]string),
+		name:  make(map[model.LeafID][]string),
+	}
+	for _, c := range collections {
+		for _, l := range c.leafIDs(c.maxLeaves()) {
+			p.query[l] = targetproto.QueryPath(l)
+			p.order[l] = targetproto.OrderPath(l)
+			p.name[l] = []string{l.String()}
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/pkg/standin/standin.go
@@ -0,0 +1,158 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+
+	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/model"
+)
+
+// Standin is a running stand-in.
+type Standin struct {
+	settings *Settings
+	start    time.Time
+	targets  []*target
+	contents *partitionMaps
+	paths    leafPaths
+	attempts *attempts
+	orders   *orderLog
+	list     laggingList
+	platform net.Listener
+	control  net.Listener
+	stopped  atomic.Bool
+}
+
+// New opens all ports of the stand-in and starts its targets.
+func New(settings *Settings) (*Standin, error) {
+	s := &Standin{
+		settings: settings,
+		start:    time.Now(),
+		contents: newPartitionMaps(settings.Collections),
+		paths:    newLeafPaths(settings.Collections),
+		attempts: newAttempts(),
+		orders:   newOrderLog(),
+	}
+	s.list.lag = settings.ListLag.Std()
+	if err := s.open(); err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Standin) open() error {
+	port := s.settings.FirstPort
+	for i := range s.settings.Collections {
+		for _, t := range s.newTargets(&s.settings.Collections[i]) {
+			t.Address = loopback(port)
+			if port > 0 {
+				port++
+			}
+			if err := s.startTarget(t); err != nil {
+				return err
+			}
+		}
+	}
+	var err error
+	if s.platform, err = net.Listen("tcp", s.settings.Platform.String()); err != nil {
+		return fmt.Errorf("listen for the platform list: %w", err)
+	}
+	if s.control, err = net.Listen("tcp", s.settings.Control.String()); err != nil {
+		return fmt.Errorf("listen for control: %w", err)
+	}
+	return s.publishList()
+}
+
+func (s *Standin) startTarget(t *target) error {
+	l, err := t.listen()
+	if err != nil {
+		return err
+	}
+	t.hold(t.collection.Snapshots[0].ID, true)
+	t.startOn(l)
+	s.targets = append(s.targets, t)
+	return nil
+}
+
+// newTargets names the targets of a collection. The slots of a leaf are spread
+// over the availability zones.
+func (s *Standin) newTargets(c *Collection) []*target {
+	var targets []*target
+	for v, version := range c.Versions {
+		for i, leaf := range c.leafIDs(c.maxLeaves()) {
+			for slot := range c.Slots {
+				id := model.NewTargetID(c.ID, leaf, slot+1)
+				if v > 0 {
+					id += "@" + model.TargetID(version)
+				}
+				targets = append(targets, newTarget(s, c, model.Target{
+					ID:               id,
+					Collection:       c.ID,
+					Leaf:             leaf,
+					Slot:             slot + 1,
+					AvailabilityZone: c.AvailabilityZones[(i+slot)%len(c.AvailabilityZones)],
+					Version:          version,
+				}))
+			}
+		}
+	}
+	return targets
+}
+
+// PlatformAddress returns the address of the platform's list.
+func (s *Standin) PlatformAddress() netip.AddrPort { return addressOf(s.platform) }
+
+// ControlAddress returns the address for faults and statistics.
+func (s *Standin) ControlAddress() netip.AddrPort { return addressOf(s.control) }
+
+func addressOf(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
+
+// Run serves until ctx is done.
+func (s *Standin) Run(ctx context.Context) error {
+	defer s.close()
+	var g run.Group
+	g.Add(serveActor(s.platform, s.platformHandler()))
+	g.Add(serveActor(s.control, s.controlHandler()))
+	g.Add(contextActor(ctx, s.runSchedule))
+	events.Emit(events.StandinServing, len(s.targets), s.PlatformAddress().String())
+	return g.Run()
+}
+
+func serveActor(l net.Listener, h http.Handler) (execute func() error, interrupt func(error)) {
+	server := &http.Server{Handler: h}
+	execute = func() error {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	}
+	return execute, func(error) { server.Close() } //nolint:errcheck // only closes sockets
+}
+
+func contextActor(parent context.Context, f func(context.Context) error) (execute func() error, interrupt func(error)) {
+	ctx, cancel := context.WithCancel(parent)
+	return func() error { return f(ctx) }, func(error) { cancel() }
+}
+
+func (s *Standin) isStopped() bool { return s.stopped.Load() }
+
+func (s *Standin) close() {
+	s.stopped.Store(true)
+	for _, t := range s.targets {
+		t.stop()
+	}
+	for _, l := range []net.Listener{s.platform, s.control} {
+		if l != nil {
+			l.Close() //nolint:errcheck // may be closed already
+		}
+	}
+}
