Load tool: open loop, checker and report

Cause: nothing measures what callers feel, and nothing can tell a mixed answer or a false coverage from a right one.

Compiles; not yet run against entries.

Conclusion: sends queries and orders, reports as table, JSON and plot.

--- /dev/null
+++ b/pkg/cli/load.go
@@ -0,0 +1,178 @@
+// Package cli holds the commands of the operators' tool.
+package cli
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"radishturn.example/radishturn/pkg/load"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/settings"
+)
+
+// ErrLoadViolation says that the checker of a load found a violation. The
+// command's exit code is then 3.
+var ErrLoadViolation = errors.New("the checker found violations")
+
+// loadFlags are the flags of the load command.
+type loadFlags struct {
+	experiment, report, plot string
+	json                     bool
+
+	entries     []string
+	standin     string
+	collection  string
+	rate        float64
+	duration    time.Duration
+	timeout     time.Duration
+	maxRequests int
+	limit       int
+	orderShare  float64
+	services    int
+	leaves      int
+	seed        uint64
+}
+
+// Defaults of a load without an experiment file.
+const (
+	defaultMaxInFlight = 2000
+	defaultTimeout     = 500 * time.Millisecond
+	defaultLimit       = 20
+	reportMode         = 0o644
+)
+
+// LoadCommand returns the command that sends a load to entries on loopback and
+// checks the answers against the stand-in.
+func LoadCommand() *cobra.Command {
+	f := new(loadFlags)
+	c := &cobra.Command{
+		Use:   "load",
+		Short: "Send queries and orders to entries on loopback and check the answers",
+		Long: `Send queries and orders in an open loop, measure latency from the intended send
+time, and check every answer against the stand-in. The load comes from an
+experiment file or from flags, is bounded in count and time, and goes to
+loopback addresses only.
+
+Exit codes: 0 no violation, 1 the load could not run, 2 the experiment is not
+valid, 3 the checker found violations.`,
+		Example: `  radishturn load --experiment experiments/stragglers.jsonc --plot out/stragglers.svg
+  radishturn load --entries 127.0.0.1:7110,127.0.0.1:7120 --standin 127.0.0.1:7001 \
+    --collection shopfront --rate 100 --duration 5s --max-requests 1000 \
+    --order-share 0.05 --order-services 20 --order-leaves 2`,
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return f.run(c) },
+	}
+	f.register(c)
+	return c
+}
+
+func (f *loadFlags) register(c *cobra.Command) {
+	flags := c.Flags()
+	flags.StringVar(&f.experiment, "experiment", "", "experiment file, JSON with comments; replaces the flags of the load")
+	flags.StringVar(&f.report, "report", "", "write the whole report to this JSON file")
+	flags.StringVar(&f.plot, "plot", "", "write a plot to this .svg or .png file")
+	flags.BoolVar(&f.json, "json", false, "print the whole report as JSON in place of the table")
+	flags.StringSliceVar(&f.entries, "entries", nil, "caller addresses of the entries")
+	flags.StringVar(&f.standin, "standin", "", "control address of the stand-in")
+	flags.StringVar(&f.collection, "collection", "", "collection to query")
+	flags.Float64Var(&f.rate, "rate", 0, "mean number of requests each second")
+	flags.DurationVar(&f.duration, "duration", 0, "time in which requests are sent")
+	flags.DurationVar(&f.timeout, "timeout", defaultTimeout, "deadline of each request")
+	flags.IntVar(&f.maxRequests, "max-requests", 0, "largest number of requests")
+	flags.IntVar(&f.limit, "limit", defaultLimit, "number of hits wanted")
+	flags.Float64Var(&f.orderShare, "order-share", 0, "share of orders, from 0 to 1")
+	flags.IntVar(&f.services, "order-services", 0, "number of services that take orders")
+	flags.IntVar(&f.leaves, "order-leaves", 0, "number of leaves of each service that take orders")
+	flags.Uint64Var(&f.seed, "seed", 1, "seed of arrivals")
+}
+
+func (f *loadFlags) run(c *cobra.Command) error {
+	experiment, err := f.read()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	report, err := load.Run(ctx, experiment)
+	if err != nil {
+		return err
+	}
+	if err := f.write(c.OutOrStdout(), report); err != nil {
+		return err
+	}
+	if report.Violated() {
+		return ErrLoadViolation
+	}
+	return nil
+}
+
+// read returns the experiment of the file or the one that the flags describe.
+func (f *loadFlags) read() (*load.Experiment, error) {
+	if f.experiment != "" {
+		return load.Read(f.experiment)
+	}
+	variant := load.Variant{Name: "load"}
+	for _, text := range f.entries {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, fmt.Errorf("--entries: %w: %w", load.ErrSettings, err)
+		}
+		variant.Entries = append(variant.Entries, address)
+	}
+	control, err := netip.ParseAddrPort(f.standin)
+	if err != nil {
+		return nil, fmt.Errorf("--standin: %w: %w", load.ErrSettings, err)
+	}
+	experiment := &load.Experiment{
+		Name:     "load",
+		Standin:  control,
+		Load:     f.load(),
+		Variants: []load.Variant{variant},
+	}
+	return experiment, experiment.Check()
+}
+
+func (f *loadFlags) load() load.Load {
+	return load.Load{
+		Collection:  model.CollectionID(f.collection),
+		Rate:        f.rate,
+		Duration:    settings.Duration(f.duration),
+		MaxRequests: f.maxRequests,
+		MaxInFlight: defaultMaxInFlight,
+		Seed:        f.seed,
+		Timeout:     settings.Duration(f.timeout),
+		Limit:       f.limit,
+		Orders:      load.Orders{Share: f.orderShare, Services: f.services, Leaves: f.leaves},
+	}
+}
+
+func (f *loadFlags) write(out io.Writer, report *load.Report) error {
+	encoded, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return err
+	}
+	if f.report != "" {
+		if err := os.WriteFile(f.report, encoded, reportMode); err != nil {
+			return fmt.Errorf("write report: %w", err)
+		}
+	}
+	if f.plot != "" {
+		if err := report.WritePlot(f.plot); err != nil {
+			return err
+		}
+	}
+	if f.json {
+		_, err := fmt.Fprintf(out, "%s\n", encoded)
+		return err
+	}
+	return report.WriteTable(out)
+}
--- /dev/null
+++ b/pkg/load/plot.go
@@ -0,0 +1,147 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// Size of the picture and the space between its panels.
+const (
+	plotWidth   = 9 * vg.Inch
+	plotHeight  = 12 * vg.Inch
+	plotPadding = 8 * vg.Millimeter
+)
+
+// WritePlot writes the distribution of latency and the timelines of all
+// variants as SVG or PNG, after the file's extension.
+func (r *Report) WritePlot(file string) (err error) {
+	panels, err := r.panels()
+	if err != nil {
+		return fmt.Errorf("plot %s: %w", r.Experiment, err)
+	}
+	canvas, encode, err := newCanvas(filepath.Ext(file))
+	if err != nil {
+		return err
+	}
+	drawPanels(canvas, panels)
+	f, err := os.Create(file)
+	if err != nil {
+		return fmt.Errorf("write plot: %w", err)
+	}
+	defer func() {
+		if closeError := f.Close(); err == nil {
+			err = closeError
+		}
+	}()
+	_, err = encode.WriteTo(f)
+	return err
+}
+
+func newCanvas(extension string) (vg.CanvasSizer, io.WriterTo, error) {
+	switch strings.ToLower(extension) {
+	case ".svg":
+		c := vgsvg.New(plotWidth, plotHeight)
+		return c, c, nil
+	case ".png":
+		c := vgimg.New(plotWidth, plotHeight)
+		return c, vgimg.PngCanvas{Canvas: c}, nil
+	}
+	return nil, nil, fmt.Errorf("plot file %q: the extension must be .svg or .png", extension)
+}
+
+func drawPanels(canvas vg.CanvasSizer, panels []*plot.Plot) {
+	tiles := draw.Tiles{Rows: len(panels), Cols: 1, PadY: plotPadding}
+	rows := make([][]*plot.Plot, len(panels))
+	for i, p := range panels {
+		rows[i] = []*plot.Plot{p}
+	}
+	for i, row := range plot.Align(rows, tiles, draw.New(canvas)) {
+		rows[i][0].Draw(row[0])
+	}
+}
+
+// panel is one diagram: a line for each variant.
+type panel struct {
+	title, x, y string
+	points      func(*VariantReport) plotter.XYs
+}
+
+var panelList = []panel{
+	{"Query latency from the intended send time", "slowest one in 10^x queries", "ms", curvePoints},
+	{"Query and order latency, p99 of each second", "s", "ms", timeline(func(s SecondReport) float64 { return s.P99 })},
+	{"Answers of each second", "s", "answers", timeline(func(s SecondReport) float64 { return float64(s.OK) })},
+	{"Mean coverage", "s", "share", timeline(func(s SecondReport) float64 { return s.Coverage })},
+	{"Leaf requests at targets, extra ones included", "s", "requests", timeline(func(s SecondReport) float64 { return float64(s.LeafRequests) })},
+}
+
+func (r *Report) panels() ([]*plot.Plot, error) {
+	var plots []*plot.Plot
+	for i, description := range panelList {
+		p := plot.New()
+		p.Title.Text = description.title
+		p.X.Label.Text, p.Y.Label.Text = description.x, description.y
+		p.Y.Min = 0
+		p.Legend.Top, p.Legend.Left = true, true
+		if err := r.addLines(p, description, i == 0); err != nil {
+			return nil, err
+		}
+		plots = append(plots, p)
+	}
+	return plots, nil
+}
+
+func (r *Report) addLines(p *plot.Plot, description panel, withLegend bool) error {
+	for i := range r.Variants {
+		line, err := plotter.NewLine(description.points(&r.Variants[i]))
+		if err != nil {
+			return err
+		}
+		line.Color = plotutil.Color(i)
+		line.Dashes = plotutil.Dashes(i)
+		p.Add(line)
+		if withLegend {
+			p.Legend.Add(r.Variants[i].Name, line)
+		}
+	}
+	return nil
+}
+
+// curvePoints spreads the tail: x is how many powers of ten of the queries are
+// faster, so that p90, p99 and p99.9 lie at 1, 2 and 3.
+func curvePoints(v *VariantReport) plotter.XYs {
+	points := make(plotter.XYs, 0, len(v.Queries.Curve))
+	for _, c := range v.Queries.Curve {
+		points = append(points, plotter.XY{X: -math.Log10(1 - c.Percentile/100), Y: c.Milliseconds})
+	}
+	return orOrigin(points)
+}
+
+func timeline(value func(SecondReport) float64) func(*VariantReport) plotter.XYs {
+	return func(v *VariantReport) plotter.XYs {
+		points := make(plotter.XYs, 0, len(v.Timeline))
+		for _, s := range v.Timeline {
+			points = append(points, plotter.XY{X: float64(s.Second), Y: value(s)})
+		}
+		return orOrigin(points)
+	}
+}
+
+// orOrigin avoids lines without points, which a plot refuses.
+func orOrigin(points plotter.XYs) plotter.XYs {
+	if len(points) == 0 {
+		return plotter.XYs{{}}
+	}
+	return points
+}
--- /dev/null
+++ b/pkg/load/standin.go
@@ -0,0 +1,87 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/standin"
+)
+
+const controlTimeout = 10 * time.Second
+
+// standinClient talks to the control address of a stand-in.
+type standinClient struct {
+	address netip.AddrPort
+	client  *http.Client
+}
+
+func newStandinClient(address netip.AddrPort) *standinClient {
+	return &standinClient{address: address, client: &http.Client{Timeout: controlTimeout}}
+}
+
+func (c *standinClient) truth(ctx context.Context) (t standin.Truth, err error) {
+	return t, c.do(ctx, http.MethodGet, standin.TruthPath, nil, &t)
+}
+
+func (c *standinClient) summary(ctx context.Context) (s standin.Stats, err error) {
+	return s, c.do(ctx, http.MethodGet, standin.StatsPath+"?targets=none", nil, &s)
+}
+
+func (c *standinClient) orders(ctx context.Context) (l standin.OrderLog, err error) {
+	return l, c.do(ctx, http.MethodGet, standin.OrdersPath, nil, &l)
+}
+
+// ran returns those of the requests that some target began to run.
+func (c *standinClient) ran(ctx context.Context, ids []model.RequestID) ([]model.RequestID, error) {
+	var reply standin.RequestIDs
+	err := c.do(ctx, http.MethodPost, standin.RanPath, standin.RequestIDs{Requests: ids}, &reply)
+	return reply.Requests, err
+}
+
+func (c *standinClient) reset(ctx context.Context) error {
+	return c.do(ctx, http.MethodPost, standin.ResetPath, nil, nil)
+}
+
+func (c *standinClient) set(ctx context.Context, step standin.ScheduledFault) error {
+	if step.Clear != "" {
+		return c.do(ctx, http.MethodDelete, standin.FaultsPath+"/"+step.Clear, nil, nil)
+	}
+	return c.do(ctx, http.MethodPut, standin.FaultsPath, standin.FaultsRequest{Faults: []standin.Fault{step.Fault}}, nil)
+}
+
+func (c *standinClient) do(ctx context.Context, method, path string, body, into any) error {
+	var encoded []byte
+	if body != nil {
+		var err error
+		if encoded, err = json.Marshal(body); err != nil {
+			return err
+		}
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.address.String()+path, bytes.NewReader(encoded))
+	if err != nil {
+		return err
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return fmt.Errorf("ask the stand-in: %w", err)
+	}
+	defer response.Body.Close() //nolint:errcheck // only read from
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return fmt.Errorf("ask the stand-in: %w", err)
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		return fmt.Errorf("stand-in refused %s %s: status %d: %.200s", method, path, response.StatusCode, text)
+	}
+	if into == nil {
+		return nil
+	}
+	return json.Unmarshal(text, into)
+}
--- /dev/null
+++ b/pkg/load/table.go
@@ -0,0 +1,108 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+)
+
+const tablePadding = 2
+
+// row is one line of the table: a name and a value for each variant.
+type row struct {
+	name  string
+	value func(*VariantReport) string
+}
+
+var rows = []row{
+	{"sent", func(v *VariantReport) string { return fmt.Sprint(v.Sent) }},
+	{"not sent (too many in flight)", func(v *VariantReport) string { return fmt.Sprint(v.NotSent) }},
+	{"goodput, answers in time per s", func(v *VariantReport) string { return fmt.Sprintf("%.1f", v.Goodput) }},
+	{"late answers", func(v *VariantReport) string { return fmt.Sprint(v.Late) }},
+	{"query p50 ms", func(v *VariantReport) string { return fmt.Sprintf("%.1f", v.Queries.P50) }},
+	{"query p90 ms", func(v *VariantReport) string { return fmt.Sprintf("%.1f", v.Queries.P90) }},
+	{"query p99 ms", func(v *VariantReport) string { return fmt.Sprintf("%.1f", v.Queries.P99) }},
+	{"query p99.9 ms", func(v *VariantReport) string { return fmt.Sprintf("%.1f", v.Queries.P999) }},
+	{"order p50 ms", func(v *VariantReport) string { return fmt.Sprintf("%.1f", v.Orders.P50) }},
+	{"order p99 ms", func(v *VariantReport) string { return fmt.Sprintf("%.1f", v.Orders.P99) }},
+	{"failure p99 ms", func(v *VariantReport) string { return fmt.Sprintf("%.1f", v.Failures.P99) }},
+	{"coverage mean", func(v *VariantReport) string { return fmt.Sprintf("%.5f", v.Coverage.Mean) }},
+	{"coverage min", func(v *VariantReport) string { return fmt.Sprintf("%.5f", v.Coverage.Min) }},
+	{"full answers", func(v *VariantReport) string { return fmt.Sprintf("%.2f%%", v.Coverage.Full*100) }},
+	{"leaf requests", func(v *VariantReport) string { return fmt.Sprint(v.Targets.Requests) }},
+	{"extra leaf requests", func(v *VariantReport) string { return fmt.Sprintf("%.2f%%", v.ExtraLoad*100) }},
+	{"most connections at a target", func(v *VariantReport) string { return fmt.Sprint(v.Targets.MaxConnections) }},
+	{"connections refused", func(v *VariantReport) string { return fmt.Sprint(v.Targets.RefusedConnections) }},
+	{"most in flight at a target", func(v *VariantReport) string { return fmt.Sprint(v.Targets.MaxInFlight) }},
+	{"most in flight while cold", func(v *VariantReport) string { return fmt.Sprint(v.Targets.MaxColdInFlight) }},
+	{"cold overloads", func(v *VariantReport) string { return fmt.Sprint(v.Targets.ColdOverloads) }},
+	{"shed by targets", func(v *VariantReport) string { return fmt.Sprint(v.Targets.Shed) }},
+	{"target crashes", func(v *VariantReport) string { return fmt.Sprint(v.Targets.Crashes) }},
+	{"order keys", func(v *VariantReport) string { return fmt.Sprint(v.OrderRuns.Keys) }},
+	{"order runs", func(v *VariantReport) string { return fmt.Sprint(v.OrderRuns.Runs) }},
+	{"orders confirmed", func(v *VariantReport) string { return fmt.Sprint(v.OrderRuns.Confirmed) }},
+}
+
+// WriteTable writes the report as a table with a column for each variant.
+func (r *Report) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, tablePadding, ' ', 0)
+	fmt.Fprintf(t, "%s (seed %d)", r.Experiment, r.Seed)
+	for i := range r.Variants {
+		fmt.Fprintf(t, "\t%s", r.Variants[i].Name)
+	}
+	fmt.Fprintln(t)
+	for _, row := range rows {
+		fmt.Fprint(t, row.name)
+		for i := range r.Variants {
+			fmt.Fprintf(t, "\t%s", row.value(&r.Variants[i]))
+		}
+		fmt.Fprintln(t)
+	}
+	r.writeOutcomes(t)
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	return r.writeViolations(w)
+}
+
+// writeOutcomes writes a line for each outcome that any variant had.
+func (r *Report) writeOutcomes(w io.Writer) {
+	names := make(map[string][]int)
+	for i := range r.Variants {
+		for _, o := range r.Variants[i].Outcomes {
+			name := fmt.Sprintf("%s: %s, %s", o.Kind, o.Code, o.Ran)
+			if names[name] == nil {
+				names[name] = make([]int, len(r.Variants))
+			}
+			names[name][i] += o.Count
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		fmt.Fprint(w, name)
+		for _, n := range names[name] {
+			fmt.Fprintf(w, "\t%d", n)
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+func (r *Report) writeViolations(w io.Writer) error {
+	if !r.Violated() {
+		_, err := fmt.Fprintln(w, "violations: none")
+		return err
+	}
+	for i := range r.Variants {
+		v := &r.Variants[i]
+		for _, kind := range slices.Sorted(maps.Keys(v.Violations)) {
+			fmt.Fprintf(w, "VIOLATION %s: %s: %d\n", v.Name, kind, v.Violations[kind])
+		}
+		for _, example := range v.Examples {
+			if _, err := fmt.Fprintf(w, "  %s %s: %s\n", example.Kind, example.Request, example.Detail); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- a/pkg/standin/apply.go
+++ b/pkg/standin/apply.go
@@ -92,6 +92,20 @@
 	events.Emit(events.StandinFault, "all", "clear "+name)
 }
 
+// Reset brings every target back to its state at start, but for the boot ID of
+// those that were down, and starts the largest values of the statistics anew.
+func (s *Standin) Reset() error {
+	s.Clear(clearAll)
+	for _, t := range s.targets {
+		t.restart()
+		t.setListed(true, false)
+		t.hold(t.collection.Snapshots[0].ID, true)
+		t.warmth.reset()
+		t.counters.resetLargest()
+	}
+	return s.publishList()
+}
+
 // runSchedule sets the faults of the settings at their times.
 func (s *Standin) runSchedule(ctx context.Context) error {
 	for _, step := range s.settings.Schedule {
--- a/pkg/standin/cold.go
+++ b/pkg/standin/cold.go
@@ -14,6 +14,14 @@
 
 func (w *warmth) turnCold() { w.remaining.Store(int64(w.settings.Requests)) }
 
+// reset returns to the state at start.
+func (w *warmth) reset() {
+	w.remaining.Store(0)
+	if w.settings.AtStart {
+		w.turnCold()
+	}
+}
+
 func (w *warmth) isCold() bool { return w.remaining.Load() > 0 }
 
 // served counts a request that the target has run.
--- a/pkg/standin/connections.go
+++ b/pkg/standin/connections.go
@@ -89,4 +89,7 @@
 	}
 }
 
+// resetMax forgets the largest value but for what is in progress.
+func (g *gauge) resetMax() { g.max.Store(g.now.Load()) }
+
 func (g *gauge) done() { g.now.Add(-1) }
--- a/pkg/standin/control.go
+++ b/pkg/standin/control.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -18,6 +19,10 @@
 	StatsPath  = "/stats"
 	OrdersPath = "/orders"
 	TruthPath  = "/truth"
+	// RanPath answers which of the requests in the body some target began to run.
+	RanPath = "/ran"
+	// ResetPath brings every target back to its state at start.
+	ResetPath = "/reset"
 )
 
 // FaultsRequest is the body of PUT on FaultsPath.
@@ -37,6 +42,11 @@
 	HitsPerLeaf int `json:"hitsPerLeaf"`
 }
 
+// RequestIDs is the body of RanPath and of its reply.
+type RequestIDs struct {
+	Requests []model.RequestID `json:"requests"`
+}
+
 // problem is the body of an error reply.
 type problem struct {
 	Error string `json:"error"`
@@ -65,6 +75,8 @@
 	e.GET(TruthPath, func(c echo.Context) error {
 		return c.JSON(http.StatusOK, Truth{Snapshots: s.contents.snapshots, HitsPerLeaf: content.HitsPerLeaf})
 	})
+	e.POST(RanPath, s.postRan)
+	e.POST(ResetPath, s.postReset)
 	e.PUT(FaultsPath, s.putFaults)
 	e.DELETE(FaultsPath, func(c echo.Context) error { return s.deleteFaults(c, clearAll) })
 	e.DELETE(FaultsPath+"/:name", func(c echo.Context) error { return s.deleteFaults(c, c.Param("name")) })
@@ -107,6 +119,26 @@
 	return request, nil
 }
 
+func (s *Standin) postRan(c echo.Context) error {
+	var asked, reply RequestIDs
+	if err := json.NewDecoder(c.Request().Body).Decode(&asked); err != nil {
+		return c.JSON(http.StatusBadRequest, problem{err.Error()})
+	}
+	for _, id := range asked.Requests {
+		if s.ran.has(string(id)) {
+			reply.Requests = append(reply.Requests, id)
+		}
+	}
+	return c.JSON(http.StatusOK, reply)
+}
+
+func (s *Standin) postReset(c echo.Context) error {
+	if err := s.Reset(); err != nil {
+		return c.JSON(http.StatusInternalServerError, problem{err.Error()})
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
 func (s *Standin) deleteFaults(c echo.Context, name string) error {
 	s.Clear(name)
 	return c.NoContent(http.StatusNoContent)
--- a/pkg/standin/serve.go
+++ b/pkg/standin/serve.go
@@ -58,8 +58,8 @@
 func (t *target) countRequest(r *leafRequest) {
 	t.counters.requests.Add(1)
 	t.counters.lastRequest.Store(time.Since(t.standin.start).Milliseconds())
-	key := attemptKey{request: r.request, collection: t.Collection, leaf: t.Leaf}
-	if t.standin.attempts.isRepeated(key) {
+	attempt := leafAttempt{request: r.request, collection: t.Collection, leaf: t.Leaf}
+	if !t.standin.attempts.add(attempt) {
 		t.counters.extra.Add(1)
 	}
 }
@@ -98,6 +98,7 @@
 
 // work spends the service time and replies.
 func (t *target) work(w http.ResponseWriter, r *http.Request, request *leafRequest, e effects, contents *leafContent) {
+	t.standin.ran.add(request.request)
 	inFlight := t.enterCold()
 	defer t.leaveCold(inFlight)
 	if t.warmth.crashes(inFlight) {
--- a/pkg/standin/standin.go
+++ b/pkg/standin/standin.go
@@ -23,7 +23,10 @@
 	targets  []*target
 	contents *partitionMaps
 	paths    leafPaths
-	attempts *attempts
+	// attempts tells extra leaf requests from first ones.
+	attempts *recentSet[leafAttempt]
+	// ran holds the requests that some target began to run.
+	ran      *recentSet[string]
 	orders   *orderLog
 	list     laggingList
 	platform net.Listener
@@ -38,7 +41,8 @@
 		start:    time.Now(),
 		contents: newPartitionMaps(settings.Collections),
 		paths:    newLeafPaths(settings.Collections),
-		attempts: newAttempts(),
+		attempts: newRecentSet[leafAttempt](),
+		ran:      newRecentSet[string](),
 		orders:   newOrderLog(),
 	}
 	s.list.lag = settings.ListLag.Std()
--- a/pkg/standin/stats.go
+++ b/pkg/standin/stats.go
@@ -81,6 +81,34 @@
 	c.LastRequest = max(c.LastRequest, other.LastRequest)
 }
 
+// Since returns what was counted after earlier. Largest values and values of
+// the moment stay as they are.
+func (c Counts) Since(earlier Counts) Counts {
+	c.Requests -= earlier.Requests
+	c.ExtraRequests -= earlier.ExtraRequests
+	c.Served -= earlier.Served
+	c.RefusedConnections -= earlier.RefusedConnections
+	c.Shed -= earlier.Shed
+	c.Draining -= earlier.Draining
+	c.NotHeld -= earlier.NotHeld
+	c.Cancelled -= earlier.Cancelled
+	c.Expired -= earlier.Expired
+	c.Failed -= earlier.Failed
+	c.ColdRequests -= earlier.ColdRequests
+	c.ColdOverloads -= earlier.ColdOverloads
+	c.Crashes -= earlier.Crashes
+	c.OrdersRun -= earlier.OrdersRun
+	c.DamagedReplies -= earlier.DamagedReplies
+	return c
+}
+
+// resetLargest starts the largest values anew.
+func (c *counters) resetLargest() {
+	c.inFlight.resetMax()
+	c.coldFlight.resetMax()
+	c.connections.resetMax()
+}
+
 func (c *counters) counts() Counts {
 	return Counts{
 		Requests:           c.requests.Load(),
--- a/pkg/standin/target.go
+++ b/pkg/standin/target.go
@@ -48,9 +48,7 @@
 	created.workers = newWorkers(c.Concurrency, c.Queue)
 	created.behaviour.Store(newBehaviour(nil))
 	created.contents.Store(&map[model.SnapshotID]*leafContent{})
-	if c.Cold.AtStart {
-		created.warmth.turnCold()
-	}
+	created.warmth.reset()
 	return created
 }
 
