--- a/pkg/cli/root.go
+++ b/pkg/cli/root.go
@@ -85,7 +85,7 @@
 }
 
 const (
-	defaultTimeout = 10 * time.Second
+	defaultWait = 10 * time.Second
 	// adminVariable names the environment variable with admin addresses.
 	adminVariable = "RADISHTURN_ADMIN"
 	keysVariable  = "RADISHTURN_KEYS"
@@ -113,7 +113,7 @@
 	flags.StringSliceVar(&o.admin, "admin", envList(adminVariable), "admin addresses, tried in order ($"+adminVariable+")")
 	flags.StringVar(&o.keys, "keys", os.Getenv(keysVariable), "folder with the authority and the operator's keys ($"+keysVariable+")")
 	flags.StringVar(&o.name, "operator", os.Getenv(nameVariable), "name of the operator's certificate ($"+nameVariable+")")
-	flags.DurationVar(&o.timeout, "timeout", defaultTimeout, "longest time to wait")
+	flags.DurationVar(&o.timeout, "timeout", defaultWait, "longest time to wait")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return exitWith(ExitInvalid, err) })
 	root.AddCommand(
 		configCommand(o),
@@ -124,6 +124,7 @@
 		membersCommand(o),
 		quarantineCommand(o),
 		reportCommand(o),
+		loadCommand(o),
 	)
 	return root
 }
--- /dev/null
+++ b/proofs/fleet_test.go
@@ -0,0 +1,360 @@
+//go:build proofs
+
+// Package proofs runs the daemon as separate processes and breaks them: kills,
+// freezes, lost disks and cuts. It needs the programs in bin; "make proofs"
+// builds them.
+package proofs
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/order"
+	"radishturn.example/radishturn/pkg/problem"
+	"radishturn.example/radishturn/pkg/query"
+	"radishturn.example/radishturn/pkg/standin"
+)
+
+func TestProofs(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "proofs")
+}
+
+const (
+	instances      = 6
+	members        = 3
+	meshPort       = 31100
+	forwarderPort  = 31200
+	callerPort     = 31300
+	adminPort      = 31400
+	platformPort   = 31500
+	controlPort    = 31501
+	firstPort      = 32000
+	readyTimeout   = 20 * time.Second
+	requestTimeout = 5 * time.Second
+	program        = "../bin/"
+)
+
+var zones = []string{"split-a", "zadar-b", "sibenik-c"}
+
+// fleet is a stand-in and six instances as processes, with a forwarder in
+// front of the mesh address of each.
+type fleet struct {
+	folder     string
+	network    *network
+	forwarders []*forwarder
+	client     *http.Client
+
+	mu        sync.Mutex
+	processes map[string]*process
+}
+
+type process struct {
+	command *exec.Cmd
+	done    chan struct{}
+	err     error
+}
+
+func newFleet(seed uint64) *fleet {
+	f := &fleet{
+		folder:    GinkgoT().TempDir(),
+		network:   newNetwork(seed),
+		client:    &http.Client{Timeout: requestTimeout},
+		processes: make(map[string]*process),
+	}
+	GinkgoWriter.Printf("seed %d, folder %s\n", seed, f.folder)
+	f.run("keys", "init", f.folder+"/keys")
+	f.run("keys", "issue", "--for-operator", f.folder+"/keys", "operator", "rival")
+	for n := 1; n <= instances; n++ {
+		f.run("keys", "issue", f.folder+"/keys", name(n))
+		f.writeSettings(n)
+		f.forward(n)
+	}
+	DeferCleanup(f.close)
+	f.start("standin", "radishturn-standin", "--config", f.writeStandin())
+	for n := 1; n <= instances; n++ {
+		f.startInstance(n)
+	}
+	for n := 1; n <= instances; n++ {
+		f.waitReady(n)
+	}
+	return f
+}
+
+func name(n int) string { return fmt.Sprintf("e%d", n) }
+
+func all() []int { return []int{1, 2, 3, 4, 5, 6} }
+
+func except(n int) []int {
+	var others []int
+	for _, other := range all() {
+		if other != n {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
+func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+func (f *fleet) forward(n int) {
+	forwarder, err := startForwarder(f.network, n, netip.MustParseAddrPort(address(forwarderPort+n)),
+		netip.MustParseAddrPort(address(meshPort+n)), func(a netip.AddrPort) int { return int(a.Port()) - meshPort })
+	Expect(err).NotTo(HaveOccurred())
+	f.forwarders = append(f.forwarders, forwarder)
+}
+
+// writeSettings makes the settings of instance n from those of the demo.
+func (f *fleet) writeSettings(n int) {
+	template, err := os.ReadFile("../config/demo/instance.jsonc")
+	Expect(err).NotTo(HaveOccurred())
+	text := strings.NewReplacer(
+		"@N@", fmt.Sprint(n), "@ZONE@", zones[(n-1)%len(zones)], "@FOLDER@", f.folder,
+		fmt.Sprintf("%q: \"127.0.0.1:710@N@\"", "meshListen"),
+		fmt.Sprintf("%q: %q, %q: %q", "meshListen", address(meshPort+n), "meshAdvertise", address(forwarderPort+n)),
+		"127.0.0.1:710", fmt.Sprintf("127.0.0.1:%d", forwarderPort/10),
+		"127.0.0.1:810", fmt.Sprintf("127.0.0.1:%d", callerPort/10),
+		"127.0.0.1:910", fmt.Sprintf("127.0.0.1:%d", adminPort/10),
+		"127.0.0.1:7000", address(platformPort),
+	).Replace(string(template))
+	if n > members {
+		var kept []string
+		for _, line := range strings.Split(text, "\n") {
+			if !strings.Contains(line, `"dataFolder"`) {
+				kept = append(kept, line)
+			}
+		}
+		text = strings.Join(kept, "\n")
+	}
+	Expect(os.WriteFile(f.settings(n), []byte(text), 0o600)).To(Succeed())
+}
+
+func (f *fleet) settings(n int) string { return filepath.Join(f.folder, name(n)+".jsonc") }
+
+func (f *fleet) dataFolder(n int) string { return filepath.Join(f.folder, "data", name(n)) }
+
+func (f *fleet) writeStandin() string {
+	text, err := os.ReadFile("../config/demo/standin.jsonc")
+	Expect(err).NotTo(HaveOccurred())
+	moved := strings.NewReplacer("127.0.0.1:7000", address(platformPort), "127.0.0.1:7001", address(controlPort),
+		`"firstPort": 20000`, fmt.Sprintf(`"firstPort": %d`, firstPort)).Replace(string(text))
+	file := filepath.Join(f.folder, "standin.jsonc")
+	Expect(os.WriteFile(file, []byte(moved), 0o600)).To(Succeed())
+	return file
+}
+
+func (f *fleet) start(name, programName string, args ...string) {
+	log, err := os.OpenFile(filepath.Join(f.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	Expect(err).NotTo(HaveOccurred())
+	p := &process{command: exec.Command(program+programName, args...), done: make(chan struct{})}
+	p.command.Stderr, p.command.Stdout = log, log
+	Expect(p.command.Start()).To(Succeed())
+	go func() {
+		p.err = p.command.Wait()
+		_ = log.Close()
+		close(p.done)
+	}()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.processes[name] = p
+}
+
+func (f *fleet) startInstance(n int) { f.start(name(n), "radishturnd", "-config", f.settings(n)) }
+
+func (f *fleet) process(n int) *process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.processes[name(n)]
+}
+
+func (f *fleet) signal(n int, s syscall.Signal) { _ = f.process(n).command.Process.Signal(s) }
+
+// kill ends instance n at once and waits until it is gone.
+func (f *fleet) kill(n int) {
+	f.signal(n, syscall.SIGKILL)
+	<-f.process(n).done
+}
+
+// stop asks for a planned stop and returns how the process ended.
+func (f *fleet) stop(n int) error {
+	f.signal(n, syscall.SIGTERM)
+	<-f.process(n).done
+	return f.process(n).err
+}
+
+func (f *fleet) close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.processes {
+		_ = p.command.Process.Signal(syscall.SIGCONT)
+		_ = p.command.Process.Kill()
+		<-p.done
+	}
+	for _, forwarder := range f.forwarders {
+		forwarder.close()
+	}
+}
+
+func (f *fleet) isReady(n int) bool {
+	response, err := f.client.Get("http://" + address(callerPort+n) + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (f *fleet) waitReady(n int) {
+	GinkgoHelper()
+	Eventually(func() bool { return f.isReady(n) }, readyTimeout, 50*time.Millisecond).Should(BeTrue(), func() string {
+		log, _ := os.ReadFile(filepath.Join(f.folder, name(n)+".log"))
+		return name(n) + " is not ready; its log ends:\n" + string(log[max(0, len(log)-2000):])
+	})
+}
+
+// command runs the command line as an operator against the given instances.
+func (f *fleet) command(operator string, at []int, args ...string) (string, int) {
+	var addresses []string
+	for _, n := range at {
+		addresses = append(addresses, address(adminPort+n))
+	}
+	c := exec.Command(program+"radishturn", args...)
+	c.Env = append(os.Environ(), "RADISHTURN_ADMIN="+strings.Join(addresses, ","),
+		"RADISHTURN_KEYS="+f.folder+"/keys", "RADISHTURN_OPERATOR="+operator)
+	out, err := c.CombinedOutput()
+	if _, ok := err.(*exec.ExitError); err != nil && !ok {
+		Fail(err.Error())
+	}
+	return string(out), c.ProcessState.ExitCode()
+}
+
+func (f *fleet) run(args ...string) {
+	GinkgoHelper()
+	out, code := f.command("operator", all(), args...)
+	Expect(code).To(Equal(0), out)
+}
+
+// reply is what a caller hears.
+type reply struct {
+	status  int
+	answer  query.Answer
+	result  order.Result
+	problem problem.Details
+	err     error
+}
+
+// notRun reports whether the caller was told that the request did not run.
+func (r reply) notRun() bool { return r.err == nil && r.problem.Ran == failure.NotRun }
+
+func (f *fleet) query(n int, text string) reply {
+	body := map[string]any{"query": text, "route": "search", "limit": 3}
+	r, raw := f.post(n, "query", "", body)
+	if r.status == http.StatusOK {
+		r.err = json.Unmarshal(raw, &r.answer)
+	}
+	return r
+}
+
+func (f *fleet) order(n int, key string) reply {
+	r, raw := f.post(n, "orders", key, map[string]any{"leafKey": key, "order": "a loaf"})
+	if r.status == http.StatusOK {
+		r.err = json.Unmarshal(raw, &r.result)
+	}
+	return r
+}
+
+func (f *fleet) post(n int, verb, key string, body any) (reply, []byte) {
+	payload, err := json.Marshal(body)
+	if err != nil {
+		return reply{err: err}, nil
+	}
+	url := fmt.Sprintf("http://%s/v1/collections/shopfront/%s", address(callerPort+n), verb)
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, bytes.NewReader(payload))
+	if err != nil {
+		return reply{err: err}, nil
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Request-Timeout", "2000")
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return reply{err: err}, nil
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	r := reply{status: response.StatusCode, err: err}
+	if err == nil && r.status != http.StatusOK {
+		r.err = json.Unmarshal(raw, &r.problem)
+	}
+	return r, raw
+}
+
+func (f *fleet) fromStandin(path string, into any) {
+	GinkgoHelper()
+	response, err := f.client.Get("http://" + address(controlPort) + path)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	Expect(json.NewDecoder(response.Body).Decode(into)).To(Succeed())
+}
+
+func (f *fleet) stats() standin.Stats {
+	GinkgoHelper()
+	var s standin.Stats
+	f.fromStandin(standin.StatsPath, &s)
+	return s
+}
+
+// orderRuns returns how often each key ran.
+func (f *fleet) orderRuns() map[string]int {
+	GinkgoHelper()
+	var log standin.OrderLog
+	f.fromStandin(standin.OrdersPath, &log)
+	runs := make(map[string]int, len(log.Runs))
+	for key, list := range log.Runs {
+		runs[key] = len(list)
+	}
+	return runs
+}
+
+func (f *fleet) setFault(faults ...standin.Fault) {
+	GinkgoHelper()
+	body, err := json.Marshal(standin.FaultsRequest{Faults: faults})
+	Expect(err).NotTo(HaveOccurred())
+	request, err := http.NewRequest(http.MethodPut, "http://"+address(controlPort)+standin.FaultsPath, bytes.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("Content-Type", "application/json")
+	response, err := f.client.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	Expect(response.StatusCode).To(BeNumerically("<", http.StatusMultipleChoices))
+}
+
+// rulesFile writes rules and returns the file's name.
+func (f *fleet) rulesFile(lines ...string) string {
+	GinkgoHelper()
+	file, err := os.CreateTemp(f.folder, "rules-*.txt")
+	Expect(err).NotTo(HaveOccurred())
+	defer file.Close()
+	_, err = file.WriteString(strings.Join(lines, "\n") + "\n")
+	Expect(err).NotTo(HaveOccurred())
+	return file.Name()
+}
