--- a/Makefile
+++ b/Makefile
@@ -16,11 +16,14 @@
 
 lint:
 	test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
-	go vet ./...
-	go tool staticcheck ./...
+	go vet -tags proofs ./...
+	go tool staticcheck -tags proofs ./...
 
 model:
 	./spec/check.sh
 
 demo: build
 	./scripts/demo.sh
+
+proofs: build
+	go test -tags proofs -count=1 -timeout 30m ./proofs
--- /dev/null
+++ b/proofs/config_test.go
@@ -0,0 +1,221 @@
+//go:build proofs
+
+package proofs
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/control"
+	"radishturn.example/radishturn/pkg/replica"
+)
+
+// inForceBound is the time of the long-term aim: in force everywhere within 4 s.
+const inForceBound = 4 * time.Second
+
+// Exit codes of the command line.
+const (
+	exitOK       = 0
+	exitConflict = 4
+)
+
+// limitRule returns a file with one rule that differs by its number.
+func (f *fleet) limitRule(n int) string {
+	return f.rulesFile(fmt.Sprintf("limit caller village %d/s # proof %d", n+1, n))
+}
+
+func (f *fleet) newestRules(at []int) control.Change {
+	GinkgoHelper()
+	out, code := f.command("operator", at, "--json", "rules", "show")
+	Expect(code).To(Equal(exitOK), out)
+	var change control.Change
+	Expect(json.Unmarshal([]byte(out), &change)).To(Succeed())
+	return change
+}
+
+func (f *fleet) members(at []int) replica.Status {
+	GinkgoHelper()
+	out, code := f.command("operator", at, "--json", "members", "list")
+	Expect(code).To(Equal(exitOK), out)
+	var status replica.Status
+	Expect(json.Unmarshal([]byte(out), &status)).To(Succeed())
+	return status
+}
+
+// numberOf returns the number of an instance's name.
+func numberOf(instance string) int {
+	var n int
+	_, err := fmt.Sscanf(instance, "e%d", &n)
+	Expect(err).NotTo(HaveOccurred())
+	return n
+}
+
+var _ = Describe("Configuration", func() {
+	It("is in force everywhere within the bound, again and again", func() {
+		f := newFleet(seed())
+		var worst time.Duration
+		for i := range 20 {
+			started := time.Now()
+			out, code := f.command("operator", []int{1 + i%instances}, "rules", "apply", f.limitRule(i))
+			took := time.Since(started)
+			Expect(code).To(Equal(exitOK), out)
+			Expect(took).To(BeNumerically("<=", inForceBound))
+			worst = max(worst, took)
+		}
+		AddReportEntry("in force", fmt.Sprintf("20 changes, slowest %s", worst))
+	})
+
+	It("accepts exactly one of two racing operators", func() {
+		f := newFleet(seed())
+		for i := range 10 {
+			base := fmt.Sprint(f.newestRules(all()).Revision)
+			files := []string{f.limitRule(1000 + 2*i), f.limitRule(1001 + 2*i)}
+			codes := make([]int, 2)
+			outs := make([]string, 2)
+			var wait sync.WaitGroup
+			for j, operator := range []string{"operator", "rival"} {
+				wait.Go(func() {
+					outs[j], codes[j] = f.command(operator, []int{4 + j}, "rules", "apply", "--base", base, files[j])
+				})
+			}
+			wait.Wait()
+			Expect(codes).To(ConsistOf(exitOK, exitConflict), strings.Join(outs, "\n"))
+		}
+	})
+
+	It("gives a resend the first answer", func() {
+		f := newFleet(seed())
+		file := f.limitRule(7)
+		base := fmt.Sprint(f.newestRules(all()).Revision)
+		first, code := f.command("operator", []int{2}, "--json", "rules", "apply", "--base", base, file)
+		Expect(code).To(Equal(exitOK), first)
+		again, code := f.command("operator", []int{5}, "--json", "rules", "apply", "--base", base, file)
+		Expect(code).To(Equal(exitOK), again)
+		Expect(revisionOf(again)).To(Equal(revisionOf(first)))
+	})
+
+	It("never reverts when the leader is killed during changes", func() {
+		f := newFleet(seed())
+		accepted := control.Change{}
+		for i := range 6 {
+			leader := numberOf(string(f.members(except(0)).Leader.Instance))
+			var wait sync.WaitGroup
+			var code int
+			wait.Go(func() {
+				_, code = f.command("operator", []int{4, 5, 6}, "rules", "apply", f.limitRule(i))
+			})
+			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+			f.kill(leader)
+			wait.Wait()
+			survivors := except(leader)
+			Eventually(func() int {
+				_, c := f.command("operator", survivors, "rules", "show")
+				return c
+			}, readyTimeout).Should(Equal(exitOK))
+			newest := f.newestRules(survivors)
+			Expect(newest.Revision).To(BeNumerically(">=", accepted.Revision))
+			if newest.Revision == accepted.Revision {
+				Expect(newest.Hash).To(Equal(accepted.Hash))
+				Expect(code).NotTo(Equal(exitOK))
+			}
+			accepted = newest
+			f.startInstance(leader)
+			f.waitReady(leader)
+		}
+	})
+
+	It("survives a lost disk, its repair, and a second loss right after", func() {
+		f := newFleet(seed())
+		out, code := f.command("operator", all(), "rules", "apply", f.limitRule(1))
+		Expect(code).To(Equal(exitOK), out)
+		accepted := f.newestRules(all())
+		f.replaceLostDisk(2)
+		f.replaceLostDisk(3)
+		newest := f.newestRules(all())
+		Expect(newest.Revision).To(Equal(accepted.Revision))
+		Expect(newest.Hash).To(Equal(accepted.Hash))
+		out, code = f.command("operator", all(), "rules", "apply", f.limitRule(2))
+		Expect(code).To(Equal(exitOK), out)
+	})
+})
+
+// replaceLostDisk kills a member, empties its data folder, starts it again and
+// repairs it with the documented command.
+func (f *fleet) replaceLostDisk(n int) {
+	GinkgoHelper()
+	f.kill(n)
+	Expect(os.RemoveAll(f.dataFolder(n))).To(Succeed())
+	f.startInstance(n)
+	f.waitReady(n)
+	for _, m := range f.members(except(n)).Voters {
+		if string(m.Instance) != name(n) {
+			continue
+		}
+		out, code := f.command("operator", except(n), "members", "replace", name(n), string(m.Disk), name(n))
+		Expect(code).To(Equal(exitOK), out)
+	}
+	status := f.members(except(n))
+	Expect(status.Voters).To(HaveLen(members))
+	Expect(status.Learners).To(BeEmpty())
+}
+
+func revisionOf(applied string) any {
+	GinkgoHelper()
+	var result struct{ Change control.Change }
+	Expect(json.Unmarshal([]byte(applied), &result)).To(Succeed(), applied)
+	return result.Change.Revision
+}
+
+var _ = Describe("Leases", func() {
+	It("refuse all work at an instance that is cut off, until it is back", func() {
+		f := newFleet(seed())
+		f.network.isolate(4, except(4), true)
+		Eventually(func() bool { return f.isReady(4) }, readyTimeout).Should(BeFalse())
+		for i := range 10 {
+			Expect(f.query(4, "olive bread").notRun()).To(BeTrue())
+			Expect(f.order(4, fmt.Sprintf("cut-%d", i)).notRun()).To(BeTrue())
+		}
+		out, code := f.command("operator", []int{1, 5}, "rules", "apply", f.limitRule(3))
+		Expect(code).To(Equal(exitOK), out)
+		f.network.heal()
+		f.waitReady(4)
+		Expect(f.query(4, "olive bread").status).To(Equal(http.StatusOK))
+		Expect(f.orderRuns()).To(BeEmpty())
+	})
+
+	It("go on through a relay when only control is unreachable", func() {
+		f := newFleet(seed())
+		for n := 1; n <= members; n++ {
+			f.network.setCut(4, n, true)
+			f.network.setCut(n, 4, true)
+		}
+		Consistently(func() bool { return f.isReady(4) }, 6*time.Second, 100*time.Millisecond).Should(BeTrue())
+		out, code := f.command("operator", []int{5}, "rules", "apply", f.limitRule(4))
+		Expect(code).To(Equal(exitOK), out)
+	})
+
+	It("let a frozen instance dispatch nothing on a lease that has run out", func() {
+		f := newFleet(seed())
+		f.signal(5, syscall.SIGSTOP)
+		histories := make([]orderHistory, 50)
+		var wait sync.WaitGroup
+		for i := range histories {
+			key := fmt.Sprintf("frozen-%d", i)
+			wait.Go(func() { histories[i] = orderHistory{key, []reply{f.order(5, key)}} })
+		}
+		time.Sleep(4 * time.Second)
+		f.signal(5, syscall.SIGCONT)
+		wait.Wait()
+		AddReportEntry("frozen", fmt.Sprintf("%+v", checkOrders(histories, f.orderRuns())))
+		f.waitReady(5)
+	})
+})
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,6 +8,12 @@
 SECONDS_OF_LOAD=${SECONDS_OF_LOAD:-5}
 . scripts/fleet.sh
 
+entries() { # addresses for callers, separated by commas
+  local list
+  list=$(seq -f '127.0.0.1:810%.0f' $INSTANCES)
+  echo "${list//$'\n'/,}"
+}
+
 trap 'stop_all || true' EXIT
 prepare_fleet $INSTANCES
 start_standin config/demo/standin.jsonc
@@ -23,7 +29,9 @@
   -H 'Content-Type: application/json' -H 'Idempotency-Key: demo-1' \
   -d '{"leafKey": "loaf-17", "order": "two loaves for Saturday"}'
 echo
-bin/radishturn load experiments/demo.jsonc
+bin/radishturn load --entries "$(entries)" --standin 127.0.0.1:7001 --collection shopfront \
+  --rate 100 --duration "${SECONDS_OF_LOAD}s" --max-requests 10000 \
+  --order-share 0.05 --order-services 20 --order-leaves 2
 stop_all
 trap - EXIT
 echo "everything stopped cleanly"
