--- /dev/null
+++ b/pkg/consensus/follower.go
@@ -0,0 +1,73 @@
+package consensus
+
+import "fmt"
+
+// stepAppend takes entries from the leader of this term.
+func (r *Raft) stepAppend(m Message) {
+	a := m.Append
+	// The leader holds every committed entry, so the logs agree up to the commit.
+	if a.PrevIndex < r.commit && len(a.Entries) == 0 || a.PrevIndex < r.log.base {
+		r.replyAppend(m, AppendReply{Index: r.commit})
+		return
+	}
+	if !r.log.matches(a.PrevIndex, a.PrevTerm) {
+		r.replyAppend(m, AppendReply{Index: a.PrevIndex, Rejected: true, Hint: r.log.hint(a.PrevIndex)})
+		return
+	}
+	last := a.PrevIndex + uint64(len(a.Entries))
+	if fresh := r.log.newEntries(a.Entries); len(fresh) > 0 {
+		r.appendEntries(fresh)
+	}
+	r.commit = max(r.commit, min(a.Commit, last))
+	r.replyAppend(m, AppendReply{Index: last})
+}
+
+func (r *Raft) replyAppend(m Message, reply AppendReply) {
+	reply.SentAt = m.Append.SentAt
+	r.send(Message{To: m.From, AppendReply: &reply})
+}
+
+// stepSnapshot replaces the log, unless the log holds what the snapshot covers.
+func (r *Raft) stepSnapshot(m Message) {
+	s := m.Snapshot.Snapshot
+	switch {
+	case s.Meta.Index <= r.commit:
+	case r.log.matches(s.Meta.Index, s.Meta.Term):
+		r.commit = s.Meta.Index
+	default:
+		r.install(s)
+	}
+	reply := &SnapshotReply{Index: min(r.commit, s.Meta.Index), SentAt: m.Snapshot.SentAt}
+	r.send(Message{To: m.From, SnapshotReply: reply})
+}
+
+func (r *Raft) install(s Snapshot) {
+	r.log.reset(s.Meta)
+	r.commit, r.applied = s.Meta.Index, s.Meta.Index
+	r.snapshot = s.Meta
+	r.effects.Snapshot = &s
+	r.effects.Entries = nil
+	r.recomputeMembership()
+}
+
+// Compact tells that a snapshot with this meta is durable, and drops the log up
+// to keep entries before it. A member that lacks dropped entries receives the
+// snapshot.
+func (r *Raft) Compact(meta SnapshotMeta, keep uint64) {
+	if meta.Index > r.applied {
+		panic(fmt.Sprintf("consensus: snapshot at %d beyond applied %d", meta.Index, r.applied))
+	}
+	if meta.Index <= r.snapshot.Index {
+		return
+	}
+	r.snapshot = meta
+	if meta.Index > keep {
+		r.log.compact(meta.Index - keep)
+	}
+}
+
+// SnapshotMeta returns the meta of a snapshot taken now, at the applied index.
+func (r *Raft) SnapshotMeta() SnapshotMeta {
+	term, _ := r.log.term(r.applied)
+	return SnapshotMeta{Index: r.applied, Term: term, Membership: r.membershipAt(r.applied)}
+}
--- /dev/null
+++ b/pkg/consensus/log.go
@@ -0,0 +1,121 @@
+package consensus
+
+import (
+	"fmt"
+	"slices"
+)
+
+// raftLog holds the entries after base. Entries up to base are covered by a
+// snapshot and dropped.
+type raftLog struct {
+	base     uint64
+	baseTerm uint64
+	entries  []Entry
+}
+
+func (l *raftLog) lastIndex() uint64 { return l.base + uint64(len(l.entries)) }
+
+func (l *raftLog) lastTerm() uint64 {
+	if len(l.entries) == 0 {
+		return l.baseTerm
+	}
+	return l.entries[len(l.entries)-1].Term
+}
+
+// term returns the term of the entry at index, and whether it is known.
+func (l *raftLog) term(index uint64) (uint64, bool) {
+	switch {
+	case index == l.base:
+		return l.baseTerm, true
+	case index < l.base || index > l.lastIndex():
+		return 0, false
+	}
+	return l.at(index).Term, true
+}
+
+// matches reports whether the log has an entry with this index and term.
+func (l *raftLog) matches(index, term uint64) bool {
+	t, ok := l.term(index)
+	return ok && t == term
+}
+
+func (l *raftLog) at(index uint64) *Entry { return &l.entries[index-l.base-1] }
+
+// slice returns a copy of the entries in [from, to].
+func (l *raftLog) slice(from, to uint64) []Entry {
+	if from > to {
+		return nil
+	}
+	return slices.Clone(l.entries[from-l.base-1 : to-l.base])
+}
+
+// batch returns entries from index on, up to maxBytes but at least one.
+func (l *raftLog) batch(from uint64, maxBytes int) []Entry {
+	size := 0
+	to := from
+	for ; to <= l.lastIndex(); to++ {
+		size += l.at(to).size()
+		if size > maxBytes && to > from {
+			break
+		}
+	}
+	return l.slice(from, to-1)
+}
+
+// append cuts the log before the first entry's index and adds the entries.
+func (l *raftLog) append(entries []Entry) {
+	first := entries[0].Index
+	if first <= l.base || first > l.lastIndex()+1 {
+		panic(fmt.Sprintf("consensus: append at %d to a log of (%d, %d]", first, l.base, l.lastIndex()))
+	}
+	l.entries = append(l.entries[:first-l.base-1:first-l.base-1], entries...)
+}
+
+// newEntries drops from entries those that the log has already.
+func (l *raftLog) newEntries(entries []Entry) []Entry {
+	for i, e := range entries {
+		if !l.matches(e.Index, e.Term) {
+			return entries[i:]
+		}
+	}
+	return nil
+}
+
+// compact drops the entries up to index.
+func (l *raftLog) compact(index uint64) {
+	if index <= l.base {
+		return
+	}
+	term, ok := l.term(index)
+	if !ok {
+		panic(fmt.Sprintf("consensus: compact to %d beyond %d", index, l.lastIndex()))
+	}
+	l.entries = slices.Clone(l.entries[index-l.base:])
+	l.base, l.baseTerm = index, term
+}
+
+// reset replaces the log by a snapshot.
+func (l *raftLog) reset(meta SnapshotMeta) {
+	*l = raftLog{base: meta.Index, baseTerm: meta.Term}
+}
+
+// hint returns the largest index up to prev at which this log may agree with a
+// leader whose entry at prev differs: entries of the differing term are skipped
+// at once.
+func (l *raftLog) hint(prev uint64) uint64 {
+	if prev > l.lastIndex() {
+		return l.lastIndex()
+	}
+	differing, ok := l.term(prev)
+	if !ok {
+		return l.base
+	}
+	index := prev
+	for index > l.base {
+		if t, _ := l.term(index); t != differing {
+			break
+		}
+		index--
+	}
+	return index
+}
--- /dev/null
+++ b/pkg/consensus/status.go
@@ -0,0 +1,23 @@
+package consensus
+
+// Status is a copy of the state that others may see.
+type Status struct {
+	Role       Role
+	Term       uint64
+	Leader     Member
+	Commit     uint64
+	Applied    uint64
+	LastIndex  uint64
+	Membership Membership
+	// Snapshot is the index of the newest durable snapshot.
+	Snapshot uint64
+}
+
+// Status returns the current state.
+func (r *Raft) Status() Status {
+	return Status{
+		Role: r.role, Term: r.term, Leader: r.leader,
+		Commit: r.commit, Applied: r.applied, LastIndex: r.log.lastIndex(),
+		Membership: r.membership.clone(), Snapshot: r.snapshot.Index,
+	}
+}
--- a/pkg/failure/failure.go
+++ b/pkg/failure/failure.go
@@ -54,6 +54,8 @@
 	Internal           Code = "internal"
 	DataFolderDamaged  Code = "data-folder-damaged"
 	DataFolderReadOnly Code = "data-folder-read-only"
+	DataFolderFull     Code = "data-folder-full"
+	DataFolderOccupied Code = "data-folder-occupied"
 )
 
 // Error is a failure at a known step.
--- /dev/null
+++ b/pkg/journal/files.go
@@ -0,0 +1,143 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// File is an open file of the data folder.
+type File interface {
+	Write(p []byte) (int, error)
+	// Sync returns once everything written is on the disk.
+	Sync() error
+	Truncate(size int64) error
+	Close() error
+}
+
+// Files are the operations on the data folder. Tests put faults in between.
+type Files interface {
+	// MakeFolder makes the folder and its parents.
+	MakeFolder(name string) error
+	// List returns the names of the files in a folder, sorted.
+	List(folder string) ([]string, error)
+	Read(name string) ([]byte, error)
+	// Append opens an existing or new file for appending.
+	Append(name string) (File, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	// SyncFolder makes created, renamed and removed names durable.
+	SyncFolder(name string) error
+	// Lock takes an exclusive lock that ends with the process or with Close.
+	// It fails with errLocked if another process holds it.
+	Lock(name string) (File, error)
+}
+
+// errLocked is returned by Files.Lock.
+var errLocked = errors.New("locked by another process")
+
+const (
+	fileMode   = 0o600
+	folderMode = 0o700
+)
+
+// OS is the operating system's Files.
+type OS struct{}
+
+var _ Files = OS{}
+
+// MakeFolder makes the folder and its parents.
+func (OS) MakeFolder(name string) error { return os.MkdirAll(name, folderMode) }
+
+// List returns the names of the files in a folder.
+func (OS) List(folder string) ([]string, error) {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, 0, len(entries))
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names, nil
+}
+
+// Read returns the content of a file.
+func (OS) Read(name string) ([]byte, error) { return os.ReadFile(name) }
+
+// Append opens a file for appending.
+func (OS) Append(name string) (File, error) {
+	return os.OpenFile(name, os.O_WRONLY|os.O_APPEND|os.O_CREATE, fileMode)
+}
+
+// Rename replaces a file.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove deletes a file.
+func (OS) Remove(name string) error { return os.Remove(name) }
+
+// SyncFolder syncs a directory.
+func (OS) SyncFolder(name string) error {
+	d, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
+
+// Lock takes an advisory lock on a file.
+func (OS) Lock(name string) (File, error) {
+	f, err := os.OpenFile(name, os.O_RDWR|os.O_CREATE, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		return nil, errors.Join(errLocked, f.Close())
+	}
+	if err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+	return f, nil
+}
+
+// replaceFile writes a whole file such that after a crash either the old or
+// the new content is there.
+func replaceFile(files Files, folder, temporary, name string, content []byte) error {
+	if err := writeFile(files, filepath.Join(folder, temporary), content); err != nil {
+		return err
+	}
+	return moveFile(files, folder, temporary, name)
+}
+
+// writeFile writes and syncs a new file; one with this name is removed first.
+func writeFile(files Files, name string, content []byte) error {
+	if err := files.Remove(name); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("remove %s: %w", name, err)
+	}
+	f, err := files.Append(name)
+	if err != nil {
+		return fmt.Errorf("create %s: %w", name, err)
+	}
+	if _, err := f.Write(content); err != nil {
+		return errors.Join(fmt.Errorf("write %s: %w", name, err), f.Close())
+	}
+	if err := f.Sync(); err != nil {
+		return errors.Join(fmt.Errorf("sync %s: %w", name, err), f.Close())
+	}
+	return f.Close()
+}
+
+// moveFile renames a synced file into place, durably.
+func moveFile(files Files, folder, from, to string) error {
+	if err := files.Rename(filepath.Join(folder, from), filepath.Join(folder, to)); err != nil {
+		return fmt.Errorf("rename %s: %w", from, err)
+	}
+	if err := files.SyncFolder(folder); err != nil {
+		return fmt.Errorf("sync folder %s: %w", folder, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/journal/frame.go
@@ -0,0 +1,148 @@
+package journal
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+)
+
+// A frame is magic, length and checksum of the header, checksum of the payload,
+// payload. Both checksums cover the frame's offset in its file, so that a frame
+// found elsewhere, such as inside another one's payload, does not count.
+const (
+	frameMagic      = 0x52544a31 // "RTJ1"
+	headerBytes     = 16
+	maxPayloadBytes = 1 << 30
+	// sectorBytes is the smallest unit that a disk writes as a whole.
+	sectorBytes = 512
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// appendFrame adds a frame for a payload that will stand at offset.
+func appendFrame(b []byte, offset int64, payload []byte) []byte {
+	start := len(b)
+	b = binary.LittleEndian.AppendUint32(b, frameMagic)
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(payload)))
+	b = binary.LittleEndian.AppendUint32(b, checksum(offset, b[start:start+8]))
+	b = binary.LittleEndian.AppendUint32(b, checksum(offset, payload))
+	return append(b, payload...)
+}
+
+func checksum(offset int64, p []byte) uint32 {
+	var seed [8]byte
+	binary.LittleEndian.PutUint64(seed[:], uint64(offset))
+	return crc32.Update(crc32.Checksum(seed[:], castagnoli), castagnoli, p)
+}
+
+// frameState says what was found at an offset.
+type frameState int
+
+const (
+	frameWhole frameState = iota
+	// frameTorn is what a crash in the middle of the last write leaves.
+	frameTorn
+	// frameDamaged cannot come from a crash: something changed what was synced.
+	frameDamaged
+)
+
+// readFrame reads the frame at offset. Only the last write can be torn, since
+// each is synced before the next begins. What a crash leaves of it is a short
+// file, or whole sectors that were never written and read as zeros. Anything
+// else is damage, and so is a bad frame that a whole one follows.
+func readFrame(file []byte, offset int64) (payload []byte, state frameState) {
+	rest := file[offset:]
+	if len(rest) < headerBytes {
+		return nil, frameTorn
+	}
+	length, ok := readHeader(rest, offset)
+	if !ok {
+		return nil, classify(file, offset, int64(len(file)))
+	}
+	end := headerBytes + int64(length)
+	if end > int64(len(rest)) {
+		return nil, frameTorn
+	}
+	payload = rest[headerBytes:end]
+	if binary.LittleEndian.Uint32(rest[12:]) != checksum(offset, payload) {
+		return nil, classify(file, offset, offset+end)
+	}
+	return payload, frameWhole
+}
+
+func readHeader(rest []byte, offset int64) (length uint32, ok bool) {
+	if binary.LittleEndian.Uint32(rest) != frameMagic {
+		return 0, false
+	}
+	length = binary.LittleEndian.Uint32(rest[4:])
+	ok = length <= maxPayloadBytes && binary.LittleEndian.Uint32(rest[8:]) == checksum(offset, rest[:8])
+	return length, ok
+}
+
+// classify decides between torn and damaged for a bad frame in [offset, end).
+func classify(file []byte, offset, end int64) frameState {
+	if hasFrameAfter(file, offset+1) || !hasUnwrittenSector(file, offset, end) {
+		return frameDamaged
+	}
+	return frameTorn
+}
+
+// hasFrameAfter looks for a whole frame at any later offset.
+func hasFrameAfter(file []byte, from int64) bool {
+	magic := binary.LittleEndian.AppendUint32(nil, frameMagic)
+	for {
+		i := bytes.Index(file[from:], magic)
+		if i < 0 {
+			return false
+		}
+		at := from + int64(i)
+		if isWholeFrame(file, at) {
+			return true
+		}
+		from = at + 1
+	}
+}
+
+func isWholeFrame(file []byte, offset int64) bool {
+	rest := file[offset:]
+	if len(rest) < headerBytes {
+		return false
+	}
+	length, ok := readHeader(rest, offset)
+	end := headerBytes + int64(length)
+	return ok && end <= int64(len(rest)) &&
+		binary.LittleEndian.Uint32(rest[12:]) == checksum(offset, rest[headerBytes:end])
+}
+
+// hasUnwrittenSector reports whether the part of some sector within
+// [offset, end) is all zeros.
+func hasUnwrittenSector(file []byte, offset, end int64) bool {
+	for offset < end {
+		next := min(end, (offset/sectorBytes+1)*sectorBytes)
+		if len(bytes.Trim(file[offset:next], "\x00")) == 0 {
+			return true
+		}
+		offset = next
+	}
+	return false
+}
+
+// decodeFrames calls take with each payload in file and returns the offset
+// after the last whole frame. A torn end is no error.
+func decodeFrames(file []byte, take func(payload []byte) error) (end int64, err error) {
+	for end < int64(len(file)) {
+		payload, state := readFrame(file, end)
+		switch state {
+		case frameTorn:
+			return end, nil
+		case frameDamaged:
+			return end, fmt.Errorf("checksum does not match at offset %d", end)
+		}
+		if err := take(payload); err != nil {
+			return end, fmt.Errorf("record at offset %d: %w", end, err)
+		}
+		end += headerBytes + int64(len(payload))
+	}
+	return end, nil
+}
--- /dev/null
+++ b/pkg/journal/journal.go
@@ -0,0 +1,178 @@
+// Package journal keeps the durable state of a control member in one data
+// folder: the disk's identity, a snapshot, and a log in append-only segments.
+//
+// Each write is synced before the next begins, so a crash can tear only the end
+// of the last segment; that end was never acknowledged and is cut off at start.
+// Anything else that does not check out is refused. After a failed write or
+// sync nothing more is written, since what the page cache holds then need not
+// be what the disk holds.
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"radishturn.example/radishturn/pkg/consensus"
+	"radishturn.example/radishturn/pkg/model"
+)
+
+// Names in the data folder.
+const (
+	lockName             = "lock"
+	diskName             = "disk.json"
+	snapshotName         = "snapshot"
+	segmentPrefix        = "log-"
+	temporarySuffix      = ".tmp"
+	diskTemporary        = diskName + temporarySuffix
+	snapshotTemporary    = snapshotName + temporarySuffix
+	installTemporary     = "install" + temporarySuffix
+	defaultSegmentBytes  = 8 << 20
+	segmentNameDigits    = 16
+	firstSegmentSequence = 1
+)
+
+// Options open a journal.
+type Options struct {
+	Folder string
+	Files  Files
+	// SegmentBytes is the size after which a new segment begins.
+	SegmentBytes int64
+	// NewDisk returns the identity for a folder that is written first.
+	NewDisk func() model.DiskID
+}
+
+// Journal is an open data folder. One goroutine uses it, but for
+// WriteSnapshot, which may run beside the others.
+type Journal struct {
+	files        Files
+	folder       string
+	segmentBytes int64
+	lock         File
+	disk         model.DiskID
+
+	// segments are those that count, oldest first; the last one is open.
+	segments  []segment
+	file      File
+	offset    int64
+	hardState consensus.HardState
+	// snapshotIndex is that of the snapshot in place.
+	snapshotIndex uint64
+	failed        error
+}
+
+type segment struct {
+	sequence uint64
+	// last is the largest index of an entry in the segment.
+	last uint64
+}
+
+// Restored is what the folder held when it was opened.
+type Restored struct {
+	// New is set if the folder was written for the first time.
+	New   bool
+	State consensus.State
+	// SnapshotData belongs to State.Snapshot.
+	SnapshotData []byte
+}
+
+// Disk returns the identity of the data folder.
+func (j *Journal) Disk() model.DiskID { return j.disk }
+
+// Append writes entries and the hard state, either of which may be missing, and
+// syncs them with one call.
+func (j *Journal) Append(h *consensus.HardState, entries []consensus.Entry) error {
+	if j.failed != nil {
+		return j.failed
+	}
+	if j.offset >= j.segmentBytes {
+		if err := j.rotate(); err != nil {
+			return j.fail("begin segment", err)
+		}
+	}
+	if err := j.write(&record{HardState: h, Entries: entries}); err != nil {
+		return j.fail("append", err)
+	}
+	if h != nil {
+		j.hardState = *h
+	}
+	if len(entries) > 0 {
+		current := &j.segments[len(j.segments)-1]
+		current.last = max(current.last, entries[len(entries)-1].Index)
+	}
+	return nil
+}
+
+// write appends one frame and syncs it.
+func (j *Journal) write(r *record) error {
+	payload, err := cbor.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("encode record: %w", err)
+	}
+	frame := appendFrame(nil, j.offset, payload)
+	if _, err := j.file.Write(frame); err != nil {
+		return err
+	}
+	if err := j.file.Sync(); err != nil {
+		return err
+	}
+	j.offset += int64(len(frame))
+	return nil
+}
+
+// rotate begins a new segment. It repeats the hard state, so that older
+// segments may go.
+func (j *Journal) rotate() error {
+	if j.file != nil {
+		if err := j.file.Close(); err != nil {
+			return err
+		}
+		j.file = nil
+	}
+	sequence := uint64(firstSegmentSequence)
+	if n := len(j.segments); n > 0 {
+		sequence = j.segments[n-1].sequence + 1
+	}
+	f, err := j.files.Append(j.path(segmentName(sequence)))
+	if err != nil {
+		return err
+	}
+	j.file, j.offset = f, 0
+	j.segments = append(j.segments, segment{sequence: sequence})
+	header := &segmentHeader{Format: format, Sequence: sequence, Disk: j.disk}
+	if err := j.write(&record{Segment: header, HardState: &j.hardState}); err != nil {
+		return err
+	}
+	return j.files.SyncFolder(j.folder)
+}
+
+func segmentName(sequence uint64) string {
+	return fmt.Sprintf("%s%0*x", segmentPrefix, segmentNameDigits, sequence)
+}
+
+func (j *Journal) path(name string) string { return filepath.Join(j.folder, name) }
+
+// fail makes err the answer to every later write.
+func (j *Journal) fail(step string, err error) error {
+	j.failed = asFailure(step, j.folder, err)
+	return j.failed
+}
+
+// Close frees the folder for another process. It writes nothing.
+func (j *Journal) Close() error {
+	var errs []error
+	if j.file != nil {
+		errs = append(errs, j.file.Close())
+		j.file = nil
+	}
+	if j.lock != nil {
+		errs = append(errs, j.lock.Close())
+		j.lock = nil
+	}
+	if j.failed == nil {
+		j.failed = errors.New("journal is closed")
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/pkg/replica/module.go
@@ -0,0 +1,83 @@
+package replica
+
+import (
+	"context"
+
+	"radishturn.example/radishturn"
+	"radishturn.example/radishturn/pkg/journal"
+	"radishturn.example/radishturn/pkg/mesh"
+)
+
+// ModuleName is the ID of the module.
+const ModuleName radishturn.ModuleID = "control.replica"
+
+// Module runs the Node of an instance with a data folder and offers its
+// Proposer. Without a folder it offers a Proposer that refuses.
+type Module struct {
+	node *Node
+}
+
+func init() { radishturn.RegisterModule(&Module{}) }
+
+// ModuleInfo returns the module's description.
+func (*Module) ModuleInfo() radishturn.ModuleInfo {
+	return radishturn.ModuleInfo{
+		ID:    ModuleName,
+		After: []radishturn.ModuleID{mesh.ModuleName, "control.state"},
+		New:   func() radishturn.Module { return &Module{} },
+	}
+}
+
+// Provision opens the journal and restores the state machine from it.
+func (m *Module) Provision(c *radishturn.Context) error {
+	s := c.Settings
+	if s.DataFolder == "" {
+		return radishturn.Provide[Proposer](c, outside{})
+	}
+	transport, err := radishturn.Require[mesh.Mesh](c)
+	if err != nil {
+		return err
+	}
+	machine, err := radishturn.Require[StateMachine](c)
+	if err != nil {
+		return err
+	}
+	m.node, err = Open(Options{
+		Mesh:            transport,
+		StateMachine:    machine,
+		Journal:         journal.Options{Folder: s.DataFolder},
+		Founders:        s.Control.Members,
+		ElectionTimeout: s.Control.ElectionTimeout.Std(),
+		Heartbeat:       s.Control.Heartbeat.Std(),
+		SnapshotEvery:   s.Control.SnapshotEvery,
+	})
+	if err != nil {
+		return err
+	}
+	return radishturn.Provide[Proposer](c, m.node)
+}
+
+// Run takes part in the group until ctx is done.
+func (m *Module) Run(ctx context.Context) error {
+	if m.node == nil {
+		<-ctx.Done()
+		return nil
+	}
+	return m.node.Run(ctx)
+}
+
+// Drain hands over leadership.
+func (m *Module) Drain(ctx context.Context) error {
+	if m.node == nil {
+		return nil
+	}
+	return m.node.Drain(ctx)
+}
+
+// Cleanup frees the data folder.
+func (m *Module) Cleanup() error {
+	if m.node == nil {
+		return nil
+	}
+	return m.node.Close()
+}
--- /dev/null
+++ b/pkg/replica/proposals.go
@@ -0,0 +1,173 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+
+	"radishturn.example/radishturn/pkg/consensus"
+	"radishturn.example/radishturn/pkg/failure"
+)
+
+// proposal is a command on its way into the log. Either the loop takes it or
+// the proposer withdraws it, and the two exclude each other: a withdrawn
+// proposal is certain not to run.
+type proposal struct {
+	command []byte
+	settled atomic.Bool
+	done    chan outcome
+}
+
+type outcome struct {
+	result []byte
+	err    error
+}
+
+func (p *proposal) settle() bool { return p.settled.CompareAndSwap(false, true) }
+
+// Propose appends command to the log and waits until it is applied here.
+func (n *Node) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	if n.Status().Role != RoleLeader {
+		return nil, n.errNotLeader("propose")
+	}
+	if len(command) == 0 {
+		return nil, failure.New(failure.BadRequest, failure.NotRun, "propose", "", "the command is empty")
+	}
+	p := &proposal{command: command, done: make(chan outcome, 1)}
+	select {
+	case n.proposals <- p:
+	case <-ctx.Done():
+		return nil, failure.New(failure.DeadlineExceeded, failure.NotRun, "propose", "", "%w", context.Cause(ctx))
+	case <-n.stopped:
+		return nil, errStopped("propose")
+	}
+	return n.await(ctx, p)
+}
+
+func (n *Node) await(ctx context.Context, p *proposal) ([]byte, error) {
+	select {
+	case o := <-p.done:
+		return o.result, o.err
+	case <-ctx.Done():
+		if p.settle() {
+			return nil, failure.New(failure.DeadlineExceeded, failure.NotRun, "propose", "", "%w", context.Cause(ctx))
+		}
+		return nil, errUnknown("propose", "", context.Cause(ctx))
+	case <-n.stopped:
+		if p.settle() {
+			return nil, errStopped("propose")
+		}
+		return lastOutcome(p)
+	}
+}
+
+// lastOutcome prefers an outcome that was known when the loop ended.
+func lastOutcome(p *proposal) ([]byte, error) {
+	select {
+	case o := <-p.done:
+		return o.result, o.err
+	default:
+		return nil, errUnknown("propose", "", errors.New("the replica stopped"))
+	}
+}
+
+// propose takes p and everything that waits behind it into one batch, which
+// shares one sync.
+func (n *Node) propose(p *proposal) {
+	batch := n.collect(p)
+	if len(batch) == 0 {
+		return
+	}
+	commands := make([][]byte, len(batch))
+	for i, p := range batch {
+		commands[i] = p.command
+	}
+	term, first, err := n.raft.Propose(n.opts.Clock(), commands)
+	for i, p := range batch {
+		if err != nil {
+			p.done <- outcome{err: n.proposalError("propose", err)}
+			continue
+		}
+		n.waiters.add(first+uint64(i), term, p.done)
+	}
+}
+
+func (n *Node) collect(p *proposal) []*proposal {
+	var batch []*proposal
+	for {
+		if p.settle() {
+			batch = append(batch, p)
+		}
+		if len(batch) == maxBatch {
+			return batch
+		}
+		select {
+		case p = <-n.proposals:
+		default:
+			return batch
+		}
+	}
+}
+
+// proposalError turns an error that means "not appended" into a failure.
+func (n *Node) proposalError(step string, err error) error {
+	switch {
+	case errors.Is(err, consensus.ErrNotLeader), errors.Is(err, consensus.ErrTransferring):
+		return n.errNotLeader(step)
+	case errors.Is(err, consensus.ErrBacklog):
+		return failure.New(failure.Overloaded, failure.NotRun, step, "", "%w", err)
+	case errors.Is(err, consensus.ErrNotMember):
+		return failure.New(failure.NotFound, failure.NotRun, step, "", "%w", err)
+	}
+	return failure.New(failure.Conflict, failure.NotRun, step, "", "%w", err)
+}
+
+func (n *Node) errNotLeader(step string) error {
+	leader := n.Status().Leader
+	return failure.New(failure.NotLeader, failure.NotRun, step, string(leader.Instance), "this instance does not lead the control group")
+}
+
+func errStopped(step string) error {
+	return failure.New(failure.NotLeader, failure.NotRun, step, "", "the replica has stopped")
+}
+
+// errUnknown is the failure of a command that was appended and may yet be accepted.
+func errUnknown(step, peer string, cause error) error {
+	return failure.New(failure.OutcomeUnknown, failure.Unknown, step, peer, "%w", cause)
+}
+
+// waiters are proposers by the index of their entry.
+type waiters map[uint64]waiter
+
+type waiter struct {
+	term uint64
+	done chan<- outcome
+}
+
+func (w waiters) add(index, term uint64, done chan<- outcome) {
+	w[index] = waiter{term: term, done: done}
+}
+
+// applied answers the proposer of an entry. If the entry at its index has
+// another term, the proposer's entry was replaced and can never be accepted.
+func (w waiters) applied(e consensus.Entry, result []byte) {
+	waiting, ok := w[e.Index]
+	if !ok {
+		return
+	}
+	delete(w, e.Index)
+	if waiting.term != e.Term {
+		err := failure.New(failure.NotLeader, failure.NotRun, "propose", "", "another leader replaced the entry")
+		waiting.done <- outcome{err: err}
+		return
+	}
+	waiting.done <- outcome{result: result}
+}
+
+// fail answers everyone who waits.
+func (w waiters) fail(err error) {
+	for index, waiting := range w {
+		waiting.done <- outcome{err: err}
+		delete(w, index)
+	}
+}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -6,7 +6,7 @@
 import (
 	"context"
 
-	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/consensus"
 )
 
 // StateMachine is the state that the log replicates. The replica calls it from
@@ -23,10 +23,7 @@
 
 // Member is a voter or learner of the group. A member that lost its disk comes
 // back with another Disk and is another member.
-type Member struct {
-	Instance model.InstanceID `json:"instance" cbor:"1,keyasint"`
-	Disk     model.DiskID     `json:"disk" cbor:"2,keyasint"`
-}
+type Member = consensus.Member
 
 // Role is a member's part in the current term.
 type Role string
--- /dev/null
+++ b/pkg/replica/snapshots.go
@@ -0,0 +1,63 @@
+package replica
+
+import (
+	"fmt"
+
+	"radishturn.example/radishturn/pkg/consensus"
+	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/journal"
+)
+
+// writtenSnapshot is the result of writing a snapshot beside the loop.
+type writtenSnapshot struct {
+	pending *journal.PendingSnapshot
+	err     error
+}
+
+// snapshotIfDue takes a snapshot of the state in the loop and writes it beside it.
+func (n *Node) snapshotIfDue() error {
+	s := n.raft.Status()
+	if n.snapshotPending || s.Applied-s.Snapshot < uint64(n.opts.SnapshotEvery) {
+		return nil
+	}
+	data, err := n.opts.StateMachine.Snapshot()
+	if err != nil {
+		return fmt.Errorf("take snapshot: %w", err)
+	}
+	pending, err := n.journal.PrepareSnapshot(consensus.Snapshot{Meta: n.raft.SnapshotMeta(), Data: data})
+	if err != nil {
+		return err
+	}
+	n.snapshotPending = true
+	n.writers.Go(func() {
+		err := n.journal.WriteSnapshot(pending)
+		n.snapshots <- writtenSnapshot{pending: pending, err: err}
+	})
+	return nil
+}
+
+// commitSnapshot puts a written snapshot in place and drops the log before it.
+// Half of an interval stays in memory for members that are a little behind.
+func (n *Node) commitSnapshot(s writtenSnapshot) {
+	n.snapshotPending = false
+	if s.err == nil {
+		s.err = n.journal.CommitSnapshot(s.pending)
+	}
+	if s.err != nil {
+		n.fatal = s.err
+		return
+	}
+	n.raft.Compact(s.pending.Meta(), uint64(n.opts.SnapshotEvery/2))
+	events.Emit(events.SnapshotWritten, s.pending.Meta().Index, s.pending.Bytes())
+}
+
+// install restores the state from a snapshot of the leader.
+func (n *Node) install(s *consensus.Snapshot) error {
+	if len(s.Data) > 0 {
+		if err := n.opts.StateMachine.Restore(s.Data); err != nil {
+			return fmt.Errorf("restore snapshot: %w", err)
+		}
+	}
+	events.Emit(events.SnapshotInstalled, s.Meta.Index, n.raft.Status().Leader.Instance)
+	return nil
+}
