--- /dev/null
+++ b/pkg/fanout/collection.go
@@ -0,0 +1,290 @@
+package fanout
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/platform"
+	"radishturn.example/radishturn/pkg/query/hedge"
+	"radishturn.example/radishturn/pkg/query/snapshots"
+	"radishturn.example/radishturn/pkg/query/versions"
+	"radishturn.example/radishturn/pkg/settings"
+	"radishturn.example/radishturn/pkg/target"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+// plan is a whole snapshot with the leaves that serve it.
+type plan struct {
+	snapshot *model.Snapshot
+	leaves   []*leaf
+	// ordered holds the leaves in order of their ID, for the keys of orders.
+	ordered []*leaf
+	total   int
+}
+
+// collection holds the leaves of one collection and what they share.
+type collection struct {
+	id       model.CollectionID
+	settings settings.Collection
+	policy   hedge.Policy
+
+	budgetMu sync.Mutex
+	budget   hedge.Budget
+
+	plan atomic.Pointer[plan]
+	// dirty is set when a target refused a snapshot, so that the plan may have
+	// to change before the next refresh.
+	dirty atomic.Bool
+
+	mu          sync.Mutex
+	leaves      map[model.LeafID]*leaf
+	targets     map[model.TargetID]*targetState
+	snapshots   []model.Snapshot
+	established model.VersionID
+	outcomes    outcomes
+	unavailable bool
+}
+
+func newCollection(s settings.Collection) *collection {
+	return &collection{
+		id:       s.ID,
+		settings: s,
+		policy:   policyOf(s),
+		budget:   hedge.NewBudget(s.HedgeBudget),
+		leaves:   make(map[model.LeafID]*leaf),
+		targets:  make(map[model.TargetID]*targetState),
+	}
+}
+
+func policyOf(s settings.Collection) hedge.Policy {
+	if s.Hedge == nil {
+		return hedge.Policy{Mode: hedge.ModeAdaptive}
+	}
+	return hedge.Policy{Mode: hedge.Mode(s.Hedge.Mode), Delay: s.Hedge.Delay.Std()}
+}
+
+func (c *collection) hedgeDelay(d hedge.Distribution) (time.Duration, bool) {
+	c.budgetMu.Lock()
+	fill := c.budget.Fill()
+	c.budgetMu.Unlock()
+	return c.policy.DelayFor(d, fill)
+}
+
+func (c *collection) earn(attempts int) {
+	c.budgetMu.Lock()
+	defer c.budgetMu.Unlock()
+	c.budget.Earn(attempts)
+}
+
+func (c *collection) takeHedge(now time.Duration) bool {
+	c.budgetMu.Lock()
+	defer c.budgetMu.Unlock()
+	return c.budget.TakeHedge(now)
+}
+
+func (c *collection) returnHedge() {
+	c.budgetMu.Lock()
+	defer c.budgetMu.Unlock()
+	c.budget.ReturnHedge()
+}
+
+func (c *collection) takeRetry() bool {
+	c.budgetMu.Lock()
+	defer c.budgetMu.Unlock()
+	return c.budget.TakeRetry()
+}
+
+func (c *collection) shed(now time.Duration) {
+	c.budgetMu.Lock()
+	defer c.budgetMu.Unlock()
+	c.budget.Shed(now)
+}
+
+// refresh takes in the platform's list and the view.
+func (c *collection) refresh(list *platform.List, v *view.View, now time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.snapshots = c.snapshots[:0]
+	for _, s := range list.Snapshots {
+		if s.Collection == c.id {
+			c.snapshots = append(c.snapshots, s)
+		}
+	}
+	c.refreshTargets(list, v)
+	c.refreshVersions(v)
+	c.replan(now)
+}
+
+func (c *collection) refreshTargets(list *platform.List, v *view.View) {
+	listed := make(map[model.TargetID]bool, len(c.targets))
+	for _, t := range list.Targets {
+		if t.Collection != c.id {
+			continue
+		}
+		listed[t.ID] = true
+		c.refreshTarget(t, v)
+	}
+	for id, t := range c.targets {
+		if !listed[id] {
+			c.removeTarget(t)
+		}
+	}
+}
+
+func (c *collection) refreshTarget(t model.Target, v *view.View) {
+	state := c.targets[t.ID]
+	if state != nil && !sameProcess(state.target, t) {
+		c.removeTarget(state)
+		state = nil
+	}
+	if state == nil {
+		state = c.addTarget(t)
+	}
+	grant := v.Grants[t.ID]
+	state.client.SetGrant(grant.Connections)
+
+	l := state.leaf
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state.admitted = !t.Leaving && !v.ZonesOut[t.AvailabilityZone] && !v.Drained[t.ID]
+	state.grant = grant
+	state.limit.SetMax(c.requestsWithin(grant.Connections))
+	for range grant.Connections {
+		l.wakeOne()
+	}
+}
+
+// sameProcess reports whether two entries of the list may mean the same process.
+func sameProcess(a, b model.Target) bool {
+	a.Leaving = b.Leaving
+	return a == b
+}
+
+// requestsWithin bounds the requests at a time by this instance's part of the
+// target's concurrency, which shrinks with its part of the connections.
+func (c *collection) requestsWithin(connections int) int {
+	if c.settings.Concurrency == 0 || c.settings.Connections == 0 {
+		return connections
+	}
+	part := c.settings.Concurrency * connections / c.settings.Connections
+	return min(connections, max(part, min(connections, 1)))
+}
+
+func (c *collection) addTarget(t model.Target) *targetState {
+	l := c.leaves[t.Leaf]
+	if l == nil {
+		l = &leaf{id: t.Leaf, collection: c}
+		c.leaves[t.Leaf] = l
+	}
+	state := &targetState{
+		target:    t,
+		client:    target.NewClient(t),
+		leaf:      l,
+		snapshots: make(map[model.SnapshotID]*snapshots.Record),
+	}
+	c.targets[t.ID] = state
+	l.mu.Lock()
+	l.targets = append(l.targets, state)
+	l.mu.Unlock()
+	return state
+}
+
+func (c *collection) removeTarget(t *targetState) {
+	delete(c.targets, t.target.ID)
+	l := t.leaf
+	l.mu.Lock()
+	l.targets = slices.DeleteFunc(l.targets, func(other *targetState) bool { return other == t })
+	t.admitted = false
+	l.mu.Unlock()
+	t.client.Close()
+}
+
+// refreshVersions tracks the version that is used while no move is on.
+func (c *collection) refreshVersions(v *view.View) {
+	if m, ok := v.Moves[c.id]; ok {
+		c.established = m.From
+		if m.Share >= 1 && !m.TakenBack {
+			c.established = m.To
+		}
+		return
+	}
+	counts := make(map[model.VersionID]int)
+	for _, t := range c.targets {
+		counts[t.target.Version]++
+	}
+	c.established = versions.Established(c.established, counts)
+}
+
+// replan chooses the snapshot of the queries that start from now on.
+func (c *collection) replan(now time.Duration) {
+	c.dirty.Store(false)
+	chosen, ok := snapshots.Newest(c.snapshots, func(id model.LeafID, s model.SnapshotID) snapshots.Holding {
+		l := c.leaves[id]
+		if l == nil {
+			return snapshots.NotHeld
+		}
+		return l.holding(s, now)
+	})
+	if !ok {
+		c.losePlan()
+		return
+	}
+	c.unavailable = false
+	if old := c.plan.Load(); old == nil || !samePlan(old.snapshot, chosen) {
+		c.plan.Store(c.newPlan(chosen))
+		events.Emit(events.SnapshotPinned, c.id, chosen.ID)
+	}
+}
+
+// losePlan keeps the last plan: its leaves that still hold the snapshot answer,
+// and the coverage states the others.
+func (c *collection) losePlan() {
+	if !c.unavailable {
+		events.Emit(events.SnapshotUnavailable, c.id)
+	}
+	c.unavailable = true
+}
+
+func samePlan(a, b *model.Snapshot) bool {
+	return a.ID == b.ID && slices.Equal(a.Leaves, b.Leaves)
+}
+
+func (c *collection) newPlan(s *model.Snapshot) *plan {
+	pinned := *s
+	pinned.Leaves = slices.Clone(s.Leaves)
+	p := &plan{snapshot: &pinned, leaves: make([]*leaf, len(s.Leaves))}
+	for i, part := range s.Leaves {
+		p.leaves[i] = c.leaves[part.Leaf]
+		p.total += part.Documents
+	}
+	p.ordered = slices.DeleteFunc(slices.Clone(p.leaves), func(l *leaf) bool { return l == nil })
+	slices.SortFunc(p.ordered, func(a, b *leaf) int { return a.id.Compare(b.id) })
+	return p
+}
+
+// current returns the plan for a new query, chosen again first if a target
+// has refused the snapshot since.
+func (c *collection) current(now time.Duration) *plan {
+	if c.dirty.Load() {
+		c.mu.Lock()
+		if c.dirty.Load() {
+			c.replan(now)
+		}
+		c.mu.Unlock()
+	}
+	return c.plan.Load()
+}
+
+// choice returns the versions that a caller's queries may use.
+func (c *collection) choice(v *view.View, caller model.CallerID) versions.Choice {
+	if m, ok := v.Moves[c.id]; ok {
+		return versions.ForMove(m, callerFraction(c.id, caller), c.outcomes.stopped)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return versions.Settled(c.established)
+}
--- /dev/null
+++ b/pkg/fanout/health.go
@@ -0,0 +1,141 @@
+package fanout
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/query/warmth"
+	"radishturn.example/radishturn/pkg/targetproto"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+const (
+	// healthInterval is how often the health hint of each target is read.
+	healthInterval = time.Second
+	// healthTimeout bounds one read.
+	healthTimeout = 800 * time.Millisecond
+	// healthWorkers bounds the reads at a time.
+	healthWorkers = 16
+	// drainOutranksHint is how long a refusal outranks hints that the target is
+	// not draining.
+	drainOutranksHint = 5 * time.Second
+)
+
+// ReadHealth reads the health hint of every target once.
+func (s *Service) ReadHealth(ctx context.Context) {
+	work := make(chan *targetState)
+	var workers sync.WaitGroup
+	for range healthWorkers {
+		workers.Go(func() {
+			for t := range work {
+				s.readHealthOf(ctx, t)
+			}
+		})
+	}
+	for _, t := range s.allTargets() {
+		work <- t
+	}
+	close(work)
+	workers.Wait()
+}
+
+func (s *Service) allTargets() []*targetState {
+	var all []*targetState
+	for _, c := range s.collections {
+		c.mu.Lock()
+		for _, t := range c.targets {
+			all = append(all, t)
+		}
+		c.mu.Unlock()
+	}
+	return all
+}
+
+// readHealthOf reads a hint over a connection that no request needs. A busy
+// target tells more by its answers than by its hint.
+func (s *Service) readHealthOf(ctx context.Context, t *targetState) {
+	if !t.leaf.reserveForHealth(t, s.now()) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	health, err := t.client.Health(ctx)
+	known := t.leaf.collection.snapshotIDs()
+	change := t.leaf.hinted(t, health, err, known, s.now())
+	if err == nil {
+		s.reportWarmth(t, health.Boot, change)
+	}
+}
+
+func (l *leaf) reserveForHealth(t *targetState, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t.alone || !t.limit.Allows(t.inFlight, now) {
+		return false
+	}
+	t.inFlight++
+	return true
+}
+
+// hinted takes in a hint. It says nothing about whether the target is
+// healthy, since the hint lags or lies about that.
+func (l *leaf) hinted(t *targetState, h *targetproto.Health, err error, known []model.SnapshotID, now time.Duration) warmth.Change {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t.inFlight--
+	l.wakeOne()
+	if err != nil {
+		return warmth.Unchanged
+	}
+	for _, id := range known {
+		t.record(id).Hint(slices.Contains(h.Snapshots, id), now)
+	}
+	for id := range t.snapshots {
+		if !slices.Contains(known, id) {
+			delete(t.snapshots, id)
+		}
+	}
+	l.hintedDrain(t, h, now)
+	return t.warmth.Hinted(h.Boot, h.State)
+}
+
+func (l *leaf) hintedDrain(t *targetState, h *targetproto.Health, now time.Duration) {
+	draining := h.State == targetproto.StateDraining
+	t.drainHinted = draining
+	restarted := h.Boot != "" && t.drainingBoot != "" && h.Boot != t.drainingBoot
+	if t.draining && !draining && (restarted || now-t.drainingAt >= drainOutranksHint) {
+		t.draining = false
+	}
+}
+
+func (c *collection) snapshotIDs() []model.SnapshotID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ids := make([]model.SnapshotID, len(c.snapshots))
+	for i := range c.snapshots {
+		ids[i] = c.snapshots[i].ID
+	}
+	return ids
+}
+
+// reportWarmth tells control that a target turned cold or warm.
+func (s *Service) reportWarmth(t *targetState, boot model.BootID, change warmth.Change) {
+	sign := []view.ColdSign{{Target: t.target.ID, Boot: boot}}
+	switch change {
+	case warmth.TurnedCold:
+		events.Emit(events.TargetCold, t.target.ID, boot, "sign on a request")
+		s.reporter.Report(view.Evidence{Cold: sign})
+	case warmth.TurnedWarm:
+		events.Emit(events.TargetWarm, t.target.ID, boot)
+		s.reporter.Report(view.Evidence{Warm: sign})
+	}
+}
+
+func (s *Service) reportMismatch(t *targetState, request model.RequestID, err *failure.Error) {
+	events.Emit(events.ReplyDropped, t.target.ID, request, err)
+}
--- /dev/null
+++ b/pkg/fanout/module.go
@@ -0,0 +1,131 @@
+// Package fanout runs queries over all leaves of a snapshot and sends orders
+// to their leaf. It holds the clocks, locks and goroutines; the decisions are
+// in the packages below pkg/query.
+package fanout
+
+import (
+	"context"
+	"time"
+
+	"radishturn.example/radishturn"
+	"radishturn.example/radishturn/pkg/order"
+	"radishturn.example/radishturn/pkg/platform"
+	"radishturn.example/radishturn/pkg/query"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+// ModuleName is the ID of the query module.
+const ModuleName radishturn.ModuleID = "query"
+
+// leaseModule offers view.Source and view.Reporter.
+const leaseModule radishturn.ModuleID = "lease"
+
+const (
+	// refreshInterval is how often the platform's list and the view are taken in.
+	refreshInterval = 100 * time.Millisecond
+	// drainPoll is how often a planned stop looks for queries in progress.
+	drainPoll = 10 * time.Millisecond
+)
+
+// Module runs the Service.
+type Module struct {
+	service *Service
+}
+
+func init() { radishturn.RegisterModule(&Module{}) }
+
+// ModuleInfo returns the module's description.
+func (*Module) ModuleInfo() radishturn.ModuleInfo {
+	return radishturn.ModuleInfo{
+		ID:    ModuleName,
+		After: []radishturn.ModuleID{platform.ModuleName, leaseModule},
+		New:   func() radishturn.Module { return &Module{} },
+	}
+}
+
+// Provision offers query.Service, order.Dispatcher and Explainer.
+func (m *Module) Provision(c *radishturn.Context) error {
+	source, err := radishturn.Require[platform.Source](c)
+	if err != nil {
+		return err
+	}
+	views, err := radishturn.Require[view.Source](c)
+	if err != nil {
+		return err
+	}
+	reporter, err := radishturn.Require[view.Reporter](c)
+	if err != nil {
+		return err
+	}
+	origin := time.Now()
+	m.service = NewService(Config{
+		Settings: c.Settings, Platform: source, View: views, Reporter: reporter,
+		Now: func() time.Duration { return time.Since(origin) },
+	})
+	return m.offer(c)
+}
+
+func (m *Module) offer(c *radishturn.Context) error {
+	if err := radishturn.Provide[query.Service](c, m.service); err != nil {
+		return err
+	}
+	if err := radishturn.Provide[order.Dispatcher](c, m.service); err != nil {
+		return err
+	}
+	return radishturn.Provide[Explainer](c, m.service)
+}
+
+// Run keeps the targets current until ctx is done.
+func (m *Module) Run(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		m.service.watchHealth(ctx)
+	}()
+	ticker := time.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	for {
+		m.service.Refresh()
+		select {
+		case <-ctx.Done():
+			<-done
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// watchHealth reads the hints at a fixed interval.
+func (s *Service) watchHealth(ctx context.Context) {
+	ticker := time.NewTicker(healthInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		s.ReadHealth(ctx)
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+// Drain waits until no query is in progress.
+func (m *Module) Drain(ctx context.Context) error {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for m.service.inProgress() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// Cleanup closes the connections to the targets.
+func (m *Module) Cleanup() error {
+	if m.service != nil {
+		m.service.Close()
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/fanout/orders.go
@@ -0,0 +1,132 @@
+package fanout
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/order"
+	"radishturn.example/radishturn/pkg/target"
+	"radishturn.example/radishturn/pkg/targetproto"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+const (
+	stepDispatch = "dispatch order"
+	// orderPoll is how often an order that waits for capacity looks again.
+	orderPoll = 5 * time.Millisecond
+)
+
+var _ order.Dispatcher = (*Service)(nil)
+
+// Dispatch sends an order to one target at a time. It goes on to another only
+// after a proof that the order was not run.
+func (s *Service) Dispatch(ctx context.Context, r order.Request, allowed func() bool) (*targetproto.OrderReply, error) {
+	s.orders.Add(1)
+	defer s.orders.Add(-1)
+	c := s.collections[r.Collection]
+	if c == nil {
+		return nil, failure.New(failure.UnknownCollection, failure.NotRun, stepDispatch, "", "collection %q", r.Collection)
+	}
+	p := c.current(s.now())
+	if p == nil {
+		return nil, failure.New(failure.NoSnapshot, failure.NotRun, stepDispatch, "", "no whole snapshot of %s", c.id)
+	}
+	l := p.leafOf(r.Body.LeafKey)
+	if l == nil {
+		return nil, failure.New(failure.UnknownLeaf, failure.NotRun, stepDispatch, "", "no leaf for the key")
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(-answerMargin))
+	defer cancel()
+	d := &dispatch{service: s, leaf: l, request: &r, allowed: allowed}
+	d.need.choice = c.choice(s.view.View(), r.Caller)
+	return d.run(ctx)
+}
+
+// leafOf maps a key to a leaf of the snapshot.
+func (p *plan) leafOf(key string) *leaf {
+	if len(p.ordered) == 0 {
+		return nil
+	}
+	return p.ordered[xxhash.Sum64String(key)%uint64(len(p.ordered))]
+}
+
+// dispatch is an order on its way to a target.
+type dispatch struct {
+	service *Service
+	leaf    *leaf
+	request *order.Request
+	allowed func() bool
+	need    need
+}
+
+func (d *dispatch) run(ctx context.Context) (*targetproto.OrderReply, error) {
+	var last *failure.Error
+	for range maxAttempts {
+		t, err := d.acquire(ctx)
+		if err != nil {
+			if last != nil {
+				return nil, last
+			}
+			return nil, err
+		}
+		result := d.attempt(ctx, t)
+		if result.Kind == target.KindOK {
+			return result.Reply, nil
+		}
+		last = result.Err
+		if last.Ran != failure.NotRun || last.Code == failure.LeaseExpired || ctx.Err() != nil {
+			break
+		}
+		d.need.tried = append(d.need.tried, t)
+	}
+	return nil, last
+}
+
+// acquire waits for a target with capacity. A target that has refused the
+// order is asked again only if it is the only one.
+func (d *dispatch) acquire(ctx context.Context) (*targetState, *failure.Error) {
+	for {
+		if d.service.view.Lease() != view.LeaseHeld {
+			return nil, failure.New(failure.LeaseExpired, failure.NotRun, stepDispatch, "", "lease is not held")
+		}
+		t, why := d.leaf.start(&d.need, newRandom(), d.service.now())
+		switch why {
+		case available:
+			return t, nil
+		case noCapacity:
+		default:
+			return nil, failure.New(failure.NoTarget, failure.NotRun, stepDispatch, d.leaf.id.String(), "no target may take the order")
+		}
+		select {
+		case <-ctx.Done():
+			return nil, failure.New(failure.Overloaded, failure.NotRun, stepDispatch, d.leaf.id.String(), "no target had capacity: %w", ctx.Err())
+		case <-time.After(orderPoll):
+		}
+	}
+}
+
+func (d *dispatch) attempt(ctx context.Context, t *targetState) target.OrderResult {
+	s := d.service
+	started := s.now()
+	result := t.client.Order(ctx, &target.Order{
+		Request:        d.request.ID,
+		IdempotencyKey: d.request.IdempotencyKey,
+		Body:           d.request.Body,
+		LeftMillis:     time.Until(d.request.Deadline).Milliseconds(),
+	}, d.allowed)
+	now := s.now()
+	e := ended{
+		result:  &target.Result{Kind: result.Kind, Meta: result.Meta, Err: result.Err},
+		elapsed: now - started, now: now, expired: ctx.Err() == context.DeadlineExceeded,
+	}
+	change := d.leaf.finish(t, &e)
+	s.reportWarmth(t, result.Meta.Boot, change)
+	s.metrics.order(result.Kind)
+	return result
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- /dev/null
+++ b/pkg/query/admission/admission.go
@@ -0,0 +1,128 @@
+// Package admission decides whether an instance takes on one more query. A
+// refused query has not run, so refusing early is cheap for everybody.
+package admission
+
+import (
+	"time"
+
+	"radishturn.example/radishturn/pkg/model"
+)
+
+const (
+	// interval is how often the limit adapts.
+	interval = 100 * time.Millisecond
+	// queueTarget is the wait for a target's capacity that is still accepted.
+	queueTarget = 5 * time.Millisecond
+	// decreaseFactor shrinks the limit while every query waits too long.
+	decreaseFactor = 0.85
+	// increaseFactor raises the limit while it is used and no query waits.
+	increaseFactor = 1.05
+	// usedShare is how much of the limit has to be in use before it is raised.
+	usedShare = 0.8
+	// leastLimit keeps the instance useful in any overload.
+	leastLimit = 4
+	// priorityStep is how much of the limit each priority leaves to those above it.
+	priorityStep = 0.15
+	// leastPriorityShare is the share that the lowest priority still has.
+	leastPriorityShare = 0.25
+	// busyShare is the use of the limit above which callers are held to a fair share.
+	busyShare = 0.5
+	// loneCallerShare bounds a caller that has the instance to itself, so that
+	// the next caller finds room at once.
+	loneCallerShare = 0.8
+)
+
+// Verdict says whether a query is taken on.
+type Verdict int
+
+// Verdicts.
+const (
+	// Admitted queries count as in flight until Done.
+	Admitted Verdict = iota
+	// Full means that the limit is reached.
+	Full
+	// Unfair means that the caller uses more than its share of a busy instance.
+	Unfair
+)
+
+// State is the admission of one instance.
+type State struct {
+	limit    float64
+	max      int
+	inFlight int
+	byCaller map[model.CallerID]int
+
+	intervalEnd time.Duration
+	leastWait   time.Duration
+	finished    int
+	peak        int
+}
+
+// New returns a State that admits at most max queries at a time.
+func New(max int) *State {
+	return &State{limit: float64(max), max: max, byCaller: make(map[model.CallerID]int)}
+}
+
+// InFlight returns the number of queries in progress.
+func (s *State) InFlight() int { return s.inFlight }
+
+// Limit returns the present limit for the highest priority.
+func (s *State) Limit() int { return int(s.limit) }
+
+// Admit decides about a query. Priority 0 is the highest.
+func (s *State) Admit(caller model.CallerID, priority int) Verdict {
+	share := max(leastPriorityShare, 1-priorityStep*float64(priority))
+	if float64(s.inFlight+1) > max(1, s.limit*share) {
+		return Full
+	}
+	if float64(s.byCaller[caller]+1) > s.callerBound(caller) {
+		return Unfair
+	}
+	s.inFlight++
+	s.byCaller[caller]++
+	s.peak = max(s.peak, s.inFlight)
+	return Admitted
+}
+
+// callerBound returns how many queries the caller may have in flight.
+func (s *State) callerBound(caller model.CallerID) float64 {
+	if float64(s.inFlight) < busyShare*s.limit {
+		return s.limit
+	}
+	callers := len(s.byCaller)
+	if s.byCaller[caller] == 0 {
+		callers++
+	}
+	if callers == 1 {
+		return max(1, loneCallerShare*s.limit)
+	}
+	return max(1, s.limit/float64(callers))
+}
+
+// Done ends an admitted query. waited is the longest time that one of its leaf
+// requests waited for a target's capacity.
+func (s *State) Done(caller model.CallerID, waited, now time.Duration) {
+	s.inFlight--
+	if s.byCaller[caller]--; s.byCaller[caller] <= 0 {
+		delete(s.byCaller, caller)
+	}
+	if s.finished == 0 || waited < s.leastWait {
+		s.leastWait = waited
+	}
+	s.finished++
+	if now >= s.intervalEnd {
+		s.adapt(now)
+	}
+}
+
+// adapt shrinks the limit if even the luckiest query of the interval waited.
+func (s *State) adapt(now time.Duration) {
+	switch {
+	case s.leastWait > queueTarget:
+		s.limit = max(min(leastLimit, float64(s.max)), s.limit*decreaseFactor)
+	case float64(s.peak) >= usedShare*s.limit:
+		s.limit = min(float64(s.max), s.limit*increaseFactor+1)
+	}
+	s.intervalEnd = now + interval
+	s.finished, s.peak = 0, s.inFlight
+}
--- /dev/null
+++ b/pkg/query/admission/callers.go
@@ -0,0 +1,51 @@
+package admission
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"radishturn.example/radishturn/pkg/model"
+)
+
+// CallerLimits holds callers to this instance's share of their fleet-wide
+// limits. Its size is bounded by the callers that have a limit.
+type CallerLimits struct {
+	buckets map[model.CallerID]*rate.Limiter
+}
+
+// NewCallerLimits returns CallerLimits without any limit.
+func NewCallerLimits() *CallerLimits {
+	return &CallerLimits{buckets: make(map[model.CallerID]*rate.Limiter)}
+}
+
+// Allow counts a request of a caller whose share is perSecond. It returns how
+// long the caller should wait if the request is over the limit.
+func (l *CallerLimits) Allow(caller model.CallerID, perSecond float64, now time.Duration) (time.Duration, bool) {
+	at := time.Unix(0, 0).Add(now)
+	bucket := l.buckets[caller]
+	if bucket == nil {
+		bucket = rate.NewLimiter(rate.Limit(perSecond), burstFor(perSecond))
+		l.buckets[caller] = bucket
+	}
+	if bucket.Limit() != rate.Limit(perSecond) {
+		bucket.SetLimitAt(at, rate.Limit(perSecond))
+		bucket.SetBurstAt(at, burstFor(perSecond))
+	}
+	if bucket.AllowN(at, 1) {
+		return 0, true
+	}
+	return time.Duration(float64(time.Second) / perSecond), false
+}
+
+// Forget drops the callers that have no limit any more.
+func (l *CallerLimits) Forget(keep func(model.CallerID) bool) {
+	for caller := range l.buckets {
+		if !keep(caller) {
+			delete(l.buckets, caller)
+		}
+	}
+}
+
+// burstFor lets a caller save up one second, and at least one request.
+func burstFor(perSecond float64) int { return max(1, int(perSecond)) }
--- /dev/null
+++ b/pkg/query/latency/latency.go
@@ -0,0 +1,126 @@
+// Package latency estimates how fast a target answers and how a leaf's
+// latencies are distributed. Both estimates forget old samples.
+package latency
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// riseWeight is the weight of a sample above the mean. It is larger than
+	// fallWeight, so that the mean follows a target that slows down.
+	riseWeight = 0.3
+	fallWeight = 0.1
+	// idleHalfLife halves the distance to the prior while no samples arrive, so
+	// that a target that was slow is tried again.
+	idleHalfLife = 10 * time.Second
+)
+
+// Mean is an exponentially weighted mean that is sensitive to peaks. The zero
+// Mean holds no sample.
+type Mean struct {
+	value time.Duration
+	at    time.Duration
+}
+
+// Add counts a sample that ended at now.
+func (m *Mean) Add(sample, now time.Duration) {
+	if m.value == 0 {
+		m.value, m.at = max(sample, 1), now
+		return
+	}
+	weight := fallWeight
+	if sample > m.value {
+		weight = riseWeight
+	}
+	m.value = max(1, m.value+time.Duration(weight*float64(sample-m.value)))
+	m.at = now
+}
+
+// AddAtLeast counts an attempt that was given up after the stated time, so that
+// its latency is only known to be longer.
+func (m *Mean) AddAtLeast(elapsed, now time.Duration) {
+	if elapsed > m.value {
+		m.Add(elapsed, now)
+	}
+}
+
+// Value returns the mean at now, drawn towards prior while no samples arrive.
+func (m *Mean) Value(now, prior time.Duration) time.Duration {
+	if m.value == 0 {
+		return prior
+	}
+	idle := now - m.at
+	if idle <= 0 || prior <= 0 || m.value <= prior {
+		return m.value
+	}
+	keep := math.Exp2(-float64(idle) / float64(idleHalfLife))
+	return prior + time.Duration(keep*float64(m.value-prior))
+}
+
+const (
+	// bucketsPerOctave sets the resolution of the histogram: 2^(1/8) is 9%.
+	bucketsPerOctave = 8
+	firstBucket      = 64 * time.Microsecond
+	bucketCount      = 160
+	// windowSamples is how many samples arrive between two halvings of the counts.
+	windowSamples = 1024
+)
+
+// Histogram counts latencies in buckets of equal ratio. Counts are halved from
+// time to time, so that the last few thousand samples prevail.
+type Histogram struct {
+	counts [bucketCount]uint32
+	total  uint32
+	added  uint32
+}
+
+// Add counts a sample.
+func (h *Histogram) Add(sample time.Duration) {
+	h.counts[bucketOf(sample)]++
+	h.total++
+	h.added++
+	if h.added >= windowSamples {
+		h.halve()
+	}
+}
+
+func (h *Histogram) halve() {
+	h.added, h.total = 0, 0
+	for i := range h.counts {
+		h.counts[i] /= 2
+		h.total += h.counts[i]
+	}
+}
+
+// Count returns the number of samples that are still counted.
+func (h *Histogram) Count() int { return int(h.total) }
+
+// Quantile returns an upper bound of the q-quantile, or 0 without samples.
+func (h *Histogram) Quantile(q float64) time.Duration {
+	if h.total == 0 {
+		return 0
+	}
+	want := uint32(math.Ceil(q * float64(h.total)))
+	var seen uint32
+	for i, n := range h.counts {
+		seen += n
+		if seen >= want && seen > 0 {
+			return upperBound(i)
+		}
+	}
+	return upperBound(bucketCount - 1)
+}
+
+func bucketOf(d time.Duration) int {
+	if d <= firstBucket {
+		return 0
+	}
+	i := int(bucketsPerOctave * math.Log2(float64(d)/float64(firstBucket)))
+	return min(i+1, bucketCount-1)
+}
+
+func upperBound(bucket int) time.Duration {
+	return time.Duration(float64(firstBucket) * math.Exp2(float64(bucket)/bucketsPerOctave))
+}
--- /dev/null
+++ b/pkg/query/pick/pick.go
@@ -0,0 +1,68 @@
+// Package pick chooses the target for one attempt at a leaf: the better of two
+// random candidates, by expected latency times requests in flight.
+package pick
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"radishturn.example/radishturn/pkg/model"
+)
+
+// Candidate is a target that may take a request now.
+type Candidate struct {
+	// Index identifies the target to the caller of Choose.
+	Index            int
+	AvailabilityZone model.AvailabilityZoneID
+	// Latency is the expected latency without queueing.
+	Latency  time.Duration
+	InFlight int
+}
+
+// Cost is the price of one more request at the candidate.
+func (c Candidate) Cost() float64 {
+	return float64(c.Latency) * float64(c.InFlight+1)
+}
+
+// Choose returns the index of the cheaper of two random candidates, or false
+// without candidates.
+func Choose(candidates []Candidate, random *rand.Rand) (int, bool) {
+	switch len(candidates) {
+	case 0:
+		return 0, false
+	case 1:
+		return candidates[0].Index, true
+	}
+	i := random.IntN(len(candidates))
+	j := random.IntN(len(candidates) - 1)
+	if j >= i {
+		j++
+	}
+	if candidates[j].Cost() < candidates[i].Cost() {
+		i = j
+	}
+	return candidates[i].Index, true
+}
+
+// ChooseHedge returns the index of the cheapest candidate, preferring those
+// outside the availability zone of the attempt that is late.
+func ChooseHedge(candidates []Candidate, late model.AvailabilityZoneID) (int, bool) {
+	best := -1
+	for i, c := range candidates {
+		if best < 0 || betterHedge(c, candidates[best], late) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return 0, false
+	}
+	return candidates[best].Index, true
+}
+
+func betterHedge(a, b Candidate, late model.AvailabilityZoneID) bool {
+	aElsewhere, bElsewhere := a.AvailabilityZone != late, b.AvailabilityZone != late
+	if aElsewhere != bElsewhere {
+		return aElsewhere
+	}
+	return a.Cost() < b.Cost()
+}
--- /dev/null
+++ b/pkg/query/poison/poison.go
@@ -0,0 +1,101 @@
+// Package poison decides how a request is treated that was in flight at a
+// target when it died. Such a request is suspect: it runs again only alone on a
+// target, and a second death condemns it here, before control has confirmed it.
+package poison
+
+import (
+	"time"
+
+	"radishturn.example/radishturn/pkg/model"
+)
+
+const (
+	// deathsToCondemn is how many deaths a request may cause.
+	deathsToCondemn = 2
+	// suspicionLasts is how long an unproven suspicion is kept.
+	suspicionLasts = 10 * time.Minute
+	// maxSuspects bounds the memory of suspects; the oldest is dropped first.
+	maxSuspects = 4096
+)
+
+// Standing is how a request is treated.
+type Standing int
+
+// Standings.
+const (
+	// Clear requests are treated as any other.
+	Clear Standing = iota
+	// Suspect requests run on one leaf alone before they run on the others.
+	Suspect
+	// Condemned requests are refused.
+	Condemned
+)
+
+type record struct {
+	deaths int
+	at     time.Duration
+}
+
+// State remembers suspects.
+type State struct {
+	records map[model.Fingerprint]record
+}
+
+// New returns a State without suspects.
+func New() *State { return &State{records: make(map[model.Fingerprint]record)} }
+
+// Standing returns how a request is treated at now.
+func (s *State) Standing(f model.Fingerprint, now time.Duration) Standing {
+	r, ok := s.records[f]
+	switch {
+	case !ok || now-r.at >= suspicionLasts:
+		return Clear
+	case r.deaths >= deathsToCondemn:
+		return Condemned
+	}
+	return Suspect
+}
+
+// Died counts a death with the requests that were in flight. A request that
+// ran alone caused the death, so it is counted as the cause; of several
+// requests each stays a suspect, however often it was near.
+func (s *State) Died(inFlight []model.Fingerprint, alone bool, now time.Duration) {
+	for _, f := range inFlight {
+		r, known := s.records[f]
+		if !known && len(s.records) >= maxSuspects {
+			s.dropOldest()
+		}
+		r.deaths = max(r.deaths, 1)
+		if alone && known {
+			r.deaths = deathsToCondemn
+		}
+		r.at = now
+		s.records[f] = r
+	}
+}
+
+// Survived clears a request that ran alone without a death.
+func (s *State) Survived(f model.Fingerprint) { delete(s.records, f) }
+
+// Expire drops suspicions that were not confirmed in time.
+func (s *State) Expire(now time.Duration) {
+	for f, r := range s.records {
+		if now-r.at >= suspicionLasts {
+			delete(s.records, f)
+		}
+	}
+}
+
+// Len returns the number of suspects.
+func (s *State) Len() int { return len(s.records) }
+
+func (s *State) dropOldest() {
+	var oldest model.Fingerprint
+	first := true
+	for f, r := range s.records {
+		if first || r.at < s.records[oldest].at {
+			oldest, first = f, false
+		}
+	}
+	delete(s.records, oldest)
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -132,8 +132,19 @@
 	Policy      Policy   `json:"policy"`
 	MinCoverage float64  `json:"minCoverage"`
 	// HedgeBudget is the share of extra leaf requests, from 0 to 1.
-	HedgeBudget float64    `json:"hedgeBudget"`
-	Objectives  Objectives `json:"objectives"`
+	HedgeBudget float64 `json:"hedgeBudget"`
+	// Hedge selects when leaf requests are hedged; without it they are hedged
+	// adaptively.
+	Hedge      *Hedge     `json:"hedge,omitempty"`
+	Objectives Objectives `json:"objectives"`
+}
+
+// Hedge selects when a leaf request is sent a second time.
+type Hedge struct {
+	// Mode is "none", "fixed" or "adaptive".
+	Mode string `json:"mode"`
+	// Delay applies to the mode "fixed".
+	Delay Duration `json:"delay,omitempty"`
 }
 
 // Objectives are the service-level objectives of a collection. Shares are
--- /dev/null
+++ b/pkg/target/reply.go
@@ -0,0 +1,211 @@
+package target
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/targetproto"
+)
+
+// Kind classifies how an attempt at a target ended.
+type Kind int
+
+// Kinds of results.
+const (
+	// KindOK is a verified reply.
+	KindOK Kind = iota
+	// KindShed is a refusal of an overloaded target; not run.
+	KindShed
+	// KindDraining is a refusal of a target that is about to stop; not run.
+	KindDraining
+	// KindNotHeld is a refusal because the snapshot is not there; not run.
+	KindNotHeld
+	// KindBusy means that every granted connection is in use; not run.
+	KindBusy
+	// KindUnreachable means that no connection could be made; not run.
+	KindUnreachable
+	// KindReset means that the connection was lost while the request was in flight.
+	KindReset
+	// KindFailed is a reply with an error status.
+	KindFailed
+	// KindMismatched is a reply that does not match its request.
+	KindMismatched
+	// KindCancelled means that this instance gave the attempt up.
+	KindCancelled
+)
+
+var kindNames = [...]string{
+	"ok", "shed", "draining", "not-held", "busy", "unreachable", "reset", "failed", "mismatched", "cancelled",
+}
+
+// String returns the name of the kind.
+func (k Kind) String() string { return kindNames[k] }
+
+// NotRun reports whether the kind proves that the target did not run the request.
+func (k Kind) NotRun() bool { return k >= KindShed && k <= KindUnreachable }
+
+// Query is one leaf's part of a caller's request.
+type Query struct {
+	Request  model.RequestID
+	Snapshot model.SnapshotID
+	// Documents is the count that the snapshot's partition map states.
+	Documents int
+	// Header holds the headers of the protocol; see NewHeader.
+	Header http.Header
+	Body   []byte
+}
+
+// Meta is what a target states of itself on a reply.
+type Meta struct {
+	Version model.VersionID
+	Boot    model.BootID
+	State   targetproto.State
+}
+
+// Result is the end of one attempt.
+type Result struct {
+	Kind  Kind
+	Meta  Meta
+	Reply *targetproto.QueryReply
+	// Err is nil for KindOK.
+	Err *failure.Error
+}
+
+// NewHeader returns the headers of a leaf query.
+func NewHeader(request model.RequestID, snapshot model.SnapshotID, route model.Route, attempt int, leftMillis int64) http.Header {
+	return http.Header{
+		targetproto.HeaderRequest:  {string(request)},
+		targetproto.HeaderAttempt:  {strconv.Itoa(attempt)},
+		targetproto.HeaderDeadline: {strconv.FormatInt(leftMillis, 10)},
+		targetproto.HeaderSnapshot: {string(snapshot)},
+		targetproto.HeaderRoute:    {string(route)},
+		"Content-Type":             {"application/json"},
+	}
+}
+
+func (c *Client) readQueryReply(q *Query, response *http.Response) Result {
+	defer response.Body.Close()
+	result := Result{Meta: metaOf(response.Header)}
+	if response.StatusCode != http.StatusOK {
+		c.readRefusal(&result, "query leaf", response)
+		return result
+	}
+	if err := c.verifyHeader(q, response); err != nil {
+		c.mismatch(&result, err)
+		return result
+	}
+	body, err := readBody(response)
+	if err != nil {
+		result.Kind = KindReset
+		result.Err = failure.New(failure.TargetFailed, failure.Unknown, "query leaf", string(c.id), "%w", err)
+		return result
+	}
+	reply := new(targetproto.QueryReply)
+	if err := json.Unmarshal(body, reply); err != nil {
+		c.mismatch(&result, fmt.Errorf("decode reply: %w", err))
+		return result
+	}
+	if err := VerifyReply(q, c.leaf, reply); err != nil {
+		c.mismatch(&result, err)
+		return result
+	}
+	result.Reply = reply
+	return result
+}
+
+func (c *Client) mismatch(result *Result, err error) {
+	result.Kind = KindMismatched
+	result.Err = failure.New(failure.MismatchedReply, failure.Unknown, "verify reply", string(c.id), "%w", err)
+}
+
+func metaOf(h http.Header) Meta {
+	return Meta{
+		Version: model.VersionID(h.Get(targetproto.HeaderVersion)),
+		Boot:    model.BootID(h.Get(targetproto.HeaderBoot)),
+		State:   targetproto.State(h.Get(targetproto.HeaderState)),
+	}
+}
+
+// readRefusal classifies a reply with an error status. Only the refusal header
+// proves that the request was not run; a bare 503 may come from anywhere.
+func (c *Client) readRefusal(result *Result, step string, response *http.Response) {
+	_, _ = io.CopyN(io.Discard, response.Body, connectionBufferBytes)
+	refusal := targetproto.Refusal(response.Header.Get(targetproto.HeaderRefusal))
+	code, ran := failure.TargetFailed, failure.NotRun
+	switch {
+	case response.StatusCode == http.StatusConflict && refusal == targetproto.RefusalNotHeld:
+		result.Kind, code = KindNotHeld, failure.NotHeld
+	case response.StatusCode == http.StatusServiceUnavailable && refusal == targetproto.RefusalShed:
+		result.Kind, code = KindShed, failure.TargetShed
+	case response.StatusCode == http.StatusServiceUnavailable && refusal == targetproto.RefusalDraining:
+		result.Kind, code = KindDraining, failure.Draining
+	default:
+		result.Kind, ran = KindFailed, failure.Unknown
+	}
+	result.Err = failure.New(code, ran, step, string(c.id), "status %d %s", response.StatusCode, refusal)
+}
+
+func (c *Client) verifyHeader(q *Query, response *http.Response) error {
+	h := response.Header
+	if got := h.Get(targetproto.HeaderRequest); got != string(q.Request) {
+		return fmt.Errorf("reply for request %q", got)
+	}
+	if got := h.Get(targetproto.HeaderSnapshot); got != string(q.Snapshot) {
+		return fmt.Errorf("reply from snapshot %q in place of %q", got, q.Snapshot)
+	}
+	if got := h.Get(targetproto.HeaderLeaf); got != c.leafTag {
+		return fmt.Errorf("reply of leaf %q", got)
+	}
+	if response.ContentLength < 0 || response.ContentLength > maxReplyBytes {
+		return fmt.Errorf("reply with content length %d", response.ContentLength)
+	}
+	return nil
+}
+
+// VerifyReply checks the body of a leaf's reply against its request and the
+// snapshot's partition map.
+func VerifyReply(q *Query, leaf model.LeafID, reply *targetproto.QueryReply) error {
+	switch {
+	case reply.Request != q.Request:
+		return fmt.Errorf("body for request %q", reply.Request)
+	case reply.Snapshot != q.Snapshot:
+		return fmt.Errorf("body from snapshot %q in place of %q", reply.Snapshot, q.Snapshot)
+	case reply.Leaf != leaf:
+		return fmt.Errorf("body of leaf %s", reply.Leaf)
+	case reply.Documents != q.Documents:
+		return fmt.Errorf("%d documents searched of %d", reply.Documents, q.Documents)
+	}
+	return nil
+}
+
+// readBody reads exactly the stated length, and then the end of the body so
+// that the connection can be used again.
+func readBody(response *http.Response) ([]byte, error) {
+	body := make([]byte, response.ContentLength)
+	if _, err := io.ReadFull(response.Body, body); err != nil {
+		return nil, fmt.Errorf("read reply: %w", err)
+	}
+	var rest [1]byte
+	if n, err := response.Body.Read(rest[:]); n != 0 || (err != nil && !errors.Is(err, io.EOF)) {
+		return nil, fmt.Errorf("read end of reply: %d bytes: %w", n, err)
+	}
+	return body, nil
+}
+
+func readHealth(id model.TargetID, response *http.Response) (*targetproto.Health, error) {
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("read health of %s: status %d", id, response.StatusCode)
+	}
+	health := new(targetproto.Health)
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(health); err != nil {
+		return nil, fmt.Errorf("read health of %s: %w", id, err)
+	}
+	return health, nil
+}
