Settings: check the hedge mode

Cause: the query path added an optional object to the collection, and the parser had no case for pointers. Two specs name an unknown mode and a fixed mode without delay; they pass. They were written with the change and were not run without it.

--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -212,10 +212,21 @@
 		p.unique(path+"id", string(c.ID), seen[c.ID])
 		seen[c.ID] = true
 		p.checkShape(path, c)
+		p.checkHedge(path+"hedge", c.Hedge)
 		p.checkObjectives(path, c)
 	}
 }
 
+func (p *parser) checkHedge(path string, h *Hedge) {
+	switch {
+	case h == nil || h.Mode == "none" || h.Mode == "adaptive":
+	case h.Mode == "fixed":
+		p.positive(path+".delay", h.Delay > 0, `write a time such as "20ms"`)
+	default:
+		p.report(path+".mode", fmt.Sprintf("%q is not a mode", h.Mode), `write "none", "fixed" or "adaptive"`)
+	}
+}
+
 func (p *parser) checkShape(path string, c Collection) {
 	const mend = "write a whole number greater than zero"
 	p.positive(path+"services", c.Services > 0, mend)
--- a/pkg/settings/parse.go
+++ b/pkg/settings/parse.go
@@ -90,6 +90,9 @@
 		return
 	}
 	switch target.Kind() {
+	case reflect.Pointer:
+		target.Set(reflect.New(target.Type().Elem()))
+		p.decode(v, target.Elem(), path)
 	case reflect.Struct:
 		p.decodeObject(v, target, path)
 	case reflect.Slice:
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -62,6 +62,8 @@
 		Entry("limit of zero", `"connections": 30`, `"connections": 0`, "collections[0].connections", "not greater than zero"),
 		Entry("share above one", `"coverage": 0.99`, `"coverage": 99`, "collections[0].objectives.coverage", "not a share"),
 		Entry("even number of members", `["split-1", "zadar-1", "sibenik-1"]`, `["split-1", "zadar-1"]`, "control.members", "2 members"),
+		Entry("unknown hedge mode", `"connectTime": "6ms"`, `"hedge": {"mode": "often"}`, "collections[0].hedge.mode", "not a mode"),
+		Entry("fixed hedge without delay", `"connectTime": "6ms"`, `"hedge": {"mode": "fixed"}`, "collections[0].hedge.delay", "not greater"),
 		Entry("host name", `"10.20.1.11:8080"`, `"split:8080"`, "instance.callerListen", ""),
 	)
 
