--- /dev/null
+++ b/pkg/control/module.go
@@ -0,0 +1,6 @@
+package control
+
+import "radishturn.example/radishturn"
+
+// ModuleName is the ID of the control module, which package server holds.
+const ModuleName radishturn.ModuleID = "control"
--- /dev/null
+++ b/pkg/state/delta.go
@@ -0,0 +1,239 @@
+package state
+
+import (
+	"maps"
+	"slices"
+	"sort"
+
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/rules"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+// maxChangeLog bounds the changes that deltas can cover; an entry that is
+// further behind gets the whole configuration.
+const maxChangeLog = 8192
+
+// Delta is what changed in the view of the entries between two versions.
+type Delta struct {
+	// From is the version that the delta builds on; 0 if it is the whole.
+	From uint64 `cbor:"1,keyasint"`
+	// To is the version that it leads to.
+	To       uint64         `cbor:"2,keyasint"`
+	Revision model.Revision `cbor:"3,keyasint"`
+
+	ZonesOut    []model.AvailabilityZoneID `cbor:"4,keyasint,omitempty"`
+	ZonesIn     []model.AvailabilityZoneID `cbor:"5,keyasint,omitempty"`
+	Drained     []model.TargetID           `cbor:"6,keyasint,omitempty"`
+	Undrained   []model.TargetID           `cbor:"7,keyasint,omitempty"`
+	Limits      []rules.Limit              `cbor:"8,keyasint,omitempty"`
+	Unlimited   []model.CallerID           `cbor:"9,keyasint,omitempty"`
+	Moves       []MoveEntry                `cbor:"10,keyasint,omitempty"`
+	MovesEnded  []model.CollectionID       `cbor:"11,keyasint,omitempty"`
+	Quarantined []model.Fingerprint        `cbor:"12,keyasint,omitempty"`
+	Lifted      []model.Fingerprint        `cbor:"13,keyasint,omitempty"`
+	Instances   []model.Instance           `cbor:"14,keyasint,omitempty"`
+	Gone        []model.InstanceID         `cbor:"15,keyasint,omitempty"`
+}
+
+// MoveEntry is a move as entries need it.
+type MoveEntry struct {
+	Collection model.CollectionID `cbor:"1,keyasint"`
+	Move       view.Move          `cbor:"2,keyasint"`
+}
+
+// Whole reports whether the delta replaces all that the entry knows.
+func (d *Delta) Whole() bool { return d.From == 0 }
+
+type itemKind uint8
+
+const (
+	itemZone itemKind = iota
+	itemDrain
+	itemLimit
+	itemMove
+	itemQuarantine
+	itemInstance
+)
+
+// itemKey names one item of the view.
+type itemKey struct {
+	kind        itemKind
+	name        string
+	fingerprint model.Fingerprint
+}
+
+// changeLog remembers which items changed at which index. It is not part of
+// snapshots: after a restore, older versions get the whole configuration.
+type changeLog struct {
+	// floor is the oldest version that deltas can build on.
+	floor   uint64
+	entries []changeEntry
+}
+
+type changeEntry struct {
+	index uint64
+	key   itemKey
+}
+
+func (l *changeLog) add(index uint64, k itemKey) {
+	l.entries = append(l.entries, changeEntry{index: index, key: k})
+	if len(l.entries) < 2*maxChangeLog {
+		return
+	}
+	l.floor = l.entries[maxChangeLog-1].index
+	l.entries = slices.Clone(l.entries[maxChangeLog:])
+}
+
+// since returns the items changed after version, each once, and false if the
+// log does not reach that far back.
+func (l *changeLog) since(version uint64) ([]itemKey, bool) {
+	if version < l.floor {
+		return nil, false
+	}
+	start := sort.Search(len(l.entries), func(i int) bool { return l.entries[i].index > version })
+	seen := make(map[itemKey]bool)
+	var keys []itemKey
+	for _, e := range l.entries[start:] {
+		if !seen[e.key] {
+			seen[e.key] = true
+			keys = append(keys, e.key)
+		}
+	}
+	return keys, true
+}
+
+// Version returns the version of what entries see.
+func (s *State) Version() uint64 { return s.data.Version }
+
+// Delta returns what changed after version, or nil if nothing did. A version
+// of 0, or one that is too old or not of this state, gets the whole.
+func (s *State) Delta(version uint64) *Delta {
+	if version == s.data.Version && version != 0 {
+		return nil
+	}
+	d := &Delta{From: version, To: s.data.Version, Revision: s.Newest().Revision}
+	keys, ok := s.log.since(version)
+	if version == 0 || version > s.data.Version || !ok {
+		d.From = 0
+		keys = s.allKeys()
+	}
+	index := s.indexRules()
+	for _, k := range keys {
+		s.addItem(d, k, index)
+	}
+	return d
+}
+
+func (s *State) allKeys() []itemKey {
+	var keys []itemKey
+	for _, r := range s.Newest().Rules.Rules {
+		if k, ok := ruleKey(r); ok {
+			keys = append(keys, k)
+		}
+	}
+	for _, c := range slices.Sorted(maps.Keys(s.data.Moves)) {
+		keys = append(keys, itemKey{kind: itemMove, name: string(c)})
+	}
+	for _, f := range slices.Sorted(maps.Keys(s.data.Quarantined)) {
+		keys = append(keys, fingerprintKey(f))
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.data.Instances)) {
+		keys = append(keys, itemKey{kind: itemInstance, name: string(id)})
+	}
+	return keys
+}
+
+// ruleKey names the item that a rule sets; moves are items of their own.
+func ruleKey(r rules.Rule) (itemKey, bool) {
+	switch {
+	case r.ZoneOut != nil:
+		return itemKey{kind: itemZone, name: string(r.ZoneOut.AvailabilityZone)}, true
+	case r.Drain != nil:
+		return itemKey{kind: itemDrain, name: string(r.Drain.Target)}, true
+	case r.Limit != nil:
+		return itemKey{kind: itemLimit, name: string(r.Limit.Caller)}, true
+	default:
+		return itemKey{}, false
+	}
+}
+
+func (s *State) indexRules() map[itemKey]rules.Rule {
+	set := s.Newest().Rules.Rules
+	index := make(map[itemKey]rules.Rule, len(set))
+	for _, r := range set {
+		if k, ok := ruleKey(r); ok {
+			index[k] = r
+		}
+	}
+	return index
+}
+
+// logRuleChanges notes each rule that was added, changed or removed.
+func (s *State) logRuleChanges(index uint64, old, next rules.Set) {
+	before := make(map[itemKey]rules.Rule, len(old.Rules))
+	for _, r := range old.Rules {
+		if k, ok := ruleKey(r); ok {
+			before[k] = r
+		}
+	}
+	for _, r := range next.Rules {
+		k, ok := ruleKey(r)
+		if !ok {
+			continue
+		}
+		if o, had := before[k]; !had || !o.Same(r) {
+			s.changed(index, k)
+		}
+		delete(before, k)
+	}
+	for k := range before {
+		s.changed(index, k)
+	}
+}
+
+func (s *State) addItem(d *Delta, k itemKey, index map[itemKey]rules.Rule) {
+	switch k.kind {
+	case itemZone:
+		_, out := index[k]
+		put(out, &d.ZonesOut, &d.ZonesIn, model.AvailabilityZoneID(k.name))
+	case itemDrain:
+		_, drained := index[k]
+		put(drained, &d.Drained, &d.Undrained, model.TargetID(k.name))
+	case itemLimit:
+		if r, ok := index[k]; ok {
+			d.Limits = append(d.Limits, *r.Limit)
+		} else {
+			d.Unlimited = append(d.Unlimited, model.CallerID(k.name))
+		}
+	case itemMove:
+		s.addMove(d, model.CollectionID(k.name))
+	case itemQuarantine:
+		_, condemned := s.data.Quarantined[k.fingerprint]
+		put(condemned, &d.Quarantined, &d.Lifted, k.fingerprint)
+	case itemInstance:
+		if i, ok := s.data.Instances[model.InstanceID(k.name)]; ok {
+			d.Instances = append(d.Instances, i)
+		} else {
+			d.Gone = append(d.Gone, model.InstanceID(k.name))
+		}
+	}
+}
+
+// put appends item to yes or to no.
+func put[T any](is bool, yes, no *[]T, item T) {
+	if is {
+		*yes = append(*yes, item)
+	} else {
+		*no = append(*no, item)
+	}
+}
+
+func (s *State) addMove(d *Delta, c model.CollectionID) {
+	m, ok := s.data.Moves[c]
+	if !ok {
+		d.MovesEnded = append(d.MovesEnded, c)
+		return
+	}
+	d.Moves = append(d.Moves, MoveEntry{Collection: c, Move: entryMove(m)})
+}
--- /dev/null
+++ b/pkg/state/machine.go
@@ -0,0 +1,104 @@
+package state
+
+import (
+	"sync"
+
+	"radishturn.example/radishturn"
+	"radishturn.example/radishturn/pkg/control"
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/move"
+	"radishturn.example/radishturn/pkg/replica"
+)
+
+// ModuleName is the ID of the state module.
+const ModuleName radishturn.ModuleID = "control.state"
+
+// Machine is the State behind a lock: the replica applies commands from one
+// goroutine while others read.
+type Machine struct {
+	mu    sync.RWMutex
+	state *State
+}
+
+var _ replica.StateMachine = (*Machine)(nil)
+
+func init() { radishturn.RegisterModule(&Machine{}) }
+
+// NewMachine returns a Machine with the empty state.
+func NewMachine() *Machine { return &Machine{state: New()} }
+
+// ModuleInfo returns the module's description.
+func (*Machine) ModuleInfo() radishturn.ModuleInfo {
+	return radishturn.ModuleInfo{
+		ID:  ModuleName,
+		New: func() radishturn.Module { return NewMachine() },
+	}
+}
+
+// Provision offers the state to the replica and to the control plane.
+func (m *Machine) Provision(c *radishturn.Context) error {
+	if err := radishturn.Provide[replica.StateMachine](c, m); err != nil {
+		return err
+	}
+	return radishturn.Provide(c, m)
+}
+
+// Apply carries out an encoded Command and returns an encoded Result.
+func (m *Machine) Apply(index uint64, command []byte) []byte {
+	c := new(Command)
+	if err := decoding.Unmarshal(command, c); err != nil {
+		return encodeResult(&Result{Refusal: refuse(failure.Internal, "decode command %d: %v", index, err)})
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return encodeResult(m.state.Apply(index, c))
+}
+
+func encodeResult(r *Result) []byte {
+	b, err := encoding.Marshal(r)
+	if err != nil {
+		// A Result holds plain values only, so it can always be encoded.
+		panic("state: encode result: " + err.Error())
+	}
+	return b
+}
+
+// Snapshot returns the whole state in bytes.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Snapshot()
+}
+
+// Restore replaces the whole state.
+func (m *Machine) Restore(snapshot []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Restore(snapshot)
+}
+
+// Read calls f with the state, which f must neither change nor keep.
+func (m *Machine) Read(f func(s *State)) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	f(m.state)
+}
+
+// Moves returns the moves as applied here.
+func (m *Machine) Moves() (moves []move.State) {
+	m.Read(func(s *State) { moves = s.Moves() })
+	return moves
+}
+
+// Newest returns the newest change that was applied here.
+func (m *Machine) Newest() (change control.Change) {
+	m.Read(func(s *State) { change = s.Newest() })
+	return change
+}
+
+// Instances returns the known instances.
+func (m *Machine) Instances() (instances map[model.InstanceID]model.Instance) {
+	m.Read(func(s *State) { instances = s.Instances() })
+	return instances
+}
--- /dev/null
+++ b/pkg/state/moves.go
@@ -0,0 +1,89 @@
+package state
+
+import (
+	"maps"
+	"slices"
+
+	"radishturn.example/radishturn/pkg/control"
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/move"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+// startMoves makes the moves match the rules: a kept rule continues its move,
+// whatever its phase, and a new or changed rule starts one.
+func (s *State) startMoves(index uint64, change *control.Change) {
+	next := make(map[model.CollectionID]move.State)
+	for _, r := range change.Rules.Rules {
+		if r.Move == nil {
+			continue
+		}
+		if m, ok := s.data.Moves[r.Move.Collection]; ok && m.Rule.Same(*r.Move) {
+			next[r.Move.Collection] = m
+			continue
+		}
+		next[r.Move.Collection] = move.State{
+			Rule: *r.Move, Author: r.Comment, Revision: change.Revision,
+			Phase: move.PhaseUnderWay, Started: change.At, SteppedAt: change.At,
+			Evidence: "accepted, not begun",
+		}
+	}
+	s.logMoveChanges(index, s.data.Moves, next)
+	s.data.Moves = next
+}
+
+func (s *State) logMoveChanges(index uint64, old, next map[model.CollectionID]move.State) {
+	for c := range old {
+		if _, ok := next[c]; !ok {
+			s.changed(index, itemKey{kind: itemMove, name: string(c)})
+		}
+	}
+	for c, m := range next {
+		if before, ok := old[c]; !ok || before.Revision != m.Revision {
+			s.changed(index, itemKey{kind: itemMove, name: string(c)})
+		}
+	}
+}
+
+// stepMove carries out a step if it was decided on the move's present state.
+// The same step again is answered like the first time.
+func (s *State) stepMove(index uint64, step *move.Step) *Result {
+	m, ok := s.data.Moves[step.Collection]
+	if !ok || m.Revision != step.Revision {
+		return &Result{Refusal: refuse(failure.Conflict, "no move of %s from revision %d", step.Collection, step.Revision)}
+	}
+	if m.Step == step.Expect+1 && m.Phase == step.Phase && m.Share == step.Share && m.SteppedAt.Equal(step.At) {
+		return &Result{}
+	}
+	if m.Step != step.Expect {
+		return &Result{Refusal: refuse(failure.Conflict, "the move of %s is at step %d, not %d", step.Collection, m.Step, step.Expect)}
+	}
+	if m.Phase == move.PhaseTakenBack {
+		return &Result{Refusal: refuse(failure.Conflict, "the move of %s was taken back; it needs a new rule", step.Collection)}
+	}
+	m.Step++
+	m.Phase, m.Share, m.SteppedAt, m.Evidence = step.Phase, step.Share, step.At, step.Evidence
+	if m.Phase == move.PhaseTakenBack {
+		m.Share = 0
+	}
+	s.data.Moves[step.Collection] = m
+	s.changed(index, itemKey{kind: itemMove, name: string(step.Collection)})
+	return &Result{}
+}
+
+// Moves returns the moves of the newest rules, in order of collection.
+func (s *State) Moves() []move.State {
+	moves := make([]move.State, 0, len(s.data.Moves))
+	for _, c := range slices.Sorted(maps.Keys(s.data.Moves)) {
+		moves = append(moves, s.data.Moves[c])
+	}
+	return moves
+}
+
+// entryMove returns the part of a move that entries need.
+func entryMove(m move.State) view.Move {
+	return view.Move{
+		From: m.Rule.From, To: m.Rule.To, Share: m.Share, TakenBack: m.Phase == move.PhaseTakenBack,
+	}
+}
--- /dev/null
+++ b/pkg/state/quarantine.go
@@ -0,0 +1,132 @@
+package state
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"radishturn.example/radishturn/pkg/control"
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/model"
+)
+
+const (
+	// condemnAfter is the number of distinct deaths that condemn a fingerprint.
+	condemnAfter = 2
+	// suspicionWindow is how long one death counts, on the clock of the group.
+	suspicionWindow = 10 * time.Minute
+	// MaxSuspects bounds the fingerprints with a single death.
+	MaxSuspects = 4096
+	// MaxQuarantined bounds the condemned fingerprints.
+	MaxQuarantined = 4096
+	// maxSuspectsOfDeath bounds the suspects of one death that are counted.
+	maxSuspectsOfDeath = 512
+	// maxDeathsOfSuspect bounds the deaths kept for one suspect.
+	maxDeathsOfSuspect = 16
+)
+
+// suspect is a fingerprint that was in flight at a target that died.
+type suspect struct {
+	// Deaths are the distinct incarnations that died.
+	Deaths []incarnation `cbor:"1,keyasint"`
+	// Alone is set if it was the only suspect of one of the deaths.
+	Alone bool `cbor:"2,keyasint"`
+	// Expires is on the clock of the group.
+	Expires time.Duration `cbor:"3,keyasint"`
+}
+
+type incarnation struct {
+	Target model.TargetID `cbor:"1,keyasint"`
+	Boot   model.BootID   `cbor:"2,keyasint"`
+}
+
+// recordDeaths counts the deaths for each suspect and condemns those with two
+// distinct deaths, in one of which it was the only suspect. When a whole
+// availability zone fails, the requests in flight see many deaths together;
+// being the only suspect is what tells a harmful request from those.
+func (s *State) recordDeaths(index uint64, d *Deaths) *Result {
+	s.expireSuspects()
+	result := &Result{}
+	for _, death := range d.Deaths {
+		for _, f := range death.Suspects[:min(len(death.Suspects), maxSuspectsOfDeath)] {
+			if s.suspectDied(f, death, d.At) {
+				s.changed(index, fingerprintKey(f))
+				result.Condemned = append(result.Condemned, f)
+			}
+		}
+	}
+	return result
+}
+
+// suspectDied counts one death and reports whether it condemned the fingerprint.
+func (s *State) suspectDied(f model.Fingerprint, d Death, at time.Time) bool {
+	if _, ok := s.data.Quarantined[f]; ok {
+		return false
+	}
+	entry := s.data.Suspects[f]
+	died := incarnation{Target: d.Target, Boot: d.Boot}
+	if !slices.Contains(entry.Deaths, died) && len(entry.Deaths) < maxDeathsOfSuspect {
+		entry.Deaths = append(slices.Clone(entry.Deaths), died)
+	}
+	entry.Alone = entry.Alone || len(d.Suspects) == 1
+	entry.Expires = s.data.Clock + suspicionWindow
+	if len(entry.Deaths) < condemnAfter || !entry.Alone || len(s.data.Quarantined) >= MaxQuarantined {
+		s.data.Suspects[f] = entry
+		s.boundSuspects()
+		return false
+	}
+	delete(s.data.Suspects, f)
+	s.data.Quarantined[f] = control.Quarantine{Fingerprint: f, Deaths: targetsOf(entry.Deaths), At: at}
+	return true
+}
+
+func targetsOf(deaths []incarnation) []model.TargetID {
+	targets := make([]model.TargetID, len(deaths))
+	for i, d := range deaths {
+		targets[i] = d.Target
+	}
+	return targets
+}
+
+// boundSuspects drops the suspect that expires first once there are too many.
+func (s *State) boundSuspects() {
+	if len(s.data.Suspects) <= MaxSuspects {
+		return
+	}
+	oldest := slices.MinFunc(slices.Collect(maps.Keys(s.data.Suspects)), func(a, b model.Fingerprint) int {
+		return cmp.Or(cmp.Compare(s.data.Suspects[a].Expires, s.data.Suspects[b].Expires), cmp.Compare(a, b))
+	})
+	delete(s.data.Suspects, oldest)
+}
+
+func (s *State) expireSuspects() {
+	for f, entry := range s.data.Suspects {
+		if entry.Expires <= s.data.Clock {
+			delete(s.data.Suspects, f)
+		}
+	}
+}
+
+func (s *State) lift(index uint64, l *Lift) *Result {
+	if _, ok := s.data.Quarantined[l.Fingerprint]; !ok {
+		return &Result{Refusal: refuse(failure.NotFound, "fingerprint %016x is not quarantined", uint64(l.Fingerprint))}
+	}
+	delete(s.data.Quarantined, l.Fingerprint)
+	s.changed(index, fingerprintKey(l.Fingerprint))
+	return &Result{}
+}
+
+// Quarantined returns the condemned fingerprints in order.
+func (s *State) Quarantined() []control.Quarantine {
+	list := make([]control.Quarantine, 0, len(s.data.Quarantined))
+	for _, f := range slices.Sorted(maps.Keys(s.data.Quarantined)) {
+		list = append(list, s.data.Quarantined[f])
+	}
+	return list
+}
+
+func fingerprintKey(f model.Fingerprint) itemKey {
+	return itemKey{kind: itemQuarantine, name: fmt.Sprintf("%016x", uint64(f)), fingerprint: f}
+}
