Leases, grants, control server and order claims: first cut

Cause: six processes need leases, views with connection grants, rules through any instance, and orders that run once.

Seen: go test ./pkg/control/server runs a fleet of six instances and three members on a fake clock: leases, all 30 connections of each target handed out, rules with a resend and a conflict, an order that runs once over two instances, renewals through a relay, an instance cut off and back, control lost and back.

--- /dev/null
+++ b/pkg/control/server/admin.go
@@ -0,0 +1,143 @@
+package server
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"time"
+
+	"radishturn.example/radishturn/pkg/control"
+	"radishturn.example/radishturn/pkg/control/wire"
+	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/mesh"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/replica"
+	"radishturn.example/radishturn/pkg/rules"
+	"radishturn.example/radishturn/pkg/state"
+)
+
+// maxAuthorBytes bounds the name of an operator.
+const maxAuthorBytes = 128
+
+// apply checks rules and proposes them.
+func (n *session) apply(ctx context.Context, r *control.ApplyRequest) (*control.Change, error) {
+	if r.Author == "" || len(r.Author) > maxAuthorBytes {
+		return nil, failure.New(failure.BadRequest, failure.NotRun, "apply rules", "", "the author is missing or longer than %d bytes", maxAuthorBytes)
+	}
+	set, mistakes := rules.Parse(r.Text, n.known)
+	if len(mistakes) > 0 {
+		return nil, failure.New(failure.BadRequest, failure.NotRun, "apply rules", "", "%s", listMistakes(mistakes))
+	}
+	hash := sha256.Sum256([]byte(r.Text))
+	result, err := n.propose(ctx, "apply rules", &state.Command{ApplyRules: &state.ApplyRules{
+		Base: r.Base, Hash: hex.EncodeToString(hash[:]), Text: r.Text, Author: r.Author,
+		At: time.Now().UTC(), Rules: set,
+	}})
+	if err != nil {
+		events.Emit(events.RulesRefused, r.Author, err)
+		return nil, err
+	}
+	events.Emit(events.RulesAccepted, result.Change.Revision, result.Change.Author, result.Change.Hash)
+	return result.Change, nil
+}
+
+func listMistakes(mistakes []rules.Mistake) string {
+	lines := make([]string, len(mistakes))
+	for i, m := range mistakes {
+		lines[i] = m.String()
+	}
+	return fmt.Sprintf("%d mistakes:\n%s", len(mistakes), strings.Join(lines, "\n"))
+}
+
+func (n *session) rules(context.Context, *wire.Empty) (*control.Change, error) {
+	change := n.machine.Newest()
+	return &change, nil
+}
+
+func (n *session) history(_ context.Context, r *wire.History) (*wire.HistoryReply, error) {
+	reply := &wire.HistoryReply{}
+	n.machine.Read(func(s *state.State) { reply.Changes = s.History(r.Limit) })
+	return reply, nil
+}
+
+func (n *session) inForce(_ context.Context, r *wire.InForce) (*control.InForce, error) {
+	if newest := n.machine.Newest().Revision; r.Revision > newest {
+		return nil, failure.New(failure.NotFound, failure.NotRun, "in force", "", "revision %d does not exist; the newest is %d", r.Revision, newest)
+	}
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	n.release()
+	acknowledged, missing := n.table.InForce(r.Revision)
+	return &control.InForce{Revision: r.Revision, Acknowledged: acknowledged, Missing: missing}, nil
+}
+
+func (n *session) moves(context.Context, *wire.Empty) (*wire.MovesReply, error) {
+	return &wire.MovesReply{Moves: n.machine.Moves()}, nil
+}
+
+func (n *session) quarantined(context.Context, *wire.Empty) (*wire.QuarantinedReply, error) {
+	reply := &wire.QuarantinedReply{}
+	n.machine.Read(func(s *state.State) { reply.Quarantined = s.Quarantined() })
+	return reply, nil
+}
+
+func (n *session) lift(ctx context.Context, l *state.Lift) (*wire.Empty, error) {
+	if _, err := n.propose(ctx, "lift quarantine", &state.Command{Lift: l}); err != nil {
+		return nil, err
+	}
+	events.Emit(events.FingerprintLifted, uint64(l.Fingerprint), l.Author)
+	return &wire.Empty{}, nil
+}
+
+func (n *session) instances(context.Context, *wire.Empty) (*wire.InstancesReply, error) {
+	known := n.machine.Instances()
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	reply := &wire.InstancesReply{}
+	for _, l := range n.table.Leases(n.now()) {
+		reply.Holders = append(reply.Holders, control.Holder{
+			Instance: known[l.Instance], Left: l.Left, Acknowledged: l.Revision,
+		})
+	}
+	return reply, nil
+}
+
+func (n *session) members(context.Context, *wire.Empty) (*replica.Status, error) {
+	status := n.proposer.Status()
+	return &status, nil
+}
+
+// disk asks an instance for its disk.
+func (n *session) disk(ctx context.Context, id model.InstanceID) (replica.Member, error) {
+	m, err := mesh.Call[wire.Empty, replica.Member](ctx, n.mesh, id, wire.KindDisk, &wire.Empty{})
+	if err != nil {
+		return replica.Member{}, err
+	}
+	if m.Instance != id || m.Disk == "" {
+		return replica.Member{}, failure.New(failure.BadRequest, failure.NotRun, "ask for disk", string(id), "the instance has no data folder")
+	}
+	return *m, nil
+}
+
+func (n *session) addMember(ctx context.Context, r *wire.Add) (*wire.Empty, error) {
+	m, err := n.disk(ctx, r.Instance)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.Empty{}, n.proposer.AddLearner(ctx, m)
+}
+
+func (n *session) replaceMember(ctx context.Context, r *wire.Replace) (*wire.Empty, error) {
+	next, err := n.disk(ctx, r.Next)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.Empty{}, n.proposer.Replace(ctx, r.Old, next)
+}
+
+func (n *session) removeMember(ctx context.Context, r *wire.Remove) (*wire.Empty, error) {
+	return &wire.Empty{}, n.proposer.Remove(ctx, r.Member)
+}
--- /dev/null
+++ b/pkg/control/server/client.go
@@ -0,0 +1,112 @@
+package server
+
+import (
+	"context"
+
+	"radishturn.example/radishturn/pkg/control"
+	"radishturn.example/radishturn/pkg/control/route"
+	"radishturn.example/radishturn/pkg/control/wire"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/move"
+	"radishturn.example/radishturn/pkg/replica"
+	"radishturn.example/radishturn/pkg/state"
+)
+
+// ApplyRules replaces the rules if Base is the newest revision.
+func (s *Server) ApplyRules(ctx context.Context, r control.ApplyRequest) (*control.Change, error) {
+	return route.Call[control.ApplyRequest, control.Change](ctx, s.router, wire.KindApply, &r)
+}
+
+// Rules returns the newest accepted change.
+func (s *Server) Rules(ctx context.Context) (*control.Change, error) {
+	return route.Call[wire.Empty, control.Change](ctx, s.router, wire.KindRules, &wire.Empty{})
+}
+
+// History returns the accepted changes, newest first.
+func (s *Server) History(ctx context.Context, limit int) ([]control.Change, error) {
+	reply, err := route.Call[wire.History, wire.HistoryReply](ctx, s.router, wire.KindHistory, &wire.History{Limit: limit})
+	if err != nil {
+		return nil, err
+	}
+	return reply.Changes, nil
+}
+
+// InForce says where a revision is in force.
+func (s *Server) InForce(ctx context.Context, revision model.Revision) (*control.InForce, error) {
+	return route.Call[wire.InForce, control.InForce](ctx, s.router, wire.KindInForce, &wire.InForce{Revision: revision})
+}
+
+// Moves returns the moves of the newest rules.
+func (s *Server) Moves(ctx context.Context) ([]move.State, error) {
+	reply, err := route.Call[wire.Empty, wire.MovesReply](ctx, s.router, wire.KindMoves, &wire.Empty{})
+	if err != nil {
+		return nil, err
+	}
+	return reply.Moves, nil
+}
+
+// Quarantined returns the condemned fingerprints.
+func (s *Server) Quarantined(ctx context.Context) ([]control.Quarantine, error) {
+	reply, err := route.Call[wire.Empty, wire.QuarantinedReply](ctx, s.router, wire.KindQuarantined, &wire.Empty{})
+	if err != nil {
+		return nil, err
+	}
+	return reply.Quarantined, nil
+}
+
+// Lift ends the quarantine of a fingerprint.
+func (s *Server) Lift(ctx context.Context, f model.Fingerprint, author string) error {
+	_, err := route.Call[state.Lift, wire.Empty](ctx, s.router, wire.KindLift, &state.Lift{Fingerprint: f, Author: author})
+	return err
+}
+
+// Instances returns the holders of leases.
+func (s *Server) Instances(ctx context.Context) ([]control.Holder, error) {
+	reply, err := route.Call[wire.Empty, wire.InstancesReply](ctx, s.router, wire.KindInstances, &wire.Empty{})
+	if err != nil {
+		return nil, err
+	}
+	return reply.Holders, nil
+}
+
+// Members returns the control group as the leader sees it.
+func (s *Server) Members(ctx context.Context) (*replica.Status, error) {
+	return route.Call[wire.Empty, replica.Status](ctx, s.router, wire.KindMembers, &wire.Empty{})
+}
+
+// AddMember adds the disk of an instance as a learner.
+func (s *Server) AddMember(ctx context.Context, id model.InstanceID) error {
+	_, err := route.Call[wire.Add, wire.Empty](ctx, s.router, wire.KindAdd, &wire.Add{Instance: id})
+	return err
+}
+
+// ReplaceMember puts the disk of next in place of a voter.
+func (s *Server) ReplaceMember(ctx context.Context, old replica.Member, next model.InstanceID) error {
+	_, err := route.Call[wire.Replace, wire.Empty](ctx, s.router, wire.KindReplace, &wire.Replace{Old: old, Next: next})
+	return err
+}
+
+// RemoveMember takes a voter or learner out.
+func (s *Server) RemoveMember(ctx context.Context, m replica.Member) error {
+	_, err := route.Call[wire.Remove, wire.Empty](ctx, s.router, wire.KindRemove, &wire.Remove{Member: m})
+	return err
+}
+
+// IsLeader reports whether this instance leads the control group.
+func (s *Server) IsLeader() bool { return s.proposer.IsLeader() }
+
+// Subscribe adds a sink for evidence.
+func (s *Server) Subscribe(sink control.EvidenceSink) { s.sinks = append(s.sinks, sink) }
+
+// LocalMoves returns the moves as applied on this instance.
+func (s *Server) LocalMoves() []move.State { return s.machine.Moves() }
+
+// ProposeStep proposes a step of a move.
+func (s *Server) ProposeStep(ctx context.Context, step move.Step) error {
+	current, err := s.leading()
+	if err != nil {
+		return err
+	}
+	_, err = current.propose(ctx, "step move", &state.Command{StepMove: &step})
+	return err
+}
--- /dev/null
+++ b/pkg/control/wire/wire.go
@@ -0,0 +1,181 @@
+// Package wire defines the messages between instances for control: renewals of
+// leases, order claims and the requests of operators.
+package wire
+
+import (
+	"time"
+
+	"radishturn.example/radishturn/pkg/control"
+	"radishturn.example/radishturn/pkg/grant"
+	"radishturn.example/radishturn/pkg/mesh"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/move"
+	"radishturn.example/radishturn/pkg/replica"
+	"radishturn.example/radishturn/pkg/state"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+// Kinds that the leader serves.
+const (
+	KindRenew       mesh.Kind = "lease.renew"
+	KindReturn      mesh.Kind = "lease.return"
+	KindOrders      mesh.Kind = "order.change"
+	KindApply       mesh.Kind = "admin.apply"
+	KindRules       mesh.Kind = "admin.rules"
+	KindHistory     mesh.Kind = "admin.history"
+	KindInForce     mesh.Kind = "admin.in-force"
+	KindMoves       mesh.Kind = "admin.moves"
+	KindQuarantined mesh.Kind = "admin.quarantined"
+	KindLift        mesh.Kind = "admin.lift"
+	KindInstances   mesh.Kind = "admin.instances"
+	KindMembers     mesh.Kind = "admin.members"
+	KindAdd         mesh.Kind = "admin.add-member"
+	KindReplace     mesh.Kind = "admin.replace-member"
+	KindRemove      mesh.Kind = "admin.remove-member"
+)
+
+// Kinds that every instance serves.
+const (
+	// KindRelay passes a request on to the leader.
+	KindRelay mesh.Kind = "control.relay"
+	// KindHoldsLease asks whether the instance holds a lease.
+	KindHoldsLease mesh.Kind = "lease.holds"
+	// KindAsk asks a claimer what became of its claim.
+	KindAsk mesh.Kind = "order.ask"
+	// KindDisk asks for the disk of an instance; package replica serves it.
+	KindDisk mesh.Kind = "replica.disk"
+)
+
+// LeaderKinds are the kinds that a relay passes on.
+var LeaderKinds = map[mesh.Kind]bool{
+	KindRenew: true, KindReturn: true, KindOrders: true, KindApply: true, KindRules: true,
+	KindHistory: true, KindInForce: true, KindMoves: true, KindQuarantined: true, KindLift: true,
+	KindInstances: true, KindMembers: true, KindAdd: true, KindReplace: true, KindRemove: true,
+}
+
+// Relay is a request to the leader that goes through another instance.
+type Relay struct {
+	Kind    mesh.Kind `cbor:"1,keyasint"`
+	Payload []byte    `cbor:"2,keyasint"`
+}
+
+// RelayReply is the leader's reply to a relayed request.
+type RelayReply struct {
+	Payload []byte `cbor:"1,keyasint"`
+}
+
+// Empty is a message without content.
+type Empty struct{}
+
+// Renewal asks for a lease, or for more time on it.
+type Renewal struct {
+	Instance model.Instance `cbor:"1,keyasint"`
+	// Boot differs between processes of one instance.
+	Boot     string `cbor:"2,keyasint"`
+	Sequence uint64 `cbor:"3,keyasint"`
+	// Version and Revision are in force at the holder.
+	Version  uint64         `cbor:"4,keyasint"`
+	Revision model.Revision `cbor:"5,keyasint"`
+	// Session and GrantSequence acknowledge deltas of grants.
+	Session       uint64 `cbor:"6,keyasint"`
+	GrantSequence uint64 `cbor:"7,keyasint"`
+	// Reported is set when Held lists all that the instance holds.
+	Reported bool          `cbor:"8,keyasint,omitempty"`
+	Held     []grant.Entry `cbor:"9,keyasint,omitempty"`
+	// Evidence is sent again under the same EvidenceSequence until a reply comes.
+	EvidenceSequence uint64         `cbor:"10,keyasint,omitempty"`
+	Evidence         *view.Evidence `cbor:"11,keyasint,omitempty"`
+}
+
+// RenewalReply grants the lease for the duration in the settings, counted from
+// when the holder sent the renewal.
+type RenewalReply struct {
+	Leader   model.InstanceID `cbor:"1,keyasint"`
+	Sequence uint64           `cbor:"2,keyasint"`
+	// Delta is nil if nothing changed since the holder's version.
+	Delta *state.Delta `cbor:"3,keyasint,omitempty"`
+	// Session numbers the leader's record of what this holder was granted. In a
+	// session that is new to the holder it keeps its grants and reports them if
+	// Report is set, and otherwise starts with none.
+	Session uint64       `cbor:"4,keyasint"`
+	Report  bool         `cbor:"5,keyasint,omitempty"`
+	Grants  *grant.Delta `cbor:"6,keyasint,omitempty"`
+}
+
+// Return hands a lease back.
+type Return struct {
+	Instance model.InstanceID `cbor:"1,keyasint"`
+	Boot     string           `cbor:"2,keyasint"`
+}
+
+// HoldsLeaseReply says whether an instance holds a lease.
+type HoldsLeaseReply struct {
+	Holds bool `cbor:"1,keyasint"`
+}
+
+// OrderResults has one result for each change of an order.
+type OrderResults struct {
+	Results []state.OrderResult `cbor:"1,keyasint"`
+}
+
+// Ask asks a claimer what became of its claim.
+type Ask struct {
+	ID state.ClaimID `cbor:"1,keyasint"`
+	// Wait bounds how long the claimer may wait for the outcome.
+	Wait time.Duration `cbor:"2,keyasint"`
+}
+
+// AskReply says what became of a claim.
+type AskReply struct {
+	// Known is false if the claimer does not remember the claim, such as after
+	// a restart.
+	Known        bool        `cbor:"1,keyasint"`
+	Phase        state.Phase `cbor:"2,keyasint"`
+	Confirmation string      `cbor:"3,keyasint,omitempty"`
+}
+
+// History asks for accepted changes.
+type History struct {
+	Limit int `cbor:"1,keyasint"`
+}
+
+// HistoryReply holds accepted changes, newest first.
+type HistoryReply struct {
+	Changes []control.Change `cbor:"1,keyasint"`
+}
+
+// InForce asks where a revision is in force.
+type InForce struct {
+	Revision model.Revision `cbor:"1,keyasint"`
+}
+
+// MovesReply holds the moves of the newest rules.
+type MovesReply struct {
+	Moves []move.State `cbor:"1,keyasint"`
+}
+
+// QuarantinedReply holds the condemned fingerprints.
+type QuarantinedReply struct {
+	Quarantined []control.Quarantine `cbor:"1,keyasint"`
+}
+
+// InstancesReply holds the holders of leases.
+type InstancesReply struct {
+	Holders []control.Holder `cbor:"1,keyasint"`
+}
+
+// Add asks for a new learner.
+type Add struct {
+	Instance model.InstanceID `cbor:"1,keyasint"`
+}
+
+// Replace asks for a change of a voter.
+type Replace struct {
+	Old  replica.Member   `cbor:"1,keyasint"`
+	Next model.InstanceID `cbor:"2,keyasint"`
+}
+
+// Remove asks to take a member out.
+type Remove struct {
+	Member replica.Member `cbor:"1,keyasint"`
+}
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -36,6 +36,8 @@
 	ReplicaRestored    Number = 3012
 	ReplicaNotInGroup  Number = 3013
 	DataFolderOccupied Number = 3014
+	LeaderReady        Number = 3101
+	LeaderNotReady     Number = 3102
 
 	LeaseGranted     Number = 4001
 	LeaseExpired     Number = 4002
@@ -44,6 +46,8 @@
 	LeaseReturned    Number = 4005
 	RulesInForce     Number = 4006
 	EvidenceDropped  Number = 4007
+	LeaseRanOut      Number = 4008
+	RenewalFailed    Number = 4009
 
 	SnapshotPinned      Number = 5001
 	TargetEjected       Number = 5002
@@ -119,6 +123,8 @@
 	{ReplicaRestored, info, "state restored from the data folder", []string{"index", "entries", "milliseconds"}},
 	{ReplicaNotInGroup, warn, "this disk is not a member of the control group", []string{"disk"}},
 	{DataFolderOccupied, fail, "data folder is in use by another process", []string{"folder"}},
+	{LeaderReady, info, "leader has taken office", []string{"term"}},
+	{LeaderNotReady, warn, "leader cannot take office yet", []string{"term", "error"}},
 
 	{LeaseGranted, info, "lease granted", []string{"leader", "revision"}},
 	{LeaseExpired, warn, "lease expired", []string{"lastRenewal"}},
@@ -127,6 +133,8 @@
 	{LeaseReturned, info, "lease handed back", nil},
 	{RulesInForce, info, "configuration is in force here", []string{"revision"}},
 	{EvidenceDropped, warn, "evidence dropped because its bound is reached", []string{"kind"}},
+	{LeaseRanOut, warn, "lease of an instance ran out", []string{"instance"}},
+	{RenewalFailed, debug, "renewal of the lease failed", []string{"error"}},
 
 	{SnapshotPinned, info, "newest whole snapshot changed", []string{"collection", "snapshot"}},
 	{TargetEjected, warn, "target ejected", []string{"target", "reason"}},
--- a/pkg/failure/failure.go
+++ b/pkg/failure/failure.go
@@ -109,3 +109,12 @@
 	}
 	return Unknown
 }
+
+// PeerOf returns the peer of the first Error in the chain of err, or "".
+func PeerOf(err error) string {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Peer
+	}
+	return ""
+}
--- /dev/null
+++ b/pkg/lease/holder.go
@@ -0,0 +1,182 @@
+package lease
+
+import (
+	"maps"
+	"time"
+
+	"radishturn.example/radishturn/pkg/control/wire"
+	"radishturn.example/radishturn/pkg/grant"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+// times are the moments that decide the state of the lease, on the monotonic
+// clock. They are immutable and shared with readers.
+type times struct {
+	// until is when the lease runs out; 0 means that none was held yet.
+	until time.Duration
+	// graceUntil is when queries end unless control was found to be lost.
+	graceUntil time.Duration
+	// controlLostUntil is how long the last finding that control is lost holds.
+	controlLostUntil time.Duration
+	// returned is set once the lease was handed back.
+	returned bool
+}
+
+// state returns the state of the lease at a moment.
+func (t *times) state(now time.Duration) view.LeaseState {
+	switch {
+	case t.returned, t.until == 0:
+		return view.LeaseNone
+	case now < t.until:
+		return view.LeaseHeld
+	case now < max(t.graceUntil, t.controlLostUntil):
+		return view.LeaseControlLost
+	default:
+		return view.LeaseCutOff
+	}
+}
+
+// holder is the holder's side of a lease. It is pure and not safe for
+// concurrent use.
+type holder struct {
+	self     model.Instance
+	boot     string
+	duration time.Duration
+	grace    time.Duration
+
+	times    times
+	view     *view.View
+	version  uint64
+	sequence uint64
+	// applied is the sequence of the newest renewal whose reply was taken.
+	applied uint64
+
+	session       uint64
+	grantSequence uint64
+	// report is set while the leader wants to know what is held.
+	report bool
+}
+
+func newHolder(self model.Instance, boot string, duration, grace time.Duration) *holder {
+	return &holder{self: self, boot: boot, duration: duration, grace: grace, view: &view.View{}}
+}
+
+// next returns the next renewal.
+func (h *holder) next() *wire.Renewal {
+	h.sequence++
+	r := &wire.Renewal{
+		Instance: h.self, Boot: h.boot, Sequence: h.sequence,
+		Version: h.version, Revision: h.view.Revision,
+		Session: h.session, GrantSequence: h.grantSequence,
+	}
+	if h.report {
+		r.Reported = true
+		r.Held = h.held()
+	}
+	return r
+}
+
+func (h *holder) held() []grant.Entry {
+	held := make([]grant.Entry, 0, len(h.view.Grants))
+	for t, g := range h.view.Grants {
+		held = append(held, grant.Entry{Target: t, Grant: g})
+	}
+	return held
+}
+
+// take applies the reply to a renewal that was sent at the given time. It
+// reports whether the view changed. A reply to an older renewal than the newest
+// one that was answered changes nothing.
+func (h *holder) take(sent time.Duration, r *wire.RenewalReply) bool {
+	if r.Sequence <= h.applied || r.Sequence > h.sequence {
+		return false
+	}
+	h.applied = r.Sequence
+	h.times.until = max(h.times.until, sent+h.duration)
+	h.times.graceUntil = h.times.until + h.grace
+	before := h.view
+	h.takeGrants(r)
+	if d := r.Delta; d != nil && (d.Whole() || d.From == h.version) && d.To >= h.version {
+		h.view = merge(h.view, d)
+		h.version = d.To
+	}
+	return h.view != before
+}
+
+// takeGrants follows the leader's record of what this instance holds.
+func (h *holder) takeGrants(r *wire.RenewalReply) {
+	if r.Session != h.session {
+		h.session, h.grantSequence = r.Session, 0
+		if !r.Report {
+			h.setGrants(nil)
+		}
+	}
+	h.report = r.Report
+	if r.Grants == nil || r.Grants.Sequence != h.grantSequence+1 {
+		return
+	}
+	h.grantSequence = r.Grants.Sequence
+	grants := maps.Clone(h.view.Grants)
+	if grants == nil {
+		grants = make(map[model.TargetID]view.Grant, len(r.Grants.Changes))
+	}
+	for _, e := range r.Grants.Changes {
+		if e.Grant == (view.Grant{}) {
+			delete(grants, e.Target)
+		} else {
+			grants[e.Target] = e.Grant
+		}
+	}
+	h.setGrants(grants)
+}
+
+func (h *holder) setGrants(grants map[model.TargetID]view.Grant) {
+	next := *h.view
+	next.Grants = grants
+	h.view = &next
+}
+
+// answer is what one instance said about its lease.
+type answer int
+
+const (
+	noAnswer answer = iota
+	holdsLease
+	lacksLease
+)
+
+func answerOf(holds bool) answer {
+	if holds {
+		return holdsLease
+	}
+	return lacksLease
+}
+
+// poll is what the known instances said about their leases.
+type poll struct {
+	// asked is when the first of them was asked.
+	asked time.Duration
+	// known, reached and without count the known instances, those that
+	// answered, and those that hold no lease, this one included.
+	known, reached, without int
+}
+
+func (p *poll) count(a answer) {
+	if a != noAnswer {
+		p.reached++
+	}
+	if a == lacksLease {
+		p.without++
+	}
+}
+
+// lost reports whether a majority of the known instances holds no lease.
+func (p poll) lost() bool { return 2*p.without > p.known }
+
+// takePoll notes a finding that control is lost. It holds for one lease time.
+func (h *holder) takePoll(p poll) {
+	if p.lost() {
+		h.times.controlLostUntil = max(h.times.controlLostUntil, p.asked+h.duration)
+	}
+}
--- /dev/null
+++ b/pkg/lease/merge.go
@@ -0,0 +1,90 @@
+package lease
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/rules"
+	"radishturn.example/radishturn/pkg/state"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+// merge returns the view after a delta; old stays as it is. Parts that did not
+// change are shared. Grants are not part of deltas of the configuration.
+func merge(old *view.View, d *state.Delta) *view.View {
+	if d.Whole() {
+		old = &view.View{Grants: old.Grants}
+	}
+	return &view.View{
+		Revision:     d.Revision,
+		Instances:    mergeInstances(old.Instances, d.Instances, d.Gone),
+		ZonesOut:     mergeSet(old.ZonesOut, d.ZonesOut, d.ZonesIn),
+		Drained:      mergeSet(old.Drained, d.Drained, d.Undrained),
+		CallerLimits: mergeLimits(old.CallerLimits, d.Limits, d.Unlimited),
+		Moves:        mergeMoves(old.Moves, d.Moves, d.MovesEnded),
+		Grants:       old.Grants,
+		Quarantined:  mergeSet(old.Quarantined, d.Quarantined, d.Lifted),
+	}
+}
+
+// edit returns a copy of old that change has worked on, or old itself if
+// nothing changes.
+func edit[K comparable, V any](old map[K]V, changes int, change func(map[K]V)) map[K]V {
+	if changes == 0 && old != nil {
+		return old
+	}
+	next := maps.Clone(old)
+	if next == nil {
+		next = make(map[K]V)
+	}
+	change(next)
+	return next
+}
+
+func mergeSet[K comparable](old map[K]bool, in, out []K) map[K]bool {
+	return edit(old, len(in)+len(out), func(next map[K]bool) {
+		for _, k := range in {
+			next[k] = true
+		}
+		for _, k := range out {
+			delete(next, k)
+		}
+	})
+}
+
+func mergeLimits(old map[model.CallerID]float64, limits []rules.Limit, ended []model.CallerID) map[model.CallerID]float64 {
+	return edit(old, len(limits)+len(ended), func(next map[model.CallerID]float64) {
+		for _, l := range limits {
+			next[l.Caller] = l.PerSecond
+		}
+		for _, c := range ended {
+			delete(next, c)
+		}
+	})
+}
+
+func mergeMoves(old map[model.CollectionID]view.Move, moves []state.MoveEntry, ended []model.CollectionID) map[model.CollectionID]view.Move {
+	return edit(old, len(moves)+len(ended), func(next map[model.CollectionID]view.Move) {
+		for _, m := range moves {
+			next[m.Collection] = m.Move
+		}
+		for _, c := range ended {
+			delete(next, c)
+		}
+	})
+}
+
+func mergeInstances(old, changed []model.Instance, gone []model.InstanceID) []model.Instance {
+	if len(changed)+len(gone) == 0 {
+		return old
+	}
+	next := slices.DeleteFunc(slices.Clone(old), func(i model.Instance) bool {
+		return slices.Contains(gone, i.ID) ||
+			slices.ContainsFunc(changed, func(c model.Instance) bool { return c.ID == i.ID })
+	})
+	next = append(next, changed...)
+	slices.SortFunc(next, func(a, b model.Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return next
+}
--- /dev/null
+++ b/pkg/lease/module.go
@@ -0,0 +1,137 @@
+// Package lease holds this instance's lease: it renews it with the leader,
+// carries evidence up and changes of the configuration down, and finds out what
+// the instance may still do once the lease has run out.
+package lease
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"radishturn.example/radishturn"
+	"radishturn.example/radishturn/pkg/control"
+	"radishturn.example/radishturn/pkg/control/route"
+	"radishturn.example/radishturn/pkg/control/wire"
+	"radishturn.example/radishturn/pkg/lease/clock"
+	"radishturn.example/radishturn/pkg/mesh"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/settings"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+// ModuleName is the ID of the lease module.
+const ModuleName radishturn.ModuleID = "lease"
+
+// Module holds the lease of this instance.
+type Module struct {
+	settings settings.Lease
+	mesh     mesh.Mesh
+	router   *route.Router
+	origin   time.Time
+	views    *view.Holder
+	times    atomic.Pointer[times]
+	reporter *reporter
+	wake     chan struct{}
+
+	mu     sync.Mutex
+	holder *holder
+	// stop ends the renewals when the lease is handed back.
+	stop     chan struct{}
+	stopOnce sync.Once
+	renewals sync.WaitGroup
+
+	evidence         *view.Evidence
+	evidenceSequence uint64
+}
+
+var (
+	_ view.Source   = (*Module)(nil)
+	_ view.Reporter = (*Module)(nil)
+)
+
+func init() { radishturn.RegisterModule(&Module{}) }
+
+// ModuleInfo returns the module's description.
+func (*Module) ModuleInfo() radishturn.ModuleInfo {
+	return radishturn.ModuleInfo{
+		ID:    ModuleName,
+		After: []radishturn.ModuleID{mesh.ModuleName, control.ModuleName},
+		New:   func() radishturn.Module { return &Module{} },
+	}
+}
+
+// Provision offers the view and takes evidence.
+func (m *Module) Provision(c *radishturn.Context) error {
+	peers, err := radishturn.Require[mesh.Mesh](c)
+	if err != nil {
+		return err
+	}
+	router, err := radishturn.Require[*route.Router](c)
+	if err != nil {
+		return err
+	}
+	m.setup(c.Settings, peers, router)
+	if err := radishturn.Provide[view.Source](c, m); err != nil {
+		return err
+	}
+	return radishturn.Provide[view.Reporter](c, m)
+}
+
+// New returns a Module for use without the kernel.
+func New(s *settings.Settings, peers mesh.Mesh, router *route.Router) *Module {
+	m := &Module{}
+	m.setup(s, peers, router)
+	return m
+}
+
+func (m *Module) setup(s *settings.Settings, peers mesh.Mesh, router *route.Router) {
+	m.settings, m.mesh, m.router = s.Lease, peers, router
+	m.origin = time.Now()
+	m.views = view.NewHolder()
+	m.wake = make(chan struct{}, 1)
+	m.stop = make(chan struct{})
+	m.reporter = newReporter(m.wakeUp)
+	self := model.Instance{
+		ID: s.Instance.ID, AvailabilityZone: s.Instance.AvailabilityZone, MeshAddress: s.Instance.MeshAddress(),
+	}
+	m.holder = newHolder(self, uuid.NewString(), s.Lease.Duration.Std(), clock.Grace(s.Lease))
+	m.times.Store(&times{})
+	mesh.Handle(peers, wire.KindHoldsLease, m.serveHoldsLease)
+}
+
+// now returns the time on the monotonic clock. It is never 0, which stands for
+// a lease that was not held yet.
+func (m *Module) now() time.Duration { return time.Since(m.origin) + 1 }
+
+// View returns the newest view.
+func (m *Module) View() *view.View { return m.views.View() }
+
+// Lease returns the state of the lease at the moment of the call.
+func (m *Module) Lease() view.LeaseState { return m.times.Load().state(m.now()) }
+
+// LeaseLeft returns how long the lease still holds.
+func (m *Module) LeaseLeft() time.Duration {
+	t := m.times.Load()
+	now := m.now()
+	if t.state(now) != view.LeaseHeld {
+		return 0
+	}
+	return t.until - now
+}
+
+// Report collects evidence for the next renewal.
+func (m *Module) Report(e view.Evidence) { m.reporter.Report(e) }
+
+func (m *Module) wakeUp() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Module) serveHoldsLease(context.Context, model.InstanceID, *wire.Empty) (*wire.HoldsLeaseReply, error) {
+	return &wire.HoldsLeaseReply{Holds: m.Lease() == view.LeaseHeld}, nil
+}
--- /dev/null
+++ b/pkg/lease/renew.go
@@ -0,0 +1,222 @@
+package lease
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"radishturn.example/radishturn/pkg/control/route"
+	"radishturn.example/radishturn/pkg/control/wire"
+	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/mesh"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+const (
+	// minRenewGap is the shortest time between renewals that evidence or an
+	// acknowledgement brings forward.
+	minRenewGap = 20 * time.Millisecond
+	// renewJitter spreads the renewals of the fleet, as a share of the interval.
+	renewJitter = 0.1
+	// returnTimeout bounds the handing back of the lease.
+	returnTimeout = 2 * time.Second
+)
+
+// Run renews the lease until ctx is done or the lease is handed back.
+func (m *Module) Run(ctx context.Context) error {
+	renewing, cancel := context.WithCancel(ctx)
+	defer cancel()
+	m.renewals.Add(2)
+	go func() {
+		defer m.renewals.Done()
+		m.renewLoop(renewing)
+	}()
+	go func() {
+		defer m.renewals.Done()
+		m.watchLoop(renewing)
+	}()
+	select {
+	case <-ctx.Done():
+	case <-m.stop:
+		cancel()
+		<-ctx.Done()
+	}
+	return nil
+}
+
+// renewLoop renews in time, and sooner when there is something to tell.
+func (m *Module) renewLoop(ctx context.Context) {
+	for {
+		m.renew(ctx)
+		interval := m.settings.Renew.Std()
+		jitter := time.Duration(renewJitter * rand.Float64() * float64(interval))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(interval - jitter):
+		case <-m.wake:
+			if !sleep(ctx, minRenewGap) {
+				return
+			}
+		}
+	}
+}
+
+// sleep waits and reports whether ctx is still not done.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (m *Module) renew(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, m.settings.Duration.Std()/2)
+	defer cancel()
+	request := m.nextRenewal()
+	sent := m.now()
+	reply, err := route.Call[wire.Renewal, wire.RenewalReply](ctx, m.router, wire.KindRenew, request)
+	if err != nil {
+		events.Emit(events.RenewalFailed, err)
+		return
+	}
+	m.take(sent, reply)
+}
+
+// nextRenewal builds a renewal. Evidence that was sent without an answer is
+// sent again under the same sequence.
+func (m *Module) nextRenewal() *wire.Renewal {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.evidence == nil {
+		if m.evidence = m.reporter.take(); m.evidence != nil {
+			m.evidenceSequence++
+		}
+	}
+	r := m.holder.next()
+	r.Evidence, r.EvidenceSequence = m.evidence, m.evidenceSequence
+	return r
+}
+
+func (m *Module) take(sent time.Duration, reply *wire.RenewalReply) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.evidence = nil
+	held := m.times.Load().state(m.now()) == view.LeaseHeld
+	revision := m.holder.view.Revision
+	changed := m.holder.take(sent, reply)
+	if changed {
+		m.learnPeers()
+		m.views.Publish(m.holder.view)
+	}
+	m.publishTimes()
+	if !held {
+		events.Emit(events.LeaseGranted, reply.Leader, m.holder.view.Revision)
+	}
+	if m.holder.view.Revision != revision {
+		events.Emit(events.RulesInForce, m.holder.view.Revision)
+	}
+	if changed || m.holder.report {
+		m.wakeUp()
+	}
+}
+
+// publishTimes gives readers the times of the lease; the lock is held.
+func (m *Module) publishTimes() {
+	t := m.holder.times
+	m.times.Store(&t)
+}
+
+// learnPeers tells the mesh where the instances are reached.
+func (m *Module) learnPeers() {
+	for _, i := range m.holder.view.Instances {
+		if i.ID != m.holder.self.ID && i.MeshAddress.IsValid() {
+			m.mesh.SetPeer(i.ID, i.MeshAddress)
+		}
+	}
+}
+
+// watchLoop asks the others once the lease has run out, until it is held again.
+func (m *Module) watchLoop(ctx context.Context) {
+	last := m.Lease()
+	for sleep(ctx, m.untilWatch()) {
+		var p poll
+		now := m.Lease()
+		if now == view.LeaseControlLost || now == view.LeaseCutOff {
+			p = m.poll(ctx)
+			now = m.Lease()
+		}
+		if now != last && ctx.Err() == nil {
+			announce(now, p)
+		}
+		last = now
+	}
+}
+
+// untilWatch returns the time until the lease needs a look.
+func (m *Module) untilWatch() time.Duration {
+	pace := m.settings.Renew.Std() / 2
+	return max(min(m.LeaseLeft(), pace), minRenewGap)
+}
+
+// poll asks all known instances whether they hold a lease.
+func (m *Module) poll(ctx context.Context) poll {
+	ctx, cancel := context.WithTimeout(ctx, m.settings.Renew.Std()/2)
+	defer cancel()
+	instances := m.View().Instances
+	p := poll{asked: m.now(), known: len(instances)}
+	answers := make(chan answer, len(instances))
+	for _, i := range instances {
+		go func() { answers <- m.ask(ctx, i.ID) }()
+	}
+	for range instances {
+		p.count(<-answers)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.holder.takePoll(p)
+	m.publishTimes()
+	return p
+}
+
+// ask asks an instance whether it holds a lease.
+func (m *Module) ask(ctx context.Context, id model.InstanceID) answer {
+	if id == m.mesh.Self() {
+		return answerOf(m.Lease() == view.LeaseHeld)
+	}
+	reply, err := mesh.Call[wire.Empty, wire.HoldsLeaseReply](ctx, m.mesh, id, wire.KindHoldsLease, &wire.Empty{})
+	if err != nil {
+		return noAnswer
+	}
+	return answerOf(reply.Holds)
+}
+
+func announce(now view.LeaseState, p poll) {
+	switch now {
+	case view.LeaseControlLost:
+		events.Emit(events.LeaseControlLost, p.reached, p.known)
+	case view.LeaseCutOff:
+		events.Emit(events.LeaseCutOff, p.reached, p.known)
+	}
+}
+
+// Drain hands the lease back. Modules that need it have drained before.
+func (m *Module) Drain(ctx context.Context) error {
+	m.stopOnce.Do(func() { close(m.stop) })
+	m.renewals.Wait()
+	m.mu.Lock()
+	m.holder.times.returned = true
+	m.publishTimes()
+	request := &wire.Return{Instance: m.holder.self.ID, Boot: m.holder.boot}
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, returnTimeout)
+	defer cancel()
+	if _, err := route.Call[wire.Return, wire.Empty](ctx, m.router, wire.KindReturn, request); err != nil {
+		return err
+	}
+	events.Emit(events.LeaseReturned)
+	return nil
+}
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -85,6 +85,9 @@
 	return mode
 }
 
+// Decode reads a message within the bounds of the mesh.
+func Decode(raw []byte, message any) error { return decodeMode.Unmarshal(raw, message) }
+
 // envelope is the first and only message of a stream from the caller.
 type envelope struct {
 	Kind    Kind            `cbor:"1,keyasint"`
--- a/pkg/modules/modules.go
+++ b/pkg/modules/modules.go
@@ -3,6 +3,10 @@
 package modules
 
 import (
-	_ "radishturn.example/radishturn/pkg/mesh"     // mesh
-	_ "radishturn.example/radishturn/pkg/platform" // platform
+	_ "radishturn.example/radishturn/pkg/control/server" // control
+	_ "radishturn.example/radishturn/pkg/lease"          // lease
+	_ "radishturn.example/radishturn/pkg/mesh"           // mesh
+	_ "radishturn.example/radishturn/pkg/order/claims"   // order
+	_ "radishturn.example/radishturn/pkg/platform"       // platform
+	_ "radishturn.example/radishturn/pkg/state"          // control.state
 )
--- /dev/null
+++ b/pkg/order/claims/module.go
@@ -0,0 +1,106 @@
+// Package claims is the order module: it claims an order in the replicated
+// state before the first byte goes to a target, dispatches it once, and records
+// the outcome, so that a resend anywhere gets the first answer.
+package claims
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"radishturn.example/radishturn"
+	"radishturn.example/radishturn/pkg/control"
+	"radishturn.example/radishturn/pkg/control/route"
+	"radishturn.example/radishturn/pkg/control/wire"
+	"radishturn.example/radishturn/pkg/lease"
+	"radishturn.example/radishturn/pkg/mesh"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/order"
+	"radishturn.example/radishturn/pkg/settings"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+// ModuleName is the ID of the order module.
+const ModuleName radishturn.ModuleID = "order"
+
+// Service is the order module.
+type Service struct {
+	self       model.InstanceID
+	window     time.Duration
+	mesh       mesh.Mesh
+	router     *route.Router
+	leases     view.Source
+	dispatcher order.Dispatcher
+	attempts   *attempts
+	now        func() time.Time
+
+	// recording counts the outcomes that are being recorded.
+	recording sync.WaitGroup
+	slots     chan struct{}
+}
+
+var _ order.Service = (*Service)(nil)
+
+func init() { radishturn.RegisterModule(&Service{}) }
+
+// ModuleInfo returns the module's description.
+func (*Service) ModuleInfo() radishturn.ModuleInfo {
+	return radishturn.ModuleInfo{
+		ID:    ModuleName,
+		After: []radishturn.ModuleID{mesh.ModuleName, control.ModuleName, lease.ModuleName, "query"},
+		New:   func() radishturn.Module { return &Service{} },
+	}
+}
+
+// Provision gathers the services it needs and offers the order.Service.
+func (s *Service) Provision(c *radishturn.Context) error {
+	peers, err := radishturn.Require[mesh.Mesh](c)
+	if err != nil {
+		return err
+	}
+	router, err := radishturn.Require[*route.Router](c)
+	if err != nil {
+		return err
+	}
+	leases, err := radishturn.Require[view.Source](c)
+	if err != nil {
+		return err
+	}
+	dispatcher, err := radishturn.Require[order.Dispatcher](c)
+	if err != nil {
+		return err
+	}
+	s.setup(c.Settings, peers, router, leases, dispatcher)
+	return radishturn.Provide[order.Service](c, s)
+}
+
+// New returns a Service for use without the kernel.
+func New(c *settings.Settings, peers mesh.Mesh, router *route.Router, leases view.Source, dispatcher order.Dispatcher) *Service {
+	s := &Service{}
+	s.setup(c, peers, router, leases, dispatcher)
+	return s
+}
+
+func (s *Service) setup(c *settings.Settings, peers mesh.Mesh, router *route.Router, leases view.Source, dispatcher order.Dispatcher) {
+	s.self, s.window = c.Instance.ID, c.Lease.Duration.Std()
+	s.mesh, s.router, s.leases, s.dispatcher = peers, router, leases, dispatcher
+	s.attempts = newAttempts()
+	s.now = time.Now
+	s.slots = make(chan struct{}, maxRecording)
+	mesh.Handle(peers, wire.KindAsk, s.serveAsk)
+}
+
+// Drain waits until the outcomes of finished orders are recorded.
+func (s *Service) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		s.recording.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
