--- a/pkg/modules/modules.go
+++ b/pkg/modules/modules.go
@@ -3,7 +3,15 @@
 package modules
 
 import (
-	_ "radishturn.example/radishturn/pkg/burn/recorder" // burn
-	_ "radishturn.example/radishturn/pkg/mesh"          // mesh
-	_ "radishturn.example/radishturn/pkg/platform"      // platform
+	_ "radishturn.example/radishturn/pkg/adminapi"       // admin
+	_ "radishturn.example/radishturn/pkg/burn/recorder"  // burn
+	_ "radishturn.example/radishturn/pkg/control/server" // control
+	_ "radishturn.example/radishturn/pkg/entryapi"       // entry
+	_ "radishturn.example/radishturn/pkg/fanout"         // query
+	_ "radishturn.example/radishturn/pkg/lease"          // lease
+	_ "radishturn.example/radishturn/pkg/mesh"           // mesh
+	_ "radishturn.example/radishturn/pkg/order/claims"   // order
+	_ "radishturn.example/radishturn/pkg/platform"       // platform
+	_ "radishturn.example/radishturn/pkg/replica"        // control.replica
+	_ "radishturn.example/radishturn/pkg/state"          // control.state
 )
