--- a/pkg/consensus/election.go
+++ b/pkg/consensus/election.go
@@ -34,7 +34,7 @@
 // raised only after a majority said yes, so that a member which was cut off
 // does not depose a working leader when it returns.
 func (r *Raft) campaign(now time.Duration) {
-	if !r.membership.IsVoter(r.cfg.Self) {
+	if !r.mayCampaign() {
 		r.leader = Member{}
 		return
 	}
@@ -49,6 +49,13 @@
 	r.requestVotes(r.term+1, VoteRequest{Pre: true})
 }
 
+// mayCampaign reports whether this member may be needed as a leader. Until its
+// removal is committed that includes a voter that is removed in its own log:
+// it may be the only one whose log is long enough for a majority.
+func (r *Raft) mayCampaign() bool {
+	return r.membership.IsVoter(r.cfg.Self) || r.membershipAt(r.commit).IsVoter(r.cfg.Self)
+}
+
 // campaignForReal raises the term and asks for votes that count.
 func (r *Raft) campaignForReal(now time.Duration) {
 	r.role = Candidate
@@ -150,7 +157,7 @@
 // stepTimeoutNow campaigns without a pre-vote: the leader gave up its lease
 // before it asked for this.
 func (r *Raft) stepTimeoutNow(now time.Duration, m Message) {
-	if r.role == Leader || !r.membership.IsVoter(r.cfg.Self) {
+	if r.role == Leader || !r.mayCampaign() {
 		return
 	}
 	r.transferred = true
--- a/pkg/consensus/membership.go
+++ b/pkg/consensus/membership.go
@@ -40,12 +40,51 @@
 	if err != nil {
 		return 0, 0, err
 	}
+	if r.activeVoters(now, next) < next.quorum() {
+		return 0, 0, ErrNoMajority
+	}
 	index = r.log.lastIndex() + 1
 	r.appendEntries([]Entry{{Term: r.term, Index: index, Membership: &next}})
 	r.broadcast(now)
 	return r.term, index, nil
 }
 
+// activeVoters counts the voters of c that answered within the election timeout.
+func (r *Raft) activeVoters(now time.Duration, c Membership) int {
+	active := 0
+	for _, m := range c.Voters {
+		if r.isActive(now, m) {
+			active++
+		}
+	}
+	return active
+}
+
+func (r *Raft) isActive(now time.Duration, m Member) bool {
+	p := r.progress[m]
+	return m == r.cfg.Self || p != nil && now-p.ackedAt < r.cfg.ElectionTimeout
+}
+
+// ReplacementStep returns the next change on the way from the voter old to the
+// voter next, or false if there is none left. A voter that answers goes last:
+// until then the group has one voter more, and survives the loss of any one. A
+// voter that is lost goes first: beside it, the loss of the new voter as well
+// would leave two of four and no majority.
+func (r *Raft) ReplacementStep(now time.Duration, old, next Member) (Change, bool) {
+	promote := Change{Kind: Promote, Member: next}
+	remove := Change{Kind: Remove, Member: old}
+	hasOld, hasNext := r.membership.IsVoter(old), r.membership.IsVoter(next)
+	switch {
+	case !hasNext && (!hasOld || r.isActive(now, old) || len(r.membership.Voters) == 1):
+		return promote, true
+	case hasOld:
+		return remove, true
+	case !hasNext:
+		return promote, true
+	}
+	return Change{}, false
+}
+
 // changed returns the membership after change.
 func (r *Raft) changed(change Change) (Membership, error) {
 	next := r.membership.clone()
--- a/pkg/consensus/raft.go
+++ b/pkg/consensus/raft.go
@@ -51,6 +51,7 @@
 	ErrNotCaughtUp   = errors.New("the learner has not caught up")
 	ErrNotMember     = errors.New("not a member of the group")
 	ErrIsMember      = errors.New("already a member of the group")
+	ErrNoMajority    = errors.New("too few voters of the new membership answer")
 	ErrLastVoter     = errors.New("the last voter cannot be removed")
 )
 
--- a/pkg/replica/fakes_test.go
+++ b/pkg/replica/fakes_test.go
@@ -109,7 +109,7 @@
 	return handler(ctx, m.self, request)
 }
 
-// listMachine is a state machine that keeps the commands in order.
+// listMachine is a state machine that keeps each command once, in order.
 type listMachine struct {
 	mu       sync.Mutex
 	commands [][]byte
@@ -118,7 +118,10 @@
 func (l *listMachine) Apply(_ uint64, command []byte) []byte {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.commands = append(l.commands, slices.Clone(command))
+	known := slices.ContainsFunc(l.commands, func(c []byte) bool { return bytes.Equal(c, command) })
+	if !known {
+		l.commands = append(l.commands, slices.Clone(command))
+	}
 	return append([]byte("did "), command...)
 }
 
--- a/pkg/replica/members.go
+++ b/pkg/replica/members.go
@@ -11,34 +11,73 @@
 	"radishturn.example/radishturn/pkg/failure"
 )
 
-// AddLearner adds a member that receives the log and has no vote.
+// AddLearner adds a member that receives the log and has no vote. It succeeds
+// for one that is a member already, so that it can be repeated after a lost answer.
 func (n *Node) AddLearner(ctx context.Context, m Member) error {
-	if err := n.change(ctx, consensus.Change{Kind: consensus.AddLearner, Member: m}); err != nil {
+	err := n.change(ctx, consensus.Change{Kind: consensus.AddLearner, Member: m})
+	if errors.Is(err, consensus.ErrIsMember) {
+		return nil
+	}
+	if err != nil {
 		return err
 	}
 	events.Emit(events.MemberAdded, m.String())
 	return nil
 }
 
-// Replace turns the learner next into a voter in place of old. The voter is
-// added before the old one goes, so that entries stay on as many disks as
-// before at every moment. After a failure it may be called again and goes on
-// where it stopped.
+// Replace turns the learner next into a voter in place of old, in the order
+// that consensus.Raft.ReplacementStep gives. After a failure it may be called
+// again and goes on where it stopped.
 func (n *Node) Replace(ctx context.Context, old, next Member) error {
-	if !slices.Contains(n.Status().Voters, next) {
-		if err := n.change(ctx, consensus.Change{Kind: consensus.Promote, Member: next}); err != nil {
+	for {
+		step, ok, err := n.replacementStep(ctx, old, next)
+		if err != nil {
 			return err
 		}
-	}
-	if slices.Contains(n.Status().Voters, old) {
-		if err := n.change(ctx, consensus.Change{Kind: consensus.Remove, Member: old}); err != nil {
+		if !ok {
+			break
+		}
+		if err := n.change(ctx, step); err != nil {
 			return err
 		}
+		// A leader that removed itself leads no longer and knows no next step.
+		if step.Kind == consensus.Remove && slices.Contains(n.Status().Voters, next) {
+			break
+		}
 	}
 	events.Emit(events.MemberReplaced, old.String(), next.String())
 	return nil
 }
 
+// replacementStep asks the loop for the next change on the way from old to next.
+func (n *Node) replacementStep(ctx context.Context, old, next Member) (step consensus.Change, ok bool, err error) {
+	err = n.request(ctx, "replace member", func(now time.Duration) error {
+		s := n.raft.Status()
+		if s.Role != consensus.Leader {
+			return n.errNotLeader("replace member")
+		}
+		if !s.Membership.Contains(next) {
+			return failure.New(failure.NotFound, failure.NotRun, "replace member", next.String(), "add it as a learner first")
+		}
+		step, ok = n.raft.ReplacementStep(now, old, next)
+		return nil
+	})
+	return step, ok, err
+}
+
+// request runs f in the loop and returns its error.
+func (n *Node) request(ctx context.Context, step string, f func(now time.Duration) error) error {
+	done := make(chan error, 1)
+	select {
+	case n.requests <- func(now time.Duration) { done <- f(now) }:
+		return <-done
+	case <-ctx.Done():
+		return failure.New(failure.DeadlineExceeded, failure.NotRun, step, "", "%w", context.Cause(ctx))
+	case <-n.stopped:
+		return errStopped(step)
+	}
+}
+
 // Remove takes a voter or learner out of the group.
 func (n *Node) Remove(ctx context.Context, m Member) error {
 	if err := n.change(ctx, consensus.Change{Kind: consensus.Remove, Member: m}); err != nil {
@@ -70,20 +109,16 @@
 
 func (n *Node) tryChange(ctx context.Context, c consensus.Change) error {
 	done := make(chan outcome, 1)
-	request := func(now time.Duration) {
+	err := n.request(ctx, "change members", func(now time.Duration) error {
 		term, index, err := n.raft.ProposeChange(now, c)
 		if err != nil {
-			done <- outcome{err: n.proposalError("change members", err)}
-			return
+			return n.proposalError("change members", err)
 		}
 		n.waiters.add(index, term, done)
-	}
-	select {
-	case n.requests <- request:
-	case <-ctx.Done():
-		return failure.New(failure.DeadlineExceeded, failure.NotRun, "change members", "", "%w", context.Cause(ctx))
-	case <-n.stopped:
-		return errStopped("change members")
+		return nil
+	})
+	if err != nil {
+		return err
 	}
 	select {
 	case o := <-done:
@@ -101,17 +136,13 @@
 func (n *Node) Drain(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*n.opts.ElectionTimeout)
 	defer cancel()
-	handedOver := make(chan bool, 1)
-	request := func(now time.Duration) { handedOver <- n.raft.TransferLeadership(now) }
-	select {
-	case n.requests <- request:
-	case <-ctx.Done():
-		return failure.New(failure.DeadlineExceeded, failure.NotRun, "hand over", "", "%w", context.Cause(ctx))
-	case <-n.stopped:
-		return nil
-	}
-	if !<-handedOver {
+	handedOver := false
+	err := n.request(ctx, "hand over", func(now time.Duration) error {
+		handedOver = n.raft.TransferLeadership(now)
 		return nil
+	})
+	if err != nil || !handedOver {
+		return err
 	}
 	return n.awaitSuccessor(ctx)
 }
--- /dev/null
+++ b/pkg/replica/replica_test.go
@@ -0,0 +1,130 @@
+package replica_test
+
+import (
+	"context"
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/model"
+)
+
+var _ = Describe("A group", func() {
+	It("forms once all founders are there, and replicates", func() {
+		g := newGroup("a", "b", "c")
+		g.start("a", "b")
+		Consistently(func() int { return len(g.members["a"].Status().Voters) }, 3*electionTimeout, heartbeat).Should(BeZero())
+		g.start("c")
+		for _, c := range numbered(0, 20) {
+			g.propose(c)
+		}
+		g.expectEverywhere(numbered(0, 20))
+	})
+
+	It("serves with one member", func() {
+		g := newGroup("a")
+		g.start("a")
+		g.propose("c0")
+		g.stop("a")
+		g.start("a")
+		g.propose("c1")
+		g.expectEverywhere(numbered(0, 2))
+	})
+
+	It("goes on without its leader and catches it up afterwards", func() {
+		g := newGroup("a", "b", "c")
+		g.start("a", "b", "c")
+		g.propose("c0")
+		lost := g.leader().Status().Self.Instance
+		g.stop(lost)
+		for _, c := range numbered(1, 2*snapshotEvery+10) {
+			g.propose(c)
+		}
+		g.start(lost)
+		g.expectEverywhere(numbered(0, 2*snapshotEvery+10))
+	})
+
+	It("repairs lost disks one after the other and loses nothing accepted", func() {
+		g := newGroup("a", "b", "c")
+		g.start("a", "b", "c")
+		for _, c := range numbered(0, 10) {
+			g.propose(c)
+		}
+		for i, id := range []model.InstanceID{"a", "b", "c"} {
+			old := g.members[id].Status().Self
+			g.loseDisk(id)
+			g.repair(old)
+			g.propose(fmt.Sprintf("c%d", 10+i))
+		}
+		g.expectEverywhere(numbered(0, 13))
+	})
+
+	It("never lets a lost disk vote or form a second group", func() {
+		g := newGroup("a", "b", "c")
+		g.start("a", "b", "c")
+		g.propose("c0")
+		lost := g.followers()
+		for _, m := range lost {
+			g.loseDisk(m.Status().Self.Instance)
+		}
+		// The old leader holds its lease until it runs out.
+		Eventually(g.hasLeader, patience, heartbeat).Should(BeFalse())
+		Consistently(g.hasLeader, 5*electionTimeout, heartbeat).Should(BeFalse())
+		for _, m := range lost {
+			Expect(g.members[m.Status().Self.Instance].Status().Voters).To(BeEmpty())
+		}
+	})
+
+	It("adds an instance outside the founders and removes a founder", func() {
+		g := newGroup("a", "b", "c")
+		g.start("a", "b", "c", "d")
+		g.propose("c0")
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		leader := g.leader()
+		next := g.members["d"].Status().Self
+		old := g.followers()[0].Status().Self
+		Expect(leader.Replace(ctx, old, next)).To(MatchError(ContainSubstring("learner")))
+		Expect(leader.AddLearner(ctx, next)).To(Succeed())
+		Expect(leader.AddLearner(ctx, next)).To(Succeed())
+		Expect(leader.Replace(ctx, leader.Status().Self, next)).To(Succeed())
+		Eventually(func() bool { return leader.IsLeader() }, patience, heartbeat).Should(BeFalse())
+		g.stop(leader.Status().Self.Instance)
+		g.propose("c1")
+		g.expectEverywhere(numbered(0, 2))
+	})
+
+	It("hands leadership over on a planned stop", func() {
+		g := newGroup("a", "b", "c")
+		g.start("a", "b", "c")
+		g.propose("c0")
+		leader := g.leader()
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		Expect(leader.Drain(ctx)).To(Succeed())
+		Expect(leader.IsLeader()).To(BeFalse())
+		_, err := leader.Propose(ctx, []byte("c1"))
+		Expect(failure.CodeOf(err)).To(Equal(failure.NotLeader))
+		Expect(failure.RanOf(err)).To(Equal(failure.NotRun))
+		g.propose("c1")
+	})
+
+	It("says not run before and unknown after the append", func() {
+		g := newGroup("a", "b", "c")
+		g.start("a", "b", "c")
+		g.propose("c0")
+		leader := g.leader()
+		g.network.setCut(leader.Status().Self.Instance, true)
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		_, err := leader.Propose(ctx, []byte("cut off"))
+		Expect(failure.RanOf(err)).To(Equal(failure.Unknown))
+		_, err = leader.Propose(ctx, []byte("cut off"))
+		Expect(failure.RanOf(err)).To(Equal(failure.NotRun))
+		g.propose("c1")
+		g.network.setCut(leader.Status().Self.Instance, false)
+		g.expectEverywhere(numbered(0, 2))
+	})
+})
