--- a/pkg/journal/errors.go
+++ b/pkg/journal/errors.go
@@ -30,7 +30,7 @@
 		return failure.DataFolderFull
 	case errors.Is(err, fs.ErrPermission), errors.Is(err, syscall.EROFS):
 		return failure.DataFolderReadOnly
-	case errors.Is(err, errLocked):
+	case errors.Is(err, ErrLocked):
 		return failure.DataFolderOccupied
 	}
 	return failure.DataFolderDamaged
--- a/pkg/journal/files.go
+++ b/pkg/journal/files.go
@@ -32,12 +32,12 @@
 	// SyncFolder makes created, renamed and removed names durable.
 	SyncFolder(name string) error
 	// Lock takes an exclusive lock that ends with the process or with Close.
-	// It fails with errLocked if another process holds it.
+	// It fails with ErrLocked if another process holds it.
 	Lock(name string) (File, error)
 }
 
-// errLocked is returned by Files.Lock.
-var errLocked = errors.New("locked by another process")
+// ErrLocked is returned by Files.Lock.
+var ErrLocked = errors.New("locked by another process")
 
 const (
 	fileMode   = 0o600
@@ -96,7 +96,7 @@
 	}
 	err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
 	if errors.Is(err, syscall.EWOULDBLOCK) {
-		return nil, errors.Join(errLocked, f.Close())
+		return nil, errors.Join(ErrLocked, f.Close())
 	}
 	if err != nil {
 		return nil, errors.Join(err, f.Close())
