--- a/pkg/control/server/admin.go
+++ b/pkg/control/server/admin.go
@@ -12,7 +12,6 @@
 	"radishturn.example/radishturn/pkg/control/wire"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/failure"
-	"radishturn.example/radishturn/pkg/mesh"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/replica"
 	"radishturn.example/radishturn/pkg/rules"
@@ -112,14 +111,14 @@
 
 // disk asks an instance for its disk.
 func (n *session) disk(ctx context.Context, id model.InstanceID) (replica.Member, error) {
-	m, err := mesh.Call[wire.Empty, replica.Member](ctx, n.mesh, id, wire.KindDisk, &wire.Empty{})
+	m, err := replica.FetchMember(ctx, n.mesh, id)
 	if err != nil {
 		return replica.Member{}, err
 	}
 	if m.Instance != id || m.Disk == "" {
 		return replica.Member{}, failure.New(failure.BadRequest, failure.NotRun, "ask for disk", string(id), "the instance has no data folder")
 	}
-	return *m, nil
+	return m, nil
 }
 
 func (n *session) addMember(ctx context.Context, r *wire.Add) (*wire.Empty, error) {
--- a/pkg/control/wire/wire.go
+++ b/pkg/control/wire/wire.go
@@ -42,8 +42,6 @@
 	KindHoldsLease mesh.Kind = "lease.holds"
 	// KindAsk asks a claimer what became of its claim.
 	KindAsk mesh.Kind = "order.ask"
-	// KindDisk asks for the disk of an instance; package replica serves it.
-	KindDisk mesh.Kind = "replica.disk"
 )
 
 // LeaderKinds are the kinds that a relay passes on.
