Route: start the next attempt beside a silent one

A plain fsync on this disk took 60 to 90 ms at the median at that time, up to 270 ms, so the leader was slow and not gone.

Weighed: longer attempts were ruled out, since a leader that is cut off would then use up the lease; a slow leader and a lost message look the same.

Conclusion: after 250 ms the next attempt starts beside the first and the first answer counts; relays go before members when the likely leader is silent.

--- /dev/null
+++ b/pkg/control/route/request.go
@@ -0,0 +1,232 @@
+package route
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"radishturn.example/radishturn/pkg/control/wire"
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/mesh"
+	"radishturn.example/radishturn/pkg/model"
+)
+
+// attempt is one way to the leader: a member asked directly, or a relay.
+type attempt struct {
+	to    model.InstanceID
+	relay bool
+}
+
+// answer is how an attempt ended.
+type answer struct {
+	attempt attempt
+	raw     []byte
+	err     error
+}
+
+// request is one request on its way to the leader.
+type request struct {
+	router  *Router
+	kind    mesh.Kind
+	payload []byte
+	// relays is set if relays may be used.
+	relays bool
+	// tried are the attempts of this round.
+	tried    map[attempt]bool
+	inFlight map[attempt]bool
+	answers  chan answer
+	// received is set once an attempt may have reached a leader.
+	received bool
+	last     error
+}
+
+// run makes attempts until a leader answers or ctx is done.
+func (c *request) run(ctx context.Context) ([]byte, error) {
+	for {
+		next, ok := c.next()
+		if ok {
+			c.start(ctx, next)
+		} else {
+			clear(c.tried)
+		}
+		select {
+		case a := <-c.answers:
+			delete(c.inFlight, a.attempt)
+			if c.settled(a) {
+				return a.raw, a.err
+			}
+		case <-time.After(c.wait()):
+		case <-ctx.Done():
+			return nil, c.gaveUp(ctx)
+		}
+	}
+}
+
+// wait returns how long to wait for an answer before the next attempt.
+func (c *request) wait() time.Duration {
+	if len(c.inFlight) > 0 {
+		return patience
+	}
+	return pause
+}
+
+// gaveUp is the error of a request that no leader answered in time. It says
+// not-run only if no attempt can have reached a leader.
+func (c *request) gaveUp(ctx context.Context) error {
+	ran := failure.NotRun
+	if c.received || len(c.inFlight) > 0 {
+		ran = failure.Unknown
+	}
+	cause := c.last
+	if cause == nil {
+		cause = ctx.Err()
+	}
+	return failure.New(failure.NoQuorum, ran, string(c.kind), "", "no leader answered: %w", cause)
+}
+
+// next returns the next attempt of this round.
+func (c *request) next() (attempt, bool) {
+	for _, a := range c.candidates() {
+		if !c.tried[a] && !c.inFlight[a] {
+			return a, true
+		}
+	}
+	return attempt{}, false
+}
+
+// candidates lists the relay that worked last and the likely leader, then in
+// turns relays and members. Without a likely leader the members come first,
+// since they know it; with one that stays silent the relays do.
+func (c *request) candidates() []attempt {
+	leader, relay := c.router.known()
+	var candidates []attempt
+	if c.relays && relay != "" {
+		candidates = append(candidates, attempt{to: relay, relay: true})
+	}
+	members := c.members()
+	if leader == "" {
+		return append(append(candidates, members...), c.relayCandidates()...)
+	}
+	candidates = append(candidates, attempt{to: leader})
+	return append(candidates, alternate(c.relayCandidates(), members)...)
+}
+
+func (c *request) members() []attempt {
+	var members []attempt
+	for _, id := range shuffled(c.router.members()) {
+		members = append(members, attempt{to: id})
+	}
+	return members
+}
+
+// relayCandidates returns peers that may relay, those that are not members
+// first: a member that can be reached is asked directly.
+func (c *request) relayCandidates() []attempt {
+	if !c.relays || c.relaysTried() >= relaysPerRound {
+		return nil
+	}
+	members := c.router.members()
+	peers := slices.DeleteFunc(shuffled(c.router.mesh.Peers()), func(id model.InstanceID) bool {
+		return id == c.router.mesh.Self()
+	})
+	slices.SortStableFunc(peers, func(a, b model.InstanceID) int {
+		return compareBool(slices.Contains(members, a), slices.Contains(members, b))
+	})
+	relays := make([]attempt, len(peers))
+	for i, id := range peers {
+		relays[i] = attempt{to: id, relay: true}
+	}
+	return relays
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// alternate takes from a and b in turns, beginning with a.
+func alternate(a, b []attempt) []attempt {
+	mixed := make([]attempt, 0, len(a)+len(b))
+	for i := range max(len(a), len(b)) {
+		if i < len(a) {
+			mixed = append(mixed, a[i])
+		}
+		if i < len(b) {
+			mixed = append(mixed, b[i])
+		}
+	}
+	return mixed
+}
+
+func (c *request) relaysTried() int {
+	n := 0
+	for a := range c.tried {
+		if a.relay {
+			n++
+		}
+	}
+	for a := range c.inFlight {
+		if a.relay && !c.tried[a] {
+			n++
+		}
+	}
+	return n
+}
+
+func shuffled(ids []model.InstanceID) []model.InstanceID {
+	ids = slices.Clone(ids)
+	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids
+}
+
+// start makes an attempt in the background.
+func (c *request) start(ctx context.Context, a attempt) {
+	c.tried[a] = true
+	c.inFlight[a] = true
+	go func() {
+		raw, err := c.send(ctx, a)
+		select {
+		case c.answers <- answer{attempt: a, raw: raw, err: err}:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+func (c *request) send(ctx context.Context, a attempt) ([]byte, error) {
+	if !a.relay {
+		return c.router.mesh.Call(ctx, a.to, c.kind, c.payload)
+	}
+	relayed := &wire.Relay{Kind: c.kind, Payload: c.payload}
+	reply, err := mesh.Call[wire.Relay, wire.RelayReply](ctx, c.router.mesh, a.to, wire.KindRelay, relayed)
+	if err != nil {
+		return nil, err
+	}
+	return reply.Payload, nil
+}
+
+// settled reports whether a is the answer of a leader. Otherwise it notes what
+// the attempt proves and who leads.
+func (c *request) settled(a answer) bool {
+	switch {
+	case a.err == nil:
+	case retryable[failure.CodeOf(a.err)]:
+		c.last = a.err
+		c.received = c.received || failure.RanOf(a.err) != failure.NotRun
+		c.router.failed(a.attempt, a.err)
+		return false
+	}
+	c.router.answered(a.attempt)
+	return true
+}
+
+// retryable are the failures after which another attempt may do better.
+var retryable = map[failure.Code]bool{
+	failure.NotLeader: true, failure.PeerUnreachable: true, failure.NoQuorum: true, failure.OutcomeUnknown: true,
+}
--- a/pkg/control/route/route.go
+++ b/pkg/control/route/route.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -19,10 +17,9 @@
 )
 
 const (
-	// minAttempt is the shortest time given to one attempt.
-	minAttempt = 150 * time.Millisecond
-	// maxAttempt is the longest time given to one attempt.
-	maxAttempt = 2 * time.Second
+	// patience is how long one attempt is alone; after it the next one starts
+	// beside it, since a slow leader and a lost message look the same.
+	patience = 250 * time.Millisecond
 	// pause is the wait between rounds in which no leader answered.
 	pause = 50 * time.Millisecond
 	// relaysPerRound bounds the relays that one round tries.
@@ -79,195 +76,56 @@
 }
 
 func (r *Router) call(ctx context.Context, kind mesh.Kind, payload []byte, relays bool) ([]byte, error) {
-	c := &attempts{router: r, kind: kind, payload: payload, ran: failure.NotRun}
-	for {
-		raw, done, err := c.round(ctx, relays)
-		if done {
-			return raw, err
-		}
-		select {
-		case <-ctx.Done():
-			return nil, failure.New(failure.NoQuorum, c.ran, string(kind), "", "no leader answered: %w", c.lastError(ctx))
-		case <-time.After(pause):
-		}
-	}
-}
-
-// attempts is one request on its way to the leader.
-type attempts struct {
-	router  *Router
-	kind    mesh.Kind
-	payload []byte
-	// ran is unknown once an attempt may have reached the leader.
-	ran  failure.Ran
-	last error
-}
-
-func (c *attempts) lastError(ctx context.Context) error {
-	if c.last != nil {
-		return c.last
-	}
-	return ctx.Err()
-}
-
-// round tries the likely leader, then its relay, then the other members, and
-// then other relays. It is done once a leader has answered.
-func (c *attempts) round(ctx context.Context, relays bool) (raw []byte, done bool, err error) {
-	relay := c.router.knownRelay()
-	if relays && relay != "" {
-		if raw, done, err := c.tryRelay(ctx, relay); done {
-			return raw, true, err
-		}
-	}
-	tried := make(map[model.InstanceID]bool)
-	for next := c.router.nextMember(tried); next != "" && ctx.Err() == nil; next = c.router.nextMember(tried) {
-		tried[next] = true
-		if raw, done, err := c.try(ctx, next); done {
-			c.router.answered(next)
-			return raw, true, err
-		}
-	}
-	if !relays {
-		return nil, false, nil
-	}
-	for _, id := range c.router.relays(tried) {
-		if ctx.Err() != nil {
-			break
-		}
-		if raw, done, err := c.tryRelay(ctx, id); done {
-			c.router.relayed(id)
-			return raw, true, err
-		}
-	}
-	return nil, false, nil
-}
-
-func (c *attempts) try(ctx context.Context, to model.InstanceID) (raw []byte, done bool, err error) {
-	ctx, cancel := attemptContext(ctx)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	raw, err = c.router.mesh.Call(ctx, to, c.kind, c.payload)
-	return raw, c.settled(err, to), err
-}
-
-func (c *attempts) tryRelay(ctx context.Context, relay model.InstanceID) (raw []byte, done bool, err error) {
-	ctx, cancel := attemptContext(ctx)
-	defer cancel()
-	request := &wire.Relay{Kind: c.kind, Payload: c.payload}
-	reply, err := mesh.Call[wire.Relay, wire.RelayReply](ctx, c.router.mesh, relay, wire.KindRelay, request)
-	if err != nil {
-		if c.settled(err, relay) {
-			return nil, true, err
-		}
-		c.router.relayFailed(relay)
-		return nil, false, err
-	}
-	return reply.Payload, true, nil
-}
-
-// attemptContext leaves half of the time for further attempts.
-func attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	limit := maxAttempt
-	if deadline, ok := ctx.Deadline(); ok {
-		limit = min(maxAttempt, max(minAttempt, time.Until(deadline)/2))
+	c := &request{
+		router: r, kind: kind, payload: payload, relays: relays,
+		tried: make(map[attempt]bool), inFlight: make(map[attempt]bool), answers: make(chan answer),
 	}
-	return context.WithTimeout(ctx, limit)
+	return c.run(ctx)
 }
 
-// settled reports whether err is the answer of a leader. Otherwise it notes
-// what the attempt proves and who leads.
-func (c *attempts) settled(err error, peer model.InstanceID) bool {
-	if err == nil {
-		return true
-	}
-	switch failure.CodeOf(err) {
-	case failure.NotLeader, failure.PeerUnreachable, failure.NoQuorum:
-	default:
-		return true
-	}
-	c.last = err
-	if failure.RanOf(err) != failure.NotRun {
-		c.ran = failure.Unknown
-	}
-	c.router.heard(err, peer)
-	return false
-}
-
-// heard learns the leader from a member that does not lead.
-func (r *Router) heard(err error, peer model.InstanceID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.leader == peer {
-		r.leader = ""
-	}
-	if failure.CodeOf(err) == failure.NotLeader {
-		if hint := model.InstanceID(failure.PeerOf(err)); hint != "" && hint != peer {
-			r.leader = hint
-		}
-	}
-}
-
-func (r *Router) answered(leader model.InstanceID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.leader = leader
-}
-
-func (r *Router) relayed(relay model.InstanceID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.relay, r.relayUntil = relay, time.Now().Add(relayMemory)
-}
-
-func (r *Router) relayFailed(relay model.InstanceID) {
+// known returns the likely leader and the relay to use, if any.
+func (r *Router) known() (leader, relay model.InstanceID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.relay == relay {
+	if time.Now().After(r.relayUntil) {
 		r.relay = ""
 	}
+	return r.leader, r.relay
 }
 
-func (r *Router) knownRelay() model.InstanceID {
+// answered notes the way on which a leader answered.
+func (r *Router) answered(a attempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if time.Now().After(r.relayUntil) {
-		r.relay = ""
+	if !a.relay {
+		r.leader, r.relay = a.to, ""
+		return
+	}
+	if r.relay != a.to {
+		r.relay, r.relayUntil = a.to, time.Now().Add(relayMemory)
 	}
-	return r.relay
 }
 
-// nextMember returns the likely leader or, if it was tried, another member.
-func (r *Router) nextMember(tried map[model.InstanceID]bool) model.InstanceID {
+// failed notes a way that did not lead to a leader, and learns the leader from
+// a member that does not lead.
+func (r *Router) failed(a attempt, err error) {
 	r.mu.Lock()
-	leader := r.leader
-	r.mu.Unlock()
-	if leader != "" && !tried[leader] {
-		return leader
-	}
-	members := r.members()
-	for _, i := range rand.Perm(len(members)) {
-		if !tried[members[i]] {
-			return members[i]
+	defer r.mu.Unlock()
+	if a.relay {
+		if r.relay == a.to {
+			r.relay = ""
 		}
+		return
 	}
-	return ""
-}
-
-// relays returns some peers that were not tried, in random order.
-func (r *Router) relays(tried map[model.InstanceID]bool) []model.InstanceID {
-	peers := slices.DeleteFunc(r.mesh.Peers(), func(id model.InstanceID) bool {
-		return id == r.mesh.Self()
-	})
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	// Members come last: those that can be reached have answered already.
-	slices.SortStableFunc(peers, func(a, b model.InstanceID) int { return order(tried[a]) - order(tried[b]) })
-	return peers[:min(len(peers), relaysPerRound)]
-}
-
-func order(tried bool) int {
-	if tried {
-		return 1
+	if r.leader == a.to {
+		r.leader = ""
+	}
+	hint := model.InstanceID(failure.PeerOf(err))
+	if failure.CodeOf(err) == failure.NotLeader && hint != "" && hint != a.to {
+		r.leader = hint
 	}
-	return 0
 }
 
 // Serve answers requests that other instances want relayed.
