--- /dev/null
+++ b/pkg/fanout/death.go
@@ -0,0 +1,123 @@
+package fanout
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/query/poison"
+	"radishturn.example/radishturn/pkg/target"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+// probeTimeout bounds the check whether a target that lost connections died.
+const probeTimeout = 250 * time.Millisecond
+
+// deathProbe is the check of one target, shared by the requests that were in
+// flight there.
+type deathProbe struct {
+	done     chan struct{}
+	suspects []model.Fingerprint
+	// boot is the incarnation that was lost.
+	boot model.BootID
+	died bool
+}
+
+// confirmDeath reports whether a target that lost a connection has died: it
+// refuses connections, or another incarnation answers. The requests in flight
+// become suspect then, and control is told.
+func (s *Service) confirmDeath(t *targetState, f model.Fingerprint, alone bool) bool {
+	probe, first := t.leaf.joinProbe(t, f)
+	if !first {
+		<-probe.done
+		return probe.died
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	condition, boot := t.client.Probe(ctx)
+	t.leaf.endProbe(t)
+	restarted := condition == target.ProbeAnswered && probe.boot != "" && boot != probe.boot
+	probe.died = condition == target.ProbeRefused || restarted
+	if probe.died {
+		s.died(t, probe, alone)
+	}
+	close(probe.done)
+	return probe.died
+}
+
+// joinProbe returns the probe of the target and whether the caller runs it.
+func (l *leaf) joinProbe(t *targetState, f model.Fingerprint) (*deathProbe, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t.probe == nil {
+		t.probe = &deathProbe{done: make(chan struct{}), suspects: slices.Clone(t.running), boot: t.warmth.Boot()}
+		return t.probe, true
+	}
+	if !slices.Contains(t.probe.suspects, f) {
+		t.probe.suspects = append(t.probe.suspects, f)
+	}
+	return t.probe, false
+}
+
+// endProbe lets later losses start another probe.
+func (l *leaf) endProbe(t *targetState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t.probe.suspects = distinct(t.probe.suspects)
+	t.probe = nil
+}
+
+func distinct(f []model.Fingerprint) []model.Fingerprint {
+	slices.Sort(f)
+	return slices.Compact(f)
+}
+
+func (s *Service) died(t *targetState, p *deathProbe, alone bool) {
+	s.poisonMu.Lock()
+	s.poison.Died(p.suspects, alone, s.now())
+	s.poisonMu.Unlock()
+	events.Emit(events.TargetDied, t.target.ID, len(p.suspects))
+	s.reporter.Report(view.Evidence{Deaths: []view.Death{{Target: t.target.ID, Boot: p.boot, Suspects: p.suspects}}})
+	if alone {
+		events.Emit(events.FingerprintCondemn, p.suspects, poison.DeathsToCondemn)
+	}
+}
+
+func (s *Service) standing(f model.Fingerprint) poison.Standing {
+	s.poisonMu.Lock()
+	defer s.poisonMu.Unlock()
+	return s.poison.Standing(f, s.now())
+}
+
+func (s *Service) beginTrial(f model.Fingerprint) bool {
+	s.poisonMu.Lock()
+	defer s.poisonMu.Unlock()
+	return s.poison.BeginTrial(f, s.now())
+}
+
+func (s *Service) endTrial(f model.Fingerprint) {
+	s.poisonMu.Lock()
+	defer s.poisonMu.Unlock()
+	s.poison.EndTrial(f)
+}
+
+func (s *Service) survived(f model.Fingerprint) {
+	s.poisonMu.Lock()
+	defer s.poisonMu.Unlock()
+	s.poison.Survived(f)
+}
+
+// refreshQuarantine forgets local verdicts that operators have lifted.
+func (s *Service) refreshQuarantine(v *view.View, now time.Duration) {
+	s.poisonMu.Lock()
+	defer s.poisonMu.Unlock()
+	for f := range s.quarantined {
+		if !v.Quarantined[f] {
+			s.poison.Survived(f)
+		}
+	}
+	s.quarantined = v.Quarantined
+	s.poison.Expire(now)
+}
--- a/pkg/fanout/leaf.go
+++ b/pkg/fanout/leaf.go
@@ -29,6 +29,9 @@
 	// leaf's median.
 	refreshSamples = 32
 	medianQuantile = 0.5
+	// reservationLasts is how long a target is kept for a suspect request that
+	// does not ask again.
+	reservationLasts = 5 * capacityPoll
 )
 
 // targetState is what this instance knows of one target. It is guarded by the
@@ -51,8 +54,10 @@
 	inFlight int
 	// alone is set while a suspect request has the target to itself.
 	alone bool
-	// reservations counts suspect requests that wait for the target to be idle.
-	reservations int
+	// reservedFor is the suspect request that waits for the target to be idle;
+	// the reservation ends at reservedUntil unless it is renewed.
+	reservedFor   model.Fingerprint
+	reservedUntil time.Duration
 
 	mean      latency.Mean
 	ejection  eject.State
@@ -60,7 +65,7 @@
 	limit     limit.State
 	snapshots map[model.SnapshotID]*snapshots.Record
 	running   []model.Fingerprint
-	probing   bool
+	probe     *deathProbe
 }
 
 // leaf is one shard of the decisions: the targets of a leaf, under one lock.
@@ -121,15 +126,40 @@
 
 func (l *leaf) startLocked(n *need, random *rand.Rand, now time.Duration) (*targetState, availability) {
 	t, why := l.choose(n, random, now)
+	if why == noCapacity && n.alone {
+		l.reserve(n, now)
+	}
 	if why != available {
 		return nil, why
 	}
 	t.inFlight++
 	t.alone = n.alone
+	if t.reservedFor == n.fingerprint {
+		t.reservedFor = 0
+	}
 	t.running = append(t.running, n.fingerprint)
 	return t, available
 }
 
+// reserve keeps new requests from the target that is idle soonest.
+func (l *leaf) reserve(n *need, now time.Duration) {
+	var space [maxSlots]*targetState
+	usable, why := l.usable(n, space[:0], now)
+	if why != available {
+		return
+	}
+	soonest := slices.MinFunc(usable, func(a, b *targetState) int { return a.inFlight - b.inFlight })
+	if soonest.reserved(n, now) {
+		return
+	}
+	soonest.reservedFor, soonest.reservedUntil = n.fingerprint, now+reservationLasts
+}
+
+// reserved reports whether the target is kept for another request.
+func (t *targetState) reserved(n *need, now time.Duration) bool {
+	return t.reservedFor != 0 && now < t.reservedUntil && !(n.alone && t.reservedFor == n.fingerprint)
+}
+
 // choose finds the target for an attempt.
 func (l *leaf) choose(n *need, random *rand.Rand, now time.Duration) (*targetState, availability) {
 	var space [maxSlots]*targetState
@@ -217,12 +247,10 @@
 // hasCapacity reports whether the target can take the request now.
 func (t *targetState) hasCapacity(n *need, now time.Duration) bool {
 	switch {
-	case t.alone || !t.limit.Allows(t.inFlight, now):
+	case t.alone || t.reserved(n, now) || !t.limit.Allows(t.inFlight, now):
 		return false
 	case n.alone:
 		return t.inFlight == 0
-	case t.reservations > 0:
-		return false
 	case !t.warmth.Warm():
 		return !n.hedge && t.inFlight < t.grant.ColdLoad
 	}
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -31,7 +31,9 @@
 	attempt int
 	kind    target.Kind
 	elapsed time.Duration
-	reply   *targetproto.QueryReply
+	// died is set if the target died with the attempt in flight.
+	died  bool
+	reply *targetproto.QueryReply
 }
 
 // mailbox hands the ends of attempts and wakes to the goroutine of a run. Its
@@ -83,6 +85,7 @@
 	kind    target.Kind
 	ended   bool
 	hedge   bool
+	alone   bool
 }
 
 // leg is the part of a query at one leaf.
@@ -98,8 +101,10 @@
 	waited    time.Duration
 	answered  bool
 	givenUp   bool
-	reply     *targetproto.QueryReply
-	missing   query.MissingReason
+	// held is set while the leg waits for the trial of a suspect request.
+	held    bool
+	reply   *targetproto.QueryReply
+	missing query.MissingReason
 }
 
 // run is one pass of a query over the leaves of one snapshot. Its fields
@@ -111,7 +116,6 @@
 	plan        *plan
 	choice      versions.Choice
 	fingerprint model.Fingerprint
-	alone       bool
 
 	ctx    context.Context
 	mail   mailbox
@@ -126,8 +130,7 @@
 	mayHaveRun bool
 	// lostSnapshot is set when a leaf has no target left for the snapshot.
 	lostSnapshot bool
-	// died is set when a target died with this request in flight.
-	died bool
+	trial        trial
 }
 
 func (s *Service) newRun(ctx context.Context, c *collection, p *plan, r *query.Request, choice versions.Choice, f model.Fingerprint) *run {
@@ -161,10 +164,14 @@
 	r.collection.earn(len(r.legs))
 	for i := range r.legs {
 		r.legs[i].leaf = r.plan.leaves[i]
+	}
+	r.suspectIfKnown()
+	for i := range r.legs {
 		r.first(i)
 	}
 	r.loop()
 	r.giveUpRest()
+	r.endTrial()
 }
 
 // loop handles events until no leg is pending.
@@ -214,12 +221,13 @@
 	if !e.kind.NotRun() {
 		r.mayHaveRun = true
 	}
+	r.judge(a, e)
 	if l.done() {
-		return false
+		return r.trial.changed()
 	}
 	if e.kind == target.KindOK {
 		r.answer(l, e)
-		return false
+		return r.trial.changed()
 	}
 	l.missing = missingReason(e.kind)
 	if e.kind == target.KindNotHeld {
@@ -252,7 +260,7 @@
 // giveUp ends a leg without an answer.
 func (r *run) giveUp(l *leg, reason query.MissingReason) {
 	l.missing, l.givenUp = reason, true
-	l.hedgeAt, l.waiting = 0, false
+	l.hedgeAt, l.waiting, l.held = 0, false, false
 	r.pending--
 }
 
@@ -301,6 +309,9 @@
 		return
 	}
 	now := r.service.now()
+	if !r.mayTry(i, now) {
+		return
+	}
 	switch r.try(i, now, false) {
 	case available:
 		if l.waiting {
@@ -342,7 +353,7 @@
 	l.leaf.mu.Lock()
 	delay, ok := l.leaf.delay, l.leaf.hedged
 	l.leaf.mu.Unlock()
-	if ok && l.count < maxAttempts && !r.alone {
+	if ok && l.count < maxAttempts && !r.trial.on {
 		l.hedgeAt = now + delay
 	}
 }
@@ -354,7 +365,7 @@
 		return noTarget
 	}
 	n := need{
-		snapshot: r.plan.snapshot.ID, choice: r.choice, alone: r.alone,
+		snapshot: r.plan.snapshot.ID, choice: r.choice, alone: r.trial.on,
 		fingerprint: r.fingerprint, hedge: isHedge,
 	}
 	var tried [maxAttempts]*targetState
@@ -378,7 +389,7 @@
 	l := &r.legs[i]
 	k := l.count
 	ctx, cancel := context.WithCancel(r.ctx)
-	l.attempts[k] = attempt{target: t, cancel: cancel, started: now, hedge: isHedge}
+	l.attempts[k] = attempt{target: t, cancel: cancel, started: now, hedge: isHedge, alone: r.trial.on}
 	l.count++
 	l.open++
 	q := &target.Query{
@@ -390,27 +401,41 @@
 		left := time.Until(r.request.Deadline).Milliseconds()
 		q.Header = target.NewHeader(r.request.ID, r.plan.snapshot.ID, r.request.Route, k+1, left)
 	}
-	go r.attempt(ctx, cancel, i, k, t, q, now)
+	go r.attempt(ctx, cancel, sent{leg: i, attempt: k, target: t, started: now, alone: r.trial.on}, q)
 }
 
-func (r *run) attempt(ctx context.Context, cancel context.CancelFunc, i, k int, t *targetState, q *target.Query, started time.Duration) {
+// sent identifies an attempt that is on its way.
+type sent struct {
+	leg     int
+	attempt int
+	target  *targetState
+	started time.Duration
+	alone   bool
+}
+
+func (r *run) attempt(ctx context.Context, cancel context.CancelFunc, a sent, q *target.Query) {
+	t := a.target
 	result := t.client.Query(ctx, q)
+	died := result.Kind == target.KindReset && r.service.confirmDeath(t, r.fingerprint, a.alone)
 	now := r.service.now()
 	e := ended{
 		result: &result, snapshot: q.Snapshot, fingerprint: r.fingerprint,
-		elapsed: now - started, now: now, alone: r.alone,
+		elapsed: now - a.started, now: now, alone: a.alone,
 		beaten: ctx.Err() != nil && r.ctx.Err() == nil, expired: r.ctx.Err() == context.DeadlineExceeded,
 	}
 	change := t.leaf.finish(t, &e)
 	cancel()
 	r.service.observe(r, t, &e, change)
-	r.mail.put(attemptEnd{leg: i, attempt: k, kind: result.Kind, elapsed: e.elapsed, reply: result.Reply})
+	r.mail.put(attemptEnd{
+		leg: a.leg, attempt: a.attempt, kind: result.Kind, elapsed: e.elapsed, died: died, reply: result.Reply,
+	})
 }
 
 // retry sends a failed leg again within the budget.
 func (r *run) retry(i int) {
 	l := &r.legs[i]
 	if l.count >= maxAttempts || !r.collection.takeRetry() {
+		r.releaseTrialOf(i)
 		r.giveUp(l, l.missing)
 		return
 	}
@@ -431,13 +456,17 @@
 			continue
 		}
 		l.hedgeAt = 0
+		if l.held {
+			r.first(i)
+			continue
+		}
 		r.hedge(i, now)
 	}
 }
 
 // hedge sends a second attempt at a leg that is late.
 func (r *run) hedge(i int, now time.Duration) {
-	if l := &r.legs[i]; l.open == 0 || l.count >= maxAttempts || !r.collection.takeHedge(now) {
+	if l := &r.legs[i]; l.open == 0 || l.count >= maxAttempts || r.trial.on || !r.collection.takeHedge(now) {
 		return
 	}
 	if r.try(i, now, true) != available {
--- a/pkg/fanout/service.go
+++ b/pkg/fanout/service.go
@@ -54,6 +54,8 @@
 
 	poisonMu sync.Mutex
 	poison   *poison.State
+	// quarantined are the fingerprints of the last view.
+	quarantined map[model.Fingerprint]bool
 
 	windowMu     sync.Mutex
 	windowOrigin time.Duration
@@ -112,9 +114,7 @@
 	s.admissionMu.Lock()
 	s.limits.Forget(func(caller model.CallerID) bool { return s.callerLimit(v, caller) > 0 })
 	s.admissionMu.Unlock()
-	s.poisonMu.Lock()
-	s.poison.Expire(now)
-	s.poisonMu.Unlock()
+	s.refreshQuarantine(v, now)
 }
 
 // Query answers r from one snapshot.
@@ -162,6 +162,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if first.trial.condemned {
+		return nil, failure.New(failure.Quarantined, failure.Unknown, stepFanout, "", "request %016x ended targets", uint64(o.fingerprint))
+	}
 	if s.worthRerun(c, o, first) {
 		if second, err := s.pass(ctx, c, o, choice); err == nil && second.covered() > first.covered() {
 			return s.conclude(c, o, second)
@@ -216,12 +219,6 @@
 	return s.admitLoad(r.Caller)
 }
 
-func (s *Service) standing(f model.Fingerprint) poison.Standing {
-	s.poisonMu.Lock()
-	defer s.poisonMu.Unlock()
-	return s.poison.Standing(f, s.now())
-}
-
 func (s *Service) admitCaller(v *view.View, caller model.CallerID) error {
 	limit := s.callerLimit(v, caller)
 	if limit <= 0 {
--- a/pkg/query/poison/poison.go
+++ b/pkg/query/poison/poison.go
@@ -9,9 +9,10 @@
 	"radishturn.example/radishturn/pkg/model"
 )
 
+// DeathsToCondemn is how many deaths a request may cause.
+const DeathsToCondemn = 2
+
 const (
-	// deathsToCondemn is how many deaths a request may cause.
-	deathsToCondemn = 2
 	// suspicionLasts is how long an unproven suspicion is kept.
 	suspicionLasts = 10 * time.Minute
 	// maxSuspects bounds the memory of suspects; the oldest is dropped first.
@@ -34,6 +35,8 @@
 type record struct {
 	deaths int
 	at     time.Duration
+	// trial is set while one run tries the request alone.
+	trial bool
 }
 
 // State remembers suspects.
@@ -50,7 +53,7 @@
 	switch {
 	case !ok || now-r.at >= suspicionLasts:
 		return Clear
-	case r.deaths >= deathsToCondemn:
+	case r.deaths >= DeathsToCondemn:
 		return Condemned
 	}
 	return Suspect
@@ -67,13 +70,33 @@
 		}
 		r.deaths = max(r.deaths, 1)
 		if alone && known {
-			r.deaths = deathsToCondemn
+			r.deaths = DeathsToCondemn
 		}
 		r.at = now
 		s.records[f] = r
 	}
 }
 
+// BeginTrial reports whether a suspect may be tried alone now. Only one trial
+// runs at a time, so that a request cannot cause two more deaths at once.
+func (s *State) BeginTrial(f model.Fingerprint, now time.Duration) bool {
+	r := s.records[f]
+	if s.Standing(f, now) != Suspect || r.trial {
+		return false
+	}
+	r.trial = true
+	s.records[f] = r
+	return true
+}
+
+// EndTrial ends a trial that proved nothing, such as one that was refused.
+func (s *State) EndTrial(f model.Fingerprint) {
+	if r, ok := s.records[f]; ok {
+		r.trial = false
+		s.records[f] = r
+	}
+}
+
 // Survived clears a request that ran alone without a death.
 func (s *State) Survived(f model.Fingerprint) { delete(s.records, f) }
 
