Decode leaf replies with segmentio/encoding

Cause: decoding took 25% of the fan-out's processor time.

Conclusion: segmentio/encoding in pkg/target/reply.go only.

--- a/pkg/target/reply.go
+++ b/pkg/target/reply.go
@@ -1,7 +1,7 @@
 package target
 
 import (
-	"encoding/json"
+	json "github.com/segmentio/encoding/json"
 	"errors"
 	"fmt"
 	"io"
