Cold start follows grants; property tests of the decisions

Cause: the control grants cold load by evidence and doubles it, so an entry may not open a target by its own count of good answers: nine entries doing so at once send a cold target nine times what it bears. A target now counts as warm here only by answers that state it; speed alone is reported as evidence and the grant decides. A sign of cold clamps to this instance's part of the first load until the control has answered; a shrinking grant clamps too.

Found by the tests: the admission limit could not grow again for a lone caller, since a lone caller is held to 80% of the limit and the limit grew only at 80% of use. It now grows at 50%, or when queries were refused.

--- a/pkg/fanout/collection.go
+++ b/pkg/fanout/collection.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/grant"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/platform"
 	"radishturn.example/radishturn/pkg/query/hedge"
@@ -47,11 +48,18 @@
 	established model.VersionID
 	outcomes    outcomes
 	unavailable bool
+	instances   []model.InstanceID
+	// sameInstances is set if the last refresh found the same instances.
+	sameInstances bool
+
+	self    model.InstanceID
+	sharing atomic.Pointer[[]model.InstanceID]
 }
 
-func newCollection(s settings.Collection) *collection {
+func newCollection(s settings.Collection, self model.InstanceID) *collection {
 	return &collection{
 		id:       s.ID,
+		self:     self,
 		settings: s,
 		policy:   policyOf(s),
 		budget:   hedge.NewBudget(s.HedgeBudget),
@@ -114,6 +122,7 @@
 			c.snapshots = append(c.snapshots, s)
 		}
 	}
+	c.noteInstances(v)
 	c.refreshTargets(list, v)
 	c.refreshVersions(v)
 	c.replan(now)
@@ -144,20 +153,42 @@
 	if state == nil {
 		state = c.addTarget(t)
 	}
-	grant := v.Grants[t.ID]
-	state.client.SetGrant(grant.Connections)
+	granted := v.Grants[t.ID]
+	state.client.SetGrant(granted.Connections)
 
 	l := state.leaf
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	state.admitted = !t.Leaving && !v.ZonesOut[t.AvailabilityZone] && !v.Drained[t.ID]
-	state.grant = grant
-	state.limit.SetMax(c.requestsWithin(grant.Connections))
-	for range grant.Connections {
+	state.takeGrant(granted, c.requestsWithin(granted.Connections), c.sameInstances)
+	for range granted.Connections {
 		l.wakeOne()
 	}
 }
 
+// noteInstances tracks the instances that share what targets bear.
+func (c *collection) noteInstances(v *view.View) {
+	ids := make([]model.InstanceID, len(v.Instances))
+	for i, instance := range v.Instances {
+		ids[i] = instance.ID
+	}
+	c.sameInstances = slices.Equal(ids, c.instances)
+	if !c.sameInstances {
+		c.instances = ids
+		c.sharing.Store(&ids)
+	}
+}
+
+// firstColdLoad is this instance's part of what a target bears at first.
+func (c *collection) firstColdLoad(t model.TargetID) int {
+	limit := grant.Limit{ColdLoad: c.settings.ColdLoad}
+	ids := c.sharing.Load()
+	if ids == nil {
+		return 0
+	}
+	return grant.Shares(t, limit, *ids)[c.self].ColdLoad
+}
+
 // sameProcess reports whether two entries of the list may mean the same process.
 func sameProcess(a, b model.Target) bool {
 	a.Leaving = b.Leaving
--- a/pkg/fanout/death.go
+++ b/pkg/fanout/death.go
@@ -79,7 +79,10 @@
 	s.poison.Died(p.suspects, alone, s.now())
 	s.poisonMu.Unlock()
 	events.Emit(events.TargetDied, t.target.ID, len(p.suspects))
-	s.reporter.Report(view.Evidence{Deaths: []view.Death{{Target: t.target.ID, Boot: p.boot, Suspects: p.suspects}}})
+	s.reporter.Report(view.Evidence{
+		Deaths: []view.Death{{Target: t.target.ID, Boot: p.boot, Suspects: p.suspects}},
+		Cold:   []view.ColdSign{{Target: t.target.ID, Boot: p.boot}},
+	})
 	if alone {
 		events.Emit(events.FingerprintCondemn, p.suspects, poison.DeathsToCondemn)
 	}
--- a/pkg/fanout/finish.go
+++ b/pkg/fanout/finish.go
@@ -39,7 +39,7 @@
 	}
 	t.stopRunning(e.fingerprint)
 	change := l.learn(t, e, inFlight)
-	e.cold = !t.warmth.Warm()
+	e.cold = !t.full()
 	l.wakeOne()
 	return change
 }
@@ -66,7 +66,7 @@
 		l.cancelled(t, e)
 	case target.KindReset, target.KindUnreachable:
 		l.failed(t, e)
-		return t.warmth.Lost()
+		return l.noteWarmth(t, t.warmth.Lost(), e.now)
 	case target.KindFailed, target.KindMismatched:
 		l.failed(t, e)
 	}
@@ -77,15 +77,16 @@
 	if e.snapshot != "" {
 		t.record(e.snapshot).Answered()
 	}
-	change := t.warmth.Answered(warmth.Answer{
+	t.warmAnswers++
+	change := l.noteWarmth(t, t.warmth.Answered(warmth.Answer{
 		Boot: e.result.Meta.Boot, State: e.result.Meta.State, Latency: e.elapsed, Usual: l.usual,
-	})
+	}), e.now)
 	t.mean.Add(e.elapsed, e.now)
 	t.limit.Answered(inFlight, t.mean.Value(e.now, l.prior()), l.usual, e.now)
 	if t.ejection.Succeeded() {
 		events.Emit(events.TargetReadmitted, t.target.ID)
 	}
-	if t.warmth.Warm() {
+	if t.full() {
 		l.sample(e.elapsed)
 	}
 	return change
--- a/pkg/fanout/health.go
+++ b/pkg/fanout/health.go
@@ -11,7 +11,6 @@
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/query/warmth"
 	"radishturn.example/radishturn/pkg/targetproto"
-	"radishturn.example/radishturn/pkg/view"
 )
 
 const (
@@ -101,7 +100,7 @@
 		}
 	}
 	l.hintedDrain(t, h, now)
-	return t.warmth.Hinted(h.Boot, h.State)
+	return l.noteWarmth(t, t.warmth.Hinted(h.Boot), now)
 }
 
 func (l *leaf) hintedDrain(t *targetState, h *targetproto.Health, now time.Duration) {
@@ -123,19 +122,6 @@
 	return ids
 }
 
-// reportWarmth tells control that a target turned cold or warm.
-func (s *Service) reportWarmth(t *targetState, boot model.BootID, change warmth.Change) {
-	sign := []view.ColdSign{{Target: t.target.ID, Boot: boot}}
-	switch change {
-	case warmth.TurnedCold:
-		events.Emit(events.TargetCold, t.target.ID, boot, "sign on a request")
-		s.reporter.Report(view.Evidence{Cold: sign})
-	case warmth.TurnedWarm:
-		events.Emit(events.TargetWarm, t.target.ID, boot)
-		s.reporter.Report(view.Evidence{Warm: sign})
-	}
-}
-
 func (s *Service) reportMismatch(t *targetState, request model.RequestID, err *failure.Error) {
 	events.Emit(events.ReplyDropped, t.target.ID, request, err)
 }
--- a/pkg/fanout/leaf.go
+++ b/pkg/fanout/leaf.go
@@ -52,6 +52,13 @@
 
 	grant    view.Grant
 	inFlight int
+	// clamped is set from a sign of cold until control has answered it. The
+	// cold load is then this instance's part of what a target bears at first.
+	clamped     bool
+	clampedLoad int
+	// warmAnswers counts the answers since warmth was last reported.
+	warmAnswers  int
+	warmReported time.Duration
 	// alone is set while a suspect request has the target to itself.
 	alone bool
 	// reservedFor is the suspect request that waits for the target to be idle;
@@ -98,6 +105,8 @@
 	// late is the availability zone of the attempt that is hedged; empty for others.
 	late  model.AvailabilityZoneID
 	hedge bool
+	// patient requests wait for a share of what cold targets bear.
+	patient bool
 	// alone asks for a target without other requests.
 	alone       bool
 	fingerprint model.Fingerprint
@@ -197,6 +206,7 @@
 // that ejection never takes the last targets of a leaf.
 func (l *leaf) usable(n *need, space []*targetState, now time.Duration) ([]*targetState, availability) {
 	usable, why := space, noTarget
+	withoutCredit := false
 	for _, t := range l.targets {
 		if !t.open() || n.choice.Rank(t.target.Version) == versions.Excluded || len(usable) == maxSlots {
 			continue
@@ -205,9 +215,16 @@
 			why = noSnapshot
 			continue
 		}
+		if t.load() == 0 {
+			withoutCredit = true
+			continue
+		}
 		usable = append(usable, t)
 	}
-	if len(usable) == 0 {
+	switch {
+	case len(usable) == 0 && withoutCredit && n.patient:
+		return nil, noCapacity
+	case len(usable) == 0:
 		return nil, why
 	}
 	usable = prefer(usable, func(t *targetState) bool { return !t.drainHinted })
@@ -238,12 +255,24 @@
 
 // open reports whether the target may get new work at all.
 func (t *targetState) open() bool {
-	if !t.admitted || t.draining || t.grant.Connections == 0 {
-		return false
+	return t.admitted && !t.draining && t.grant.Connections > 0
+}
+
+// load returns how many requests at a time the target bears from this
+// instance, as far as cold start is concerned.
+func (t *targetState) load() int {
+	switch {
+	case t.warmth.Warm():
+		return t.limit.Max()
+	case t.clamped:
+		return min(t.grant.ColdLoad, t.clampedLoad)
 	}
-	return t.warmth.Warm() || t.grant.ColdLoad > 0
+	return t.grant.ColdLoad
 }
 
+// full reports whether cold start does not restrict the target.
+func (t *targetState) full() bool { return t.load() >= t.limit.Max() }
+
 // hasCapacity reports whether the target can take the request now.
 func (t *targetState) hasCapacity(n *need, now time.Duration) bool {
 	switch {
@@ -251,8 +280,8 @@
 		return false
 	case n.alone:
 		return t.inFlight == 0
-	case !t.warmth.Warm():
-		return !n.hedge && t.inFlight < t.grant.ColdLoad
+	case !t.full():
+		return !n.hedge && t.inFlight < t.load()
 	}
 	return true
 }
--- a/pkg/fanout/orders.go
+++ b/pkg/fanout/orders.go
@@ -42,6 +42,7 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(-answerMargin))
 	defer cancel()
 	d := &dispatch{service: s, leaf: l, request: &r, allowed: allowed}
+	d.need.patient = true
 	d.need.choice = c.choice(s.view.View(), r.Caller)
 	return d.run(ctx)
 }
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -13,6 +13,7 @@
 	"radishturn.example/radishturn/pkg/query"
 	"radishturn.example/radishturn/pkg/query/versions"
 	"radishturn.example/radishturn/pkg/query/warmth"
+	"radishturn.example/radishturn/pkg/settings"
 	"radishturn.example/radishturn/pkg/target"
 	"radishturn.example/radishturn/pkg/targetproto"
 )
@@ -367,6 +368,7 @@
 	n := need{
 		snapshot: r.plan.snapshot.ID, choice: r.choice, alone: r.trial.on,
 		fingerprint: r.fingerprint, hedge: isHedge,
+		patient: r.collection.settings.Policy == settings.PreferCoverage,
 	}
 	var tried [maxAttempts]*targetState
 	for k := range l.attempts[:l.count] {
--- a/pkg/fanout/service.go
+++ b/pkg/fanout/service.go
@@ -91,7 +91,7 @@
 		poison:      poison.New(),
 	}
 	for _, collection := range c.Settings.Collections {
-		s.collections[collection.ID] = newCollection(collection)
+		s.collections[collection.ID] = newCollection(collection, c.Settings.Instance.ID)
 	}
 	for _, caller := range c.Settings.Callers {
 		s.callers[caller.ID] = caller
@@ -110,6 +110,7 @@
 		c.refresh(list, v, now)
 		move, moving := v.Moves[c.id]
 		c.outcomes.flush(s, now, c.id, move, moving)
+		s.reportStillWarm(c, now)
 	}
 	s.admissionMu.Lock()
 	s.limits.Forget(func(caller model.CallerID) bool { return s.callerLimit(v, caller) > 0 })
--- a/pkg/query/admission/admission.go
+++ b/pkg/query/admission/admission.go
@@ -17,8 +17,9 @@
 	decreaseFactor = 0.85
 	// increaseFactor raises the limit while it is used and no query waits.
 	increaseFactor = 1.05
-	// usedShare is how much of the limit has to be in use before it is raised.
-	usedShare = 0.8
+	// usedShare is how much of the limit has to be in use before it is raised,
+	// unless queries are refused.
+	usedShare = 0.5
 	// leastLimit keeps the instance useful in any overload.
 	leastLimit = 4
 	// priorityStep is how much of the limit each priority leaves to those above it.
@@ -56,6 +57,7 @@
 	leastWait   time.Duration
 	finished    int
 	peak        int
+	refused     bool
 }
 
 // New returns a State that admits at most max queries at a time.
@@ -71,6 +73,18 @@
 
 // Admit decides about a query. Priority 0 is the highest.
 func (s *State) Admit(caller model.CallerID, priority int) Verdict {
+	verdict := s.decide(caller, priority)
+	if verdict != Admitted {
+		s.refused = true
+		return verdict
+	}
+	s.inFlight++
+	s.byCaller[caller]++
+	s.peak = max(s.peak, s.inFlight)
+	return Admitted
+}
+
+func (s *State) decide(caller model.CallerID, priority int) Verdict {
 	share := max(leastPriorityShare, 1-priorityStep*float64(priority))
 	if float64(s.inFlight+1) > max(1, s.limit*share) {
 		return Full
@@ -78,9 +92,6 @@
 	if float64(s.byCaller[caller]+1) > s.callerBound(caller) {
 		return Unfair
 	}
-	s.inFlight++
-	s.byCaller[caller]++
-	s.peak = max(s.peak, s.inFlight)
 	return Admitted
 }
 
@@ -120,9 +131,9 @@
 	switch {
 	case s.leastWait > queueTarget:
 		s.limit = max(min(leastLimit, float64(s.max)), s.limit*decreaseFactor)
-	case float64(s.peak) >= usedShare*s.limit:
+	case s.refused || float64(s.peak) >= usedShare*s.limit:
 		s.limit = min(float64(s.max), s.limit*increaseFactor+1)
 	}
 	s.intervalEnd = now + interval
-	s.finished, s.peak = 0, s.inFlight
+	s.finished, s.peak, s.refused = 0, s.inFlight, false
 }
--- /dev/null
+++ b/pkg/query/eject/eject_test.go
@@ -0,0 +1,54 @@
+package eject_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/query/eject"
+)
+
+func fail(s *eject.State, times int, now time.Duration) (ejected bool) {
+	for range times {
+		ejected = s.Failed(now)
+	}
+	return ejected
+}
+
+var _ = Describe("a target that fails", func() {
+	It("is ejected by the third failure in a row", func() {
+		var s eject.State
+		Expect(fail(&s, 2, 0)).To(BeFalse())
+		s.Succeeded()
+		Expect(fail(&s, 2, 0)).To(BeFalse())
+		Expect(s.Failed(0)).To(BeTrue())
+		Expect(s.Ejected(0, time.Millisecond)).To(BeTrue())
+	})
+
+	It("is tried by one request at a time afterwards", func() {
+		var s eject.State
+		fail(&s, 3, 0)
+		Expect(s.Ejected(0, time.Second)).To(BeFalse())
+		Expect(s.Ejected(1, time.Second)).To(BeTrue())
+	})
+
+	It("stays out longer each time, up to a bound", func() {
+		var s eject.State
+		fail(&s, 3, 0)
+		now := time.Duration(0)
+		for range 20 {
+			now += time.Minute
+			s.Failed(now)
+		}
+		Expect(s.Ejected(0, now+15*time.Second)).To(BeTrue())
+		Expect(s.Ejected(0, now+17*time.Second)).To(BeFalse())
+	})
+
+	It("is back after one success", func() {
+		var s eject.State
+		fail(&s, 3, 0)
+		Expect(s.Succeeded()).To(BeTrue())
+		Expect(s.Ejected(3, time.Millisecond)).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/pkg/query/hedge/hedge_test.go
@@ -0,0 +1,89 @@
+package hedge_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"radishturn.example/radishturn/pkg/query/hedge"
+	"radishturn.example/radishturn/pkg/query/latency"
+)
+
+// burst is the number of saved tokens that the package promises at most.
+const burst = 40
+
+var _ = Describe("the budget", func() {
+	It("never lets extra requests pass the share and the burst", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			share := rapid.Float64Range(0, 0.3).Draw(t, "share")
+			b := hedge.NewBudget(share)
+			attempts, hedges, retries := 0, 0, 0
+			for range rapid.IntRange(1, 400).Draw(t, "steps") {
+				switch rapid.IntRange(0, 2).Draw(t, "kind") {
+				case 0:
+					n := rapid.IntRange(1, 150).Draw(t, "attempts")
+					attempts += n
+					b.Earn(n)
+				case 1:
+					if b.TakeHedge(0) {
+						hedges++
+					}
+				case 2:
+					if b.TakeRetry() {
+						retries++
+					}
+				}
+				earned := burst + share*float64(attempts)
+				if float64(hedges) > earned || float64(hedges+retries) > earned+burst+1e-6 {
+					t.Fatalf("%d hedges and %d retries over %d attempts at %v", hedges, retries, attempts, share)
+				}
+			}
+		})
+	})
+
+	It("is closed for hedges, not for repairs, after a target has shed", func() {
+		b := hedge.NewBudget(0.05)
+		b.Shed(0)
+		Expect(b.TakeHedge(500 * time.Millisecond)).To(BeFalse())
+		Expect(b.TakeRetry()).To(BeTrue())
+		Expect(b.TakeHedge(2 * time.Second)).To(BeTrue())
+	})
+
+	It("sends no hedge with a share of zero", func() {
+		b := hedge.NewBudget(0)
+		Expect(b.TakeHedge(0)).To(BeFalse())
+	})
+})
+
+var _ = Describe("the delay", func() {
+	var h latency.Histogram
+	for i := range 1000 {
+		h.Add(time.Duration(i+1) * 10 * time.Microsecond)
+	}
+
+	It("is later the emptier the budget is", func() {
+		p := hedge.Policy{Mode: hedge.ModeAdaptive}
+		full, ok := p.DelayFor(&h, 1)
+		Expect(ok).To(BeTrue())
+		empty, _ := p.DelayFor(&h, 0)
+		Expect(full).To(BeNumerically("~", 9500*time.Microsecond, time.Millisecond))
+		Expect(empty).To(BeNumerically(">=", full))
+	})
+
+	It("waits for enough samples", func() {
+		var few latency.Histogram
+		few.Add(time.Millisecond)
+		_, ok := hedge.Policy{Mode: hedge.ModeAdaptive}.DelayFor(&few, 1)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("is fixed or absent in the other modes", func() {
+		d, ok := hedge.Policy{Mode: hedge.ModeFixed, Delay: time.Second}.DelayFor(&h, 1)
+		Expect(ok).To(BeTrue())
+		Expect(d).To(Equal(time.Second))
+		_, ok = hedge.Policy{Mode: hedge.ModeNone}.DelayFor(&h, 1)
+		Expect(ok).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/pkg/query/poison/poison_test.go
@@ -0,0 +1,62 @@
+package poison_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/query/poison"
+)
+
+var _ = Describe("a request that was in flight at a death", func() {
+	It("is suspect, and condemned by a death alone", func() {
+		s := poison.New()
+		s.Died([]model.Fingerprint{1, 2}, false, 0)
+		Expect(s.Standing(1, 0)).To(Equal(poison.Suspect))
+		s.Died([]model.Fingerprint{1}, true, time.Second)
+		Expect(s.Standing(1, time.Second)).To(Equal(poison.Condemned))
+		Expect(s.Standing(2, time.Second)).To(Equal(poison.Suspect))
+	})
+
+	It("is never condemned by deaths among others, however many", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			s := poison.New()
+			for range rapid.IntRange(1, 20).Draw(t, "deaths") {
+				s.Died([]model.Fingerprint{1, model.Fingerprint(rapid.Uint64Range(2, 9).Draw(t, "other"))}, false, 0)
+			}
+			if s.Standing(1, 0) != poison.Suspect {
+				t.Fatal("an innocent request was condemned")
+			}
+		})
+	})
+
+	It("is tried by one run at a time", func() {
+		s := poison.New()
+		s.Died([]model.Fingerprint{1}, false, 0)
+		Expect(s.BeginTrial(1, 0)).To(BeTrue())
+		Expect(s.BeginTrial(1, 0)).To(BeFalse())
+		s.EndTrial(1)
+		Expect(s.BeginTrial(1, 0)).To(BeTrue())
+	})
+
+	It("is clear once it survived alone, or after a while", func() {
+		s := poison.New()
+		s.Died([]model.Fingerprint{1, 2}, false, 0)
+		s.Survived(1)
+		Expect(s.Standing(1, 0)).To(Equal(poison.Clear))
+		s.Expire(time.Hour)
+		Expect(s.Len()).To(BeZero())
+	})
+
+	It("takes bounded memory", func() {
+		s := poison.New()
+		for f := range 10_000 {
+			s.Died([]model.Fingerprint{model.Fingerprint(f)}, false, time.Duration(f))
+		}
+		Expect(s.Len()).To(BeNumerically("<=", 4096))
+		Expect(s.Standing(9_999, 10_000)).To(Equal(poison.Suspect))
+	})
+})
--- /dev/null
+++ b/pkg/query/snapshots/snapshots_test.go
@@ -0,0 +1,95 @@
+package snapshots_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/query/snapshots"
+)
+
+func leaf(n int) model.LeafID { return model.LeafID{Service: "svc", Leaf: n} }
+
+func snapshot(id model.SnapshotID, sequence uint64, leaves int) model.Snapshot {
+	s := model.Snapshot{ID: id, Sequence: sequence}
+	for n := range leaves {
+		s.Leaves = append(s.Leaves, model.LeafPart{Leaf: leaf(n), Documents: 1})
+	}
+	return s
+}
+
+var _ = Describe("the newest snapshot", func() {
+	It("is whole, and no newer one is", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			count := rapid.IntRange(1, 5).Draw(t, "snapshots")
+			all := make([]model.Snapshot, count)
+			held := make(map[model.SnapshotID][]snapshots.Holding)
+			for i := range all {
+				id := model.SnapshotID(rune('a' + i))
+				leaves := rapid.IntRange(1, 4).Draw(t, "leaves")
+				all[i] = snapshot(id, uint64(i+1), leaves)
+				held[id] = rapid.SliceOfN(rapid.SampledFrom([]snapshots.Holding{snapshots.Held, snapshots.NotHeld}), leaves, leaves).Draw(t, "held")
+			}
+			chosen, ok := snapshots.Newest(all, func(l model.LeafID, id model.SnapshotID) snapshots.Holding { return held[id][l.Leaf] })
+			best := uint64(0)
+			for _, s := range all {
+				whole := true
+				for _, h := range held[s.ID] {
+					whole = whole && h == snapshots.Held
+				}
+				if whole {
+					best = max(best, s.Sequence)
+				}
+			}
+			if ok != (best > 0) || (ok && chosen.Sequence != best) {
+				t.Fatalf("chose %v, newest whole is %d", chosen, best)
+			}
+		})
+	})
+
+	It("is one that nobody is known to lack if none is known to be whole", func() {
+		all := []model.Snapshot{snapshot("old", 1, 2), snapshot("new", 2, 2)}
+		chosen, ok := snapshots.Newest(all, func(l model.LeafID, id model.SnapshotID) snapshots.Holding {
+			if id == "new" && l.Leaf == 1 {
+				return snapshots.NotHeld
+			}
+			return snapshots.HoldingUnknown
+		})
+		Expect(ok).To(BeTrue())
+		Expect(chosen.ID).To(Equal(model.SnapshotID("old")))
+	})
+
+	It("is never one without leaves", func() {
+		_, ok := snapshots.Newest([]model.Snapshot{{ID: "empty", Sequence: 3}}, nil)
+		Expect(ok).To(BeFalse())
+	})
+})
+
+var _ = Describe("what is known of a target and a snapshot", func() {
+	It("lets a refusal outrank hints that lag, and later hints correct it", func() {
+		var r snapshots.Record
+		r.Hint(true, 0)
+		r.Refused(time.Second)
+		r.Hint(true, 2*time.Second)
+		Expect(r.Holding(2 * time.Second)).To(Equal(snapshots.NotHeld))
+		r.Hint(true, 4*time.Second)
+		Expect(r.Holding(4 * time.Second)).To(Equal(snapshots.Held))
+	})
+
+	It("forgets a refusal that no hint confirms", func() {
+		var r snapshots.Record
+		r.Refused(0)
+		Expect(r.Holding(9 * time.Second)).To(Equal(snapshots.NotHeld))
+		Expect(r.Holding(11 * time.Second)).To(Equal(snapshots.HoldingUnknown))
+	})
+
+	It("believes an answer at once", func() {
+		var r snapshots.Record
+		r.Refused(0)
+		r.Answered()
+		Expect(r.Holding(time.Millisecond)).To(Equal(snapshots.Held))
+	})
+})
--- /dev/null
+++ b/pkg/query/snapshots/suite_test.go
@@ -0,0 +1,13 @@
+package snapshots_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSuite(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "snapshots")
+}
--- /dev/null
+++ b/pkg/query/versions/versions_test.go
@@ -0,0 +1,101 @@
+package versions_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/query/versions"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+func running(model.VersionID) bool { return false }
+
+var _ = Describe("the choice of a version", func() {
+	It("gives the new version to callers below the share only, and nothing once it is taken back or stopped", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			m := view.Move{From: "41", To: "42", Share: rapid.Float64Range(0, 1).Draw(t, "share"), TakenBack: rapid.Bool().Draw(t, "back")}
+			stopped := rapid.Bool().Draw(t, "stopped")
+			fraction := rapid.Float64Range(0, 0.999).Draw(t, "caller")
+			c := versions.ForMove(m, fraction, func(model.VersionID) bool { return stopped })
+			rank := c.Rank("42")
+			switch {
+			case m.TakenBack || stopped:
+				if rank != versions.Excluded {
+					t.Fatal("a bad version is used")
+				}
+			case fraction < m.Share && rank != versions.Primary:
+				t.Fatal("a caller below the share does not get the new version")
+			case fraction >= m.Share && rank == versions.Primary:
+				t.Fatal("a caller above the share gets the new version")
+			case fraction >= m.Share && m.Share < 0.5 && rank != versions.Excluded:
+				t.Fatal("a version that is not trusted stands in for the old one")
+			}
+			if c.Rank("41") == versions.Excluded || c.Rank("40") != versions.Excluded {
+				t.Fatal("the old version is always usable and others never are")
+			}
+		})
+	})
+
+	It("keeps a caller at its version while the share grows", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			fraction := rapid.Float64Range(0, 0.999).Draw(t, "caller")
+			moved := false
+			for _, share := range []float64{0.01, 0.05, 0.25, 0.5, 1} {
+				isNew := versions.ForMove(view.Move{From: "41", To: "42", Share: share}, fraction, running).Rank("42") == versions.Primary
+				if moved && !isNew {
+					t.Fatal("a caller went back")
+				}
+				moved = isNew
+			}
+			if !moved {
+				t.Fatal("a caller never moved")
+			}
+		})
+	})
+
+	It("does not use a version that appears without a move", func() {
+		established := versions.Established("41", map[model.VersionID]int{"41": 3, "42": 30})
+		Expect(established).To(Equal(model.VersionID("41")))
+		Expect(versions.Settled(established).Rank("42")).To(Equal(versions.Fallback))
+		Expect(versions.Established("41", map[model.VersionID]int{"42": 3})).To(Equal(model.VersionID("42")))
+	})
+})
+
+var _ = Describe("local evidence", func() {
+	move := view.Move{From: "41", To: "42", Share: 0.05}
+
+	It("stops a version that fails at once", func() {
+		var e versions.Evidence
+		reason := ""
+		for n := 0; reason == ""; n++ {
+			Expect(n).To(BeNumerically("<", 10))
+			e.Add(move, "41", true)
+			reason = e.Add(move, "42", false)
+		}
+		Expect(e.Stopped("42")).To(BeTrue())
+		Expect(e.Stopped("41")).To(BeFalse())
+	})
+
+	It("does not blame the new version for a general fault", func() {
+		var e versions.Evidence
+		for range 100 {
+			e.Add(move, "41", false)
+			Expect(e.Add(move, "42", false)).To(BeEmpty())
+		}
+	})
+
+	It("starts anew when an operator writes the move again", func() {
+		var e versions.Evidence
+		for range 10 {
+			e.Add(move, "42", false)
+		}
+		back := move
+		back.TakenBack = true
+		e.Follow(back, true)
+		Expect(e.Stopped("42")).To(BeTrue())
+		e.Follow(move, true)
+		Expect(e.Stopped("42")).To(BeFalse())
+	})
+})
--- a/pkg/query/warmth/warmth.go
+++ b/pkg/query/warmth/warmth.go
@@ -10,14 +10,16 @@
 )
 
 const (
-	// warmStreak is how many good answers in a row show that a target is warm.
-	warmStreak = 16
-	// warmStatedStreak is enough if the target states in each that it is warm.
-	warmStatedStreak = 4
-	// warmFactor bounds the latency of a good answer by the leaf's usual one.
-	warmFactor = 3
-	// coldFactor is how many times the usual latency a warm target's mean has to
-	// reach to count as a sign of cold, and coldStreak for how many answers.
+	// speedStreak is how many good answers in a row show that a target bears
+	// its present load.
+	speedStreak = 16
+	// statedStreak is enough if the target states in each that it is warm; it
+	// then counts as warm.
+	statedStreak = 4
+	// speedFactor bounds the latency of a good answer by the leaf's usual one.
+	speedFactor = 3
+	// coldFactor is how many times the usual latency the answers of a target
+	// take that turned cold without a restart, and coldStreak how many do.
 	coldFactor = 8
 	coldStreak = 4
 )
@@ -33,19 +35,30 @@
 	TurnedCold
 	// TurnedWarm means that the target has shown that it is warm.
 	TurnedWarm
+	// ShowedSpeed means that a cold target bears its present load.
+	ShowedSpeed
+	// Suspended means that the target may have restarted, and counts as cold
+	// until it answers.
+	Suspended
+	// Resumed means that a suspended target has not restarted.
+	Resumed
 )
 
 // State is what is known of one target. The zero State is cold.
 type State struct {
-	warm   bool
-	boot   model.BootID
-	streak int
-	stated int
-	slow   int
+	warm      bool
+	suspended bool
+	boot      model.BootID
+	streak    int
+	stated    int
+	slow      int
 }
 
 // Warm reports whether the target may take its full load.
-func (s *State) Warm() bool { return s.warm }
+func (s *State) Warm() bool { return s.warm && !s.suspended }
+
+// Suspended reports whether the target may have restarted since its last answer.
+func (s *State) Suspended() bool { return s.suspended }
 
 // Boot returns the incarnation that answered last.
 func (s *State) Boot() model.BootID { return s.boot }
@@ -65,7 +78,11 @@
 		return s.newBoot(a.Boot)
 	}
 	if a.State == targetproto.StateCold {
-		return s.clamp()
+		return s.statedCold()
+	}
+	if s.suspended {
+		s.suspended = false
+		return Resumed
 	}
 	if s.warm {
 		return s.watch(a)
@@ -73,44 +90,49 @@
 	return s.count(a)
 }
 
-// newBoot takes in the first answer of an incarnation.
+// newBoot takes in the first answer of an incarnation. The first incarnation
+// that is seen at all is no change, since unknown targets count as cold.
 func (s *State) newBoot(boot model.BootID) Change {
-	change := s.clamp()
-	s.boot = boot
-	return change
-}
-
-// Lost takes in a lost connection, which may mean a restart. One good answer
-// of the same incarnation is enough to show that a warm target still is.
-func (s *State) Lost() Change {
-	change := s.clamp()
-	if change == TurnedCold {
-		s.streak = warmStreak - 1
-	}
-	return change
-}
-
-// Hinted takes in a hint of the health endpoint. It can only clamp: a hint
-// that the target is warm proves nothing.
-func (s *State) Hinted(boot model.BootID, stated targetproto.State) Change {
-	if boot != "" && s.boot != "" && boot != s.boot {
-		return s.newBoot(boot)
-	}
-	if stated == targetproto.StateCold && s.boot != "" && boot == s.boot && !s.warm {
-		return s.clamp()
+	known := s.boot != ""
+	*s = State{boot: boot}
+	if known {
+		return TurnedCold
 	}
 	return Unchanged
 }
 
-func (s *State) clamp() Change {
+func (s *State) statedCold() Change {
 	was := s.warm
-	s.warm, s.streak, s.stated, s.slow = false, 0, 0, 0
+	*s = State{boot: s.boot}
 	if was {
 		return TurnedCold
 	}
 	return Unchanged
 }
 
+// Lost takes in a lost connection, which may mean a restart.
+func (s *State) Lost() Change {
+	if s.suspended {
+		return Unchanged
+	}
+	s.suspended = true
+	return Suspended
+}
+
+// Clamp takes in that another instance has seen a sign of cold.
+func (s *State) Clamp() {
+	*s = State{boot: s.boot, suspended: s.suspended}
+}
+
+// Hinted takes in a hint of the health endpoint. Only another incarnation
+// counts: a hint that the target is warm or cold proves nothing.
+func (s *State) Hinted(boot model.BootID) Change {
+	if boot == "" || s.boot == "" || boot == s.boot {
+		return Unchanged
+	}
+	return s.newBoot(boot)
+}
+
 // watch looks for a warm target that turns cold without a restart.
 func (s *State) watch(a Answer) Change {
 	if a.Usual == 0 || a.State == targetproto.StateWarm || a.Latency < coldFactor*a.Usual {
@@ -121,12 +143,12 @@
 	if s.slow < coldStreak {
 		return Unchanged
 	}
-	return s.clamp()
+	return s.statedCold()
 }
 
 // count looks for enough good answers of a cold target.
 func (s *State) count(a Answer) Change {
-	if a.Usual > 0 && a.Latency > warmFactor*a.Usual {
+	if a.Usual > 0 && a.Latency > speedFactor*a.Usual {
 		s.streak, s.stated = 0, 0
 		return Unchanged
 	}
@@ -135,9 +157,13 @@
 	if a.State != targetproto.StateWarm {
 		s.stated = 0
 	}
-	if s.streak < warmStreak && s.stated < warmStatedStreak {
-		return Unchanged
+	switch {
+	case s.stated >= statedStreak:
+		s.warm = true
+		return TurnedWarm
+	case s.streak >= speedStreak:
+		s.streak = 0
+		return ShowedSpeed
 	}
-	s.warm = true
-	return TurnedWarm
+	return Unchanged
 }
--- a/pkg/target/reply.go
+++ b/pkg/target/reply.go
@@ -1,9 +1,9 @@
 package target
 
 import (
-	json "github.com/segmentio/encoding/json"
 	"errors"
 	"fmt"
+	json "github.com/segmentio/encoding/json"
 	"io"
 	"net/http"
 	"strconv"
