--- a/pkg/fanout/leaf.go
+++ b/pkg/fanout/leaf.go
@@ -29,6 +29,9 @@
 	// leaf's median.
 	refreshSamples = 32
 	medianQuantile = 0.5
+	// reservationLasts is how long a target is kept for a suspect request that
+	// does not ask again.
+	reservationLasts = 5 * capacityPoll
 )
 
 // targetState is what this instance knows of one target. It is guarded by the
@@ -49,10 +52,19 @@
 
 	grant    view.Grant
 	inFlight int
+	// clamped is set from a sign of cold until control has answered it. The
+	// cold load is then this instance's part of what a target bears at first.
+	clamped     bool
+	clampedLoad int
+	// warmAnswers counts the answers since warmth was last reported.
+	warmAnswers  int
+	warmReported time.Duration
 	// alone is set while a suspect request has the target to itself.
 	alone bool
-	// reservations counts suspect requests that wait for the target to be idle.
-	reservations int
+	// reservedFor is the suspect request that waits for the target to be idle;
+	// the reservation ends at reservedUntil unless it is renewed.
+	reservedFor   model.Fingerprint
+	reservedUntil time.Duration
 
 	mean      latency.Mean
 	ejection  eject.State
@@ -60,7 +72,7 @@
 	limit     limit.State
 	snapshots map[model.SnapshotID]*snapshots.Record
 	running   []model.Fingerprint
-	probing   bool
+	probe     *deathProbe
 }
 
 // leaf is one shard of the decisions: the targets of a leaf, under one lock.
@@ -93,6 +105,8 @@
 	// late is the availability zone of the attempt that is hedged; empty for others.
 	late  model.AvailabilityZoneID
 	hedge bool
+	// patient requests wait for a share of what cold targets bear.
+	patient bool
 	// alone asks for a target without other requests.
 	alone       bool
 	fingerprint model.Fingerprint
@@ -121,15 +135,40 @@
 
 func (l *leaf) startLocked(n *need, random *rand.Rand, now time.Duration) (*targetState, availability) {
 	t, why := l.choose(n, random, now)
+	if why == noCapacity && n.alone {
+		l.reserve(n, now)
+	}
 	if why != available {
 		return nil, why
 	}
 	t.inFlight++
 	t.alone = n.alone
+	if t.reservedFor == n.fingerprint {
+		t.reservedFor = 0
+	}
 	t.running = append(t.running, n.fingerprint)
 	return t, available
 }
 
+// reserve keeps new requests from the target that is idle soonest.
+func (l *leaf) reserve(n *need, now time.Duration) {
+	var space [maxSlots]*targetState
+	usable, why := l.usable(n, space[:0], now)
+	if why != available {
+		return
+	}
+	soonest := slices.MinFunc(usable, func(a, b *targetState) int { return a.inFlight - b.inFlight })
+	if soonest.reserved(n, now) {
+		return
+	}
+	soonest.reservedFor, soonest.reservedUntil = n.fingerprint, now+reservationLasts
+}
+
+// reserved reports whether the target is kept for another request.
+func (t *targetState) reserved(n *need, now time.Duration) bool {
+	return t.reservedFor != 0 && now < t.reservedUntil && !(n.alone && t.reservedFor == n.fingerprint)
+}
+
 // choose finds the target for an attempt.
 func (l *leaf) choose(n *need, random *rand.Rand, now time.Duration) (*targetState, availability) {
 	var space [maxSlots]*targetState
@@ -167,6 +206,7 @@
 // that ejection never takes the last targets of a leaf.
 func (l *leaf) usable(n *need, space []*targetState, now time.Duration) ([]*targetState, availability) {
 	usable, why := space, noTarget
+	withoutCredit := false
 	for _, t := range l.targets {
 		if !t.open() || n.choice.Rank(t.target.Version) == versions.Excluded || len(usable) == maxSlots {
 			continue
@@ -175,9 +215,16 @@
 			why = noSnapshot
 			continue
 		}
+		if t.load() == 0 {
+			withoutCredit = true
+			continue
+		}
 		usable = append(usable, t)
 	}
-	if len(usable) == 0 {
+	switch {
+	case len(usable) == 0 && withoutCredit && n.patient:
+		return nil, noCapacity
+	case len(usable) == 0:
 		return nil, why
 	}
 	usable = prefer(usable, func(t *targetState) bool { return !t.drainHinted })
@@ -208,23 +255,33 @@
 
 // open reports whether the target may get new work at all.
 func (t *targetState) open() bool {
-	if !t.admitted || t.draining || t.grant.Connections == 0 {
-		return false
+	return t.admitted && !t.draining && t.grant.Connections > 0
+}
+
+// load returns how many requests at a time the target bears from this
+// instance, as far as cold start is concerned.
+func (t *targetState) load() int {
+	switch {
+	case t.warmth.Warm():
+		return t.limit.Max()
+	case t.clamped:
+		return min(t.grant.ColdLoad, t.clampedLoad)
 	}
-	return t.warmth.Warm() || t.grant.ColdLoad > 0
+	return t.grant.ColdLoad
 }
 
+// full reports whether cold start does not restrict the target.
+func (t *targetState) full() bool { return t.load() >= t.limit.Max() }
+
 // hasCapacity reports whether the target can take the request now.
 func (t *targetState) hasCapacity(n *need, now time.Duration) bool {
 	switch {
-	case t.alone || !t.limit.Allows(t.inFlight, now):
+	case t.alone || t.reserved(n, now) || !t.limit.Allows(t.inFlight, now):
 		return false
 	case n.alone:
 		return t.inFlight == 0
-	case t.reservations > 0:
-		return false
-	case !t.warmth.Warm():
-		return !n.hedge && t.inFlight < t.grant.ColdLoad
+	case !t.full():
+		return !n.hedge && t.inFlight < t.load()
 	}
 	return true
 }
