Tests of the load tool against a simple entry

Cause: the checker has to be shown to find what it claims to find.

Each defect is found, and the correct entry is clean. The open loop is shown by freezing every target: requests pile up at them. That test failed at first because the stand-in accepted 30 connections only; the limit of the test's stand-in was wrong and is now 200.

--- /dev/null
+++ b/pkg/load/load_test.go
@@ -0,0 +1,187 @@
+package load_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/load"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/settings"
+	"radishturn.example/radishturn/pkg/standin"
+)
+
+const anyPort = "127.0.0.1:0"
+
+func startStandin() *standin.Standin {
+	s := &standin.Settings{
+		Platform: netip.MustParseAddrPort(anyPort),
+		Control:  netip.MustParseAddrPort(anyPort),
+		Collections: []standin.Collection{{
+			ID:                "shopfront",
+			AvailabilityZones: []model.AvailabilityZoneID{"split-a", "zadar-b"},
+			Services:          2,
+			Leaves:            2,
+			Slots:             1,
+			Versions:          []model.VersionID{"41"},
+			Snapshots:         []standin.Snapshot{{ID: "s1"}, {ID: "s2"}},
+			DocumentsPerLeaf:  10,
+			Connections:       200,
+			ServiceTime:       standin.Distribution{Median: settings.Duration(time.Millisecond)},
+			Cold:              standin.Cold{Load: 1, Requests: 10},
+		}},
+	}
+	Expect(s.Check()).To(Succeed())
+	running, err := standin.New(s)
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- running.Run(ctx) }()
+	DeferCleanup(func() {
+		cancel()
+		Expect(<-done).To(Succeed())
+	})
+	return running
+}
+
+func experimentFor(s *standin.Standin, d defect) *load.Experiment {
+	address, stop := startSimpleEntry(s.PlatformAddress(), d)
+	DeferCleanup(stop)
+	return &load.Experiment{
+		Name:    "test",
+		Standin: s.ControlAddress(),
+		Load: load.Load{
+			Collection:  "shopfront",
+			Rate:        300,
+			Duration:    settings.Duration(300 * time.Millisecond),
+			MaxRequests: 200,
+			MaxInFlight: 200,
+			Seed:        7,
+			Timeout:     settings.Duration(2 * time.Second),
+			Limit:       8,
+			Orders: load.Orders{
+				Share: 0.3, Services: 2, Leaves: 1,
+				ResendShare: 0.5, ResendAfter: settings.Duration(50 * time.Millisecond),
+			},
+		},
+		Variants: []load.Variant{{Name: "simple", Entries: []netip.AddrPort{address}}},
+	}
+}
+
+func run(e *load.Experiment) *load.Report {
+	Expect(e.Check()).To(Succeed())
+	report, err := load.Run(context.Background(), e)
+	Expect(err).NotTo(HaveOccurred())
+	return report
+}
+
+var _ = Describe("A load", func() {
+	It("measures a correct entry and finds no violation", func() {
+		e := experimentFor(startStandin(), noDefect)
+		report := run(e)
+		v := report.Variants[0]
+		Expect(v.Examples).To(BeEmpty())
+		Expect(report.Violated()).To(BeFalse())
+		Expect(v.Queries.Count + v.Orders.Count).To(BeEquivalentTo(v.Sent))
+		Expect(v.Coverage.Full).To(BeNumerically("~", 1, 1e-9))
+		Expect(v.OrderRuns.Runs).To(Equal(v.OrderRuns.Keys))
+		Expect(v.OrderRuns.Repeated).To(BeNumerically(">", 0))
+		Expect(v.Targets.Requests).To(BeEquivalentTo(4*int(v.Queries.Count) + v.OrderRuns.Keys))
+	})
+
+	It("sends the same plan for the same seed", func() {
+		s := startStandin()
+		e := experimentFor(s, noDefect)
+		first, second := run(e), run(e)
+		Expect(second.Variants[0].Sent).To(Equal(first.Variants[0].Sent))
+		Expect(second.Variants[0].OrderRuns.Keys).To(Equal(first.Variants[0].OrderRuns.Keys))
+	})
+
+	It("goes on sending while answers are late", func() {
+		e := experimentFor(startStandin(), noDefect)
+		e.Load.Orders.Share = 0
+		e.Faults = []standin.ScheduledFault{{Fault: standin.Fault{Kind: standin.KindFreeze}}}
+		e.Load.Timeout = settings.Duration(400 * time.Millisecond)
+		v := run(e).Variants[0]
+		Expect(v.Targets.MaxInFlight).To(BeNumerically(">", int64(v.Sent/2)))
+		Expect(v.Queries.Max).To(BeNumerically(">=", 400))
+	})
+
+	It("stops at the number of requests", func() {
+		e := experimentFor(startStandin(), noDefect)
+		e.Load.MaxRequests = 10
+		Expect(run(e).Variants[0].Sent).To(BeNumerically("<=", 10))
+	})
+
+	It("clears faults between variants", func() {
+		e := experimentFor(startStandin(), noDefect)
+		e.Load.Orders.Share = 0
+		e.Faults = []standin.ScheduledFault{{Fault: standin.Fault{Kind: standin.KindFail, Status: 500, Targets: []string{"*svc-01*"}}}}
+		calm := e.Variants[0]
+		calm.Name, calm.WithoutFaults = "calm", true
+		e.Variants = append(e.Variants, calm)
+		report := run(e)
+		Expect(report.Violated()).To(BeFalse())
+		Expect(report.Variants[0].Coverage.Min).To(BeNumerically("<", 0.6))
+		Expect(report.Variants[1].Coverage.Full).To(BeNumerically("~", 1, 1e-9))
+	})
+
+	It("writes the plot as SVG and PNG", func() {
+		e := experimentFor(startStandin(), noDefect)
+		report := run(e)
+		for _, name := range []string{"plot.svg", "plot.png"} {
+			file := filepath.Join(GinkgoT().TempDir(), name)
+			Expect(report.WritePlot(file)).To(Succeed())
+			info, err := os.Stat(file)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(info.Size()).To(BeNumerically(">", 1000))
+		}
+		Expect(report.WritePlot("plot.gif")).To(MatchError(ContainSubstring("extension")))
+	})
+})
+
+var _ = DescribeTable("The checker finds",
+	func(d defect, fault standin.Kind, kind load.ViolationKind) {
+		e := experimentFor(startStandin(), d)
+		if fault != "" {
+			e.Faults = []standin.ScheduledFault{{Fault: standin.Fault{Kind: fault, Status: 500, Targets: []string{"*svc-01*"}}}}
+		}
+		report := run(e)
+		Expect(report.Variants[0].Violations).To(HaveKey(kind), fmt.Sprint(report.Variants[0].Examples))
+	},
+	Entry("a missing leaf that is not stated", hideMissing, standin.KindFail, load.WrongHits),
+	Entry("a lost hit", dropHits, standin.Kind(""), load.WrongHits),
+	Entry("an answer to another query", answerOther, standin.Kind(""), load.OtherRequest),
+	Entry("a hit from another snapshot", otherSnapshotHit, standin.Kind(""), load.MixedAnswer),
+	Entry("an order that ran twice", runOrderTwice, standin.Kind(""), load.RepeatedOrder),
+	Entry("an order that ran and is said not to have", denyOrder, standin.Kind(""), load.FalseNotRun),
+	Entry("a query that ran and is said not to have", denyQuery, standin.Kind(""), load.FalseNotRun),
+)
+
+var _ = DescribeTable("An experiment is refused with",
+	func(text, message string) {
+		_, err := load.Parse([]byte(text))
+		Expect(err).To(MatchError(load.ErrSettings))
+		Expect(err).To(MatchError(ContainSubstring(message)))
+	},
+	Entry("an unknown field", `{"nam": "x"}`, "unknown field"),
+	Entry("no bound in time", `{"load": {"rate": 1}}`, "load.duration: must be above 0"),
+	Entry("no bound in count", `{"load": {"rate": 1}}`, "load.maxRequests: must be above 0"),
+	Entry("an address elsewhere", `{"variants": [{"name": "a", "entries": ["192.0.2.1:80"]}]}`, "192.0.2.1:80 is not a loopback address"),
+	Entry("an unknown fault", `{"faults": [{"set": {"fault": "storm"}}]}`, `fault "storm" is not known`),
+)
+
+var _ = It("the experiments in the repository are valid", func() {
+	files, err := filepath.Glob("../../experiments/*.jsonc")
+	Expect(err).NotTo(HaveOccurred())
+	for _, file := range files {
+		_, err := load.Read(file)
+		Expect(err).NotTo(HaveOccurred())
+	}
+})
