--- a/pkg/cli/load.go
+++ b/pkg/cli/load.go
@@ -22,15 +22,18 @@
 
 // loadFlags are the flags of the load command.
 type loadFlags struct {
-	experiment, report, plot string
-	options                  *options
+	options *options
+	// experiment is the file; empty means that the flags describe the load.
+	experiment string
+	report     string
+	plot       string
 
 	entries     []string
 	standin     string
 	collection  string
 	rate        float64
 	duration    time.Duration
-	timeout     time.Duration
+	deadline    time.Duration
 	maxRequests int
 	limit       int
 	orderShare  float64
@@ -42,7 +45,7 @@
 // Defaults of a load without an experiment file.
 const (
 	defaultMaxInFlight = 2000
-	defaultTimeout     = 500 * time.Millisecond
+	defaultDeadline    = 500 * time.Millisecond
 	defaultLimit       = 20
 	reportMode         = 0o644
 )
@@ -52,18 +55,23 @@
 func loadCommand(o *options) *cobra.Command {
 	f := &loadFlags{options: o}
 	c := &cobra.Command{
-		Use:   "load",
+		Use:   "load [EXPERIMENT]",
 		Short: "Send queries and orders to entries on loopback and check the answers",
 		Long: `Send queries and orders in an open loop, measure latency from the intended send
 time, and check every answer against the stand-in. The load comes from an
-experiment file or from flags, is bounded in count and time, and goes to
+experiment file, JSON with comments, or from flags. It is bounded in count and time, and goes to
 loopback addresses only.`,
-		Example: `  radishturn load --experiment experiments/stragglers.jsonc --plot out/stragglers.svg
+		Example: `  radishturn load experiments/stragglers.jsonc --plot out/stragglers.svg
   radishturn load --entries 127.0.0.1:7110,127.0.0.1:7120 --standin 127.0.0.1:7001 \
     --collection shopfront --rate 100 --duration 5s --max-requests 1000 \
     --order-share 0.05 --order-services 20 --order-leaves 2`,
-		Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error { return f.run(c) },
+		Args: cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if len(args) > 0 {
+				f.experiment = args[0]
+			}
+			return f.run(c)
+		},
 	}
 	f.register(c)
 	return c
@@ -71,7 +79,6 @@
 
 func (f *loadFlags) register(c *cobra.Command) {
 	flags := c.Flags()
-	flags.StringVar(&f.experiment, "experiment", "", "experiment file, JSON with comments; replaces the flags of the load")
 	flags.StringVar(&f.report, "report", "", "write the whole report to this JSON file")
 	flags.StringVar(&f.plot, "plot", "", "write a plot to this .svg or .png file")
 	flags.StringSliceVar(&f.entries, "entries", nil, "caller addresses of the entries")
@@ -79,7 +86,7 @@
 	flags.StringVar(&f.collection, "collection", "", "collection to query")
 	flags.Float64Var(&f.rate, "rate", 0, "mean number of requests each second")
 	flags.DurationVar(&f.duration, "duration", 0, "time in which requests are sent")
-	flags.DurationVar(&f.timeout, "timeout", defaultTimeout, "deadline of each request")
+	flags.DurationVar(&f.deadline, "deadline", defaultDeadline, "deadline of each request")
 	flags.IntVar(&f.maxRequests, "max-requests", 0, "largest number of requests")
 	flags.IntVar(&f.limit, "limit", defaultLimit, "number of hits wanted")
 	flags.Float64Var(&f.orderShare, "order-share", 0, "share of orders, from 0 to 1")
@@ -145,7 +152,7 @@
 		MaxRequests: f.maxRequests,
 		MaxInFlight: defaultMaxInFlight,
 		Seed:        f.seed,
-		Timeout:     settings.Duration(f.timeout),
+		Timeout:     settings.Duration(f.deadline),
 		Limit:       f.limit,
 		Orders:      load.Orders{Share: f.orderShare, Services: f.services, Leaves: f.leaves},
 	}
