--- a/pkg/standin/target.go
+++ b/pkg/standin/target.go
@@ -59,7 +59,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for target %s: %w", t.ID, err)
 	}
-	t.Address = l.Addr().(*net.TCPAddr).AddrPort()
+	if t.Address.Port() == 0 {
+		t.Address = l.Addr().(*net.TCPAddr).AddrPort()
+	}
 	return &limitedListener{
 		Listener:    l,
 		limit:       t.collection.Connections,
