--- a/pkg/standin/fault_test.go
+++ b/pkg/standin/fault_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"path/filepath"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -264,7 +265,14 @@
 	Entry("a wrong step", func(s *standin.Settings) { s.Schedule = []standin.ScheduledFault{{}} }, "is not known"),
 )
 
-var _ = It("the demo's settings are valid", func() {
-	_, err := standin.Load("../../config/demo/standin.jsonc")
-	Expect(err).NotTo(HaveOccurred())
+var _ = It("the settings in the repository are valid", func() {
+	for _, pattern := range []string{"../../config/demo/standin.jsonc", "../../config/experiments/standin*.jsonc"} {
+		files, err := filepath.Glob(pattern)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(files).NotTo(BeEmpty())
+		for _, file := range files {
+			_, err := standin.Load(file)
+			Expect(err).NotTo(HaveOccurred())
+		}
+	}
 })
--- a/pkg/standin/standin.go
+++ b/pkg/standin/standin.go
@@ -152,7 +152,7 @@
 func (s *Standin) close() {
 	s.stopped.Store(true)
 	for _, t := range s.targets {
-		t.stop()
+		t.stop(func() {})
 	}
 	for _, l := range []net.Listener{s.platform, s.control} {
 		if l != nil {
--- a/pkg/standin/target.go
+++ b/pkg/standin/target.go
@@ -101,18 +101,18 @@
 }
 
 // crash closes the port and every connection and cancels what is in progress.
+// It is counted before any client can notice it.
 func (t *target) crash(restartAfter time.Duration) {
-	if !t.stop() {
+	if !t.stop(func() { t.counters.crashes.Add(1) }) {
 		return
 	}
-	t.counters.crashes.Add(1)
 	if restartAfter > 0 {
 		time.AfterFunc(restartAfter, t.restart)
 	}
 }
 
-// stop closes the server and reports whether it was up.
-func (t *target) stop() bool {
+// stop closes the server, after a call of before, and reports whether it was up.
+func (t *target) stop(before func()) bool {
 	t.mu.Lock()
 	server, cancel := t.server, t.cancel
 	t.server = nil
@@ -120,6 +120,7 @@
 	if server == nil {
 		return false
 	}
+	before()
 	cancel()
 	server.Close() //nolint:errcheck // only closes sockets
 	return true
