--- a/pkg/consensus/message.go
+++ b/pkg/consensus/message.go
@@ -10,6 +10,8 @@
 	// Term is the sender's term; for a pre-vote it is the term that the sender
 	// would campaign in.
 	Term uint64 `cbor:"3,keyasint"`
+	// Group is the sender's group; empty from a member of none.
+	Group string `cbor:"11,keyasint,omitempty"`
 
 	Vote          *VoteRequest     `cbor:"4,keyasint,omitempty"`
 	VoteReply     *VoteReply       `cbor:"5,keyasint,omitempty"`
--- a/pkg/consensus/raft.go
+++ b/pkg/consensus/raft.go
@@ -160,7 +160,7 @@
 
 // Step takes a message in. Messages may be lost, repeated and reordered.
 func (r *Raft) Step(now time.Duration, m Message) {
-	if m.To != r.cfg.Self || m.From == r.cfg.Self {
+	if m.To != r.cfg.Self || m.From == r.cfg.Self || r.isForeign(m) {
 		return
 	}
 	if m.Vote != nil {
@@ -181,6 +181,11 @@
 	r.stepCurrentTerm(now, m)
 }
 
+// isForeign reports whether m comes from another group.
+func (r *Raft) isForeign(m Message) bool {
+	return r.membership.Group != "" && m.Group != "" && m.Group != r.membership.Group
+}
+
 // rejectOldTerm tells a leader of an earlier term that it was replaced.
 func (r *Raft) rejectOldTerm(m Message) {
 	if m.Append != nil || m.Snapshot != nil {
@@ -208,7 +213,7 @@
 }
 
 func (r *Raft) send(m Message) {
-	m.From = r.cfg.Self
+	m.From, m.Group = r.cfg.Self, r.membership.Group
 	if m.Term == 0 {
 		m.Term = r.term
 	}
@@ -217,7 +222,7 @@
 
 // sendEarly queues a message that need not wait for this member's own disk.
 func (r *Raft) sendEarly(m Message) {
-	m.From, m.Term = r.cfg.Self, r.term
+	m.From, m.Term, m.Group = r.cfg.Self, r.term, r.membership.Group
 	r.effects.Early = append(r.effects.Early, m)
 }
 
--- a/pkg/consensus/rules_test.go
+++ b/pkg/consensus/rules_test.go
@@ -95,6 +95,17 @@
 		Expect(r.HasEffects()).To(BeFalse())
 	})
 
+	ginkgo.It("ignores another group", func() {
+		r := restart(foundingState(), 0)
+		m := voteRequest("b", 5)
+		m.Group = Founding(threeVoters[:2]).Meta.Membership.Group
+		r.Step(lateTime, m)
+		Expect(r.HasEffects()).To(BeFalse())
+		m.Group = Founding(threeVoters).Meta.Membership.Group
+		r.Step(lateTime, m)
+		Expect(granted(r.TakeEffects())).To(BeTrue())
+	})
+
 	ginkgo.It("raises no term while a majority does not answer", func() {
 		r := restart(foundingState(), 0)
 		for now := time.Duration(0); now < 20*worldElectionTimeout; now += worldHeartbeat {
--- a/pkg/consensus/types.go
+++ b/pkg/consensus/types.go
@@ -11,6 +11,9 @@
 package consensus
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
 	"slices"
 
 	"radishturn.example/radishturn/pkg/model"
@@ -32,6 +35,9 @@
 	Voters []Member `cbor:"1,keyasint"`
 	// Learners receive the log and count for nothing.
 	Learners []Member `cbor:"2,keyasint,omitempty"`
+	// Group identifies the group by its founders and never changes. A member
+	// ignores the messages of another group.
+	Group string `cbor:"3,keyasint,omitempty"`
 }
 
 // IsVoter reports whether m has a vote.
@@ -46,7 +52,7 @@
 func (c Membership) quorum() int { return len(c.Voters)/2 + 1 }
 
 func (c Membership) clone() Membership {
-	return Membership{Voters: slices.Clone(c.Voters), Learners: slices.Clone(c.Learners)}
+	return Membership{Voters: slices.Clone(c.Voters), Learners: slices.Clone(c.Learners), Group: c.Group}
 }
 
 // Entry is one position of the log. It carries a command, a membership, or
@@ -91,14 +97,24 @@
 const (
 	FoundingIndex = 1
 	FoundingTerm  = 1
+	// groupBytes is the length of a group's identity.
+	groupBytes = 8
 )
 
 // Founding returns the snapshot from which every founding member starts.
 func Founding(voters []Member) Snapshot {
-	m := Membership{Voters: slices.Clone(voters)}
+	m := Membership{Voters: slices.Clone(voters), Group: groupOf(voters)}
 	return Snapshot{Meta: SnapshotMeta{Index: FoundingIndex, Term: FoundingTerm, Membership: m}}
 }
 
+func groupOf(founders []Member) string {
+	h := sha256.New()
+	for _, m := range founders {
+		fmt.Fprintf(h, "%q %q\n", m.Instance, m.Disk)
+	}
+	return hex.EncodeToString(h.Sum(nil)[:groupBytes])
+}
+
 // Role is a member's part in the current term.
 type Role uint8
 
--- /dev/null
+++ b/pkg/journal/fuzz_test.go
@@ -0,0 +1,45 @@
+package journal_test
+
+import (
+	"testing"
+
+	"radishturn.example/radishturn/pkg/journal"
+	"radishturn.example/radishturn/pkg/journal/journaltest"
+)
+
+// FuzzOpen puts arbitrary bytes in place of the segment: whatever they are, the
+// folder is either refused or opens again to the same state.
+func FuzzOpen(f *testing.F) {
+	disk := &journaltest.Disk{}
+	j, _, err := journal.Open(options(disk))
+	if err != nil {
+		f.Fatal(err)
+	}
+	for index := uint64(1); index <= 3; index++ {
+		if err := j.Append(hard(index), entries(1, index, index)); err != nil {
+			f.Fatal(err)
+		}
+	}
+	name := segments(disk)[0]
+	whole := disk.Content(name)
+	f.Add(whole)
+	f.Add(whole[:len(whole)-5])
+	f.Add(append(whole[:len(whole):len(whole)], make([]byte, 600)...))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, content []byte) {
+		disk.SetContent(name, content)
+		disk.Crash(nil)
+		_, first, err := journal.Open(options(disk))
+		if err != nil {
+			return
+		}
+		disk.Crash(nil)
+		_, second, err := journal.Open(options(disk))
+		if err != nil {
+			t.Fatalf("opened once but not again: %v", err)
+		}
+		if len(first.State.Entries) != len(second.State.Entries) || first.State.HardState != second.State.HardState {
+			t.Fatalf("restored %+v, then %+v", first.State, second.State)
+		}
+	})
+}
