--- a/proofs/chaos_test.go
+++ b/proofs/chaos_test.go
@@ -23,13 +23,17 @@
 )
 
 // seed returns the seed of the run, which PROOF_SEED may set.
-func seed() uint64 {
-	if text := os.Getenv("PROOF_SEED"); text != "" {
-		s, err := strconv.ParseUint(text, 10, 64)
-		Expect(err).NotTo(HaveOccurred())
-		return s
+func seed() uint64 { return number("PROOF_SEED", defaultSeed) }
+
+// number returns the value of an environment variable, or fallback without one.
+func number(variable string, fallback uint64) uint64 {
+	text := os.Getenv(variable)
+	if text == "" {
+		return fallback
 	}
-	return defaultSeed
+	n, err := strconv.ParseUint(text, 10, 64)
+	Expect(err).NotTo(HaveOccurred())
+	return n
 }
 
 // fault harms one instance for a while and then mends it.
--- a/proofs/orders_test.go
+++ b/proofs/orders_test.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	orderCount   = 300
-	orderCallers = 12
+	defaultOrders = 3000
+	orderCallers  = 12
 	// maxSends bounds how often a caller sends one order.
 	maxSends = 6
 	// resendPause lies between two sends of one order.
@@ -112,12 +112,13 @@
 		defer stop()
 		var disturber sync.WaitGroup
 		disturber.Go(func() { f.disturb(ctx, s) })
-		histories := f.placeMany(s, orderCount)
+		orderCount := number("PROOF_ORDERS", defaultOrders)
+		histories := f.placeMany(s, int(orderCount))
 		stop()
 		disturber.Wait()
 		tally := checkOrders(histories, f.orderRuns())
 		AddReportEntry("orders", fmt.Sprintf("seed %d: %d orders, %+v, replies %v", s, orderCount, tally, countReplies(histories)))
-		Expect(tally.confirmed).To(BeNumerically(">", orderCount/2))
+		Expect(tally.confirmed).To(BeNumerically(">", int(orderCount)/2))
 	})
 
 	It("are refused as not run while control has no quorum, and queries go on", func() {
