Probe of new requests, readiness, fault tests of the query path

Cause: a request that ends every target it reaches ended one target of each leaf before its first death was known. With probeNewRequests, or for ten minutes after a death, a request that this instance has not seen answered runs at one leaf first; two targets die then at most. It costs a new request the time of one leaf, so it is off by default.

--- a/pkg/fanout/death.go
+++ b/pkg/fanout/death.go
@@ -75,6 +75,7 @@
 }
 
 func (s *Service) died(t *targetState, p *deathProbe, alone bool) {
+	s.lastDeath.Store(int64(max(1, s.now())))
 	s.poisonMu.Lock()
 	s.poison.Died(p.suspects, alone, s.now())
 	s.poisonMu.Unlock()
--- a/pkg/fanout/fleet_test.go
+++ b/pkg/fanout/fleet_test.go
@@ -1,8 +1,10 @@
 package fanout_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -12,6 +14,7 @@
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 
 	"radishturn.example/radishturn/pkg/fanout"
 	"radishturn.example/radishturn/pkg/model"
@@ -34,7 +37,11 @@
 	server *httptest.Server
 
 	mu        sync.Mutex
+	asked     int
+	connected int
+	mostConns int
 	queries   int
+	crashes   int
 	ordered   int
 	boot      model.BootID
 	state     targetproto.State
@@ -66,20 +73,41 @@
 	change(t)
 }
 
+func (t *fakeTarget) countConnection(_ net.Conn, state http.ConnState) {
+	t.set(func(t *fakeTarget) {
+		switch state {
+		case http.StateNew:
+			t.connected++
+		case http.StateClosed, http.StateHijacked:
+			t.connected--
+		}
+		t.mostConns = max(t.mostConns, t.connected)
+	})
+}
+
+// see returns a value of the target while it serves.
+func see[T any](t *fakeTarget, read func(*fakeTarget) T) T {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return read(t)
+}
+
 func (t *fakeTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == targetproto.HealthPath {
 		t.serveHealth(w)
 		return
 	}
 	t.mu.Lock()
+	t.asked++
 	held := t.snapshots
 	status, refusal, hangUp, hold, crash := t.status, t.refusal, t.hangUp, t.hold, t.crash
+	boot, state := t.boot, t.state
 	t.mu.Unlock()
 	h := w.Header()
 	h.Set(targetproto.HeaderRequest, r.Header.Get(targetproto.HeaderRequest))
 	h.Set(targetproto.HeaderLeaf, t.target.Leaf.String())
-	h.Set(targetproto.HeaderBoot, string(t.boot))
-	h.Set(targetproto.HeaderState, string(t.state))
+	h.Set(targetproto.HeaderBoot, string(boot))
+	h.Set(targetproto.HeaderState, string(state))
 	h.Set(targetproto.HeaderSnapshot, r.Header.Get(targetproto.HeaderSnapshot))
 	isOrder := strings.HasSuffix(r.URL.Path, "/order")
 	snapshot := model.SnapshotID(r.Header.Get(targetproto.HeaderSnapshot))
@@ -133,7 +161,7 @@
 	}
 	switch {
 	case crash != "" && body.Query == crash:
-		t.set(func(t *fakeTarget) { t.boot += "+" })
+		t.set(func(t *fakeTarget) { t.boot += "+"; t.crashes++ })
 		panic(http.ErrAbortHandler)
 	case hangUp:
 		panic(http.ErrAbortHandler)
@@ -215,10 +243,18 @@
 	return n
 }
 
-func (f *fleet) queries() int {
+// warmUp asks until every target counts as warm and its incarnation is known.
+func (f *fleet) warmUp() {
+	for n := range 60 {
+		_, err := f.service.Query(context.Background(), askFor(fmt.Sprintf("warm-up-%d", n%3)))
+		Expect(err).NotTo(HaveOccurred())
+	}
+}
+
+func (f *fleet) crashes() int {
 	n := 0
 	for _, t := range f.targets {
-		n += t.runs()
+		n += see(t, func(t *fakeTarget) int { return t.crashes })
 	}
 	return n
 }
@@ -266,7 +302,9 @@
 		boot: "b1", state: targetproto.StateWarm, documents: documentsPerLeaf,
 		snapshots: []model.SnapshotID{"s1"},
 	}
-	t.server = httptest.NewServer(t)
+	t.server = httptest.NewUnstartedServer(t)
+	t.server.Config.ConnState = t.countConnection
+	t.server.Start()
 	DeferCleanup(t.server.Close)
 	t.target = model.Target{
 		ID: model.NewTargetID(shop, leaf, slot), Collection: shop, Leaf: leaf, Slot: slot,
@@ -287,3 +325,10 @@
 	}
 	return s
 }
+
+// reported says whether evidence that fulfils the condition was reported.
+func (f *fleet) reported(condition func(view.Evidence) bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.evidence, condition)
+}
--- a/pkg/fanout/module.go
+++ b/pkg/fanout/module.go
@@ -72,6 +72,9 @@
 	if err := radishturn.Provide[order.Dispatcher](c, m.service); err != nil {
 		return err
 	}
+	if err := radishturn.Provide[Readiness](c, m.service); err != nil {
+		return err
+	}
 	return radishturn.Provide[Explainer](c, m.service)
 }
 
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -132,6 +132,7 @@
 	// lostSnapshot is set when a leaf has no target left for the snapshot.
 	lostSnapshot bool
 	trial        trial
+	probe        probe
 }
 
 func (s *Service) newRun(ctx context.Context, c *collection, p *plan, r *query.Request, choice versions.Choice, f model.Fingerprint) *run {
@@ -167,6 +168,7 @@
 		r.legs[i].leaf = r.plan.leaves[i]
 	}
 	r.suspectIfKnown()
+	r.probeIfNew()
 	for i := range r.legs {
 		r.first(i)
 	}
@@ -223,6 +225,7 @@
 		r.mayHaveRun = true
 	}
 	r.judge(a, e)
+	r.judgeProbe(e)
 	if l.done() {
 		return r.trial.changed()
 	}
--- a/pkg/fanout/service.go
+++ b/pkg/fanout/service.go
@@ -54,9 +54,13 @@
 
 	poisonMu sync.Mutex
 	poison   *poison.State
+	proven   *poison.Proven
 	// quarantined are the fingerprints of the last view.
 	quarantined map[model.Fingerprint]bool
 
+	// lastDeath is when a target died last; 0 means never.
+	lastDeath atomic.Int64
+
 	windowMu     sync.Mutex
 	windowOrigin time.Duration
 	windowKnown  bool
@@ -89,6 +93,7 @@
 		admission:   admission.New(c.Settings.Instance.MaxInFlight),
 		limits:      admission.NewCallerLimits(),
 		poison:      poison.New(),
+		proven:      poison.NewProven(),
 	}
 	for _, collection := range c.Settings.Collections {
 		s.collections[collection.ID] = newCollection(collection, c.Settings.Instance.ID)
@@ -300,6 +305,22 @@
 	return float64(hash>>(64-mantissaBits)) / (1 << mantissaBits)
 }
 
+// Readiness says whether queries can be answered.
+type Readiness interface {
+	// NotReady returns why queries cannot be answered yet, or "".
+	NotReady() string
+}
+
+// NotReady returns the first collection without a snapshot, or "".
+func (s *Service) NotReady() string {
+	for _, c := range s.settings.Collections {
+		if s.collections[c.ID].plan.Load() == nil {
+			return "no whole snapshot of " + string(c.ID)
+		}
+	}
+	return ""
+}
+
 // inProgress returns the number of queries and orders in progress.
 func (s *Service) inProgress() int {
 	s.admissionMu.Lock()
--- a/pkg/fanout/trial.go
+++ b/pkg/fanout/trial.go
@@ -38,6 +38,10 @@
 func (r *run) mayTry(i int, now time.Duration) bool {
 	l := &r.legs[i]
 	l.held = false
+	if !r.trial.on && r.heldByProbe(i) {
+		l.held, l.hedgeAt = true, now+capacityPoll
+		return false
+	}
 	if !r.trial.on || (r.trial.running && r.trial.leg == i) {
 		return true
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -135,8 +135,12 @@
 	HedgeBudget float64 `json:"hedgeBudget"`
 	// Hedge selects when leaf requests are hedged; without it they are hedged
 	// adaptively.
-	Hedge      *Hedge     `json:"hedge,omitempty"`
-	Objectives Objectives `json:"objectives"`
+	Hedge *Hedge `json:"hedge,omitempty"`
+	// ProbeNewRequests sends a request that this instance has not seen answered
+	// to one leaf before the others. It bounds the targets that a harmful request
+	// ends, and costs new requests the time of one leaf.
+	ProbeNewRequests bool       `json:"probeNewRequests,omitempty"`
+	Objectives       Objectives `json:"objectives"`
 }
 
 // Hedge selects when a leaf request is sent a second time.
