Load report: recovery, warm-up, leaving targets, blind check

Cause: the report could not say when service was whole again, how long a cold target took against the ideal, or how long leaving targets got new work. And a trial with 109 queries refused as not run and no finding raised the question whether that check sees anything: it compares request IDs, which it would miss if entries used others towards targets.

A sample of answered queries is now asked about as well; an ID that no target knows is a violation. The test with an entry that renames its requests shows it.

--- a/pkg/load/balancer.go
+++ b/pkg/load/balancer.go
@@ -5,12 +5,30 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // readyPath is where an entry says whether it takes new work.
 const readyPath = "/readyz"
 
+// entries chooses the entry of each request among those that are ready.
+type entries struct {
+	all   []netip.AddrPort
+	ready atomic.Pointer[[]netip.AddrPort]
+}
+
+func newEntries(all []netip.AddrPort) *entries {
+	e := &entries{all: all}
+	e.ready.Store(&all)
+	return e
+}
+
+func (e *entries) choose(number int) netip.AddrPort {
+	ready := *e.ready.Load()
+	return ready[number%len(ready)]
+}
+
 // poll asks every entry for its readiness, as a balancer does. While none is
 // ready all of them get requests.
 func (e *entries) poll(ctx context.Context, period time.Duration) {
--- a/pkg/load/load_test.go
+++ b/pkg/load/load_test.go
@@ -132,6 +132,18 @@
 		Expect(report.Variants[1].Coverage.Full).To(BeNumerically("~", 1, 1e-9))
 	})
 
+	It("tells how long leaving targets got new work and until when faults were felt", func() {
+		e := experimentFor(startStandin(), noDefect)
+		e.Load.Orders.Share = 0
+		e.Faults = []standin.ScheduledFault{{At: settings.Duration(50 * time.Millisecond), Fault: standin.Fault{Kind: standin.KindDrain, Targets: []string{"*svc-01/leaf-1*"}}}}
+		v := run(e).Variants[0]
+		Expect(v.Leaving).To(HaveLen(1))
+		Expect(v.Leaving[0].Targets).To(Equal(1))
+		Expect(v.Leaving[0].Longest).To(BeNumerically("~", 200, 100))
+		Expect(v.HarmedUntil).To(Equal(1))
+		Expect(v.Targets.Draining).To(BeNumerically(">", 0))
+	})
+
 	It("writes the plot as SVG and PNG", func() {
 		e := experimentFor(startStandin(), noDefect)
 		report := run(e)
@@ -161,6 +173,7 @@
 	Entry("a hit from another snapshot", otherSnapshotHit, standin.Kind(""), load.MixedAnswer),
 	Entry("an order that ran twice", runOrderTwice, standin.Kind(""), load.RepeatedOrder),
 	Entry("an order that ran and is said not to have", denyOrder, standin.Kind(""), load.FalseNotRun),
+	Entry("an answer under a request ID that no target knows", renameRequest, standin.Kind(""), load.UnseenRequest),
 	Entry("a query that ran and is said not to have", denyQuery, standin.Kind(""), load.FalseNotRun),
 )
 
--- a/pkg/load/recorder.go
+++ b/pkg/load/recorder.go
@@ -19,6 +19,8 @@
 	histogramDigits = 3
 	// maxExamples bounds the violations of each kind that a report shows.
 	maxExamples = 5
+	// maxAnswered bounds the answered queries that the stand-in is asked about.
+	maxAnswered = 2000
 	// fullCoverage is the fraction of an answer that lacks nothing.
 	fullCoverage = 1 - coverageTolerance
 )
@@ -66,6 +68,7 @@
 	seconds    []*second
 	keys       map[string]*keyRecord
 	notRun     []outcome
+	answered   []model.RequestID
 	requestIDs map[model.RequestID]bool
 	violations map[ViolationKind]int
 	examples   []Violation
@@ -152,8 +155,11 @@
 		record.outcomes = append(record.outcomes, *o)
 		return
 	}
-	if o.ran == failure.NotRun && o.requestID != "" {
+	switch {
+	case o.ran == failure.NotRun && o.requestID != "":
 		r.notRun = append(r.notRun, *o)
+	case o.code == CodeOK && o.answer.Coverage.Answered > 0 && len(r.answered) < maxAnswered:
+		r.answered = append(r.answered, o.requestID)
 	}
 }
 
--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -51,10 +51,19 @@
 	ExtraLoad         float64                                     `json:"extraLoad"`
 	AvailabilityZones map[model.AvailabilityZoneID]standin.Counts `json:"availabilityZones"`
 	Versions          map[model.VersionID]standin.Counts          `json:"versions"`
-	OrderRuns         OrderReport                                 `json:"orderRuns"`
-	Timeline          []SecondReport                              `json:"timeline"`
-	Violations        map[ViolationKind]int                       `json:"violations,omitempty"`
-	Examples          []Violation                                 `json:"examples,omitempty"`
+	// IdealWarmUp is the shortest time to warm up a target, in milliseconds, to
+	// compare with Targets.MaxWarmUp.
+	IdealWarmUp int64 `json:"idealWarmUpMs"`
+	// HarmedUntil is the end of the last second since the first fault with a
+	// failure or a partial answer, and SlowUntil that of the last one whose p99
+	// was over twice the usual; 0 means none.
+	HarmedUntil int                   `json:"harmedUntilS"`
+	SlowUntil   int                   `json:"slowUntilS"`
+	Leaving     []LeavingReport       `json:"leaving,omitempty"`
+	OrderRuns   OrderReport           `json:"orderRuns"`
+	Timeline    []SecondReport        `json:"timeline"`
+	Violations  map[ViolationKind]int `json:"violations,omitempty"`
+	Examples    []Violation           `json:"examples,omitempty"`
 }
 
 // LatencyReport gives quantiles in milliseconds, from the intended send time.
--- a/pkg/load/run.go
+++ b/pkg/load/run.go
@@ -4,13 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"radishturn.example/radishturn/pkg/failure"
-	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/standin"
 )
 
@@ -53,6 +51,7 @@
 	load     *Load
 	variant  *Variant
 	faults   []standin.ScheduledFault
+	known    standin.Truth
 	caller   *caller
 	standin  *standinClient
 	recorder *recorder
@@ -80,6 +79,7 @@
 		load:     &e.Load,
 		variant:  v,
 		faults:   faultsOf(e, v),
+		known:    known,
 		caller:   newCaller(&e.Load),
 		standin:  control,
 		recorder: newRecorder(&e.Load, newTruth(e.Load.Collection, known)),
@@ -231,51 +231,6 @@
 	return nil
 }
 
-// finish runs the checks that need the whole run.
-func (r *variantRun) finish(ctx context.Context) (*VariantReport, error) {
-	last, err := r.standin.summary(ctx)
-	if err != nil {
-		return nil, err
-	}
-	r.samples = append(r.samples, last)
-	log, err := r.standin.orders(ctx)
-	if err != nil {
-		return nil, err
-	}
-	orders, violations := checkOrders(r.recorder.keys, log)
-	denied, err := r.checkNotRun(ctx)
-	if err != nil {
-		return nil, err
-	}
-	r.recorder.addViolations(append(violations, denied...))
-	report := r.recorder.report(r.variant.Name, r.samples)
-	report.OrderRuns = orders
-	return &report, nil
-}
-
-// checkNotRun asks the stand-in about queries that were refused as not run.
-func (r *variantRun) checkNotRun(ctx context.Context) ([]Violation, error) {
-	byID := make(map[model.RequestID]outcome)
-	var ids []model.RequestID
-	for _, o := range r.recorder.notRun {
-		byID[o.requestID] = o
-		ids = append(ids, o.requestID)
-	}
-	if len(ids) == 0 {
-		return nil, nil
-	}
-	ran, err := r.standin.ran(ctx, ids)
-	if err != nil {
-		return nil, err
-	}
-	var found findings
-	for _, id := range ran {
-		found.request = id
-		found.add(FalseNotRun, "query: %s said not-run (%s) at %s, but a target ran it", byID[id].entry, byID[id].code, byID[id].step)
-	}
-	return found.list, nil
-}
-
 // pause waits for d or until ctx is done.
 func pause(ctx context.Context, d time.Duration) error {
 	if d <= 0 {
@@ -290,20 +245,3 @@
 		return ctx.Err()
 	}
 }
-
-// entries chooses the entry of each request among those that are ready.
-type entries struct {
-	all   []netip.AddrPort
-	ready atomic.Pointer[[]netip.AddrPort]
-}
-
-func newEntries(all []netip.AddrPort) *entries {
-	e := &entries{all: all}
-	e.ready.Store(&all)
-	return e
-}
-
-func (e *entries) choose(number int) netip.AddrPort {
-	ready := *e.ready.Load()
-	return ready[number%len(ready)]
-}
--- a/pkg/load/standin.go
+++ b/pkg/load/standin.go
@@ -34,6 +34,10 @@
 	return s, c.do(ctx, http.MethodGet, standin.StatsPath+"?targets=none", nil, &s)
 }
 
+func (c *standinClient) stats(ctx context.Context) (s standin.Stats, err error) {
+	return s, c.do(ctx, http.MethodGet, standin.StatsPath, nil, &s)
+}
+
 func (c *standinClient) orders(ctx context.Context) (l standin.OrderLog, err error) {
 	return l, c.do(ctx, http.MethodGet, standin.OrdersPath, nil, &l)
 }
--- a/pkg/load/table.go
+++ b/pkg/load/table.go
@@ -38,6 +38,11 @@
 	{"most in flight at a target", func(v *VariantReport) string { return fmt.Sprint(v.Targets.MaxInFlight) }},
 	{"most in flight while cold", func(v *VariantReport) string { return fmt.Sprint(v.Targets.MaxColdInFlight) }},
 	{"cold overloads", func(v *VariantReport) string { return fmt.Sprint(v.Targets.ColdOverloads) }},
+	{"longest warm-up ms (ideal)", func(v *VariantReport) string { return fmt.Sprintf("%d (%d)", v.Targets.MaxWarmUp, v.IdealWarmUp) }},
+	{"targets cold at the end", func(v *VariantReport) string { return fmt.Sprint(v.Targets.ColdTargets) }},
+	{"failures or gaps until s", func(v *VariantReport) string { return fmt.Sprint(v.HarmedUntil) }},
+	{"p99 over twice the usual until s", func(v *VariantReport) string { return fmt.Sprint(v.SlowUntil) }},
+	{"longest new work for leaving targets ms", func(v *VariantReport) string { return fmt.Sprint(v.longestLeaving()) }},
 	{"shed by targets", func(v *VariantReport) string { return fmt.Sprint(v.Targets.Shed) }},
 	{"target crashes", func(v *VariantReport) string { return fmt.Sprint(v.Targets.Crashes) }},
 	{"order keys", func(v *VariantReport) string { return fmt.Sprint(v.OrderRuns.Keys) }},
@@ -45,6 +50,14 @@
 	{"orders confirmed", func(v *VariantReport) string { return fmt.Sprint(v.OrderRuns.Confirmed) }},
 }
 
+func (v *VariantReport) longestLeaving() int64 {
+	longest := int64(0)
+	for _, l := range v.Leaving {
+		longest = max(longest, l.Longest)
+	}
+	return longest
+}
+
 // WriteTable writes the report as a table with a column for each variant.
 func (r *Report) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, tablePadding, ' ', 0)
--- a/pkg/load/truth.go
+++ b/pkg/load/truth.go
@@ -39,8 +39,9 @@
 	RepeatedOrder ViolationKind = "repeated-order"
 	// FalseConfirmation is a confirmation that no target gave for the key.
 	FalseConfirmation ViolationKind = "false-confirmation"
-	// ColdOverload is a request beyond what a cold target bears.
-	ColdOverload ViolationKind = "cold-overload"
+	// UnseenRequest is an answered query that no target ran. It also shows that
+	// request IDs at entries and targets differ, so that FalseNotRun is blind.
+	UnseenRequest ViolationKind = "unseen-request"
 )
 
 // Violation is one finding of the checker.
--- a/pkg/standin/apply.go
+++ b/pkg/standin/apply.go
@@ -16,7 +16,7 @@
 	}
 	var concerned []*target
 	for _, t := range s.targets {
-		if f.concerns(t.Target) {
+		if f.Concerns(t.Target) {
 			concerned = append(concerned, t)
 		}
 	}
--- a/pkg/standin/fault.go
+++ b/pkg/standin/fault.go
@@ -171,8 +171,8 @@
 	return string(f.Kind)
 }
 
-// concerns reports whether the fault is meant for the target.
-func (f Fault) concerns(t model.Target) bool {
+// Concerns reports whether the fault is meant for the target.
+func (f Fault) Concerns(t model.Target) bool {
 	if f.AvailabilityZone != "" && f.AvailabilityZone != t.AvailabilityZone {
 		return false
 	}
--- a/pkg/standin/standin_test.go
+++ b/pkg/standin/standin_test.go
@@ -127,6 +127,12 @@
 		Expect(f.statsOf(first).ColdRequests).To(BeEquivalentTo(4))
 		Expect(f.statsOf(first).MaxColdInFlight).To(BeEquivalentTo(1))
 		Expect(f.statsOf(first).ColdOverloads).To(BeZero())
+		Expect(f.statsOf(first).ColdTargets).To(BeZero())
+		Expect(f.Stats(false).Total.ColdTargets).To(BeEquivalentTo(17))
+		var truth standin.Truth
+		f.get(f.ControlAddress(), standin.TruthPath, &truth)
+		Expect(truth.IdealWarmUp["shopfront"]).To(BeEquivalentTo(4))
+		Expect(f.statsOf(first).MaxWarmUp).To(BeNumerically(">=", 4))
 	})
 
 	It("counts overload of a cold target and lets it fall over", func() {
--- a/pkg/standin/stats.go
+++ b/pkg/standin/stats.go
@@ -39,8 +39,13 @@
 	ColdRequests int64 `json:"coldRequests"`
 	// ColdOverloads counts requests that took a cold target above its cold load.
 	ColdOverloads int64 `json:"coldOverloads"`
-	Crashes       int64 `json:"crashes"`
-	OrdersRun     int64 `json:"ordersRun"`
+	// ColdTargets is the number of targets that are cold now.
+	ColdTargets int64 `json:"coldTargets"`
+	// MaxWarmUp is the longest time in which a target turned warm, in
+	// milliseconds.
+	MaxWarmUp int64 `json:"maxWarmUpMs"`
+	Crashes   int64 `json:"crashes"`
+	OrdersRun int64 `json:"ordersRun"`
 	// DamagedReplies counts replies that were damaged on purpose.
 	DamagedReplies int64 `json:"damagedReplies"`
 	// MaxInFlight, MaxColdInFlight and MaxConnections are the largest values
@@ -75,6 +80,8 @@
 	c.DamagedReplies += other.DamagedReplies
 	c.Connections += other.Connections
 	c.InFlight += other.InFlight
+	c.ColdTargets += other.ColdTargets
+	c.MaxWarmUp = max(c.MaxWarmUp, other.MaxWarmUp)
 	c.MaxInFlight = max(c.MaxInFlight, other.MaxInFlight)
 	c.MaxColdInFlight = max(c.MaxColdInFlight, other.MaxColdInFlight)
 	c.MaxConnections = max(c.MaxConnections, other.MaxConnections)
@@ -176,7 +183,7 @@
 		Orders:            s.orders.summary(),
 	}
 	for _, t := range s.targets {
-		c := t.counters.counts()
+		c := t.counts()
 		stats.Total.Add(c)
 		addTo(stats.AvailabilityZones, t.AvailabilityZone, c)
 		addTo(stats.Versions, t.Version, c)
@@ -194,6 +201,16 @@
 	sums[key] = sum
 }
 
+// counts adds the state of warmth to the counters.
+func (t *target) counts() Counts {
+	c := t.counters.counts()
+	c.MaxWarmUp = time.Duration(t.warmth.longest.Load()).Milliseconds()
+	if t.warmth.isCold() {
+		c.ColdTargets = 1
+	}
+	return c
+}
+
 func (t *target) stats(c Counts) TargetStats {
 	return TargetStats{
 		ID:               t.ID,
--- a/pkg/standin/target.go
+++ b/pkg/standin/target.go
@@ -44,7 +44,7 @@
 
 func newTarget(s *Standin, c *Collection, t model.Target) *target {
 	created := &target{Target: t, collection: c, standin: s, listed: true}
-	created.warmth.settings = c.Cold
+	created.warmth.settings, created.warmth.origin = c.Cold, time.Now()
 	created.workers = newWorkers(c.Concurrency, c.Queue)
 	created.behaviour.Store(newBehaviour(nil))
 	created.contents.Store(&map[model.SnapshotID]*leafContent{})
