--- a/pkg/load/recorder.go
+++ b/pkg/load/recorder.go
@@ -10,6 +10,7 @@
 
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/query"
 )
 
 // Range and precision of the histograms.
@@ -19,6 +20,8 @@
 	histogramDigits = 3
 	// maxExamples bounds the violations of each kind that a report shows.
 	maxExamples = 5
+	// maxAnswered bounds the answered queries that the stand-in is asked about.
+	maxAnswered = 2000
 	// fullCoverage is the fraction of an answer that lacks nothing.
 	fullCoverage = 1 - coverageTolerance
 )
@@ -66,6 +69,7 @@
 	seconds    []*second
 	keys       map[string]*keyRecord
 	notRun     []outcome
+	answered   []model.RequestID
 	requestIDs map[model.RequestID]bool
 	violations map[ViolationKind]int
 	examples   []Violation
@@ -152,8 +156,11 @@
 		record.outcomes = append(record.outcomes, *o)
 		return
 	}
-	if o.ran == failure.NotRun && o.requestID != "" {
+	switch {
+	case o.ran == failure.NotRun && o.requestID != "":
 		r.notRun = append(r.notRun, *o)
+	case o.code == CodeOK && o.answer.Coverage.Answered > 0 && len(r.answered) < maxAnswered:
+		r.answered = append(r.answered, o.requestID)
 	}
 }
 
@@ -177,7 +184,7 @@
 		return
 	}
 	record(r.queries, latency)
-	r.coverage.add(o.answer.Coverage.Fraction)
+	r.coverage.add(o.answer.Coverage)
 	s.coverage += o.answer.Coverage.Fraction
 	if o.answer.Coverage.Fraction < fullCoverage {
 		s.partial++
@@ -206,9 +213,18 @@
 // coverageStats collects covered fractions.
 type coverageStats struct {
 	fractions []float64
+	missing   map[query.MissingReason]int
 }
 
-func (c *coverageStats) add(fraction float64) { c.fractions = append(c.fractions, fraction) }
+func (c *coverageStats) add(coverage query.Coverage) {
+	c.fractions = append(c.fractions, coverage.Fraction)
+	if c.missing == nil {
+		c.missing = make(map[query.MissingReason]int)
+	}
+	for _, m := range coverage.Missing {
+		c.missing[m.Reason]++
+	}
+}
 
 // CoverageReport sums up the coverage of the answers.
 type CoverageReport struct {
@@ -219,6 +235,8 @@
 	P01 float64 `json:"p01"`
 	// Full is the share of answers that lack nothing.
 	Full float64 `json:"full"`
+	// Missing counts missing leaves by the reason that the answers state.
+	Missing map[query.MissingReason]int `json:"missing,omitempty"`
 }
 
 func (c *coverageStats) report() CoverageReport {
@@ -227,7 +245,7 @@
 		return CoverageReport{}
 	}
 	sorted := slices.Sorted(slices.Values(c.fractions))
-	report := CoverageReport{Answers: n, Min: sorted[0], P01: sorted[n/100]}
+	report := CoverageReport{Answers: n, Min: sorted[0], P01: sorted[n/100], Missing: c.missing}
 	for _, f := range sorted {
 		report.Mean += f / float64(n)
 		if f >= fullCoverage {
--- a/pkg/load/table.go
+++ b/pkg/load/table.go
@@ -38,6 +38,11 @@
 	{"most in flight at a target", func(v *VariantReport) string { return fmt.Sprint(v.Targets.MaxInFlight) }},
 	{"most in flight while cold", func(v *VariantReport) string { return fmt.Sprint(v.Targets.MaxColdInFlight) }},
 	{"cold overloads", func(v *VariantReport) string { return fmt.Sprint(v.Targets.ColdOverloads) }},
+	{"longest warm-up ms (ideal)", func(v *VariantReport) string { return fmt.Sprintf("%d (%d)", v.Targets.MaxWarmUp, v.IdealWarmUp) }},
+	{"targets cold at the end", func(v *VariantReport) string { return fmt.Sprint(v.Targets.ColdTargets) }},
+	{"failures or gaps until s", func(v *VariantReport) string { return fmt.Sprint(v.HarmedUntil) }},
+	{"p99 over twice the usual until s", func(v *VariantReport) string { return fmt.Sprint(v.SlowUntil) }},
+	{"longest new work for leaving targets ms", func(v *VariantReport) string { return fmt.Sprint(v.longestLeaving()) }},
 	{"shed by targets", func(v *VariantReport) string { return fmt.Sprint(v.Targets.Shed) }},
 	{"target crashes", func(v *VariantReport) string { return fmt.Sprint(v.Targets.Crashes) }},
 	{"order keys", func(v *VariantReport) string { return fmt.Sprint(v.OrderRuns.Keys) }},
@@ -45,6 +50,14 @@
 	{"orders confirmed", func(v *VariantReport) string { return fmt.Sprint(v.OrderRuns.Confirmed) }},
 }
 
+func (v *VariantReport) longestLeaving() int64 {
+	longest := int64(0)
+	for _, l := range v.Leaving {
+		longest = max(longest, l.Longest)
+	}
+	return longest
+}
+
 // WriteTable writes the report as a table with a column for each variant.
 func (r *Report) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, tablePadding, ' ', 0)
@@ -60,6 +73,7 @@
 		}
 		fmt.Fprintln(t)
 	}
+	r.writeMissing(t)
 	r.writeOutcomes(t)
 	if err := t.Flush(); err != nil {
 		return err
@@ -67,25 +81,53 @@
 	return r.writeViolations(w)
 }
 
+// countTable counts by name and variant.
+type countTable struct {
+	variants int
+	counts   map[string][]int
+}
+
+func newCountTable(variants int) countTable {
+	return countTable{variants: variants, counts: make(map[string][]int)}
+}
+
+func (t countTable) add(name string, variant, n int) {
+	if t.counts[name] == nil {
+		t.counts[name] = make([]int, t.variants)
+	}
+	t.counts[name][variant] += n
+}
+
+func (t countTable) write(w io.Writer) {
+	for _, name := range slices.Sorted(maps.Keys(t.counts)) {
+		fmt.Fprint(w, name)
+		for _, n := range t.counts[name] {
+			fmt.Fprintf(w, "\t%d", n)
+		}
+		fmt.Fprintln(w)
+	}
+}
+
 // writeOutcomes writes a line for each outcome that any variant had.
 func (r *Report) writeOutcomes(w io.Writer) {
-	names := make(map[string][]int)
+	t := newCountTable(len(r.Variants))
 	for i := range r.Variants {
 		for _, o := range r.Variants[i].Outcomes {
-			name := fmt.Sprintf("%s: %s, %s", o.Kind, o.Code, o.Ran)
-			if names[name] == nil {
-				names[name] = make([]int, len(r.Variants))
-			}
-			names[name][i] += o.Count
+			t.add(fmt.Sprintf("%s: %s, %s", o.Kind, o.Code, o.Ran), i, o.Count)
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(names)) {
-		fmt.Fprint(w, name)
-		for _, n := range names[name] {
-			fmt.Fprintf(w, "\t%d", n)
+	t.write(w)
+}
+
+// writeMissing writes a line for each reason of missing leaves.
+func (r *Report) writeMissing(w io.Writer) {
+	t := newCountTable(len(r.Variants))
+	for i := range r.Variants {
+		for reason, n := range r.Variants[i].Coverage.Missing {
+			t.add(fmt.Sprintf("missing leaves: %s", reason), i, n)
 		}
-		fmt.Fprintln(w)
 	}
+	t.write(w)
 }
 
 func (r *Report) writeViolations(w io.Writer) error {
