--- a/pkg/adminapi/api.go
+++ b/pkg/adminapi/api.go
@@ -3,6 +3,7 @@
 import (
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/replica"
+	"radishturn.example/radishturn/pkg/rules"
 	"radishturn.example/radishturn/pkg/view"
 )
 
@@ -36,6 +37,19 @@
 	Member replica.Member `json:"member"`
 }
 
+// CheckRequest is the body of POST /admin/v1/rules/check.
+type CheckRequest struct {
+	Text string `json:"text"`
+}
+
+// CheckReply says what is wrong with rules or what they would change.
+type CheckReply struct {
+	Mistakes []rules.Mistake `json:"mistakes"`
+	// Base is the revision that the differences refer to.
+	Base        model.Revision     `json:"base"`
+	Differences []rules.Difference `json:"differences"`
+}
+
 // ApplyRequest is the body of POST /admin/v1/rules. The author is the holder
 // of the operator's certificate.
 type ApplyRequest struct {
--- a/pkg/adminapi/module.go
+++ b/pkg/adminapi/module.go
@@ -19,7 +19,9 @@
 	"radishturn.example/radishturn/pkg/burn/recorder"
 	"radishturn.example/radishturn/pkg/control"
 	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/fanout"
 	"radishturn.example/radishturn/pkg/keys"
+	"radishturn.example/radishturn/pkg/mesh"
 	"radishturn.example/radishturn/pkg/problem"
 	"radishturn.example/radishturn/pkg/settings"
 	"radishturn.example/radishturn/pkg/view"
@@ -42,6 +44,9 @@
 	admin    control.Admin
 	view     view.Source
 	burn     recorder.Reporter
+	stories  fanout.Explainer
+	targets  fanout.Inspector
+	mesh     mesh.Mesh
 	listener net.Listener
 	server   *http.Server
 }
@@ -66,6 +71,16 @@
 	if m.view, err = radishturn.Require[view.Source](c); err != nil {
 		return err
 	}
+	if m.stories, err = radishturn.Require[fanout.Explainer](c); err != nil {
+		return err
+	}
+	if m.targets, err = radishturn.Require[fanout.Inspector](c); err != nil {
+		return err
+	}
+	if m.mesh, err = radishturn.Require[mesh.Mesh](c); err != nil {
+		return err
+	}
+	mesh.Handle(m.mesh, kindExplain, m.serveExplain)
 	if m.burn, err = radishturn.Require[recorder.Reporter](c); err != nil {
 		return err
 	}
@@ -105,11 +120,15 @@
 	g.GET("/status", m.status)
 	g.GET("/rules", m.rules)
 	g.POST("/rules", m.applyRules)
+	g.POST("/rules/check", m.checkRules)
 	g.GET("/rules/history", m.history)
 	g.GET("/rules/:revision/in-force", m.inForce)
 	g.GET("/moves", m.moves)
 	g.GET("/quarantine", m.quarantined)
 	g.DELETE("/quarantine/:fingerprint", m.lift)
+	g.GET("/targets", m.listTargets)
+	g.GET("/requests", m.slowest)
+	g.GET("/requests/:id", m.explain)
 	g.GET("/burn", m.burnReport)
 	g.GET("/instances", m.instances)
 	g.GET("/members", m.members)
--- a/pkg/cli/client.go
+++ b/pkg/cli/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"path/filepath"
 
@@ -59,7 +60,7 @@
 	var failures []error
 	for _, address := range c.addresses {
 		err := c.send(ctx, method, "https://"+address+path, payload, result)
-		if failure.CodeOf(err) != failure.PeerUnreachable || method != http.MethodGet {
+		if !mayTryNext(method, err) {
 			return err
 		}
 		failures = append(failures, err)
@@ -67,6 +68,23 @@
 	return exitWith(ExitUnreachable, errors.Join(failures...))
 }
 
+// mayTryNext reports whether a second instance may be asked after err.
+func mayTryNext(method string, err error) bool {
+	if failure.CodeOf(err) != failure.PeerUnreachable {
+		return false
+	}
+	return method == http.MethodGet || failure.RanOf(err) == failure.NotRun
+}
+
+// ranOf says what a failed exchange proves: without a connection nothing ran.
+func ranOf(err error) failure.Ran {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return failure.NotRun
+	}
+	return failure.Unknown
+}
+
 func (c *adminClient) send(ctx context.Context, method, url string, payload []byte, result any) (err error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(payload))
 	if err != nil {
@@ -75,7 +93,7 @@
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.http.Do(request)
 	if err != nil {
-		return failure.New(failure.PeerUnreachable, failure.Unknown, method, url, "%w", err)
+		return failure.New(failure.PeerUnreachable, ranOf(err), method, url, "%w", err)
 	}
 	defer func() { err = errors.Join(err, response.Body.Close()) }()
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
--- a/pkg/cli/root.go
+++ b/pkg/cli/root.go
@@ -125,6 +125,8 @@
 		quarantineCommand(o),
 		reportCommand(o),
 		loadCommand(o),
+		targetsCommand(o),
+		explainCommand(o),
 	)
 	return root
 }
--- a/pkg/cli/rules.go
+++ b/pkg/cli/rules.go
@@ -26,7 +26,7 @@
 
 func rulesCommand(o *options) *cobra.Command {
 	command := &cobra.Command{Use: "rules", Short: "Work with the operators' rules"}
-	command.AddCommand(rulesApplyCommand(o), rulesShowCommand(o), rulesHistoryCommand(o))
+	command.AddCommand(rulesCheckCommand(o), rulesApplyCommand(o), rulesShowCommand(o), rulesHistoryCommand(o))
 	return command
 }
 
--- a/pkg/entryapi/module.go
+++ b/pkg/entryapi/module.go
@@ -17,6 +17,7 @@
 	"radishturn.example/radishturn"
 	"radishturn.example/radishturn/pkg/burn"
 	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/fanout"
 	"radishturn.example/radishturn/pkg/order"
 	"radishturn.example/radishturn/pkg/problem"
 	"radishturn.example/radishturn/pkg/query"
@@ -37,6 +38,10 @@
 	idleTimeout   = 2 * time.Minute
 	// readinessPoll is how often changes of readiness are logged.
 	readinessPoll = 500 * time.Millisecond
+	// startGrace is how long after the start an instance waits for a whole
+	// snapshot of every collection. After it, one collection without targets
+	// does not keep the others from being served.
+	startGrace = 10 * time.Second
 )
 
 // ModuleName is the ID of the entry module.
@@ -49,6 +54,8 @@
 	orders   order.Service
 	view     view.Source
 	recorder burn.Recorder
+	targets  fanout.Readiness
+	started  time.Time
 	listener net.Listener
 	server   *http.Server
 	draining atomic.Bool
@@ -68,6 +75,7 @@
 // Provision finds the services and opens the listener.
 func (m *Module) Provision(c *radishturn.Context) (err error) {
 	m.settings = c.Settings
+	m.started = time.Now()
 	if m.view, err = radishturn.Require[view.Source](c); err != nil {
 		return err
 	}
@@ -77,6 +85,9 @@
 	if m.orders, err = radishturn.Require[order.Service](c); err != nil {
 		return err
 	}
+	if m.targets, err = radishturn.Require[fanout.Readiness](c); err != nil {
+		return err
+	}
 	if m.recorder, err = radishturn.Require[burn.Recorder](c); err != nil {
 		return err
 	}
@@ -157,12 +168,20 @@
 	}
 	switch state := m.view.Lease(); state {
 	case view.LeaseHeld, view.LeaseControlLost:
-		return ""
+		return m.missingSnapshots()
 	default:
 		return "lease " + string(state)
 	}
 }
 
+func (m *Module) missingSnapshots() string {
+	whole, collections := m.targets.Snapshots()
+	if whole == collections || (whole > 0 && time.Since(m.started) > startGrace) {
+		return ""
+	}
+	return fmt.Sprintf("whole snapshots of %d of %d collections", whole, collections)
+}
+
 func (m *Module) logReadiness(ctx context.Context) {
 	ticker := time.NewTicker(readinessPoll)
 	defer ticker.Stop()
--- a/pkg/fanout/module.go
+++ b/pkg/fanout/module.go
@@ -75,6 +75,9 @@
 	if err := radishturn.Provide[Readiness](c, m.service); err != nil {
 		return err
 	}
+	if err := radishturn.Provide[Inspector](c, m.service); err != nil {
+		return err
+	}
 	return radishturn.Provide[Explainer](c, m.service)
 }
 
--- a/pkg/fanout/service.go
+++ b/pkg/fanout/service.go
@@ -307,18 +307,19 @@
 
 // Readiness says whether queries can be answered.
 type Readiness interface {
-	// NotReady returns why queries cannot be answered yet, or "".
-	NotReady() string
+	// Snapshots returns how many collections have a whole snapshot, and the
+	// number of collections.
+	Snapshots() (whole, collections int)
 }
 
-// NotReady returns the first collection without a snapshot, or "".
-func (s *Service) NotReady() string {
-	for _, c := range s.settings.Collections {
-		if s.collections[c.ID].plan.Load() == nil {
-			return "no whole snapshot of " + string(c.ID)
+// Snapshots counts the collections with a whole snapshot.
+func (s *Service) Snapshots() (whole, collections int) {
+	for _, c := range s.collections {
+		if c.plan.Load() != nil {
+			whole++
 		}
 	}
-	return ""
+	return whole, len(s.collections)
 }
 
 // inProgress returns the number of queries and orders in progress.
