Grants: slots of a leaf give their rest to different instances

Cause: with a cold load of 2 at each of 3 slots and six instances, the rest was shared by hashing each target on its own, so some instances had no cold load at any slot of a leaf and left it out ('no-target').

Weighed: forwarding leaf requests to instances with a share (the tier of the long-term aim, not built yet) against spreading the rest over the slots; the latter needs no messages and is enough while slots times load reaches the number of instances.

--- a/pkg/grant/share.go
+++ b/pkg/grant/share.go
@@ -7,6 +7,8 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -20,16 +22,16 @@
 	ColdLoad    int
 }
 
-// rank orders the instances for a target by rendezvous hashing: an instance
-// that leaves or joins moves no other instance's place relative to the rest.
-func rank(target model.TargetID, instances []model.InstanceID) []model.InstanceID {
+// rank orders the instances for a leaf by rendezvous hashing: an instance that
+// leaves or joins moves no other instance's place relative to the rest.
+func rank(leaf string, instances []model.InstanceID) []model.InstanceID {
 	type scored struct {
 		id    model.InstanceID
 		score uint64
 	}
 	scores := make([]scored, len(instances))
 	for i, id := range instances {
-		scores[i] = scored{id: id, score: score(target, id)}
+		scores[i] = scored{id: id, score: score(leaf, id)}
 	}
 	slices.SortFunc(scores, func(a, b scored) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
@@ -41,24 +43,27 @@
 	return ranked
 }
 
-func score(target model.TargetID, id model.InstanceID) uint64 {
+func score(leaf string, id model.InstanceID) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	// Digest never returns an error.
-	_, _ = d.WriteString(string(target))
+	_, _ = d.WriteString(leaf)
 	_, _ = d.Write([]byte{0})
 	_, _ = d.WriteString(string(id))
 	return d.Sum64()
 }
 
 // Shares splits the limit of a target over the instances: equal parts, and the
-// rest by rendezvous hashing. Instances without a share are left out.
+// rest by rendezvous hashing of its leaf. Each slot of a leaf gives its rest to
+// the instances after those of the slot before, so that an instance without a
+// share at one slot has one at another. Instances without a share are left out.
 func Shares(target model.TargetID, limit Limit, instances []model.InstanceID) map[model.InstanceID]view.Grant {
 	shares := make(map[model.InstanceID]view.Grant, len(instances))
-	for place, id := range rank(target, instances) {
+	leaf, slot := splitSlot(target)
+	for place, id := range rank(leaf, instances) {
 		g := view.Grant{
-			Connections: part(limit.Connections, place, len(instances)),
-			ColdLoad:    part(limit.ColdLoad, place, len(instances)),
+			Connections: part(limit.Connections, place, slot, len(instances)),
+			ColdLoad:    part(limit.ColdLoad, place, slot, len(instances)),
 		}
 		if g != (view.Grant{}) {
 			shares[id] = g
@@ -67,11 +72,27 @@
 	return shares
 }
 
-// part returns the part of total for one place of n.
-func part(total, place, n int) int {
-	p := total / n
-	if place < total%n {
+// part returns the part of total that slot gives to one place of n.
+func part(total, place, slot, n int) int {
+	p, rest := total/n, total%n
+	first := slot * rest % n
+	if (place-first+n)%n < rest {
 		p++
 	}
 	return p
 }
+
+// splitSlot splits a target's name into its leaf and the number of its slot.
+func splitSlot(target model.TargetID) (leaf string, slot int) {
+	const marker = "/slot-"
+	name, _, _ := strings.Cut(string(target), "@")
+	i := strings.LastIndex(name, marker)
+	if i < 0 {
+		return name, 0
+	}
+	n, err := strconv.Atoi(name[i+len(marker):])
+	if err != nil || n < 0 {
+		return name, 0
+	}
+	return name[:i], n
+}
--- /dev/null
+++ b/pkg/grant/suite_test.go
@@ -0,0 +1,13 @@
+package grant_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestGrant(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "grant")
+}
