Leases and grants: property test over random schedules, and what it found

Cause: a test with holders, the leader's table and ledger, and a network that loses, delays, repeats and reorders (pkg/lease, rapid, fixed seed) found the sum of what holders believe to hold above a target's limit. Each was seen red:

- a delayed renewal of an ended process took the shares of its successor away: a renewal that starts anew now has to answer a challenge, which only a living process can;
- the leader took a lease as alive that the holder had never heard of, so a majority without leases could go on with shares that were given to others: the leader now counts only leases whose replies the holder has answered for;
- an instance that was cut off came back under a new leader with old shares: a holder gives its grants up once it is cut off, and stays cut off until it gets a lease;
- an instance that does not know of new instances took a minority for a majority: answers name the version of the set of instances, and a new instance counts for the leader only after a whole lease time.

Weighed: reserving the shares of dead instances until the platform drops them is simpler, but 'in force' would then wait for the platform's list.

The decisions moved to the pure package granter for this.

--- a/pkg/control/server/admin.go
+++ b/pkg/control/server/admin.go
@@ -68,8 +68,7 @@
 	}
 	n.lock.Lock()
 	defer n.lock.Unlock()
-	n.release()
-	acknowledged, missing := n.table.InForce(r.Revision)
+	acknowledged, missing := n.granter.InForce(n.now(), r.Revision)
 	return &control.InForce{Revision: r.Revision, Acknowledged: acknowledged, Missing: missing}, nil
 }
 
@@ -96,7 +95,7 @@
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	reply := &wire.InstancesReply{}
-	for _, l := range n.table.Leases(n.now()) {
+	for _, l := range n.granter.Leases(n.now()) {
 		reply.Holders = append(reply.Holders, control.Holder{
 			Instance: known[l.Instance], Left: l.Left, Acknowledged: l.Revision,
 		})
--- a/pkg/control/server/evidence.go
+++ b/pkg/control/server/evidence.go
@@ -10,42 +10,28 @@
 	"radishturn.example/radishturn/pkg/view"
 )
 
-// takeEvidence uses what an entry reports, once for each sequence.
+// takeEvidence uses what an entry reports. Deaths are recorded again if the
+// renewal comes again, which changes nothing; the rest is taken once.
 func (n *session) takeEvidence(ctx context.Context, r *wire.Renewal) error {
-	if r.Evidence == nil || !n.firstSight(r) {
+	if r.Evidence == nil {
 		return nil
 	}
 	if err := n.recordDeaths(ctx, r.Evidence.Deaths); err != nil {
 		return err
 	}
+	n.lock.Lock()
+	first := n.granter.TakeEvidence(r)
+	n.lock.Unlock()
+	if !first {
+		return nil
+	}
 	n.noteWarmth(r.Evidence)
-	n.markTaken(r)
 	for _, sink := range n.sinks {
 		sink.Evidence(r.Instance.ID, *r.Evidence)
 	}
 	return nil
 }
 
-// firstSight reports whether the evidence has not been taken. Before the
-// holder's first renewal in this term nothing of it has been taken.
-func (n *session) firstSight(r *wire.Renewal) bool {
-	n.lock.Lock()
-	defer n.lock.Unlock()
-	h := n.holders[r.Instance.ID]
-	return h == nil || h.boot != r.Boot || r.EvidenceSequence > h.evidence
-}
-
-func (n *session) markTaken(r *wire.Renewal) {
-	n.lock.Lock()
-	defer n.lock.Unlock()
-	h := n.holders[r.Instance.ID]
-	if h == nil || h.boot != r.Boot {
-		h = &holder{boot: r.Boot}
-		n.holders[r.Instance.ID] = h
-	}
-	h.evidence = r.EvidenceSequence
-}
-
 // recordDeaths counts deaths in the replicated state; two distinct deaths
 // condemn a fingerprint on all instances. Counting one twice changes nothing.
 func (n *session) recordDeaths(ctx context.Context, deaths []view.Death) error {
--- a/pkg/control/server/limits.go
+++ b/pkg/control/server/limits.go
@@ -35,7 +35,7 @@
 		}
 	}
 	n.warmth.Keep(func(id model.TargetID) bool { _, ok := limits[id]; return ok })
-	n.ledger.SetLimits(limits)
+	n.granter.SetLimits(limits)
 }
 
 func (n *session) limitOf(id model.TargetID, c settings.Collection) grant.Limit {
@@ -58,7 +58,7 @@
 	}
 	for _, t := range n.list.Targets {
 		if _, ok := held[t.ID]; ok {
-			n.warmth.Assume(n.now(), t.ID, n.ledger.Held(t.ID).ColdLoad, start[t.Collection])
+			n.warmth.Assume(n.now(), t.ID, n.granter.Held(t.ID).ColdLoad, start[t.Collection])
 		}
 	}
 	n.setLimits()
--- a/pkg/control/server/session.go
+++ b/pkg/control/server/session.go
@@ -10,11 +10,11 @@
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/grant"
+	"radishturn.example/radishturn/pkg/lease/granter"
 	"radishturn.example/radishturn/pkg/lease/table"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/platform"
 	"radishturn.example/radishturn/pkg/state"
-	"radishturn.example/radishturn/pkg/view"
 )
 
 // session is one term of this instance as leader.
@@ -27,42 +27,24 @@
 	clock   time.Duration
 
 	lock    sync.Mutex
-	table   *table.Table
-	ledger  *grant.Ledger
+	granter *granter.Granter
 	warmth  *grant.Warmth
-	holders map[model.InstanceID]*holder
-	// numbered counts the grant sessions of this term.
-	numbered uint64
 	// list is the platform's list that the limits were taken from.
 	list    *platform.List
 	batches *batcher
 }
 
-// holder is what the session keeps for an instance besides its lease.
-type holder struct {
-	session uint64
-	// evidence is the sequence of the newest evidence that was taken.
-	evidence uint64
-	boot     string
-}
-
 func newSession(s *Server, term uint64) *session {
-	n := &session{
-		Server: s, term: term, started: s.now(),
-		ledger: grant.NewLedger(), warmth: grant.NewWarmth(),
-		holders: make(map[model.InstanceID]*holder),
-	}
-	var known []model.InstanceID
+	n := &session{Server: s, term: term, started: s.now(), warmth: grant.NewWarmth()}
+	var known []table.Known
 	s.machine.Read(func(st *state.State) {
 		n.clock = st.Clock()
 		for id := range st.Instances() {
-			known = append(known, id)
+			recent := n.clock < st.Joined(id)+s.runOut()
+			known = append(known, table.Known{Instance: id, Recent: recent})
 		}
 	})
-	n.table = table.New(n.started, s.runOut(), known)
-	for _, id := range known {
-		n.ledger.Assume(id)
-	}
+	n.granter = granter.New(s.mesh.Self(), term, n.started, s.settings.Lease.Duration.Std(), s.runOut(), known)
 	n.batches = newBatcher(n)
 	n.refreshLimits()
 	return n
@@ -94,13 +76,13 @@
 	if err := n.register(ctx, r.Instance); err != nil {
 		return nil, err
 	}
-	if err := n.takeEvidence(ctx, r); err != nil {
-		return nil, err
-	}
 	reply, err := n.extend(r)
 	if err != nil {
 		return nil, err
 	}
+	if err := n.takeEvidence(ctx, r); err != nil {
+		return nil, err
+	}
 	n.machine.Read(func(s *state.State) { reply.Delta = s.Delta(r.Version) })
 	return reply, nil
 }
@@ -117,69 +99,21 @@
 	return err
 }
 
-// extend takes the renewal into the table and works out the grants.
+// extend grants more time on the lease and works out the grants.
 func (n *session) extend(r *wire.Renewal) (*wire.RenewalReply, error) {
-	id := r.Instance.ID
 	n.lock.Lock()
 	defer n.lock.Unlock()
-	outcome := n.table.Renew(n.now(), table.Renewal{
-		Instance: id, Boot: r.Boot, Sequence: r.Sequence, Version: r.Version, Revision: r.Revision,
-	})
-	switch outcome {
-	case table.Stale:
-		return nil, failure.New(failure.Conflict, failure.NotRun, "renew", string(id), "a newer renewal was taken before")
-	case table.Fresh:
-		n.ledger.Join(id)
-		n.startSession(id, r)
-	case table.First:
-		n.startSession(id, r)
-	}
-	h := n.holders[id]
-	if h.session == r.Session {
-		n.acknowledge(id, r)
+	reply, adopted, err := n.granter.Renew(n.now(), r)
+	if err == nil && len(adopted) > 0 {
+		n.assumeWarmth(adopted)
 	}
-	return &wire.RenewalReply{
-		Leader: n.mesh.Self(), Sequence: r.Sequence, Session: h.session,
-		Report: n.ledger.Unknown(id), Grants: n.ledger.Offer(id),
-	}, nil
-}
-
-func (n *session) startSession(id model.InstanceID, r *wire.Renewal) {
-	n.numbered++
-	h := &holder{session: n.term<<sessionBits | n.numbered, boot: r.Boot}
-	if old := n.holders[id]; old != nil && old.boot == r.Boot {
-		h.evidence = old.evidence
-	}
-	n.holders[id] = h
-}
-
-// sessionBits leaves room for the sessions of one term below the term.
-const sessionBits = 32
-
-func (n *session) acknowledge(id model.InstanceID, r *wire.Renewal) {
-	if !n.ledger.Unknown(id) {
-		n.ledger.Acknowledge(id, r.GrantSequence)
-		return
-	}
-	if !r.Reported {
-		return
-	}
-	held := make(map[model.TargetID]view.Grant, len(r.Held))
-	for _, e := range r.Held {
-		held[e.Target] = e.Grant
-	}
-	n.ledger.Adopt(id, held)
-	n.assumeWarmth(held)
+	return reply, err
 }
 
 // returned ends a lease that was handed back.
 func (n *session) returned(ctx context.Context, r *wire.Return) (*wire.Empty, error) {
 	n.lock.Lock()
-	if h := n.holders[r.Instance]; h == nil || h.boot == r.Boot {
-		n.table.Return(n.now(), r.Instance)
-		n.ledger.Drop(r.Instance)
-		delete(n.holders, r.Instance)
-	}
+	n.granter.Return(n.now(), r.Instance, r.Boot)
 	n.lock.Unlock()
 	_, err := n.propose(ctx, "forget instance", &state.Command{Forget: &state.Forget{Instances: []model.InstanceID{r.Instance}}})
 	return &wire.Empty{}, err
@@ -188,8 +122,10 @@
 // tick releases leases that have run out and follows the platform's list.
 func (n *session) tick(ctx context.Context) {
 	n.lock.Lock()
-	n.release()
-	gone := n.unlisted(n.table.Released())
+	for _, id := range n.granter.Release(n.now()) {
+		events.Emit(events.LeaseRanOut, id)
+	}
+	gone := n.unlisted(n.granter.Released())
 	n.lock.Unlock()
 	n.refreshLimits()
 	if len(gone) > 0 {
@@ -197,14 +133,6 @@
 	}
 }
 
-// release frees the shares of leases that have surely ended. The lock is held.
-func (n *session) release() {
-	for _, id := range n.table.Release(n.now()) {
-		n.ledger.Drop(id)
-		events.Emit(events.LeaseRanOut, id)
-	}
-}
-
 // unlisted returns those of ids that the platform no longer lists.
 func (n *session) unlisted(ids []model.InstanceID) []model.InstanceID {
 	list := n.platform.List()
@@ -227,8 +155,5 @@
 	}
 	n.lock.Lock()
 	defer n.lock.Unlock()
-	for _, id := range ids {
-		n.table.Forget(n.now(), id)
-		delete(n.holders, id)
-	}
+	n.granter.Forget(n.now(), ids)
 }
--- a/pkg/control/wire/wire.go
+++ b/pkg/control/wire/wire.go
@@ -83,6 +83,10 @@
 	// Evidence is sent again under the same EvidenceSequence until a reply comes.
 	EvidenceSequence uint64         `cbor:"10,keyasint,omitempty"`
 	Evidence         *view.Evidence `cbor:"11,keyasint,omitempty"`
+	// Answered is the sequence of the newest renewal whose reply came.
+	Answered uint64 `cbor:"12,keyasint,omitempty"`
+	// Void is set if the holder has no grants and starts anew.
+	Void bool `cbor:"13,keyasint,omitempty"`
 }
 
 // RenewalReply grants the lease for the duration in the settings, counted from
@@ -98,6 +102,9 @@
 	Session uint64       `cbor:"4,keyasint"`
 	Report  bool         `cbor:"5,keyasint,omitempty"`
 	Grants  *grant.Delta `cbor:"6,keyasint,omitempty"`
+	// Challenge is set when no lease was granted: the renewal may be a delayed
+	// one. The next renewal in the given session starts anew.
+	Challenge bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Return hands a lease back.
@@ -106,9 +113,12 @@
 	Boot     string           `cbor:"2,keyasint"`
 }
 
-// HoldsLeaseReply says whether an instance holds a lease.
+// HoldsLeaseReply says how an instance stands with its lease.
 type HoldsLeaseReply struct {
-	Holds bool `cbor:"1,keyasint"`
+	// Lost is set if it held a lease that has run out.
+	Lost bool `cbor:"1,keyasint"`
+	// Membership is the version of the set of instances that it knows.
+	Membership uint64 `cbor:"2,keyasint"`
 }
 
 // OrderResults has one result for each change of an order.
--- /dev/null
+++ b/pkg/lease/fleet_test.go
@@ -0,0 +1,311 @@
+package lease
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"radishturn.example/radishturn/pkg/control/wire"
+	"radishturn.example/radishturn/pkg/grant"
+	"radishturn.example/radishturn/pkg/lease/granter"
+	"radishturn.example/radishturn/pkg/lease/table"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/state"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+const (
+	testDuration = 2000 * time.Millisecond
+	testGrace    = 1000 * time.Millisecond
+	testRunOut   = testDuration + testGrace
+	stepsPerRun  = 400
+)
+
+// world is a fleet under a random schedule: holders with leases, one leader at
+// a time, and a network that loses, delays, duplicates and reorders.
+type world struct {
+	now     time.Duration
+	leader  *granter.Granter
+	term    uint64
+	limits  map[model.TargetID]grant.Limit
+	holders []*testHolder
+	// registered are the instances that the replicated state knows.
+	registered map[model.InstanceID]time.Duration
+	// version grows with each change of registered.
+	version  uint64
+	requests []request
+	replies  []reply
+}
+
+type testHolder struct {
+	*holder
+	boots  int
+	frozen bool
+	// cut holders reach neither the leader nor holders that are not cut.
+	cut bool
+	// sentAt is when the newest renewal was sent.
+	sentAt time.Duration
+}
+
+type request struct {
+	renewal *wire.Renewal
+	sentAt  time.Duration
+}
+
+type reply struct {
+	to     int
+	boot   string
+	sentAt time.Duration
+	reply  *wire.RenewalReply
+}
+
+func instanceOf(i int) model.InstanceID { return model.InstanceID(fmt.Sprintf("e%d", i)) }
+
+func newWorld(t *rapid.T) *world {
+	w := &world{now: 1, limits: make(map[model.TargetID]grant.Limit), registered: make(map[model.InstanceID]time.Duration)}
+	for i := range 3 {
+		id := model.TargetID(fmt.Sprintf("shopfront/svc-01/leaf-1/slot-%d", i))
+		w.limits[id] = grant.Limit{Connections: rapid.IntRange(0, 12).Draw(t, "connections"), ColdLoad: rapid.IntRange(0, 6).Draw(t, "cold")}
+	}
+	for i := range rapid.IntRange(1, 5).Draw(t, "instances") {
+		w.holders = append(w.holders, &testHolder{})
+		w.boot(i)
+	}
+	w.elect()
+	return w
+}
+
+// boot starts a new process of an instance, which holds nothing.
+func (w *world) boot(i int) {
+	h := w.holders[i]
+	h.boots++
+	h.frozen = false
+	h.holder = newHolder(model.Instance{ID: instanceOf(i)}, fmt.Sprintf("%d-%d", i, h.boots), testDuration, testGrace)
+}
+
+// elect ends the leader's term and starts another one.
+func (w *world) elect() {
+	w.term++
+	var known []table.Known
+	for id, at := range w.registered {
+		known = append(known, table.Known{Instance: id, Recent: w.now < at+testRunOut})
+	}
+	w.leader = granter.New("leader", w.term, w.now, testDuration, testRunOut, known)
+	w.leader.SetLimits(w.limits)
+}
+
+func (w *world) send(i int) {
+	h := w.holders[i]
+	if h.frozen {
+		return
+	}
+	h.sentAt = w.now
+	w.requests = append(w.requests, request{renewal: h.next(w.now), sentAt: w.now})
+}
+
+// deliver hands a request to the present leader.
+func (w *world) deliver(r request) {
+	id := r.renewal.Instance.ID
+	for i, h := range w.holders {
+		if instanceOf(i) != id || h.cut {
+			continue
+		}
+		w.register(id)
+		answer, _, err := w.leader.Renew(w.now, r.renewal)
+		if err != nil {
+			return
+		}
+		answer.Delta = w.delta(r.renewal.Version)
+		w.replies = append(w.replies, reply{to: i, boot: r.renewal.Boot, sentAt: r.sentAt, reply: answer})
+	}
+}
+
+func (w *world) register(id model.InstanceID) {
+	if _, ok := w.registered[id]; !ok {
+		w.registered[id] = w.now
+		w.version++
+	}
+}
+
+// delta tells the holders which instances are known.
+func (w *world) delta(version uint64) *state.Delta {
+	if version == w.version {
+		return nil
+	}
+	d := &state.Delta{To: w.version, Membership: w.version}
+	for id := range w.registered {
+		d.Instances = append(d.Instances, model.Instance{ID: id})
+	}
+	return d
+}
+
+func (w *world) receive(r reply) {
+	h := w.holders[r.to]
+	if h.boot == r.boot && !h.frozen && !h.cut {
+		h.take(w.now, r.sentAt, r.reply)
+	}
+}
+
+// poll lets a holder whose lease has run out ask those it can reach.
+func (w *world) poll(i int) {
+	h := w.holders[i]
+	if h.frozen || h.times.state(w.now) == view.LeaseHeld {
+		return
+	}
+	p := h.newPoll(w.now)
+	for _, other := range h.view.Instances {
+		for j, o := range w.holders {
+			if instanceOf(j) == other.ID && !o.frozen && o.cut == h.cut {
+				p.count(o.answer(w.now))
+			}
+		}
+	}
+	h.takePoll(w.now, p)
+}
+
+// check fails if the holders believe to hold more of a target than it bears.
+func (w *world) check(t *rapid.T) {
+	for id, limit := range w.limits {
+		sum := view.Grant{}
+		for _, h := range w.holders {
+			if s := h.times.state(w.now); s == view.LeaseHeld || s == view.LeaseControlLost {
+				sum.Connections += h.view.Grants[id].Connections
+				sum.ColdLoad += h.view.Grants[id].ColdLoad
+			}
+		}
+		if sum.Connections > limit.Connections || sum.ColdLoad > limit.ColdLoad {
+			t.Fatalf("%s bears %+v, held %+v", id, limit, sum)
+		}
+	}
+}
+
+// take removes and returns a random message; repeat leaves it in place, so
+// that it is delivered again.
+func pick[T any](t *rapid.T, from *[]T) (T, bool) {
+	var none T
+	if len(*from) == 0 {
+		return none, false
+	}
+	i := rapid.IntRange(0, len(*from)-1).Draw(t, "message")
+	m := (*from)[i]
+	if !rapid.Bool().Draw(t, "repeat") {
+		*from = append((*from)[:i], (*from)[i+1:]...)
+	}
+	return m, true
+}
+
+// roundTrip renews without loss, as most renewals do.
+func (w *world) roundTrip(i int) {
+	w.send(i)
+	if w.holders[i].frozen {
+		return
+	}
+	before := len(w.replies)
+	w.deliver(w.requests[len(w.requests)-1])
+	w.requests = w.requests[:len(w.requests)-1]
+	if len(w.replies) > before {
+		w.receive(w.replies[len(w.replies)-1])
+		w.replies = w.replies[:len(w.replies)-1]
+	}
+}
+
+// action is one kind of step; a larger weight makes it more frequent.
+type action struct {
+	weight int
+	run    func(w *world, t *rapid.T, i int)
+}
+
+var actions = []action{
+	{30, func(w *world, _ *rapid.T, i int) { w.roundTrip(i) }},
+	{8, func(w *world, _ *rapid.T, _ int) { w.roundTrips() }},
+	{22, func(w *world, t *rapid.T, _ int) { w.pass(rapid.IntRange(1, 900).Draw(t, "ms")) }},
+	{8, func(w *world, _ *rapid.T, i int) { w.send(i) }},
+	{10, func(w *world, t *rapid.T, _ int) {
+		if r, ok := pick(t, &w.requests); ok {
+			w.deliver(r)
+		}
+	}},
+	{10, func(w *world, t *rapid.T, _ int) {
+		if r, ok := pick(t, &w.replies); ok {
+			w.receive(r)
+		}
+	}},
+	{3, func(w *world, _ *rapid.T, i int) { w.holders[i].frozen = !w.holders[i].frozen }},
+	{3, func(w *world, _ *rapid.T, i int) { w.holders[i].cut = !w.holders[i].cut }},
+	{1, func(w *world, _ *rapid.T, i int) { w.boot(i) }},
+	{4, func(w *world, _ *rapid.T, _ int) { w.polls() }},
+	{1, func(w *world, _ *rapid.T, _ int) { w.elect() }},
+	{1, func(w *world, _ *rapid.T, i int) { w.handBack(i) }},
+}
+
+// pass lets time go by; the leader looks for leases that have run out.
+func (w *world) pass(ms int) {
+	w.now += time.Duration(ms) * time.Millisecond
+	w.leader.Release(w.now)
+}
+
+// step does one random thing.
+func (w *world) step(t *rapid.T) {
+	total := 0
+	for _, a := range actions {
+		total += a.weight
+	}
+	n := rapid.IntRange(0, total-1).Draw(t, "action")
+	i := rapid.IntRange(0, len(w.holders)-1).Draw(t, "instance")
+	for _, a := range actions {
+		if n -= a.weight; n < 0 {
+			a.run(w, t, i)
+			return
+		}
+	}
+}
+
+func (w *world) roundTrips() {
+	for i := range w.holders {
+		w.roundTrip(i)
+	}
+}
+
+func (w *world) polls() {
+	for i := range w.holders {
+		w.poll(i)
+	}
+}
+
+// handBack returns a lease and starts a new process.
+func (w *world) handBack(i int) {
+	h := w.holders[i]
+	if h.frozen || h.cut {
+		return
+	}
+	w.leader.Return(w.now, instanceOf(i), h.boot)
+	delete(w.registered, instanceOf(i))
+	w.version++
+	w.boot(i)
+}
+
+func TestGrantsNeverPassALimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for range stepsPerRun {
+			w.step(t)
+			w.check(t)
+		}
+	})
+}
+
+// TestMain fixes the seed, so that each run has the same verdict; -rapid.seed
+// chooses another one.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "3000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -45,10 +45,12 @@
 	duration time.Duration
 	grace    time.Duration
 
-	times    times
-	view     *view.View
-	version  uint64
-	sequence uint64
+	times   times
+	view    *view.View
+	version uint64
+	// membership is the version of the set of instances in the view.
+	membership uint64
+	sequence   uint64
 	// applied is the sequence of the newest renewal whose reply was taken.
 	applied uint64
 
@@ -56,19 +58,24 @@
 	grantSequence uint64
 	// report is set while the leader wants to know what is held.
 	report bool
+	// void is set while the holder surely holds no grants: at the start, and
+	// after it was cut off, when others may have got what it held.
+	void bool
 }
 
 func newHolder(self model.Instance, boot string, duration, grace time.Duration) *holder {
-	return &holder{self: self, boot: boot, duration: duration, grace: grace, view: &view.View{}}
+	return &holder{self: self, boot: boot, duration: duration, grace: grace, view: &view.View{}, void: true}
 }
 
 // next returns the next renewal.
-func (h *holder) next() *wire.Renewal {
+func (h *holder) next(now time.Duration) *wire.Renewal {
+	h.dropIfCutOff(now)
 	h.sequence++
 	r := &wire.Renewal{
 		Instance: h.self, Boot: h.boot, Sequence: h.sequence,
 		Version: h.version, Revision: h.view.Revision,
-		Session: h.session, GrantSequence: h.grantSequence,
+		Session: h.session, GrantSequence: h.grantSequence, Answered: h.applied,
+		Void: h.void,
 	}
 	if h.report {
 		r.Reported = true
@@ -77,6 +84,15 @@
 	return r
 }
 
+// dropIfCutOff gives up all grants once the instance has been cut off.
+func (h *holder) dropIfCutOff(now time.Duration) {
+	if h.times.state(now) == view.LeaseCutOff && !h.void {
+		h.void = true
+		h.session, h.grantSequence, h.report = 0, 0, false
+		h.setGrants(nil)
+	}
+}
+
 func (h *holder) held() []grant.Entry {
 	held := make([]grant.Entry, 0, len(h.view.Grants))
 	for t, g := range h.view.Grants {
@@ -87,19 +103,28 @@
 
 // take applies the reply to a renewal that was sent at the given time. It
 // reports whether the view changed. A reply to an older renewal than the newest
-// one that was answered changes nothing.
-func (h *holder) take(sent time.Duration, r *wire.RenewalReply) bool {
-	if r.Sequence <= h.applied || r.Sequence > h.sequence {
-		return false
+// one that was answered changes nothing, and nor does one to an older renewal
+// than the newest one that was sent while the holder has no grants.
+func (h *holder) take(now, sent time.Duration, r *wire.RenewalReply) bool {
+	before := h.view
+	wasVoid := h.void
+	h.dropIfCutOff(now)
+	if r.Sequence <= h.applied || r.Sequence > h.sequence || wasVoid && r.Sequence != h.sequence {
+		return h.view != before
 	}
 	h.applied = r.Sequence
-	h.times.until = max(h.times.until, sent+h.duration)
-	h.times.graceUntil = h.times.until + h.grace
-	before := h.view
+	if h.void && !wasVoid {
+		return true
+	}
+	if !r.Challenge {
+		h.times.until = max(h.times.until, sent+h.duration)
+		h.times.graceUntil = h.times.until + h.grace
+		h.void = false
+	}
 	h.takeGrants(r)
 	if d := r.Delta; d != nil && (d.Whole() || d.From == h.version) && d.To >= h.version {
 		h.view = merge(h.view, d)
-		h.version = d.To
+		h.version, h.membership = d.To, d.Membership
 	}
 	return h.view != before
 }
@@ -138,45 +163,55 @@
 }
 
 // answer is what one instance said about its lease.
-type answer int
-
-const (
-	noAnswer answer = iota
-	holdsLease
-	lacksLease
-)
+type answer struct {
+	reached bool
+	// lost is set if it held a lease that has run out.
+	lost bool
+	// membership is the version of the set of instances that it knows.
+	membership uint64
+}
 
-func answerOf(holds bool) answer {
-	if holds {
-		return holdsLease
+// answer is what this instance tells those who ask.
+func (h *holder) answer(now time.Duration) answer {
+	s := h.times.state(now)
+	return answer{
+		reached: true, lost: s == view.LeaseControlLost || s == view.LeaseCutOff, membership: h.membership,
 	}
-	return lacksLease
 }
 
 // poll is what the known instances said about their leases.
 type poll struct {
 	// asked is when the first of them was asked.
 	asked time.Duration
+	// membership is the version of the set of instances that was asked.
+	membership uint64
 	// known, reached and without count the known instances, those that
-	// answered, and those that hold no lease, this one included.
+	// answered, and those that have lost their lease, this one included.
 	known, reached, without int
 }
 
+func (h *holder) newPoll(now time.Duration) poll {
+	return poll{asked: now, membership: h.membership, known: len(h.view.Instances)}
+}
+
+// count adds an answer. An instance that knows a newer set had a lease after
+// this one lost its own, so it proves nothing about the majority of this set.
 func (p *poll) count(a answer) {
-	if a != noAnswer {
+	if a.reached {
 		p.reached++
 	}
-	if a == lacksLease {
+	if a.lost && a.membership <= p.membership {
 		p.without++
 	}
 }
 
-// lost reports whether a majority of the known instances holds no lease.
+// lost reports whether a majority of the known instances has lost its lease.
 func (p poll) lost() bool { return 2*p.without > p.known }
 
 // takePoll notes a finding that control is lost. It holds for one lease time.
-func (h *holder) takePoll(p poll) {
-	if p.lost() {
+// A holder that was cut off stays so: it may have missed changes by then.
+func (h *holder) takePoll(now time.Duration, p poll) {
+	if p.lost() && h.times.state(now) != view.LeaseCutOff {
 		h.times.controlLostUntil = max(h.times.controlLostUntil, p.asked+h.duration)
 	}
 }
--- a/pkg/lease/module.go
+++ b/pkg/lease/module.go
@@ -133,5 +133,8 @@
 }
 
 func (m *Module) serveHoldsLease(context.Context, model.InstanceID, *wire.Empty) (*wire.HoldsLeaseReply, error) {
-	return &wire.HoldsLeaseReply{Holds: m.Lease() == view.LeaseHeld}, nil
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	a := m.holder.answer(m.now())
+	return &wire.HoldsLeaseReply{Lost: a.lost, Membership: a.membership}, nil
 }
--- a/pkg/lease/renew.go
+++ b/pkg/lease/renew.go
@@ -96,7 +96,7 @@
 			m.evidenceSequence++
 		}
 	}
-	r := m.holder.next()
+	r := m.holder.next(m.now())
 	r.Evidence, r.EvidenceSequence = m.evidence, m.evidenceSequence
 	return r
 }
@@ -107,19 +107,19 @@
 	m.evidence = nil
 	held := m.times.Load().state(m.now()) == view.LeaseHeld
 	revision := m.holder.view.Revision
-	changed := m.holder.take(sent, reply)
+	changed := m.holder.take(m.now(), sent, reply)
 	if changed {
 		m.learnPeers()
 		m.views.Publish(m.holder.view)
 	}
 	m.publishTimes()
-	if !held {
+	if !held && !reply.Challenge {
 		events.Emit(events.LeaseGranted, reply.Leader, m.holder.view.Revision)
 	}
 	if m.holder.view.Revision != revision {
 		events.Emit(events.RulesInForce, m.holder.view.Revision)
 	}
-	if changed || m.holder.report {
+	if changed || m.holder.report || reply.Challenge {
 		m.wakeUp()
 	}
 }
@@ -166,8 +166,10 @@
 func (m *Module) poll(ctx context.Context) poll {
 	ctx, cancel := context.WithTimeout(ctx, m.settings.Renew.Std()/2)
 	defer cancel()
-	instances := m.View().Instances
-	p := poll{asked: m.now(), known: len(instances)}
+	m.mu.Lock()
+	p := m.holder.newPoll(m.now())
+	instances := m.holder.view.Instances
+	m.mu.Unlock()
 	answers := make(chan answer, len(instances))
 	for _, i := range instances {
 		go func() { answers <- m.ask(ctx, i.ID) }()
@@ -177,21 +179,18 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.holder.takePoll(p)
+	m.holder.takePoll(m.now(), p)
 	m.publishTimes()
 	return p
 }
 
-// ask asks an instance whether it holds a lease.
+// ask asks an instance how it stands with its lease.
 func (m *Module) ask(ctx context.Context, id model.InstanceID) answer {
-	if id == m.mesh.Self() {
-		return answerOf(m.Lease() == view.LeaseHeld)
-	}
 	reply, err := mesh.Call[wire.Empty, wire.HoldsLeaseReply](ctx, m.mesh, id, wire.KindHoldsLease, &wire.Empty{})
 	if err != nil {
-		return noAnswer
+		return answer{}
 	}
-	return answerOf(reply.Holds)
+	return answer{reached: true, lost: reply.Lost, membership: reply.Membership}
 }
 
 func announce(now view.LeaseState, p poll) {
--- a/pkg/lease/table/table.go
+++ b/pkg/lease/table/table.go
@@ -7,9 +7,11 @@
 // leader received it, so the holder is never the later one.
 //
 // A holder that has run out may still answer queries if it finds that a
-// majority of the known instances has no lease either. Therefore the table
-// releases it only while at least half of the known instances have held leases
-// for a whole lease time: then no majority without leases can exist.
+// majority of the known instances has lost its lease too. Therefore the table
+// releases it only while at least half of the known instances have surely held
+// leases for a whole lease time: then no such majority can exist. An instance
+// counts among these once it has been known for a whole lease time, since one
+// that was cut off before does not count it in its majority.
 package table
 
 import (
@@ -27,19 +29,45 @@
 	Boot string
 	// Sequence grows with each renewal of one process.
 	Sequence uint64
-	// Version and Revision are what the holder has in force.
-	Version  uint64
+	// Answered is the sequence of the newest renewal whose reply the holder has.
+	Answered uint64
 	Revision model.Revision
 }
 
+// Known is an instance that may hold a lease from an earlier leader.
+type Known struct {
+	Instance model.InstanceID
+	// Recent is set if it was recorded less than a whole lease time ago.
+	Recent bool
+}
+
 // Table holds the leases of one leader's term.
 type Table struct {
-	// runOut is how long after a renewal a lease may still be in use.
-	runOut  time.Duration
-	holders map[model.InstanceID]*holder
-	// quorate is set while at least half of the holders are live.
-	quorate      bool
-	quorateSince time.Duration
+	// duration is the lease time, and runOut how long after a renewal the lease
+	// may still be in use.
+	duration, runOut time.Duration
+	holders          map[model.InstanceID]*holder
+	// most holds while at least half of all holders surely have leases, and
+	// core while half of those that are not new do.
+	most, core condition
+}
+
+// condition is something that holds since a moment.
+type condition struct {
+	holds bool
+	since time.Duration
+}
+
+func (c *condition) set(now time.Duration, holds bool) {
+	if holds && !c.holds {
+		c.since = now
+	}
+	c.holds = holds
+}
+
+// heldFor reports whether the condition has held since start for a time.
+func (c *condition) heldFor(now, start, d time.Duration) bool {
+	return c.holds && now >= max(c.since, start)+d
 }
 
 type holder struct {
@@ -51,14 +79,32 @@
 	received time.Duration
 	// released is set once the lease has surely ended.
 	released bool
+	// joined is when the instance became known; fresh is set until it counts.
+	joined time.Duration
+	fresh  bool
+	// confirmed is until when the holder surely has a lease on its own clock.
+	confirmed time.Duration
+	// recent are the newest renewals, oldest first.
+	recent []received
+}
+
+// received is a renewal that came in at a time.
+type received struct {
+	sequence, answered uint64
+	at                 time.Duration
 }
 
+// maxRecent bounds the renewals that are remembered for each holder.
+const maxRecent = 8
+
 // New returns the table of a leader that takes office now. Each known instance
 // may hold a lease from a predecessor for runOut from now.
-func New(now, runOut time.Duration, known []model.InstanceID) *Table {
-	t := &Table{runOut: runOut, holders: make(map[model.InstanceID]*holder, len(known))}
-	for _, id := range known {
-		t.holders[id] = &holder{Renewal: Renewal{Instance: id}, received: now}
+func New(now, duration, runOut time.Duration, known []Known) *Table {
+	t := &Table{duration: duration, runOut: runOut, holders: make(map[model.InstanceID]*holder, len(known))}
+	for _, k := range known {
+		t.holders[k.Instance] = &holder{
+			Renewal: Renewal{Instance: k.Instance}, received: now, joined: now, fresh: k.Recent,
+		}
 	}
 	t.update(now)
 	return t
@@ -92,14 +138,59 @@
 		outcome = First
 	case h.Boot != r.Boot:
 		outcome = Fresh
-	case r.Sequence <= h.Sequence:
+	case r.Sequence < h.Sequence:
 		return Stale
 	}
-	t.holders[r.Instance] = &holder{Renewal: r, heard: true, received: now}
+	t.store(now, h, r, outcome)
 	t.update(now)
 	return outcome
 }
 
+func (t *Table) store(now time.Duration, old *holder, r Renewal, outcome Outcome) {
+	next := &holder{joined: now, fresh: true}
+	if old != nil {
+		next.joined, next.fresh = old.joined, old.fresh
+	}
+	if outcome == Renewed {
+		next.confirmed, next.recent = old.confirmed, old.recent
+	}
+	next.Renewal, next.heard, next.received = r, true, now
+	next.confirm(now, t.duration)
+	t.holders[r.Instance] = next
+}
+
+// confirm works out until when the holder surely has a lease. The reply to
+// renewal n gives a lease from when n was sent, which was after the holder had
+// the reply that n names as answered, and so after that renewal came in here.
+func (h *holder) confirm(now, duration time.Duration) {
+	recent := append(slices.Clone(h.recent), received{sequence: h.Sequence, answered: h.Answered, at: now})
+	h.recent = recent[max(0, len(recent)-maxRecent):]
+	if n, ok := h.find(h.Answered); ok {
+		if before, ok := h.find(n.answered); ok {
+			h.confirmed = max(h.confirmed, before.at+duration)
+		}
+	}
+}
+
+func (h *holder) find(sequence uint64) (received, bool) {
+	for _, r := range h.recent {
+		if r.sequence == sequence {
+			return r, true
+		}
+	}
+	return received{}, false
+}
+
+// Boot returns the process that may hold the instance's lease, if this leader
+// has heard of it.
+func (t *Table) Boot(id model.InstanceID) (string, bool) {
+	h, ok := t.holders[id]
+	if !ok || !h.heard || h.released {
+		return "", false
+	}
+	return h.Boot, true
+}
+
 // Return ends the lease of a holder that handed it back.
 func (t *Table) Return(now time.Duration, id model.InstanceID) {
 	t.update(now)
@@ -118,26 +209,33 @@
 	return !h.released && now < h.received+runOut
 }
 
-// update notes whether at least half of the holders are live.
+// update notes whether enough holders surely have leases, and which instances
+// have been known for long enough to count.
 func (t *Table) update(now time.Duration) {
-	live := 0
+	live, old := 0, 0
 	for _, h := range t.holders {
-		if h.heard && h.alive(now, t.runOut) {
+		if h.fresh {
+			continue
+		}
+		old++
+		if !h.released && now < h.confirmed {
 			live++
 		}
 	}
-	quorate := 2*live >= len(t.holders)
-	if quorate && !t.quorate {
-		t.quorateSince = now
+	t.most.set(now, 2*live >= len(t.holders))
+	t.core.set(now, 2*live >= old)
+	for _, h := range t.holders {
+		if h.fresh && t.core.heldFor(now, h.joined, t.runOut) {
+			h.fresh = false
+		}
 	}
-	t.quorate = quorate
 }
 
 // Release returns the holders whose leases have surely ended since the last
 // call, in order.
 func (t *Table) Release(now time.Duration) []model.InstanceID {
 	t.update(now)
-	if !t.quorate || now < t.quorateSince+t.runOut {
+	if !t.most.heldFor(now, 0, t.runOut) {
 		return nil
 	}
 	var released []model.InstanceID
--- a/pkg/state/delta.go
+++ b/pkg/state/delta.go
@@ -34,6 +34,8 @@
 	Lifted      []model.Fingerprint        `cbor:"13,keyasint,omitempty"`
 	Instances   []model.Instance           `cbor:"14,keyasint,omitempty"`
 	Gone        []model.InstanceID         `cbor:"15,keyasint,omitempty"`
+	// Membership is the version of the set of instances.
+	Membership uint64 `cbor:"16,keyasint"`
 }
 
 // MoveEntry is a move as entries need it.
@@ -112,7 +114,7 @@
 	if version == s.data.Version && version != 0 {
 		return nil
 	}
-	d := &Delta{From: version, To: s.data.Version, Revision: s.Newest().Revision}
+	d := &Delta{From: version, To: s.data.Version, Revision: s.Newest().Revision, Membership: s.data.Membership}
 	keys, ok := s.log.since(version)
 	if version == 0 || version > s.data.Version || !ok {
 		d.From = 0
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -39,8 +39,12 @@
 	Suspects    map[model.Fingerprint]suspect            `cbor:"5,keyasint"`
 	Quarantined map[model.Fingerprint]control.Quarantine `cbor:"6,keyasint"`
 	Instances   map[model.InstanceID]model.Instance      `cbor:"7,keyasint"`
-	Claims      map[OrderKey]ClaimRecord                 `cbor:"-"`
-	ClaimList   []claimEntry                             `cbor:"8,keyasint"`
+	// Joined is the age of the group at which each instance was recorded.
+	Joined map[model.InstanceID]time.Duration `cbor:"9,keyasint"`
+	// Membership is the version of the newest change of the set of instances.
+	Membership uint64                   `cbor:"10,keyasint"`
+	Claims     map[OrderKey]ClaimRecord `cbor:"-"`
+	ClaimList  []claimEntry             `cbor:"8,keyasint"`
 }
 
 // New returns the empty state.
@@ -50,6 +54,7 @@
 		Suspects:    make(map[model.Fingerprint]suspect),
 		Quarantined: make(map[model.Fingerprint]control.Quarantine),
 		Instances:   make(map[model.InstanceID]model.Instance),
+		Joined:      make(map[model.InstanceID]time.Duration),
 		Claims:      make(map[OrderKey]ClaimRecord),
 	}}
 }
@@ -163,6 +168,10 @@
 	if !ok && len(s.data.Instances) >= MaxInstances {
 		return &Result{Refusal: refuse(failure.Overloaded, "%d instances are known already", MaxInstances)}
 	}
+	if !ok {
+		s.data.Joined[i.ID] = s.data.Clock
+		s.data.Membership = index
+	}
 	s.data.Instances[i.ID] = i
 	s.changed(index, itemKey{kind: itemInstance, name: string(i.ID)})
 	return &Result{}
@@ -172,6 +181,8 @@
 	for _, id := range ids {
 		if _, ok := s.data.Instances[id]; ok {
 			delete(s.data.Instances, id)
+			delete(s.data.Joined, id)
+			s.data.Membership = index
 			s.changed(index, itemKey{kind: itemInstance, name: string(id)})
 		}
 	}
@@ -204,6 +215,9 @@
 // Clock returns the age of the group as of the newest command.
 func (s *State) Clock() time.Duration { return s.data.Clock }
 
+// Joined returns the age of the group at which an instance was recorded.
+func (s *State) Joined(id model.InstanceID) time.Duration { return s.data.Joined[id] }
+
 // Instances returns a copy of the known instances.
 func (s *State) Instances() map[model.InstanceID]model.Instance {
 	return maps.Clone(s.data.Instances)
