--- a/pkg/replica/node.go
+++ b/pkg/replica/node.go
@@ -20,8 +20,8 @@
 	queuedProposals = 4096
 	// queuedDeliveries bounds the deliveries of peers that wait for the loop.
 	queuedDeliveries = 256
-	// maxBatch bounds the proposals that share one sync.
-	maxBatch = 1024
+	// defaultMaxBatch is the default of Options.MaxBatch.
+	defaultMaxBatch = 1024
 	// defaultSnapshotEvery is the number of entries between snapshots.
 	defaultSnapshotEvery = 4096
 )
@@ -38,6 +38,8 @@
 	Heartbeat       time.Duration
 	// SnapshotEvery is the number of log entries between snapshots.
 	SnapshotEvery int
+	// MaxBatch bounds the proposals that share one sync.
+	MaxBatch int
 	// Clock returns the time since a fixed origin on the monotonic clock.
 	Clock func() time.Duration
 	// Jitter returns a random duration in [0, limit).
@@ -52,6 +54,9 @@
 	if o.SnapshotEvery == 0 {
 		o.SnapshotEvery = defaultSnapshotEvery
 	}
+	if o.MaxBatch == 0 {
+		o.MaxBatch = defaultMaxBatch
+	}
 	if o.Jitter == nil {
 		o.Jitter = func(limit time.Duration) time.Duration { return rand.N(limit) }
 	}
--- a/pkg/replica/proposals.go
+++ b/pkg/replica/proposals.go
@@ -98,7 +98,7 @@
 		if p.settle() {
 			batch = append(batch, p)
 		}
-		if len(batch) == maxBatch {
+		if len(batch) == n.opts.MaxBatch {
 			return batch
 		}
 		select {
