Mesh: peers learn at once that a process has restarted; capacity run

Cause: 'members replace' after a lost disk ran into the 10 s of the command line. A peer that was killed and restarted answers packets of the old connection with nothing, so a peer waits for its idle timeout of 10 s.

Change: a stateless reset key that follows from the private key, so that the new process can reset its predecessor's connections; idle timeout 4 s.

--- a/pkg/control/server/admin.go
+++ b/pkg/control/server/admin.go
@@ -128,11 +128,16 @@
 	return &wire.Empty{}, n.proposer.AddLearner(ctx, m)
 }
 
+// replaceMember adds the new disk as a learner if it is not one, so that an
+// operator repairs a lost disk with one command.
 func (n *session) replaceMember(ctx context.Context, r *wire.Replace) (*wire.Empty, error) {
 	next, err := n.disk(ctx, r.Next)
 	if err != nil {
 		return nil, err
 	}
+	if err := n.proposer.AddLearner(ctx, next); err != nil {
+		return nil, err
+	}
 	return &wire.Empty{}, n.proposer.Replace(ctx, r.Old, next)
 }
 
--- a/pkg/keys/tls.go
+++ b/pkg/keys/tls.go
@@ -1,6 +1,8 @@
 package keys
 
 import (
+	"crypto/hkdf"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
@@ -53,6 +55,22 @@
 	return err
 }
 
+// DeriveSecret returns a secret for one purpose. It follows from the private
+// key alone, so a process that restarts derives the same one.
+func (c *Credentials) DeriveSecret(purpose string) ([32]byte, error) {
+	var secret [32]byte
+	key, err := x509.MarshalPKCS8PrivateKey(c.pair.PrivateKey)
+	if err != nil {
+		return secret, fmt.Errorf("derive secret for %s: %w", purpose, err)
+	}
+	derived, err := hkdf.Key(sha256.New, key, nil, purpose, len(secret))
+	if err != nil {
+		return secret, fmt.Errorf("derive secret for %s: %w", purpose, err)
+	}
+	copy(secret[:], derived)
+	return secret, nil
+}
+
 // Name returns the holder's name.
 func (c *Credentials) Name() string { return c.pair.Leaf.Subject.CommonName }
 
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -82,6 +82,36 @@
 		Expect(failure.RanOf(err)).To(Equal(failure.NotRun))
 	})
 
+	It("reaches a peer that restarted at the same address with the next call but one", func() {
+		a := start(ctx, issue(folder, folder, "a", keys.RoleInstance))
+		credentials := issue(folder, folder, "b", keys.RoleInstance)
+		// listen starts b as a process that may be killed.
+		listen := func(address netip.AddrPort) *mesh.QUIC {
+			m, err := mesh.Listen(address, credentials, false)
+			Expect(err).NotTo(HaveOccurred())
+			mesh.Handle(m, greet, func(context.Context, model.InstanceID, *greeting) (*greeting, error) {
+				return &greeting{Text: "here"}, nil
+			})
+			go func() { _ = m.Run(ctx) }()
+			return m
+		}
+		first := listen(loopback)
+		address := first.Address()
+		a.SetPeer("b", address)
+		greetB := func() error {
+			ctx, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			_, err := mesh.Call[greeting, greeting](ctx, a, "b", greet, &greeting{Text: "hello"})
+			return err
+		}
+		Expect(greetB()).To(Succeed())
+		first.Abandon()
+		DeferCleanup(listen(address).Close)
+		// The first call learns by a reset that the old connection is gone.
+		_ = greetB()
+		Expect(greetB()).To(Succeed())
+	})
+
 	It("proves that a request to an unknown peer was not run", func() {
 		a := start(ctx, issue(folder, folder, "a", keys.RoleInstance))
 		_, err := mesh.Call[greeting, greeting](ctx, a, "nobody", greet, &greeting{Text: "hello"})
--- a/pkg/mesh/quic.go
+++ b/pkg/mesh/quic.go
@@ -28,8 +28,12 @@
 	maxStreams = 1024
 	// handshakeTimeout bounds the time to reach a peer.
 	handshakeTimeout = 2 * time.Second
-	idleTimeout      = 10 * time.Second
-	keepAlive        = 3 * time.Second
+	// idleTimeout is the silence after which a connection counts as lost.
+	idleTimeout = 4 * time.Second
+	keepAlive   = time.Second
+	// resetPurpose names the secret by which a process that has restarted tells
+	// peers that the connections of its predecessor are gone.
+	resetPurpose = "radishturn stateless reset"
 	// serveTimeout bounds the time that a peer's request may take here.
 	serveTimeout = 30 * time.Second
 )
@@ -79,11 +83,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	resetKey, err := credentials.DeriveSecret(resetPurpose)
+	if err != nil {
+		return nil, errors.Join(err, socket.Close())
+	}
 	m := &QUIC{
 		self:        model.InstanceID(credentials.Name()),
 		credentials: credentials,
 		socket:      socket,
-		transport:   &quic.Transport{Conn: socket},
+		transport:   &quic.Transport{Conn: socket, StatelessResetKey: (*quic.StatelessResetKey)(&resetKey)},
 		dispatcher:  dispatcher{handlers: make(map[Kind]Handler)},
 		peers:       make(map[model.InstanceID]*peer),
 	}
--- /dev/null
+++ b/proofs/capacity_test.go
@@ -0,0 +1,190 @@
+//go:build proofs
+
+package proofs
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/control/route"
+	"radishturn.example/radishturn/pkg/keys"
+	"radishturn.example/radishturn/pkg/lease"
+	"radishturn.example/radishturn/pkg/mesh"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/settings"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+const (
+	// capacityWindow is how long each size is watched at rest.
+	capacityWindow = 10 * time.Second
+	// capacityChanges is the number of changes of the rules at each size.
+	capacityChanges = 20
+	ticksPerSecond  = 100
+	certificateLife = time.Hour
+)
+
+// lightHolder holds a lease as an instance does, without serving anybody.
+type lightHolder struct {
+	mesh  *mesh.QUIC
+	lease *lease.Module
+}
+
+// startHolders adds count light holders to the fleet, in this process.
+func (f *fleet) startHolders(ctx context.Context, count int) []*lightHolder {
+	GinkgoHelper()
+	authority, err := keys.LoadAuthority(f.folder + "/keys")
+	Expect(err).NotTo(HaveOccurred())
+	base, err := settings.Load(f.settings(instances))
+	Expect(err).NotTo(HaveOccurred())
+	holders := make([]*lightHolder, count)
+	for i := range holders {
+		holders[i] = f.startHolder(ctx, authority, *base, i)
+	}
+	return holders
+}
+
+func (f *fleet) startHolder(ctx context.Context, authority *keys.Authority, s settings.Settings, i int) *lightHolder {
+	GinkgoHelper()
+	id := fmt.Sprintf("h%04d", i)
+	Expect(authority.Issue(f.folder+"/keys", id, keys.RoleInstance, certificateLife)).To(Succeed())
+	credentials, err := keys.Load(keys.Files{
+		Authority:   f.folder + "/keys/" + keys.AuthorityCertificateFile,
+		Certificate: f.folder + "/keys/" + id + ".pem",
+		Key:         f.folder + "/keys/" + id + ".key",
+	})
+	Expect(err).NotTo(HaveOccurred())
+	m, err := mesh.Listen(netip.MustParseAddrPort("127.0.0.1:0"), credentials, false)
+	Expect(err).NotTo(HaveOccurred())
+	for _, p := range s.Peers[:members] {
+		m.SetPeer(p.ID, p.MeshAddress)
+	}
+	s.Instance.ID = model.InstanceID(id)
+	s.Instance.MeshListen = m.Address()
+	h := &lightHolder{mesh: m, lease: lease.New(&s, m, route.New(m, func() []model.InstanceID { return s.Control.Members }))}
+	go func() { _ = m.Run(ctx) }()
+	go func() { _ = h.lease.Run(ctx) }()
+	return h
+}
+
+// usage is what a process has used.
+type usage struct {
+	cpu      time.Duration
+	resident int64
+	in, out  int64
+}
+
+// usage reads the kernel's counters of an instance and those of its forwarder.
+func (f *fleet) usage(n int) usage {
+	GinkgoHelper()
+	folder := filepath.Join("/proc", strconv.Itoa(f.process(n).command.Process.Pid))
+	stat, err := os.ReadFile(filepath.Join(folder, "stat"))
+	Expect(err).NotTo(HaveOccurred())
+	// The fields after the name in brackets; user and system time are the 14th and 15th.
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	user, err := strconv.ParseInt(fields[11], 10, 64)
+	Expect(err).NotTo(HaveOccurred())
+	system, err := strconv.ParseInt(fields[12], 10, 64)
+	Expect(err).NotTo(HaveOccurred())
+	statm, err := os.ReadFile(filepath.Join(folder, "statm"))
+	Expect(err).NotTo(HaveOccurred())
+	pages, err := strconv.ParseInt(strings.Fields(string(statm))[1], 10, 64)
+	Expect(err).NotTo(HaveOccurred())
+	u := usage{cpu: time.Duration(user+system) * time.Second / ticksPerSecond, resident: pages * int64(os.Getpagesize())}
+	u.in, u.out = f.network.total(n)
+	return u
+}
+
+func (f *fleet) leader() int {
+	GinkgoHelper()
+	return numberOf(string(f.members(all()).Leader.Instance))
+}
+
+// capacity is one line of the table.
+type capacity struct {
+	holders                   int
+	cpuPercent                float64
+	residentMB                float64
+	inKB, outKB               float64
+	applyMedian, applySlowest time.Duration
+	changeCPU, changeBytesKB  float64
+	joinSeconds               float64
+	holderBytes               float64
+}
+
+func (f *fleet) measure(ctx context.Context, holders int) capacity {
+	GinkgoHelper()
+	c := capacity{holders: holders + instances}
+	started := time.Now()
+	list := f.startHolders(ctx, holders)
+	Eventually(func() bool {
+		return !slices.ContainsFunc(list, func(h *lightHolder) bool { return h.lease.Lease() != view.LeaseHeld })
+	}, 2*time.Minute, 100*time.Millisecond).Should(BeTrue())
+	c.joinSeconds = time.Since(started).Seconds()
+	time.Sleep(capacityWindow)
+	leader := f.leader()
+	before := f.usage(leader)
+	time.Sleep(capacityWindow)
+	after := f.usage(leader)
+	c.cpuPercent = 100 * (after.cpu - before.cpu).Seconds() / capacityWindow.Seconds()
+	c.residentMB = float64(after.resident) / (1 << 20)
+	c.inKB = float64(after.in-before.in) / 1024 / capacityWindow.Seconds()
+	c.outKB = float64(after.out-before.out) / 1024 / capacityWindow.Seconds()
+	c.holderBytes = (c.inKB + c.outKB) / float64(c.holders)
+	f.measureChanges(&c, leader)
+	return c
+}
+
+// measureChanges applies rules and waits until each is in force everywhere.
+func (f *fleet) measureChanges(c *capacity, leader int) {
+	GinkgoHelper()
+	before := f.usage(leader)
+	started := time.Now()
+	var times []time.Duration
+	for i := range capacityChanges {
+		at := time.Now()
+		out, code := f.command("operator", []int{1 + i%members}, "rules", "apply", f.limitRule(c.holders*1000+i))
+		Expect(code).To(Equal(exitOK), out)
+		times = append(times, time.Since(at))
+	}
+	after := f.usage(leader)
+	elapsed := time.Since(started).Seconds()
+	slices.Sort(times)
+	c.applyMedian, c.applySlowest = times[len(times)/2], times[len(times)-1]
+	idleCPU := c.cpuPercent / 100 * elapsed
+	c.changeCPU = 1000 * ((after.cpu - before.cpu).Seconds() - idleCPU) / capacityChanges
+	sent := float64(after.in+after.out-before.in-before.out) / 1024
+	c.changeBytesKB = (sent - (c.inKB+c.outKB)*elapsed) / capacityChanges
+}
+
+var _ = Describe("Capacity of control", Label("capacity"), func() {
+	It("grows with the number of lease holders as the page says", func() {
+		var lines []string
+		var slowest time.Duration
+		for _, holders := range []int{3, 100, 400, 1594} {
+			f := newFleet(seed())
+			ctx, cancel := context.WithCancel(context.Background())
+			c := f.measure(ctx, holders)
+			cancel()
+			f.close()
+			lines = append(lines, fmt.Sprintf(
+				"| %d | %.1f%% | %.0f MB | %.1f | %.1f | %.3f | %v | %v | %.1f ms | %.1f KB | %.1f s |",
+				c.holders, c.cpuPercent, c.residentMB, c.inKB, c.outKB, c.holderBytes,
+				c.applyMedian.Round(time.Millisecond), c.applySlowest.Round(time.Millisecond), c.changeCPU, c.changeBytesKB, c.joinSeconds))
+			slowest = max(slowest, c.applySlowest)
+		}
+		AddReportEntry("capacity", "\n| holders | leader CPU | leader RSS | in KB/s | out KB/s | KB/s for each holder | in force p50 | slowest | CPU a change | KB a change | join |\n"+
+			strings.Join(lines, "\n"))
+		Expect(slowest).To(BeNumerically("<=", inForceBound))
+	})
+})
--- a/proofs/fleet_test.go
+++ b/proofs/fleet_test.go
@@ -210,6 +210,8 @@
 	for _, forwarder := range f.forwarders {
 		forwarder.close()
 	}
+	clear(f.processes)
+	f.forwarders = nil
 }
 
 func (f *fleet) isReady(n int) bool {
