Founding asks other peers; the replica stops when its disk fails

Cause: after all founders were replaced by other instances, a founder that came back with an empty disk would have formed a group of its own: it asked only the listed instances.

Taken: a founder asks up to 64 peers beside the listed ones whether they are in a group. What remains is a founder that reaches none of the members; it needs all listed instances, fresh, and the group's identity keeps its messages apart.

Seen: the spec for it fails when only listed instances are asked. A failed sync ends the loop with the error, the proposer hears unknown, a later one not run, and a restart has what was accepted.

--- a/pkg/replica/founding.go
+++ b/pkg/replica/founding.go
@@ -21,8 +21,13 @@
 	foundKind mesh.Kind = "replica.found"
 )
 
-// foundingRound is the pause between attempts to form the group, in heartbeats.
-const foundingRound = 5
+const (
+	// foundingRound is the pause between attempts to form the group, in heartbeats.
+	foundingRound = 5
+	// maxAskedPeers bounds the instances beside the listed ones that are asked
+	// whether they are in a group already.
+	maxAskedPeers = 64
+)
 
 type diskRequest struct{}
 
@@ -164,8 +169,9 @@
 // in between.
 func (f *founding) round(ctx context.Context) {
 	started := f.currentGeneration()
-	replies, complete := f.askDisks(ctx)
-	if f.groupExists(replies) || !complete || !slices.Contains(f.node.opts.Founders, f.node.self.Instance) {
+	replies, complete := f.askDisks(ctx, f.node.opts.Founders)
+	others, _ := f.askDisks(ctx, f.otherPeers())
+	if f.groupExists(append(others, replies...)) || !complete || !f.isFounder() {
 		return
 	}
 	founders := foundersOf(replies)
@@ -178,9 +184,22 @@
 	}
 }
 
-// askDisks asks every listed instance; complete is false if one did not answer.
-func (f *founding) askDisks(ctx context.Context) (replies []*diskReply, complete bool) {
-	asked := f.node.opts.Founders
+func (f *founding) isFounder() bool {
+	return slices.Contains(f.node.opts.Founders, f.node.self.Instance)
+}
+
+// otherPeers returns instances that are not listed. Members of a group that
+// was changed since its founding may be among them.
+func (f *founding) otherPeers() []model.InstanceID {
+	others := slices.DeleteFunc(f.node.opts.Mesh.Peers(), func(id model.InstanceID) bool {
+		return slices.Contains(f.node.opts.Founders, id)
+	})
+	slices.Sort(others)
+	return others[:min(len(others), maxAskedPeers)]
+}
+
+// askDisks asks instances for their disks; complete is false if one did not answer.
+func (f *founding) askDisks(ctx context.Context, asked []model.InstanceID) (replies []*diskReply, complete bool) {
 	results := parallel(ctx, f.node, asked, func(ctx context.Context, id model.InstanceID) *diskReply {
 		reply, err := mesh.Call[diskRequest, diskReply](ctx, f.node.opts.Mesh, id, diskKind, &diskRequest{})
 		if err != nil || reply.Member.Instance != id {
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/journal/journaltest"
 	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/replica"
 )
 
 var _ = Describe("A group", func() {
@@ -127,4 +130,43 @@
 		g.network.setCut(leader.Status().Self.Instance, false)
 		g.expectEverywhere(numbered(0, 2))
 	})
+
+	It("forms no second group beside one that its founders have left", func() {
+		g := newGroup("a")
+		g.start("a", "d")
+		g.propose("c0")
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		founder, next := g.members["a"].Status().Self, g.members["d"].Status().Self
+		Expect(g.leader().AddLearner(ctx, next)).To(Succeed())
+		Expect(g.leader().Replace(ctx, founder, next)).To(Succeed())
+		g.loseDisk("a")
+		Consistently(func() []replica.Member { return g.members["a"].Status().Voters }, 5*electionTimeout, heartbeat).Should(BeEmpty())
+		g.propose("c1")
+		Expect(g.members["d"].machine.list()).To(Equal(numbered(0, 2)))
+	})
+
+	It("stops when the disk fails, and keeps what it accepted", func() {
+		g := newGroup("a")
+		g.start("a")
+		g.propose("c0")
+		disk, m := g.diskOf("a"), g.members["a"]
+		disk.SetFault(func(op journaltest.Operation, _ string) error {
+			if op == journaltest.Sync {
+				return syscall.EIO
+			}
+			return nil
+		})
+		_, err := m.Propose(context.Background(), []byte("c1"))
+		Expect(failure.RanOf(err)).To(Equal(failure.Unknown))
+		delete(g.members, "a")
+		Expect(m.stop()).To(MatchError(syscall.EIO))
+		_, err = m.Propose(context.Background(), []byte("c2"))
+		Expect(failure.RanOf(err)).To(Equal(failure.NotRun))
+		disk.SetFault(nil)
+		disk.Crash(nil)
+		g.start("a")
+		g.propose("c3")
+		Expect(g.members["a"].machine.list()).To(Equal([]string{"c0", "c3"}))
+	})
 })
