Replica: metrics, and an event when the data folder is in use

Cause: an operator could not see syncs, batches, lost messages or changes of leadership, and the event of an occupied folder had no place that wrote it.

--- a/pkg/replica/node.go
+++ b/pkg/replica/node.go
@@ -10,6 +10,7 @@
 
 	"radishturn.example/radishturn/pkg/consensus"
 	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/journal"
 	"radishturn.example/radishturn/pkg/mesh"
 	"radishturn.example/radishturn/pkg/model"
@@ -81,6 +82,7 @@
 	transport *transport
 	founding  *founding
 	waiters   waiters
+	metrics   *nodeMetrics
 	// snapshotPending is set while a snapshot is being written.
 	snapshotPending bool
 	writers         sync.WaitGroup
@@ -101,6 +103,9 @@
 	o.setDefaults()
 	started := o.Clock()
 	j, restored, err := journal.Open(o.Journal)
+	if failure.CodeOf(err) == failure.DataFolderOccupied {
+		events.Emit(events.DataFolderOccupied, o.Journal.Folder)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -114,6 +119,7 @@
 		snapshots:  make(chan writtenSnapshot, 1),
 		stopped:    make(chan struct{}),
 		waiters:    make(waiters),
+		metrics:    newMetrics(),
 	}
 	if err := n.restore(restored, started); err != nil {
 		return nil, err
@@ -265,7 +271,10 @@
 	if len(e.Entries) == 0 && e.HardState == nil {
 		return nil
 	}
-	return n.journal.Append(e.HardState, e.Entries)
+	began := n.opts.Clock()
+	err := n.journal.Append(e.HardState, e.Entries)
+	n.metrics.synced(n.opts.Clock() - began)
+	return err
 }
 
 func (n *Node) apply(entries []consensus.Entry) {
@@ -273,6 +282,7 @@
 		var result []byte
 		if e.Command != nil {
 			result = n.opts.StateMachine.Apply(e.Index, e.Command)
+			n.metrics.accepted.Inc()
 		}
 		n.waiters.applied(e, result)
 	}
--- a/pkg/replica/snapshots.go
+++ b/pkg/replica/snapshots.go
@@ -48,6 +48,7 @@
 		return
 	}
 	n.raft.Compact(s.pending.Meta(), uint64(n.opts.SnapshotEvery/2))
+	n.metrics.snapshots.Inc()
 	events.Emit(events.SnapshotWritten, s.pending.Meta().Index, s.pending.Bytes())
 }
 
--- a/pkg/replica/status.go
+++ b/pkg/replica/status.go
@@ -68,10 +68,12 @@
 	n.reported = now
 	lost := before.role == consensus.Leader && (now.role != consensus.Leader || now.term != before.term)
 	if lost {
+		n.metrics.losses.Inc()
 		events.Emit(events.LeadershipLost, before.term, "replaced, handed over or without a majority")
 		n.waiters.failAfter(s.Commit, errUnknown("propose", string(s.Leader.Instance), errLeadershipLost))
 	}
 	if now.leader != (Member{}) && (now.leader != before.leader || now.term != before.term) {
+		n.metrics.elections.Inc()
 		events.Emit(events.LeaderElected, now.leader.Instance, now.term)
 	}
 }
--- a/pkg/replica/transport.go
+++ b/pkg/replica/transport.go
@@ -90,6 +90,7 @@
 		select {
 		case s.queue <- m:
 		default:
+			t.node.metrics.dropped.Inc()
 		}
 	}
 }
