Orders: faults at random, resends and late claims on a fake clock

Cause: at most once, and a true 'not run', have to hold when leaders change, outcomes of commands get lost, instances are cut off and targets fail after a run. The grants test now also expects that everything is handed out after a quiet time and then stays as it is.

--- a/pkg/control/server/fleet_test.go
+++ b/pkg/control/server/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/netip"
 	"os"
 	"sync"
@@ -97,6 +98,19 @@
 	leader  model.InstanceID
 	index   uint64
 	members []*member
+	// delay is how long a command takes.
+	delay time.Duration
+	// lossy makes the outcome of some commands unknown; nil means none.
+	lossy *rand.Rand
+}
+
+// fate draws whether a command is applied and whether its proposer hears of it.
+func (g *group) fate() (applied, heard bool) {
+	if g.lossy == nil {
+		return true, true
+	}
+	n := g.lossy.IntN(20)
+	return n != 0, n > 1
 }
 
 type member struct {
@@ -106,12 +120,17 @@
 }
 
 func (m *member) Propose(ctx context.Context, command []byte) ([]byte, error) {
-	time.Sleep(hop)
+	time.Sleep(hop + m.group.delay)
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
 	if m.group.leader != m.id {
 		return nil, failure.New(failure.NotLeader, failure.NotRun, "propose", string(m.group.leader), "not the leader")
 	}
+	unknown := failure.New(failure.OutcomeUnknown, failure.Unknown, "propose", "", "leadership lost")
+	applied, heard := m.group.fate()
+	if !applied {
+		return nil, unknown
+	}
 	m.group.index++
 	var result []byte
 	for _, other := range m.group.members {
@@ -120,6 +139,9 @@
 			result = r
 		}
 	}
+	if !heard {
+		return nil, unknown
+	}
 	return result, nil
 }
 
@@ -157,15 +179,43 @@
 	runs map[string]int
 	// delay is how long a target takes.
 	delay time.Duration
+	// faults makes some targets refuse before and some fail after a run; nil
+	// means none.
+	faults *rand.Rand
+}
+
+func (l *orderLog) count(key string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[key]
+}
+
+// run counts a run unless the target refuses; it reports whether it answers.
+func (l *orderLog) run(key string) (ran, answers bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 2
+	if l.faults != nil {
+		n = l.faults.IntN(20)
+	}
+	if n == 0 {
+		return false, false
+	}
+	l.runs[key]++
+	return true, n != 1
 }
 
 func (l *orderLog) Dispatch(ctx context.Context, r order.Request, allowed func() bool) (*targetproto.OrderReply, error) {
 	if !allowed() {
 		return nil, failure.New(failure.LeaseExpired, failure.NotRun, "dispatch", "", "not allowed")
 	}
-	l.mu.Lock()
-	l.runs[r.IdempotencyKey]++
-	l.mu.Unlock()
+	ran, answers := l.run(r.IdempotencyKey)
+	if !ran {
+		return nil, failure.New(failure.TargetShed, failure.NotRun, "dispatch", "", "target refused")
+	}
+	if !answers {
+		return nil, failure.New(failure.TargetFailed, failure.Unknown, "dispatch", "", "connection lost")
+	}
 	select {
 	case <-time.After(l.delay):
 		return &targetproto.OrderReply{Confirmation: "c-" + r.IdempotencyKey}, nil
--- a/pkg/lease/fleet_test.go
+++ b/pkg/lease/fleet_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,6 +24,8 @@
 	testGrace    = 1000 * time.Millisecond
 	testRunOut   = testDuration + testGrace
 	stepsPerRun  = 400
+	quietRounds  = 40
+	quietPace    = 300
 )
 
 // world is a fleet under a random schedule: holders with leases, one leader at
@@ -170,20 +173,25 @@
 // check fails if the holders believe to hold more of a target than it bears.
 func (w *world) check(t *rapid.T) {
 	for id, limit := range w.limits {
-		sum := view.Grant{}
-		for _, h := range w.holders {
-			if s := h.times.state(w.now); s == view.LeaseHeld || s == view.LeaseControlLost {
-				sum.Connections += h.view.Grants[id].Connections
-				sum.ColdLoad += h.view.Grants[id].ColdLoad
-			}
-		}
-		if sum.Connections > limit.Connections || sum.ColdLoad > limit.ColdLoad {
+		if sum := w.held(id); sum.Connections > limit.Connections || sum.ColdLoad > limit.ColdLoad {
 			t.Fatalf("%s bears %+v, held %+v", id, limit, sum)
 		}
 	}
 }
 
-// take removes and returns a random message; repeat leaves it in place, so
+// held is what the holders that may work believe to hold of a target.
+func (w *world) held(id model.TargetID) view.Grant {
+	sum := view.Grant{}
+	for _, h := range w.holders {
+		if s := h.times.state(w.now); s == view.LeaseHeld || s == view.LeaseControlLost {
+			sum.Connections += h.view.Grants[id].Connections
+			sum.ColdLoad += h.view.Grants[id].ColdLoad
+		}
+	}
+	return sum
+}
+
+// pick returns a random message; repeat leaves it in place, so
 // that it is delivered again.
 func pick[T any](t *rapid.T, from *[]T) (T, bool) {
 	var none T
@@ -288,6 +296,39 @@
 	w.boot(i)
 }
 
+// quiet ends all faults and expects that everything is handed out after some
+// time, and that the grants then stay as they are.
+func (w *world) quiet(t *rapid.T) {
+	for _, h := range w.holders {
+		h.cut, h.frozen = false, false
+	}
+	w.requests, w.replies = nil, nil
+	var last []uint64
+	for range quietRounds {
+		w.pass(quietPace)
+		w.roundTrips()
+		w.check(t)
+		last = w.grantSequences(last)
+	}
+	for id, limit := range w.limits {
+		if sum := w.held(id); sum != (view.Grant(limit)) {
+			t.Fatalf("%s bears %+v, held %+v after a quiet time", id, limit, sum)
+		}
+	}
+	w.roundTrips()
+	if now := w.grantSequences(nil); !slices.Equal(now, last) {
+		t.Fatalf("grants still change after a quiet time: %v, then %v", last, now)
+	}
+}
+
+func (w *world) grantSequences(into []uint64) []uint64 {
+	into = into[:0]
+	for _, h := range w.holders {
+		into = append(into, h.grantSequence)
+	}
+	return into
+}
+
 func TestGrantsNeverPassALimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
@@ -295,6 +336,7 @@
 			w.step(t)
 			w.check(t)
 		}
+		w.quiet(t)
 	})
 }
 
