--- /dev/null
+++ b/pkg/grant/grant_test.go
@@ -0,0 +1,121 @@
+package grant_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/grant"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+const target model.TargetID = "shopfront/svc-01/leaf-1/slot-1"
+
+func instances(n int) []model.InstanceID {
+	ids := make([]model.InstanceID, n)
+	for i := range ids {
+		ids[i] = model.InstanceID(fmt.Sprint("e", i))
+	}
+	return ids
+}
+
+func TestSharesUseTheWholeLimit(t *testing.T) {
+	g := NewWithT(t)
+	for n := 1; n <= 40; n++ {
+		shares := grant.Shares(target, grant.Limit{Connections: 30, ColdLoad: 2}, instances(n))
+		sum := view.Grant{}
+		for _, s := range shares {
+			sum.Connections += s.Connections
+			sum.ColdLoad += s.ColdLoad
+			g.Expect(s.ColdLoad).To(BeNumerically("<=", s.Connections))
+		}
+		g.Expect(sum).To(Equal(view.Grant{Connections: 30, ColdLoad: 2}))
+	}
+}
+
+func TestALeavingInstanceMovesFewShares(t *testing.T) {
+	g := NewWithT(t)
+	moved := 0
+	for i := range 200 {
+		id := model.TargetID(fmt.Sprint(target, i))
+		before := grant.Shares(id, grant.Limit{Connections: 5}, instances(40))
+		after := grant.Shares(id, grant.Limit{Connections: 5}, instances(39))
+		for who := range before {
+			if _, ok := after[who]; !ok && who != "e39" {
+				moved++
+			}
+		}
+	}
+	g.Expect(moved).To(Equal(0))
+}
+
+func TestSharesShrinkBeforeOthersGrow(t *testing.T) {
+	g := NewWithT(t)
+	l := grant.NewLedger()
+	l.SetLimits(map[model.TargetID]grant.Limit{target: {Connections: 10}})
+	l.Join("a")
+	first := l.Offer("a")
+	g.Expect(first.Changes).To(ConsistOf(grant.Entry{Target: target, Grant: view.Grant{Connections: 10}}))
+	g.Expect(l.Offer("a")).To(Equal(first), "repeated until it is acknowledged")
+	l.Acknowledge("a", first.Sequence)
+	l.Join("b")
+	g.Expect(l.Offer("b")).To(BeNil())
+	less := l.Offer("a")
+	g.Expect(l.Offer("b")).To(BeNil())
+	l.Acknowledge("a", less.Sequence)
+	g.Expect(l.Offer("b").Changes).To(ConsistOf(grant.Entry{Target: target, Grant: view.Grant{Connections: 5}}))
+	g.Expect(l.Held(target).Connections).To(Equal(10))
+	g.Expect(l.Offer("a")).To(BeNil())
+}
+
+func TestNothingGrowsWhileHoldingsAreUnknown(t *testing.T) {
+	g := NewWithT(t)
+	l := grant.NewLedger()
+	l.SetLimits(map[model.TargetID]grant.Limit{target: {Connections: 10}})
+	l.Assume("a")
+	l.Assume("b")
+	l.Adopt("a", map[model.TargetID]view.Grant{target: {Connections: 5}})
+	l.Join("c")
+	g.Expect(l.Offer("c")).To(BeNil())
+	l.Drop("b")
+	g.Expect(l.Offer("c").Changes).To(ConsistOf(grant.Entry{Target: target, Grant: view.Grant{Connections: 5}}))
+}
+
+func TestATargetThatLeavesTheListIsTakenBack(t *testing.T) {
+	g := NewWithT(t)
+	l := grant.NewLedger()
+	l.SetLimits(map[model.TargetID]grant.Limit{target: {Connections: 10}})
+	l.Join("a")
+	l.Acknowledge("a", l.Offer("a").Sequence)
+	l.SetLimits(nil)
+	d := l.Offer("a")
+	g.Expect(d.Changes).To(ConsistOf(grant.Entry{Target: target}))
+	g.Expect(l.Held(target).Connections).To(Equal(10))
+	l.Acknowledge("a", d.Sequence)
+	g.Expect(l.Held(target)).To(Equal(view.Grant{}))
+}
+
+func TestColdLoadGrowsByEvidenceAndFallsAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	w := grant.NewWarmth()
+	at := func(d time.Duration) time.Duration { return time.Second + d }
+	load := func() int { return w.Load(target, 2, 30) }
+	g.Expect(load()).To(Equal(2))
+	g.Expect(w.Warm(at(0), target, "b1")).To(BeTrue())
+	g.Expect(w.Warm(at(10*time.Millisecond), target, "b1")).To(BeFalse(), "another entry saw the same")
+	g.Expect(load()).To(Equal(4))
+	for i := range 10 {
+		w.Warm(at(time.Duration(i+1)*time.Second), target, "b1")
+	}
+	g.Expect(load()).To(Equal(30))
+	g.Expect(w.Warm(at(time.Minute), target, "b2")).To(BeTrue(), "another incarnation")
+	g.Expect(load()).To(Equal(2))
+	w.Warm(at(2*time.Minute), target, "b2")
+	g.Expect(w.Cold(at(2*time.Minute), target, "b2")).To(BeTrue())
+	g.Expect(load()).To(Equal(2))
+	w.Assume(at(0), "other", 9, 2)
+	g.Expect(w.Load("other", 2, 30)).To(Equal(16))
+}
--- a/pkg/order/claims/place.go
+++ b/pkg/order/claims/place.go
@@ -21,11 +21,13 @@
 
 const (
 	// askWait bounds one wait for the outcome of another instance's claim.
-	askWait = 2 * time.Second
+	askWait = 500 * time.Millisecond
+	// askTimeout is how long a claimer may take to answer, its wait included.
+	askTimeout = 800 * time.Millisecond
 	// askPause is the wait after a claimer could not be asked.
 	askPause = 200 * time.Millisecond
 	// maxSilent is how often in a row a claimer may fail to answer.
-	maxSilent = 4
+	maxSilent = 3
 	// bodyHashBytes is the length of the hash of an order in the claim.
 	bodyHashBytes = 16
 )
@@ -183,7 +185,7 @@
 		p.silentID, p.silent = record.ID, 0
 	}
 	request := &wire.Ask{ID: record.ID, Wait: askWait}
-	asking, cancel := context.WithTimeout(ctx, 2*askWait)
+	asking, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	reply, err := mesh.Call[wire.Ask, wire.AskReply](asking, p.mesh, record.Claimer, wire.KindAsk, request)
 	switch {
@@ -191,8 +193,9 @@
 		p.silent = 0
 		return reply.Phase, reply.Confirmation
 	case err == nil:
-		// The claimer has recorded the outcome since, or it was restarted.
-		p.silent += maxSilent / 2
+		// The claimer has recorded the outcome since, or it was restarted; the
+		// next claim tells.
+		p.silent = max(p.silent+1, maxSilent-1)
 	default:
 		p.silent++
 	}
