Grants: cold load only to instances with a connection

Cause: since slots give their rest to different instances, a target with fewer connections than instances could grant its cold load to instances that have no connection to it, so it could never warm up.

Seen: go test ./pkg/grant ./pkg/lease pass.

--- a/pkg/grant/share.go
+++ b/pkg/grant/share.go
@@ -59,11 +59,17 @@
 // share at one slot has one at another. Instances without a share are left out.
 func Shares(target model.TargetID, limit Limit, instances []model.InstanceID) map[model.InstanceID]view.Grant {
 	shares := make(map[model.InstanceID]view.Grant, len(instances))
+	n := len(instances)
 	leaf, slot := splitSlot(target)
+	cold := slot * (limit.ColdLoad % max(n, 1))
+	if 0 < limit.Connections && limit.Connections < n {
+		// Cold load is of use only to those that have a connection.
+		cold = slot * limit.Connections
+	}
 	for place, id := range rank(leaf, instances) {
 		g := view.Grant{
-			Connections: part(limit.Connections, place, slot, len(instances)),
-			ColdLoad:    part(limit.ColdLoad, place, slot, len(instances)),
+			Connections: part(limit.Connections, place-slot*(limit.Connections%n), n),
+			ColdLoad:    part(limit.ColdLoad, place-cold, n),
 		}
 		if g != (view.Grant{}) {
 			shares[id] = g
@@ -72,11 +78,12 @@
 	return shares
 }
 
-// part returns the part of total that slot gives to one place of n.
-func part(total, place, slot, n int) int {
-	p, rest := total/n, total%n
-	first := slot * rest % n
-	if (place-first+n)%n < rest {
+// part returns the part of total that the given place of n gets; places count
+// from the first that gets some of the rest, around the end.
+func part(total, place, n int) int {
+	place = (place%n + n) % n
+	p := total / n
+	if place < total%n {
 		p++
 	}
 	return p
