--- a/pkg/query/hedge/hedge.go
+++ b/pkg/query/hedge/hedge.go
@@ -21,7 +21,7 @@
 	// minSamples is how many latencies an adaptive delay needs.
 	minSamples = 32
 	// lowQuantile is used while the budget is full, highQuantile while it is empty.
-	lowQuantile  = 0.95
+	lowQuantile    = 0.95
 	highQuantile   = 0.99
 	medianQuantile = 0.5
 	// medianFactor times the median is waited at least. Where latencies vary
