--- a/pkg/load/plot.go
+++ b/pkg/load/plot.go
@@ -79,7 +79,7 @@
 }
 
 var panelList = []panel{
-	{"Query latency from the intended send time", "slowest one in 10^x queries", "ms", curvePoints},
+	{"Query latency from the intended send time", "percentile", "ms", curvePoints},
 	{"Query and order latency, p99 of each second", "s", "ms", timeline(func(s SecondReport) float64 { return s.P99 })},
 	{"Answers of each second", "s", "answers", timeline(func(s SecondReport) float64 { return float64(s.OK) })},
 	{"Mean coverage", "s", "share", timeline(func(s SecondReport) float64 { return s.Coverage })},
@@ -94,6 +94,9 @@
 		p.X.Label.Text, p.Y.Label.Text = description.x, description.y
 		p.Y.Min = 0
 		p.Legend.Top, p.Legend.Left = true, true
+		if i == 0 {
+			p.X.Tick.Marker = percentileTicks
+		}
 		if err := r.addLines(p, description, i == 0); err != nil {
 			return nil, err
 		}
@@ -118,6 +121,15 @@
 	return nil
 }
 
+// percentileTicks label the axis of curvePoints.
+var percentileTicks = plot.ConstantTicks{
+	{Value: 0, Label: "0"},
+	{Value: 1, Label: "90"},
+	{Value: 2, Label: "99"},
+	{Value: 3, Label: "99.9"},
+	{Value: 4, Label: "99.99"},
+}
+
 // curvePoints spreads the tail: x is how many powers of ten of the queries are
 // faster, so that p90, p99 and p99.9 lie at 1, 2 and 3.
 func curvePoints(v *VariantReport) plotter.XYs {
@@ -132,7 +144,9 @@
 	return func(v *VariantReport) plotter.XYs {
 		points := make(plotter.XYs, 0, len(v.Timeline))
 		for _, s := range v.Timeline {
-			points = append(points, plotter.XY{X: float64(s.Second), Y: value(s)})
+			if s.Sent > 0 { // not so in the warm-up
+				points = append(points, plotter.XY{X: float64(s.Second), Y: value(s)})
+			}
 		}
 		return orOrigin(points)
 	}
