--- a/pkg/load/load_test.go
+++ b/pkg/load/load_test.go
@@ -129,6 +129,8 @@
 		report := run(e)
 		Expect(report.Violated()).To(BeFalse())
 		Expect(report.Variants[0].Coverage.Min).To(BeNumerically("<", 0.6))
+		Expect(report.Variants[0].FullGoodput).To(BeNumerically("<", report.Variants[0].CoveredGoodput))
+		Expect(report.Variants[0].CoveredGoodput).To(BeNumerically("<", report.Variants[0].Goodput))
 		Expect(report.Variants[1].Coverage.Full).To(BeNumerically("~", 1, 1e-9))
 	})
 
--- a/pkg/load/recorder.go
+++ b/pkg/load/recorder.go
@@ -77,6 +77,10 @@
 	notSent    int
 	late       int
 	inTime     int
+	// covered sums the covered fractions of the answers in time, and full
+	// counts those that lack nothing. An order counts as covered.
+	covered float64
+	full    int
 }
 
 func newRecorder(l *Load, t *truth) *recorder {
@@ -173,22 +177,31 @@
 	}
 	s.ok++
 	record(s.latency, latency)
-	if latency <= r.load.Timeout.Std() {
-		r.inTime++
-	} else {
-		r.late++
-	}
+	fraction := 1.0
 	if o.answer == nil {
 		record(r.orders, latency)
-		s.coverage++
-		return
+	} else {
+		record(r.queries, latency)
+		r.coverage.add(o.answer.Coverage)
+		fraction = o.answer.Coverage.Fraction
 	}
-	record(r.queries, latency)
-	r.coverage.add(o.answer.Coverage)
-	s.coverage += o.answer.Coverage.Fraction
-	if o.answer.Coverage.Fraction < fullCoverage {
+	s.coverage += fraction
+	if fraction < fullCoverage {
 		s.partial++
 	}
+	r.countInTime(latency, fraction)
+}
+
+func (r *recorder) countInTime(latency time.Duration, fraction float64) {
+	if latency > r.load.Timeout.Std() {
+		r.late++
+		return
+	}
+	r.inTime++
+	r.covered += fraction
+	if fraction >= fullCoverage {
+		r.full++
+	}
 }
 
 func (r *recorder) second(at time.Duration) *second {
--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -38,12 +38,16 @@
 	InTime int `json:"inTime"`
 	Late   int `json:"late"`
 	// Goodput is the number of answers in time each second.
-	Goodput  float64        `json:"goodput"`
-	Queries  LatencyReport  `json:"queries"`
-	Orders   LatencyReport  `json:"orders"`
-	Failures LatencyReport  `json:"failures"`
-	Coverage CoverageReport `json:"coverage"`
-	Outcomes []OutcomeCount `json:"outcomes"`
+	Goodput float64 `json:"goodput"`
+	// CoveredGoodput weighs each of them by its coverage, and FullGoodput
+	// counts only those that lack nothing.
+	CoveredGoodput float64        `json:"coveredGoodput"`
+	FullGoodput    float64        `json:"fullGoodput"`
+	Queries        LatencyReport  `json:"queries"`
+	Orders         LatencyReport  `json:"orders"`
+	Failures       LatencyReport  `json:"failures"`
+	Coverage       CoverageReport `json:"coverage"`
+	Outcomes       []OutcomeCount `json:"outcomes"`
 	// Targets is what the targets counted during the run; largest values are
 	// those since the stand-in was reset.
 	Targets standin.Counts `json:"targets"`
@@ -142,19 +146,21 @@
 	defer r.mu.Unlock()
 	measured := (r.load.Duration.Std() - r.load.WarmUp.Std()).Seconds()
 	v := VariantReport{
-		Name:       name,
-		Sent:       r.sent,
-		NotSent:    r.notSent,
-		InTime:     r.inTime,
-		Late:       r.late,
-		Goodput:    float64(r.inTime) / measured,
-		Queries:    latencyReport(r.queries),
-		Orders:     latencyReport(r.orders),
-		Failures:   latencyReport(r.failures),
-		Coverage:   r.coverage.report(),
-		Outcomes:   r.outcomeCounts(),
-		Violations: r.violations,
-		Examples:   r.examples,
+		Name:           name,
+		Sent:           r.sent,
+		NotSent:        r.notSent,
+		InTime:         r.inTime,
+		Late:           r.late,
+		Goodput:        float64(r.inTime) / measured,
+		CoveredGoodput: r.covered / measured,
+		FullGoodput:    float64(r.full) / measured,
+		Queries:        latencyReport(r.queries),
+		Orders:         latencyReport(r.orders),
+		Failures:       latencyReport(r.failures),
+		Coverage:       r.coverage.report(),
+		Outcomes:       r.outcomeCounts(),
+		Violations:     r.violations,
+		Examples:       r.examples,
 	}
 	for i, s := range r.seconds {
 		v.Timeline = append(v.Timeline, s.report(i))
--- a/pkg/load/table.go
+++ b/pkg/load/table.go
@@ -20,6 +20,8 @@
 	{"sent", func(v *VariantReport) string { return fmt.Sprint(v.Sent) }},
 	{"not sent (too many in flight)", func(v *VariantReport) string { return fmt.Sprint(v.NotSent) }},
 	{"goodput, answers in time per s", func(v *VariantReport) string { return fmt.Sprintf("%.1f", v.Goodput) }},
+	{"goodput weighed by coverage", func(v *VariantReport) string { return fmt.Sprintf("%.1f", v.CoveredGoodput) }},
+	{"goodput, full answers only", func(v *VariantReport) string { return fmt.Sprintf("%.1f", v.FullGoodput) }},
 	{"late answers", func(v *VariantReport) string { return fmt.Sprint(v.Late) }},
 	{"query p50 ms", func(v *VariantReport) string { return fmt.Sprintf("%.1f", v.Queries.P50) }},
 	{"query p90 ms", func(v *VariantReport) string { return fmt.Sprintf("%.1f", v.Queries.P90) }},
