Load report: counts of the collection under load only

Cause: connections of hints, crashes and cold targets of other collections on the same stand-in came into the figures: 237 cold targets after an availability zone returned, of which the collection has 60 at most.

Conclusion: figures of targets are those of the load's collection.

--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -48,7 +48,7 @@
 	Failures       LatencyReport  `json:"failures"`
 	Coverage       CoverageReport `json:"coverage"`
 	Outcomes       []OutcomeCount `json:"outcomes"`
-	// Targets is what the targets counted during the run; largest values are
+	// Targets is what the collection's targets counted during the run; largest values are
 	// those since the stand-in was reset.
 	Targets standin.Counts `json:"targets"`
 	// ExtraLoad is the share of extra leaf requests in the first ones.
@@ -103,6 +103,7 @@
 	// LeafRequests, ExtraRequests and the following are what targets saw.
 	LeafRequests      int64                              `json:"leafRequests"`
 	ExtraRequests     int64                              `json:"extraRequests"`
+	ColdTargets       int64                              `json:"coldTargets"`
 	ColdOverloads     int64                              `json:"coldOverloads"`
 	Crashes           int64                              `json:"crashes"`
 	Shed              int64                              `json:"shed"`
@@ -165,7 +166,7 @@
 	for i, s := range r.seconds {
 		v.Timeline = append(v.Timeline, s.report(i))
 	}
-	v.addSamples(samples)
+	v.addSamples(r.load.Collection, samples)
 	return v
 }
 
@@ -183,19 +184,19 @@
 }
 
 // addSamples adds what the targets counted, from one sample each second.
-func (v *VariantReport) addSamples(samples []standin.Stats) {
+func (v *VariantReport) addSamples(collection model.CollectionID, samples []standin.Stats) {
 	if len(samples) == 0 {
 		return
 	}
 	first, last := samples[0], samples[len(samples)-1]
-	v.Targets = last.Total.Since(first.Total)
+	v.Targets = last.Collections[collection].Since(first.Collections[collection])
 	if base := v.Targets.Requests - v.Targets.ExtraRequests; base > 0 {
 		v.ExtraLoad = float64(v.Targets.ExtraRequests) / float64(base)
 	}
 	v.AvailabilityZones = since(last.AvailabilityZones, first.AvailabilityZones)
 	v.Versions = since(last.Versions, first.Versions)
 	for i := 1; i < len(samples) && i <= len(v.Timeline); i++ {
-		v.Timeline[i-1].addDelta(samples[i-1], samples[i])
+		v.Timeline[i-1].addDelta(collection, samples[i-1], samples[i])
 	}
 }
 
@@ -207,9 +208,10 @@
 	return deltas
 }
 
-func (s *SecondReport) addDelta(before, after standin.Stats) {
-	d := after.Total.Since(before.Total)
+func (s *SecondReport) addDelta(collection model.CollectionID, before, after standin.Stats) {
+	d := after.Collections[collection].Since(before.Collections[collection])
 	s.LeafRequests, s.ExtraRequests = d.Requests, d.ExtraRequests
+	s.ColdTargets = d.ColdTargets
 	s.ColdOverloads, s.Crashes, s.Shed = d.ColdOverloads, d.Crashes, d.Shed
 	s.AvailabilityZones = make(map[model.AvailabilityZoneID]int64)
 	for id, c := range after.AvailabilityZones {
