--- a/proofs/config_test.go
+++ b/proofs/config_test.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"strings"
 	"sync"
