Cold targets warm up faster and make no suspects; refusals wait for the quarantine

Cause, seen with 'ALL_ADAPTIVE=1 scripts/experiment.sh experiments/cold-start.jsonc' (six entries, 200 queries a second): a third of the targets, turned cold, was still cold after 7 s (ideal 0.9 s), since one choice in eight gave them 8 of the 60 requests a second that they bear; now it is one in two. When all turned cold, 10 fell over, the requests in flight there became suspects, ran alone, and 27% of the answers lacked leaves; a death of a cold target makes no suspects now.

Seen with experiments/poison.jsonc, one leaf: three deaths for one request. The second death was alone and condemned it, and the caller's resend reached an entry that did not know it yet. The refusal now waits until the quarantine is in force here, within the deadline.

--- a/pkg/fanout/death.go
+++ b/pkg/fanout/death.go
@@ -22,17 +22,19 @@
 	suspects []model.Fingerprint
 	// boot is the incarnation that was lost.
 	boot model.BootID
+	// cold is set if the target was cold, which explains a death by itself.
+	cold bool
 	died bool
 }
 
-// confirmDeath reports whether a target that lost a connection has died: it
-// refuses connections, or another incarnation answers. The requests in flight
-// become suspect then, and control is told.
+// confirmDeath reports whether a target that lost a connection died of a
+// request: it refuses connections, or another incarnation answers, and it was
+// not cold. The requests in flight become suspect then, and control is told.
 func (s *Service) confirmDeath(t *targetState, f model.Fingerprint, alone bool) bool {
 	probe, first := t.leaf.joinProbe(t, f)
 	if !first {
 		<-probe.done
-		return probe.died
+		return probe.died && !probe.cold
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
@@ -44,7 +46,7 @@
 		s.died(t, probe, alone)
 	}
 	close(probe.done)
-	return probe.died
+	return probe.died && !probe.cold
 }
 
 // joinProbe returns the probe of the target and whether the caller runs it.
@@ -52,7 +54,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if t.probe == nil {
-		t.probe = &deathProbe{done: make(chan struct{}), suspects: slices.Clone(t.running), boot: t.warmth.Boot()}
+		t.probe = &deathProbe{done: make(chan struct{}), boot: t.warmth.Boot(), cold: !t.full()}
+		for _, r := range t.running {
+			t.probe.suspects = append(t.probe.suspects, r.fingerprint)
+		}
 		return t.probe, true
 	}
 	if !slices.Contains(t.probe.suspects, f) {
@@ -74,15 +79,22 @@
 	return slices.Compact(f)
 }
 
+// died tells control of a death. Requests at a cold target become no suspects,
+// since cold targets fall over under load.
 func (s *Service) died(t *targetState, p *deathProbe, alone bool) {
+	cold := []view.ColdSign{{Target: t.target.ID, Boot: p.boot}}
+	events.Emit(events.TargetDied, t.target.ID, len(p.suspects))
+	if p.cold {
+		s.reporter.Report(view.Evidence{Cold: cold})
+		return
+	}
 	s.lastDeath.Store(int64(max(1, s.now())))
 	s.poisonMu.Lock()
 	s.poison.Died(p.suspects, alone, s.now())
 	s.poisonMu.Unlock()
-	events.Emit(events.TargetDied, t.target.ID, len(p.suspects))
 	s.reporter.Report(view.Evidence{
 		Deaths: []view.Death{{Target: t.target.ID, Boot: p.boot, Suspects: p.suspects}},
-		Cold:   []view.ColdSign{{Target: t.target.ID, Boot: p.boot}},
+		Cold:   cold,
 	})
 	if alone {
 		events.Emit(events.FingerprintCondemn, p.suspects, poison.DeathsToCondemn)
@@ -113,6 +125,20 @@
 	s.poison.Survived(f)
 }
 
+// awaitQuarantine waits until the quarantine is in force here, so that the
+// caller does not send the request to an instance that would run it again.
+func (s *Service) awaitQuarantine(ctx context.Context, f model.Fingerprint) {
+	ticker := time.NewTicker(capacityPoll)
+	defer ticker.Stop()
+	for !s.view.View().Quarantined[f] {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // refreshQuarantine forgets local verdicts that operators have lifted.
 func (s *Service) refreshQuarantine(v *view.View, now time.Duration) {
 	s.poisonMu.Lock()
--- a/pkg/fanout/finish.go
+++ b/pkg/fanout/finish.go
@@ -45,7 +45,7 @@
 }
 
 func (t *targetState) stopRunning(f model.Fingerprint) {
-	if i := slices.Index(t.running, f); i >= 0 {
+	if i := slices.IndexFunc(t.running, func(r running) bool { return r.fingerprint == f }); i >= 0 {
 		last := len(t.running) - 1
 		t.running[i] = t.running[last]
 		t.running = t.running[:last]
--- /dev/null
+++ b/pkg/fanout/late.go
@@ -0,0 +1,63 @@
+package fanout
+
+import "time"
+
+func (r *run) planHedge(l *leg, now time.Duration) {
+	l.hedgeAt = 0
+	l.leaf.mu.Lock()
+	delay, ok := l.leaf.delay, l.leaf.hedged
+	l.leaf.mu.Unlock()
+	if ok && l.count < maxAttempts && !r.trial.on {
+		l.hedgeAt = now + delay
+	}
+}
+
+// act sends the hedges that are due and looks for capacity again.
+func (r *run) act() {
+	now := r.service.now()
+	for i := range r.legs {
+		l := &r.legs[i]
+		if l.hedgeAt <= 0 || l.hedgeAt > now+hedgeGrain {
+			continue
+		}
+		if l.waiting {
+			l.leaf.leave(r)
+			r.first(i)
+			continue
+		}
+		l.hedgeAt = 0
+		if l.held {
+			r.first(i)
+			continue
+		}
+		r.hedge(i, now)
+	}
+}
+
+// hedge sends a second attempt at a leg that is late.
+func (r *run) hedge(i int, now time.Duration) {
+	if l := &r.legs[i]; l.open == 0 || l.count >= maxAttempts || r.trial.on || !r.collection.takeHedge(now) {
+		return
+	}
+	if r.try(i, now, true) != available {
+		r.collection.returnHedge()
+		return
+	}
+	r.planHedge(&r.legs[i], now)
+}
+
+// schedule sets the timer for the earliest time at which act has work. due is
+// what the timer is set for, or 0 if that is not known.
+func (r *run) schedule(timer *time.Timer, due time.Duration) time.Duration {
+	next := time.Duration(0)
+	for i := range r.legs {
+		if at := r.legs[i].hedgeAt; at > 0 && (next == 0 || at < next) {
+			next = at
+		}
+	}
+	if next == 0 || next == due {
+		return next
+	}
+	timer.Reset(max(0, next-r.service.now()))
+	return next
+}
--- a/pkg/fanout/leaf.go
+++ b/pkg/fanout/leaf.go
@@ -29,6 +29,8 @@
 	// leaf's median.
 	refreshSamples = 32
 	medianQuantile = 0.5
+	// stallFactor times the usual latency without an answer makes a target stalled.
+	stallFactor = 4
 	// reservationLasts is how long a target is kept for a suspect request that
 	// does not ask again.
 	reservationLasts = 5 * capacityPoll
@@ -71,10 +73,16 @@
 	warmth    warmth.State
 	limit     limit.State
 	snapshots map[model.SnapshotID]*snapshots.Record
-	running   []model.Fingerprint
+	running   []running
 	probe     *deathProbe
 }
 
+// running is a request in flight at a target.
+type running struct {
+	fingerprint model.Fingerprint
+	since       time.Duration
+}
+
 // leaf is one shard of the decisions: the targets of a leaf, under one lock.
 type leaf struct {
 	id         model.LeafID
@@ -146,7 +154,7 @@
 	if t.reservedFor == n.fingerprint {
 		t.reservedFor = 0
 	}
-	t.running = append(t.running, n.fingerprint)
+	t.running = append(t.running, running{n.fingerprint, now})
 	return t, available
 }
 
@@ -231,6 +239,7 @@
 	usable = prefer(usable, func(t *targetState) bool { return !t.drainHinted })
 	usable = prefer(usable, func(t *targetState) bool { return n.choice.Rank(t.target.Version) == versions.Primary })
 	usable = prefer(usable, func(t *targetState) bool { return !t.ejection.Ejected(t.inFlight, now) })
+	usable = prefer(usable, func(t *targetState) bool { return !t.stalled(now, l.usual) })
 	untried := prefer(usable, func(t *targetState) bool { return !slices.Contains(n.tried, t) })
 	if n.hedge && slices.Contains(n.tried, untried[0]) {
 		return nil, noTarget
@@ -238,6 +247,15 @@
 	return untried, available
 }
 
+// stalled reports whether a request has been in flight for much longer than
+// usual. It tells of a target that froze or turned cold before an answer does.
+func (t *targetState) stalled(now, usual time.Duration) bool {
+	if usual == 0 {
+		return false
+	}
+	return slices.ContainsFunc(t.running, func(r running) bool { return now-r.since > stallFactor*usual })
+}
+
 // prefer moves the targets that fulfil the wish to the front and returns them,
 // or all if there are none.
 func prefer(targets []*targetState, wish func(*targetState) bool) []*targetState {
--- a/pkg/fanout/probe.go
+++ b/pkg/fanout/probe.go
@@ -8,7 +8,7 @@
 )
 
 // probeAfterDeath is how long new requests are probed after a death.
-const probeAfterDeath = 10 * time.Minute
+const probeAfterDeath = time.Minute
 
 // probe lets one leg of a request that no target has run yet go ahead. The
 // others are held until it is answered, so that a request that ends targets
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -5,15 +5,12 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/query"
 	"radishturn.example/radishturn/pkg/query/versions"
-	"radishturn.example/radishturn/pkg/query/warmth"
-	"radishturn.example/radishturn/pkg/settings"
 	"radishturn.example/radishturn/pkg/target"
 	"radishturn.example/radishturn/pkg/targetproto"
 )
@@ -26,57 +23,6 @@
 	hedgeGrain = 250 * time.Microsecond
 )
 
-// attemptEnd carries the end of an attempt to the goroutine of its run.
-type attemptEnd struct {
-	leg     int
-	attempt int
-	kind    target.Kind
-	elapsed time.Duration
-	// died is set if the target died with the attempt in flight.
-	died  bool
-	reply *targetproto.QueryReply
-}
-
-// mailbox hands the ends of attempts and wakes to the goroutine of a run. Its
-// size is bounded by the attempts and by the waiting legs of the run.
-type mailbox struct {
-	mu    sync.Mutex
-	ends  []attemptEnd
-	wakes []int
-	// ready holds a token while there may be something to take.
-	ready chan struct{}
-}
-
-func (m *mailbox) put(e attemptEnd) {
-	m.mu.Lock()
-	m.ends = append(m.ends, e)
-	m.mu.Unlock()
-	m.signal()
-}
-
-func (m *mailbox) wake(leg int) {
-	m.mu.Lock()
-	m.wakes = append(m.wakes, leg)
-	m.mu.Unlock()
-	m.signal()
-}
-
-func (m *mailbox) signal() {
-	select {
-	case m.ready <- struct{}{}:
-	default:
-	}
-}
-
-// take swaps the collected ends and wakes for empty slices.
-func (m *mailbox) take(ends []attemptEnd, wakes []int) ([]attemptEnd, []int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	takenEnds, takenWakes := m.ends, m.wakes
-	m.ends, m.wakes = ends[:0], wakes[:0]
-	return takenEnds, takenWakes
-}
-
 // attempt is one leaf request. Its fields stay for the explainer.
 type attempt struct {
 	target  *targetState
@@ -352,90 +298,6 @@
 	}
 }
 
-func (r *run) planHedge(l *leg, now time.Duration) {
-	l.hedgeAt = 0
-	l.leaf.mu.Lock()
-	delay, ok := l.leaf.delay, l.leaf.hedged
-	l.leaf.mu.Unlock()
-	if ok && l.count < maxAttempts && !r.trial.on {
-		l.hedgeAt = now + delay
-	}
-}
-
-// try sends an attempt at a leg if a target can take it.
-func (r *run) try(i int, now time.Duration, isHedge bool) availability {
-	l := &r.legs[i]
-	if r.service.leaseRefuses() {
-		return noTarget
-	}
-	n := need{
-		snapshot: r.plan.snapshot.ID, choice: r.choice, alone: r.trial.on,
-		fingerprint: r.fingerprint, hedge: isHedge,
-		patient: r.collection.settings.Policy == settings.PreferCoverage,
-	}
-	var tried [maxAttempts]*targetState
-	for k := range l.attempts[:l.count] {
-		tried[k] = l.attempts[k].target
-	}
-	n.tried = tried[:l.count]
-	if isHedge {
-		n.late = l.attempts[l.count-1].target.target.AvailabilityZone
-	}
-	t, why := l.leaf.start(&n, r.random, now)
-	if why == available {
-		r.send(i, t, now, isHedge)
-	}
-	return why
-}
-
-// send starts the goroutine of an attempt. It ends with the attempt's context,
-// and its event fits into the channel, so that it never outlives the run for long.
-func (r *run) send(i int, t *targetState, now time.Duration, isHedge bool) {
-	l := &r.legs[i]
-	k := l.count
-	ctx, cancel := context.WithCancel(r.ctx)
-	l.attempts[k] = attempt{target: t, cancel: cancel, started: now, hedge: isHedge, alone: r.trial.on}
-	l.count++
-	l.open++
-	q := &target.Query{
-		Request: r.request.ID, Snapshot: r.plan.snapshot.ID,
-		Documents: r.plan.snapshot.Leaves[i].Documents,
-		Header:    r.header, Body: r.body,
-	}
-	if k > 0 {
-		left := time.Until(r.request.Deadline).Milliseconds()
-		q.Header = target.NewHeader(r.request.ID, r.plan.snapshot.ID, r.request.Route, k+1, left)
-	}
-	go r.attempt(ctx, cancel, sent{leg: i, attempt: k, target: t, started: now, alone: r.trial.on}, q)
-}
-
-// sent identifies an attempt that is on its way.
-type sent struct {
-	leg     int
-	attempt int
-	target  *targetState
-	started time.Duration
-	alone   bool
-}
-
-func (r *run) attempt(ctx context.Context, cancel context.CancelFunc, a sent, q *target.Query) {
-	t := a.target
-	result := t.client.Query(ctx, q)
-	died := result.Kind == target.KindReset && r.service.confirmDeath(t, r.fingerprint, a.alone)
-	now := r.service.now()
-	e := ended{
-		result: &result, snapshot: q.Snapshot, fingerprint: r.fingerprint,
-		elapsed: now - a.started, now: now, alone: a.alone,
-		beaten: ctx.Err() != nil && r.ctx.Err() == nil, expired: r.ctx.Err() == context.DeadlineExceeded,
-	}
-	change := t.leaf.finish(t, &e)
-	cancel()
-	r.service.observe(r, t, &e, change)
-	r.mail.put(attemptEnd{
-		leg: a.leg, attempt: a.attempt, kind: result.Kind, elapsed: e.elapsed, died: died, reply: result.Reply,
-	})
-}
-
 // retry sends a failed leg again within the budget.
 func (r *run) retry(i int) {
 	l := &r.legs[i]
@@ -447,66 +309,6 @@
 	r.first(i)
 }
 
-// act sends the hedges that are due and looks for capacity again.
-func (r *run) act() {
-	now := r.service.now()
-	for i := range r.legs {
-		l := &r.legs[i]
-		if l.hedgeAt <= 0 || l.hedgeAt > now+hedgeGrain {
-			continue
-		}
-		if l.waiting {
-			l.leaf.leave(r)
-			r.first(i)
-			continue
-		}
-		l.hedgeAt = 0
-		if l.held {
-			r.first(i)
-			continue
-		}
-		r.hedge(i, now)
-	}
-}
-
-// hedge sends a second attempt at a leg that is late.
-func (r *run) hedge(i int, now time.Duration) {
-	if l := &r.legs[i]; l.open == 0 || l.count >= maxAttempts || r.trial.on || !r.collection.takeHedge(now) {
-		return
-	}
-	if r.try(i, now, true) != available {
-		r.collection.returnHedge()
-		return
-	}
-	r.planHedge(&r.legs[i], now)
-}
-
-// schedule sets the timer for the earliest time at which act has work. due is
-// what the timer is set for, or 0 if that is not known.
-func (r *run) schedule(timer *time.Timer, due time.Duration) time.Duration {
-	next := time.Duration(0)
-	for i := range r.legs {
-		if at := r.legs[i].hedgeAt; at > 0 && (next == 0 || at < next) {
-			next = at
-		}
-	}
-	if next == 0 || next == due {
-		return next
-	}
-	timer.Reset(max(0, next-r.service.now()))
-	return next
-}
-
-// observe tells what an attempt showed to those beyond its leaf.
-func (s *Service) observe(r *run, t *targetState, e *ended, change warmth.Change) {
-	s.metrics.attempt(e.result.Kind, e.elapsed)
-	if e.result.Kind == target.KindMismatched {
-		s.reportMismatch(t, r.request.ID, e.result.Err)
-	}
-	s.reportWarmth(t, e.result.Meta.Boot, change)
-	r.collection.outcomes.add(s, t, r.request.Route, e)
-}
-
 // ran tells whether the run proves that no target ran the request.
 func (r *run) ran() failure.Ran {
 	if r.mayHaveRun {
--- a/pkg/fanout/service.go
+++ b/pkg/fanout/service.go
@@ -169,6 +169,7 @@
 		return nil, err
 	}
 	if first.trial.condemned {
+		s.awaitQuarantine(ctx, o.fingerprint)
 		return nil, failure.New(failure.Quarantined, failure.Unknown, stepFanout, "", "request %016x ended targets", uint64(o.fingerprint))
 	}
 	if s.worthRerun(c, o, first) {
--- a/pkg/query/pick/pick.go
+++ b/pkg/query/pick/pick.go
@@ -23,7 +23,7 @@
 
 // exploreEvery is how many choices there are for each that goes to an unproven
 // target. Their estimated cost alone could keep them without requests forever.
-const exploreEvery = 8
+const exploreEvery = 2
 
 // Cost is the price of one more request at the candidate.
 func (c Candidate) Cost() float64 {
