Operators' page; burn report shows each window once

The page rendered in a browser and looked at: tables, plots and states read well; the window of 6 h stood twice, and empty names were blank.

--- a/pkg/burn/render/page.go
+++ b/pkg/burn/render/page.go
@@ -3,13 +3,30 @@
 import (
 	"html/template"
 	"image/color"
+	"strings"
+	"time"
 )
 
 var lineColor = color.RGBA{R: 0x8f, G: 0x1d, B: 0x3f, A: 0xff}
 
+// hours writes a window without zero parts, such as "6h" or "5m".
+func hours(d time.Duration) string {
+	return strings.TrimSuffix(strings.TrimSuffix(d.String(), "0s"), "0m")
+}
+
+// value names what has no name.
+func value(v string) string {
+	if v == "" {
+		return "(not stated)"
+	}
+	return v
+}
+
 var pageTemplate = template.Must(template.New("page").Funcs(template.FuncMap{
 	"percent": func(v float64) float64 { return percent * v },
 	"rate":    rate,
+	"hours":   hours,
+	"value":   value,
 }).Parse(`<!DOCTYPE html>
 <html lang="en">
 <head>
@@ -31,14 +48,14 @@
 {{range .Sections}}
 <h2>{{.Collection}}: {{.Objective}} <span class="{{.State}}">{{.State}}</span></h2>
 <p>Objective: {{printf "%g" (percent .Target)}}% of requests.{{range $name, $ms := .LatencyMs}} {{$name}} {{printf "%.1f" $ms}} ms.{{end}}</p>
-<table><tr><th>window</th>{{range .Windows}}<th>{{.Window}}</th>{{end}}</tr>
+<table><tr><th>window</th>{{range .Windows}}<th>{{hours .Window}}</th>{{end}}</tr>
 <tr><td>burn rate</td>{{range .Windows}}<td>{{rate .}}</td>{{end}}</tr>
 <tr><td>bad</td>{{range .Windows}}<td>{{.Counts.Bad}}</td>{{end}}</tr>
 <tr><td>requests</td>{{range .Windows}}<td>{{.Counts.Total}}</td>{{end}}</tr>
 <tr><td>minutes with data</td>{{range .Windows}}<td>{{printf "%.0f" (percent .Present)}}%</td>{{end}}</tr></table>
 {{.Plot}}
 {{if .Causes}}<table><tr><th>bad requests of the last hour by</th><th>value</th><th>bad</th><th>share</th></tr>
-{{range .Causes}}<tr><td>{{.Dimension}}</td><td>{{.Value}}</td><td>{{.Counts.Bad}}</td><td>{{printf "%.0f" (percent .Share)}}%</td></tr>
+{{range .Causes}}<tr><td>{{.Dimension}}</td><td>{{value .Value}}</td><td>{{.Counts.Bad}}</td><td>{{printf "%.0f" (percent .Share)}}%</td></tr>
 {{end}}</table>{{end}}
 {{end}}
 </body>
--- a/pkg/burn/report.go
+++ b/pkg/burn/report.go
@@ -107,7 +107,8 @@
 	for _, alarm := range Alarms {
 		short := s.window(series, target, now, alarm.Short)
 		long := s.window(series, target, now, alarm.Long)
-		r.Windows = append(r.Windows, short, long)
+		r.addWindow(short)
+		r.addWindow(long)
 		r.Burning = r.Burning || (short.Rate >= alarm.Rate && long.Rate >= alarm.Rate)
 	}
 	r.Causes = s.causes(c, objective, now)
@@ -118,6 +119,13 @@
 	return r
 }
 
+// addWindow adds a window unless an alarm before it has the same one.
+func (r *ObjectiveReport) addWindow(w WindowReport) {
+	if !slices.ContainsFunc(r.Windows, func(o WindowReport) bool { return o.Window == w.Window }) {
+		r.Windows = append(r.Windows, w)
+	}
+}
+
 func minutes(d time.Duration) Minute { return Minute(d / time.Minute) }
 
 func (s *Store) window(series Series, target float64, now Minute, window time.Duration) WindowReport {
