Replace adds the new member itself

Cause: the proof with processes 'survives a lost disk, its repair, and a second loss right after' failed: members replace fetched the new disk and asked for the replacement, which refused a member that was not added as a learner before.

Weighed: two commands for the operator, the control plane adding the learner, and the replacement adding it as its first step; the last keeps the order of steps in one place and may be repeated.

--- a/pkg/consensus/membership.go
+++ b/pkg/consensus/membership.go
@@ -66,7 +66,7 @@
 }
 
 // ReplacementStep returns the next change on the way from the voter old to the
-// voter next, or false if there is none left. A voter that answers goes last:
+// voter next, or false if there is none left. First next learns the log. A voter that answers goes last:
 // until then the group has one voter more, and survives the loss of any one. A
 // voter that is lost goes first: beside it, the loss of the new voter as well
 // would leave two of four and no majority.
@@ -75,6 +75,8 @@
 	remove := Change{Kind: Remove, Member: old}
 	hasOld, hasNext := r.membership.IsVoter(old), r.membership.IsVoter(next)
 	switch {
+	case !r.membership.Contains(next):
+		return Change{Kind: AddLearner, Member: next}, true
 	case !hasNext && (!hasOld || r.isActive(now, old) || len(r.membership.Voters) == 1):
 		return promote, true
 	case hasOld:
--- a/pkg/replica/members.go
+++ b/pkg/replica/members.go
@@ -25,8 +25,8 @@
 	return nil
 }
 
-// Replace turns the learner next into a voter in place of old, in the order
-// that consensus.Raft.ReplacementStep gives. After a failure it may be called
+// Replace makes next a voter in place of old, in the order that
+// consensus.Raft.ReplacementStep gives; next is added as a learner if need be. After a failure it may be called
 // again and goes on where it stopped.
 func (n *Node) Replace(ctx context.Context, old, next Member) error {
 	for {
@@ -56,9 +56,6 @@
 		if s.Role != consensus.Leader {
 			return n.errNotLeader("replace member")
 		}
-		if !s.Membership.Contains(next) {
-			return failure.New(failure.NotFound, failure.NotRun, "replace member", next.String(), "add it as a learner first")
-		}
 		step, ok = n.raft.ReplacementStep(now, old, next)
 		return nil
 	})
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -60,8 +60,9 @@
 	Status() Status
 	// AddLearner adds a member that receives the log and has no vote.
 	AddLearner(ctx context.Context, m Member) error
-	// Replace turns the learner next into a voter in place of old, one change
-	// at a time, and only after next has caught up.
+	// Replace makes next a voter in place of old, one change at a time: next is
+	// added as a learner if it is none, and gets its vote only after it has
+	// caught up.
 	Replace(ctx context.Context, old, next Member) error
 	// Remove takes a voter or learner out of the group.
 	Remove(ctx context.Context, m Member) error
