Leases at 1,600 holders: shares and counts worked out in time

Cause: the leader worked the shares of all targets out anew with each join, and looked at all holders with each renewal, which at 1,600 holders and 390 targets is quadratic.

Weighed: shares are now worked out once a tick after instances came or went; the holders that surely have a lease are counted with a heap of their ends.

The property tests pass.

--- a/pkg/control/server/session.go
+++ b/pkg/control/server/session.go
@@ -122,7 +122,7 @@
 // tick releases leases that have run out and follows the platform's list.
 func (n *session) tick(ctx context.Context) {
 	n.lock.Lock()
-	for _, id := range n.granter.Release(n.now()) {
+	for _, id := range n.granter.Tick(n.now()) {
 		events.Emit(events.LeaseRanOut, id)
 	}
 	gone := n.unlisted(n.granter.Released())
--- a/pkg/grant/ledger.go
+++ b/pkg/grant/ledger.go
@@ -24,7 +24,13 @@
 // Ledger tracks what each instance may believe to hold.
 type Ledger struct {
 	targets map[model.TargetID]*target
+	// order lists the targets by name; nil if it has to be worked out.
+	order   []model.TargetID
 	holders map[model.InstanceID]*holder
+	// members is whom the shares are worked out for. It follows holders with
+	// Rebalance, so that many joins together cost as much as one.
+	members []model.InstanceID
+	stale   bool
 	// generation grows with each change that may let a share change.
 	generation uint64
 	// unknown counts the holders that have not reported what they hold.
@@ -84,6 +90,7 @@
 	if !ok {
 		t = &target{}
 		l.targets[id] = t
+		l.order = nil
 	}
 	return t
 }
@@ -92,6 +99,7 @@
 func (l *Ledger) dropUnused(id model.TargetID) {
 	if t := l.targets[id]; t.limit == (Limit{}) && t.used == (view.Grant{}) {
 		delete(l.targets, id)
+		l.order = nil
 	}
 }
 
@@ -148,6 +156,17 @@
 }
 
 func (l *Ledger) membershipChanged() {
+	l.stale = true
+	l.generation++
+}
+
+// Rebalance works the shares out anew if instances were added or removed.
+func (l *Ledger) Rebalance() {
+	if !l.stale {
+		return
+	}
+	l.stale = false
+	l.members = slices.Sorted(maps.Keys(l.holders))
 	for _, t := range l.targets {
 		t.shares = nil
 	}
@@ -223,7 +242,7 @@
 // changes works out the steps towards the instance's shares and counts them as used.
 func (l *Ledger) changes(id model.InstanceID, h *holder) []Entry {
 	var changes []Entry
-	for _, t := range slices.Sorted(maps.Keys(l.targets)) {
+	for _, t := range l.sortedTargets() {
 		held := h.acknowledged[t]
 		next := l.step(t, held, l.share(t, id))
 		if next == held {
@@ -236,10 +255,17 @@
 	return changes
 }
 
+func (l *Ledger) sortedTargets() []model.TargetID {
+	if l.order == nil {
+		l.order = slices.Sorted(maps.Keys(l.targets))
+	}
+	return l.order
+}
+
 func (l *Ledger) share(id model.TargetID, instance model.InstanceID) view.Grant {
 	t := l.targets[id]
 	if t.shares == nil {
-		t.shares = Shares(id, t.limit, slices.Collect(maps.Keys(l.holders)))
+		t.shares = Shares(id, t.limit, l.members)
 	}
 	return t.shares[instance]
 }
--- a/pkg/lease/fleet_test.go
+++ b/pkg/lease/fleet_test.go
@@ -253,7 +253,7 @@
 // pass lets time go by; the leader looks for leases that have run out.
 func (w *world) pass(ms int) {
 	w.now += time.Duration(ms) * time.Millisecond
-	w.leader.Release(w.now)
+	w.leader.Tick(w.now)
 }
 
 // step does one random thing.
--- a/pkg/lease/granter/granter.go
+++ b/pkg/lease/granter/granter.go
@@ -147,9 +147,15 @@
 	delete(g.sessions, id)
 }
 
-// Release frees the shares of leases that have surely ended and returns their
-// holders.
-func (g *Granter) Release(now time.Duration) []model.InstanceID {
+// Tick frees the shares of leases that have surely ended, returns their
+// holders, and shares the targets out over the present holders.
+func (g *Granter) Tick(now time.Duration) []model.InstanceID {
+	released := g.release(now)
+	g.ledger.Rebalance()
+	return released
+}
+
+func (g *Granter) release(now time.Duration) []model.InstanceID {
 	released := g.table.Release(now)
 	for _, id := range released {
 		g.ledger.Drop(id)
@@ -177,7 +183,7 @@
 
 // InForce returns who has acknowledged a revision and who may use an older one.
 func (g *Granter) InForce(now time.Duration, r model.Revision) (acknowledged, missing []model.InstanceID) {
-	g.Release(now)
+	g.release(now)
 	return g.table.InForce(r)
 }
 
--- a/pkg/lease/table/table.go
+++ b/pkg/lease/table/table.go
@@ -15,6 +15,7 @@
 package table
 
 import (
+	"container/heap"
 	"maps"
 	"slices"
 	"time"
@@ -47,6 +48,12 @@
 	// may still be in use.
 	duration, runOut time.Duration
 	holders          map[model.InstanceID]*holder
+	// fresh are the holders that do not count yet.
+	fresh map[model.InstanceID]bool
+	// live counts the holders that surely have a lease; ends orders them by when
+	// that ends.
+	live int
+	ends ends
 	// most holds while at least half of all holders surely have leases, and
 	// core while half of those that are not new do.
 	most, core condition
@@ -79,9 +86,10 @@
 	received time.Duration
 	// released is set once the lease has surely ended.
 	released bool
-	// joined is when the instance became known; fresh is set until it counts.
+	// joined is when the instance became known.
 	joined time.Duration
-	fresh  bool
+	// counted is set while the holder is among those that surely have a lease.
+	counted bool
 	// confirmed is until when the holder surely has a lease on its own clock.
 	confirmed time.Duration
 	// recent are the newest renewals, oldest first.
@@ -100,10 +108,14 @@
 // New returns the table of a leader that takes office now. Each known instance
 // may hold a lease from a predecessor for runOut from now.
 func New(now, duration, runOut time.Duration, known []Known) *Table {
-	t := &Table{duration: duration, runOut: runOut, holders: make(map[model.InstanceID]*holder, len(known))}
+	t := &Table{
+		duration: duration, runOut: runOut,
+		holders: make(map[model.InstanceID]*holder, len(known)), fresh: make(map[model.InstanceID]bool),
+	}
 	for _, k := range known {
-		t.holders[k.Instance] = &holder{
-			Renewal: Renewal{Instance: k.Instance}, received: now, joined: now, fresh: k.Recent,
+		t.holders[k.Instance] = &holder{Renewal: Renewal{Instance: k.Instance}, received: now, joined: now}
+		if k.Recent {
+			t.fresh[k.Instance] = true
 		}
 	}
 	t.update(now)
@@ -146,17 +158,38 @@
 	return outcome
 }
 
-func (t *Table) store(now time.Duration, old *holder, r Renewal, outcome Outcome) {
-	next := &holder{joined: now, fresh: true}
-	if old != nil {
-		next.joined, next.fresh = old.joined, old.fresh
+func (t *Table) store(now time.Duration, h *holder, r Renewal, outcome Outcome) {
+	if h == nil {
+		h = &holder{joined: now}
+		t.holders[r.Instance] = h
+		t.fresh[r.Instance] = true
+	}
+	if outcome != Renewed {
+		t.discount(h)
+		h.confirmed, h.recent, h.released = 0, nil, false
+	}
+	h.Renewal, h.heard, h.received = r, true, now
+	h.confirm(now, t.duration)
+	t.count(now, h)
+}
+
+// count adds a holder to those that surely have a lease, if it is one.
+func (t *Table) count(now time.Duration, h *holder) {
+	if t.fresh[h.Instance] || h.released || now >= h.confirmed {
+		return
+	}
+	heap.Push(&t.ends, end{at: h.confirmed, holder: h})
+	if !h.counted {
+		h.counted = true
+		t.live++
 	}
-	if outcome == Renewed {
-		next.confirmed, next.recent = old.confirmed, old.recent
+}
+
+func (t *Table) discount(h *holder) {
+	if h.counted {
+		h.counted = false
+		t.live--
 	}
-	next.Renewal, next.heard, next.received = r, true, now
-	next.confirm(now, t.duration)
-	t.holders[r.Instance] = next
 }
 
 // confirm works out until when the holder surely has a lease. The reply to
@@ -194,7 +227,11 @@
 // Return ends the lease of a holder that handed it back.
 func (t *Table) Return(now time.Duration, id model.InstanceID) {
 	t.update(now)
-	delete(t.holders, id)
+	if h, ok := t.holders[id]; ok {
+		t.discount(h)
+		delete(t.holders, id)
+		delete(t.fresh, id)
+	}
 	t.update(now)
 }
 
@@ -212,23 +249,24 @@
 // update notes whether enough holders surely have leases, and which instances
 // have been known for long enough to count.
 func (t *Table) update(now time.Duration) {
-	live, old := 0, 0
-	for _, h := range t.holders {
-		if h.fresh {
-			continue
-		}
-		old++
-		if !h.released && now < h.confirmed {
-			live++
+	for len(t.ends) > 0 && t.ends[0].at <= now {
+		if h := heap.Pop(&t.ends).(end).holder; h.confirmed <= now {
+			t.discount(h)
 		}
 	}
-	t.most.set(now, 2*live >= len(t.holders))
-	t.core.set(now, 2*live >= old)
-	for _, h := range t.holders {
-		if h.fresh && t.core.heldFor(now, h.joined, t.runOut) {
-			h.fresh = false
+	t.setConditions(now)
+	for id := range t.fresh {
+		if h := t.holders[id]; t.core.heldFor(now, h.joined, t.runOut) {
+			delete(t.fresh, id)
+			t.count(now, h)
 		}
 	}
+	t.setConditions(now)
+}
+
+func (t *Table) setConditions(now time.Duration) {
+	t.most.set(now, 2*t.live >= len(t.holders))
+	t.core.set(now, 2*t.live >= len(t.holders)-len(t.fresh))
 }
 
 // Release returns the holders whose leases have surely ended since the last
@@ -243,6 +281,7 @@
 		h := t.holders[id]
 		if !h.released && !h.alive(now, t.runOut) {
 			h.released = true
+			t.discount(h)
 			released = append(released, id)
 		}
 	}
