--- a/pkg/control/server/admin.go
+++ b/pkg/control/server/admin.go
@@ -39,6 +39,7 @@
 		events.Emit(events.RulesRefused, r.Author, err)
 		return nil, err
 	}
+	rulesAccepted.Inc()
 	events.Emit(events.RulesAccepted, result.Change.Revision, result.Change.Author, result.Change.Hash)
 	return result.Change, nil
 }
--- a/pkg/control/server/batch.go
+++ b/pkg/control/server/batch.go
@@ -80,6 +80,8 @@
 func (b *batcher) propose(batch []*waitingChange) {
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
+	orderBatches.Inc()
+	orderChanges.Add(len(batch))
 	orders := &state.Orders{}
 	for _, w := range batch {
 		orders.Changes = append(orders.Changes, w.change)
--- a/pkg/control/server/evidence.go
+++ b/pkg/control/server/evidence.go
@@ -47,6 +47,7 @@
 		return err
 	}
 	for _, f := range result.Condemned {
+		fingerprintsOut.Inc()
 		events.Emit(events.FingerprintCondemn, uint64(f), len(deaths))
 	}
 	return nil
--- a/pkg/control/server/session.go
+++ b/pkg/control/server/session.go
@@ -83,6 +83,7 @@
 	if err := n.takeEvidence(ctx, r); err != nil {
 		return nil, err
 	}
+	renewalsServed.Inc()
 	n.machine.Read(func(s *state.State) { reply.Delta = s.Delta(r.Version) })
 	return reply, nil
 }
@@ -123,6 +124,7 @@
 func (n *session) tick(ctx context.Context) {
 	n.lock.Lock()
 	for _, id := range n.granter.Tick(n.now()) {
+		leasesRanOut.Inc()
 		events.Emit(events.LeaseRanOut, id)
 	}
 	gone := n.unlisted(n.granter.Released())
--- a/pkg/lease/renew.go
+++ b/pkg/lease/renew.go
@@ -80,9 +80,12 @@
 	sent := m.now()
 	reply, err := route.Call[wire.Renewal, wire.RenewalReply](ctx, m.router, wire.KindRenew, request)
 	if err != nil {
+		renewalsFailed.Inc()
 		events.Emit(events.RenewalFailed, err)
 		return
 	}
+	renewalsOK.Inc()
+	renewalTime.Update((m.now() - sent).Seconds())
 	m.take(sent, reply)
 }
 
@@ -166,6 +169,7 @@
 func (m *Module) poll(ctx context.Context) poll {
 	ctx, cancel := context.WithTimeout(ctx, m.settings.Renew.Std()/2)
 	defer cancel()
+	pollsTotal.Inc()
 	m.mu.Lock()
 	p := m.holder.newPoll(m.now())
 	instances := m.holder.view.Instances
--- a/pkg/order/claims/place.go
+++ b/pkg/order/claims/place.go
@@ -101,10 +101,27 @@
 
 // claim asks the leader for the right to dispatch the order.
 func (p *placing) claim(ctx context.Context, a *attempt) (*state.OrderResult, error) {
-	return p.change(ctx, state.OrderChange{Claim: &state.Claim{
+	started := p.now()
+	claimed, err := p.change(ctx, state.OrderChange{Claim: &state.Claim{
 		Key: p.key, Body: bodyHash(p.request), Claimer: p.self, ID: a.id,
 		Request: p.request.ID, Undispatched: p.undispatched,
 	}})
+	claimTime.Update(p.now().Sub(started).Seconds())
+	countClaim(claimed, err)
+	return claimed, err
+}
+
+func countClaim(claimed *state.OrderResult, err error) {
+	switch {
+	case err != nil:
+		claimsFailed.Inc()
+	case claimed.Granted:
+		claimsGranted.Inc()
+	case claimed.Refusal != nil:
+		claimsRefused.Inc()
+	default:
+		claimsHeld.Inc()
+	}
 }
 
 func (s *Service) change(ctx context.Context, c state.OrderChange) (*state.OrderResult, error) {
--- a/pkg/order/claims/record.go
+++ b/pkg/order/claims/record.go
@@ -49,6 +49,7 @@
 		}
 		select {
 		case <-ctx.Done():
+			unsaved.Inc()
 			events.Emit(events.OrderOutcomeUnsaved, a.id, err)
 			s.attempts.keepUnrecorded(a.id)
 			return
