--- a/pkg/fanout/attempt.go
+++ b/pkg/fanout/attempt.go
@@ -89,6 +89,9 @@
 	if e.result.Kind == target.KindMismatched {
 		s.reportMismatch(t, r.request.ID, e.result.Err)
 	}
+	if e.result.Kind == target.KindNotHeld {
+		s.readHealthSoon(t)
+	}
 	s.reportWarmth(t, e.result.Meta.Boot, change)
 	r.collection.outcomes.add(s, t, r.request.Route, e)
 }
--- a/pkg/fanout/faults_test.go
+++ b/pkg/fanout/faults_test.go
@@ -38,6 +38,13 @@
 	return answers
 }
 
+// askForPoison has a short deadline, since its refusal waits for the quarantine.
+func askForPoison() query.Request {
+	request := askFor("poison")
+	request.Deadline = time.Now().Add(150 * time.Millisecond)
+	return request
+}
+
 var _ = Describe("a snapshot", func() {
 	twoSnapshots := func() *fleet {
 		f := newFleet(3, 2)
@@ -67,6 +74,21 @@
 		Expect(answer.Coverage.Fraction).To(Equal(1.0))
 	})
 
+	It("that all targets switch from at once is followed without waiting for the next hint", func() {
+		f := newFleet(3, 2)
+		f.list.Snapshots = append(f.list.Snapshots, snapshotOf("s2", 2, 3), snapshotOf("s3", 3, 3))
+		f.service.Refresh()
+		f.service.ReadHealth(context.Background())
+		f.service.Refresh()
+		for _, t := range f.targets {
+			t.set(func(t *fakeTarget) { t.snapshots = []model.SnapshotID{"s2"} })
+		}
+		answer, err := f.service.Query(context.Background(), askFor("rye"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Snapshot).To(Equal(model.SnapshotID("s2")))
+		Expect(answer.Coverage.Fraction).To(Equal(1.0))
+	})
+
 	It("that one target lost is answered by the leaf's other targets", func() {
 		f := twoSnapshots()
 		f.targets[0].set(func(t *fakeTarget) { t.snapshots = nil })
@@ -225,9 +247,7 @@
 			t.set(func(t *fakeTarget) { t.crash = "poison" })
 		}
 		for range 5 {
-			request := askFor("poison")
-			request.Deadline = time.Now().Add(200 * time.Millisecond)
-			_, err := f.service.Query(context.Background(), request)
+			_, err := f.service.Query(context.Background(), askForPoison())
 			Expect(failure.CodeOf(err)).To(Equal(failure.Quarantined))
 		}
 		Expect(f.crashes()).To(Equal(2))
@@ -241,7 +261,7 @@
 			t.set(func(t *fakeTarget) { t.crash = "poison" })
 		}
 		for range 5 {
-			_, err := f.service.Query(context.Background(), askFor("poison"))
+			_, err := f.service.Query(context.Background(), askForPoison())
 			Expect(err).To(HaveOccurred())
 		}
 		Expect(f.crashes()).To(BeNumerically("<=", 5))
@@ -252,7 +272,7 @@
 		f.warmUp()
 		f.targets[0].set(func(t *fakeTarget) { t.crash = "poison" })
 		var poisoned sync.WaitGroup
-		poisoned.Go(func() { _, _ = f.service.Query(context.Background(), askFor("poison")) })
+		poisoned.Go(func() { _, _ = f.service.Query(context.Background(), askForPoison()) })
 		for _, answer := range f.askTogether(10) {
 			Expect(answer).NotTo(BeNil())
 			Expect(answer.Coverage.Fraction).To(Equal(1.0))
--- a/pkg/fanout/health.go
+++ b/pkg/fanout/health.go
@@ -43,6 +43,21 @@
 	workers.Wait()
 }
 
+// readHealthSoon reads the hint of a target that has just refused a snapshot,
+// since the last hint is outdated then. At most healthWorkers such reads run.
+func (s *Service) readHealthSoon(t *targetState) {
+	select {
+	case s.soonReads <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-s.soonReads }()
+		s.readHealthOf(context.Background(), t)
+		t.leaf.collection.dirty.Store(true)
+	}()
+}
+
 func (s *Service) allTargets() []*targetState {
 	var all []*targetState
 	for _, c := range s.collections {
@@ -74,9 +89,10 @@
 func (l *leaf) reserveForHealth(t *targetState, now time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if t.alone || !t.limit.Allows(t.inFlight, now) {
+	if t.alone || t.readingHealth || !t.limit.Allows(t.inFlight, now) {
 		return false
 	}
+	t.readingHealth = true
 	t.inFlight++
 	return true
 }
@@ -86,6 +102,7 @@
 func (l *leaf) hinted(t *targetState, h *targetproto.Health, err error, known []model.SnapshotID, now time.Duration) warmth.Change {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	t.readingHealth = false
 	t.inFlight--
 	l.wakeOne()
 	if err != nil {
--- a/pkg/fanout/leaf.go
+++ b/pkg/fanout/leaf.go
@@ -75,6 +75,8 @@
 	snapshots map[model.SnapshotID]*snapshots.Record
 	running   []running
 	probe     *deathProbe
+	// readingHealth is set while a hint is read.
+	readingHealth bool
 }
 
 // running is a request in flight at a target.
--- a/pkg/fanout/service.go
+++ b/pkg/fanout/service.go
@@ -25,6 +25,9 @@
 	answerMargin = 2 * time.Millisecond
 	// rerunShare is how much of the time has to be left for a fresh run.
 	rerunShare = 0.4
+	// replanWait bounds the wait for another whole snapshot after one was lost.
+	replanWait = 60 * time.Millisecond
+	replanPoll = 3 * time.Millisecond
 	// lowestPriority applies to callers that the settings do not name.
 	lowestPriority = 1
 	// retryAfterOverload is what refused callers are told to wait.
@@ -61,6 +64,9 @@
 	// lastDeath is when a target died last; 0 means never.
 	lastDeath atomic.Int64
 
+	// soonReads bounds the hints that are read out of turn.
+	soonReads chan struct{}
+
 	windowMu     sync.Mutex
 	windowOrigin time.Duration
 	windowKnown  bool
@@ -94,6 +100,7 @@
 		limits:      admission.NewCallerLimits(),
 		poison:      poison.New(),
 		proven:      poison.NewProven(),
+		soonReads:   make(chan struct{}, healthWorkers),
 	}
 	for _, collection := range c.Settings.Collections {
 		s.collections[collection.ID] = newCollection(collection, c.Settings.Instance.ID)
@@ -172,7 +179,7 @@
 		s.awaitQuarantine(ctx, o.fingerprint)
 		return nil, failure.New(failure.Quarantined, failure.Unknown, stepFanout, "", "request %016x ended targets", uint64(o.fingerprint))
 	}
-	if s.worthRerun(c, o, first) {
+	if s.worthRerun(ctx, c, o, first) {
 		if second, err := s.pass(ctx, c, o, choice); err == nil && second.covered() > first.covered() {
 			return s.conclude(c, o, second)
 		}
@@ -180,18 +187,33 @@
 	return s.conclude(c, o, first)
 }
 
-func (s *Service) worthRerun(c *collection, o *outcome, first *run) bool {
-	if !first.lostSnapshot {
-		return false
-	}
-	next := c.current(s.now())
-	if next == nil || next.snapshot.ID == first.plan.snapshot.ID {
+func (s *Service) worthRerun(ctx context.Context, c *collection, o *outcome, first *run) bool {
+	if !first.lostSnapshot || !s.awaitOtherPlan(ctx, c, first.plan) {
 		return false
 	}
 	total := s.now() - o.started + time.Until(o.request.Deadline)
 	return float64(time.Until(o.request.Deadline)) >= rerunShare*float64(total)
 }
 
+// awaitOtherPlan waits for a short time until another snapshot is known to be
+// whole, since the hints of targets that refused the first one are read again.
+func (s *Service) awaitOtherPlan(ctx context.Context, c *collection, lost *plan) bool {
+	ctx, cancel := context.WithTimeout(ctx, replanWait)
+	defer cancel()
+	ticker := time.NewTicker(replanPoll)
+	defer ticker.Stop()
+	for {
+		if next := c.current(s.now()); next != nil && next.snapshot.ID != lost.snapshot.ID {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+}
+
 // pass runs the query once on the snapshot that is current now.
 func (s *Service) pass(ctx context.Context, c *collection, o *outcome, choice versionChoice) (*run, error) {
 	p := c.current(s.now())
