--- /dev/null
+++ b/pkg/move/simulate/simulate.go
@@ -0,0 +1,302 @@
+// Package simulate runs the controller of moves against made-up traffic in
+// virtual time, for tests and for the figures in docs/MEASUREMENTS.md.
+package simulate
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/move"
+	"radishturn.example/radishturn/pkg/rules"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+// Choice is how entries choose the version of a query.
+type Choice string
+
+// Ways to choose.
+const (
+	ByCaller  Choice = "by caller"
+	ByRequest Choice = "by request"
+)
+
+const (
+	// Duration is the time that each move has.
+	Duration = 30 * time.Minute
+	// tail is how long a run goes on after the deadline.
+	tail        = 30 * time.Second
+	entries     = 9
+	callers     = 200
+	leaves      = 10
+	buckets     = 24
+	medianMs    = 8
+	deviation   = 0.5
+	atOneTarget = 8 // requests in flight at a target that dies
+	collection  = model.CollectionID("shopfront")
+	oldVersion  = model.VersionID("41")
+	newVersion  = model.VersionID("42")
+)
+
+// routeWeights divide the callers among routes.
+var routeWeights = []float64{0.70, 0.25, 0.05}
+
+// Result is how one move went.
+type Result struct {
+	Phase move.Phase
+	// InTime says that the move was done by its deadline.
+	InTime bool
+	// Harmed counts queries that met a fault of the new version.
+	Harmed float64
+	// Faulty is the time from the first harmed query to no traffic.
+	Faulty time.Duration
+	// ShareAtStop is the share at which a move was taken back.
+	ShareAtStop float64
+}
+
+type caller struct {
+	weight float64
+	route  int
+	hash   float64
+}
+
+type run struct {
+	scenario   Scenario
+	choice     Choice
+	rand       *rand.Rand
+	callers    []caller
+	state      move.State
+	controller *move.Controller
+	stepUp     int
+	firstFault int
+	result     Result
+	normalPMF  []float64
+}
+
+// Run simulates one move; the same arguments give the same result.
+func Run(s Scenario, choice Choice, seed uint64) Result {
+	r := newRun(s, choice, seed)
+	for second := range int((Duration + tail) / time.Second) {
+		r.traffic(second)
+		r.decide(second + 1)
+		if r.state.Phase != move.PhaseUnderWay {
+			break
+		}
+	}
+	r.result.Phase = r.state.Phase
+	return r.result
+}
+
+var origin = time.Date(2026, 12, 5, 3, 0, 0, 0, time.UTC)
+
+func newRun(s Scenario, choice Choice, seed uint64) *run {
+	r := &run{
+		scenario: s, choice: choice, firstFault: -1,
+		rand:      rand.New(rand.NewPCG(seed, 1)),
+		normalPMF: latencyPMF(1),
+	}
+	r.state = move.State{
+		Rule:  rules.Move{Collection: collection, From: oldVersion, To: newVersion, By: origin.Add(Duration)},
+		Phase: move.PhaseUnderWay, Started: origin, SteppedAt: origin,
+	}
+	r.controller = move.NewController(r.state)
+	var total float64
+	for i := range callers {
+		c := caller{weight: 1 / float64(i+1), route: r.pickRoute(), hash: r.rand.Float64()}
+		r.callers = append(r.callers, c)
+		total += c.weight
+	}
+	for i := range r.callers {
+		r.callers[i].weight /= total
+	}
+	return r
+}
+
+func (r *run) pickRoute() int {
+	x := r.rand.Float64()
+	for i, w := range routeWeights {
+		if x < w {
+			return i
+		}
+		x -= w
+	}
+	return 0
+}
+
+// newShare returns the part of the queries of a route and the part of those
+// that goes to the new version.
+func (r *run) newShare(route int) (weight, share float64) {
+	var toNew float64
+	for _, c := range r.callers {
+		if c.route != route {
+			continue
+		}
+		weight += c.weight
+		if c.hash < r.state.Share {
+			toNew += c.weight
+		}
+	}
+	if r.choice == ByRequest || weight == 0 {
+		return weight, r.state.Share
+	}
+	return weight, toNew / weight
+}
+
+// traffic makes the answers of one second and reports them.
+func (r *run) traffic(second int) {
+	for route := range routeWeights {
+		weight, share := r.newShare(route)
+		rate := weight * r.scenario.QueriesPerSecond
+		r.answerQueries(second, route, poisson(r.rand, rate*(1-share)), false)
+		r.answerQueries(second, route, poisson(r.rand, rate*share), true)
+	}
+	if every := int(r.scenario.PoisonEvery / time.Second); every > 0 && second%every == every/2 {
+		r.poison(second)
+	}
+}
+
+func (r *run) answerQueries(second, route, queries int, isNew bool) {
+	if queries == 0 {
+		return
+	}
+	a := r.scenario.answers(situation{second, route, isNew, r.state.Share, second - r.stepUp})
+	attempts := queries * leaves
+	failed := binomial(r.rand, attempts, a.fail)
+	for range binomial(r.rand, attempts-failed, a.crash) {
+		failed = min(attempts, failed+atOneTarget)
+		r.die(r.rand.Uint64(), isNew)
+	}
+	if isNew && r.scenario.Bad {
+		r.harm(second, float64(queries), a)
+	}
+	o := outcome(route, isNew)
+	o.Window, o.OK, o.Failed = uint64(second), uint64(attempts-failed), uint64(failed)
+	if !a.cold {
+		o.LatencyBuckets = r.latencies(attempts-failed, a)
+	}
+	r.report(view.Evidence{Outcomes: []view.Outcome{o}})
+}
+
+// harm counts the queries that met a fault of the new version.
+func (r *run) harm(second int, queries float64, a answers) {
+	faults := a.fail + a.crash*atOneTarget - normalFailures
+	if a.slow > 0 {
+		faults = 1
+	}
+	if faults <= 0 {
+		return
+	}
+	if r.firstFault < 0 {
+		r.firstFault = second
+	}
+	r.result.Harmed += queries * (1 - math.Pow(1-min(1, faults), leaves))
+}
+
+// poison sends a request that kills each target that runs it; its caller sends
+// it again once before the fleet refuses it.
+func (r *run) poison(second int) {
+	fingerprint, hash := r.rand.Uint64(), r.rand.Float64()
+	for range 2 {
+		if r.choice == ByRequest {
+			hash = r.rand.Float64()
+		}
+		isNew := hash < r.state.Share
+		r.die(fingerprint, isNew)
+		o := outcome(0, isNew)
+		o.Window, o.Failed = uint64(second), atOneTarget
+		r.report(view.Evidence{Outcomes: []view.Outcome{o}})
+	}
+}
+
+func (r *run) die(fingerprint uint64, isNew bool) {
+	target := fmt.Sprintf("%s/svc-00/leaf-%d/slot-0", collection, r.rand.IntN(leaves))
+	if isNew {
+		target += "@" + string(newVersion)
+	}
+	suspects := []model.Fingerprint{model.Fingerprint(fingerprint)}
+	for range atOneTarget - 1 {
+		suspects = append(suspects, model.Fingerprint(r.rand.Uint64()))
+	}
+	r.report(view.Evidence{Deaths: []view.Death{{Target: model.TargetID(target), Suspects: suspects}}})
+}
+
+func (r *run) report(e view.Evidence) {
+	from := model.InstanceID(fmt.Sprintf("entry-%d", r.rand.IntN(entries)))
+	r.controller.Observe(from, e)
+}
+
+func outcome(route int, isNew bool) view.Outcome {
+	o := view.Outcome{Collection: collection, Version: oldVersion, Route: model.Route(fmt.Sprintf("route-%d", route))}
+	if isNew {
+		o.Version = newVersion
+	}
+	return o
+}
+
+func (r *run) latencies(n int, a answers) []uint64 {
+	counts := make([]uint64, buckets)
+	slow := binomial(r.rand, n, a.slow)
+	r.spread(counts, n-slow, r.normalPMF)
+	if slow > 0 {
+		r.spread(counts, slow, latencyPMF(a.slowBy))
+	}
+	return counts
+}
+
+// spread draws n latencies.
+func (r *run) spread(counts []uint64, n int, pmf []float64) {
+	left := 1.0
+	for i, p := range pmf {
+		if n == 0 || left <= 0 {
+			return
+		}
+		k := binomial(r.rand, n, min(1, p/left))
+		counts[i] += uint64(k)
+		n, left = n-k, left-p
+	}
+}
+
+// latencyPMF returns the chances of the buckets for a log-normal latency.
+func latencyPMF(factor float64) []float64 {
+	pmf := make([]float64, buckets)
+	below := 0.0
+	for i := range pmf {
+		upper := math.Pow(2, float64(i)/2)
+		cumulative := 0.5 * math.Erfc(-math.Log(upper/(medianMs*factor))/deviation/math.Sqrt2)
+		if i == buckets-1 {
+			cumulative = 1
+		}
+		pmf[i], below = cumulative-below, cumulative
+	}
+	return pmf
+}
+
+// decide lets the controller step; a step is in force a second later.
+func (r *run) decide(second int) {
+	at := time.Duration(second) * time.Second
+	step, _ := r.controller.Decide(r.state, move.Now{Wall: origin.Add(at), Monotonic: at})
+	if step == nil {
+		return
+	}
+	if step.Share > r.state.Share {
+		r.stepUp = second
+	}
+	if step.Phase == move.PhaseTakenBack {
+		r.takenBack(second)
+	}
+	r.result.InTime = step.Phase == move.PhaseDone && !step.At.After(r.state.Rule.By)
+	r.state.Step++
+	r.state.Phase, r.state.Share, r.state.SteppedAt, r.state.Evidence = step.Phase, step.Share, step.At, step.Evidence
+}
+
+// inForceAfter is how long entries go on with the share before.
+const inForceAfter = time.Second
+
+func (r *run) takenBack(second int) {
+	r.result.ShareAtStop = r.state.Share
+	if r.firstFault >= 0 {
+		r.result.Faulty = time.Duration(second-r.firstFault)*time.Second + inForceAfter
+	}
+}
--- /dev/null
+++ b/pkg/move/simulate/simulate_test.go
@@ -0,0 +1,112 @@
+package simulate_test
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"text/tabwriter"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/move"
+	"radishturn.example/radishturn/pkg/move/simulate"
+)
+
+func TestSimulate(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Simulated moves")
+}
+
+// movesEnv asks for a report over that many moves of each kind.
+const movesEnv = "RADISHTURN_MOVES"
+
+func movesOfKind() int {
+	if n, err := strconv.Atoi(os.Getenv(movesEnv)); err == nil {
+		return n
+	}
+	return 4
+}
+
+// simulateAll runs n moves of a scenario with seeds from 1.
+func simulateAll(s simulate.Scenario, c simulate.Choice, n int) []simulate.Result {
+	results := make([]simulate.Result, n)
+	var wait sync.WaitGroup
+	slots := make(chan struct{}, min(2, runtime.GOMAXPROCS(0)))
+	for i := range results {
+		wait.Go(func() {
+			slots <- struct{}{}
+			results[i] = simulate.Run(s, c, uint64(i+1))
+			<-slots
+		})
+	}
+	wait.Wait()
+	return results
+}
+
+func print(w *tabwriter.Writer, s simulate.Scenario, c simulate.Choice, results []simulate.Result) {
+	var inTime, back int
+	var harmed []float64
+	var faulty []time.Duration
+	for _, r := range results {
+		if r.InTime {
+			inTime++
+		}
+		if r.Phase == move.PhaseTakenBack {
+			back++
+			harmed = append(harmed, r.Harmed)
+			faulty = append(faulty, r.Faulty)
+		}
+	}
+	slices.Sort(harmed)
+	slices.Sort(faulty)
+	fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%s\t%s\n", s.Name, c, len(results), inTime, back, spread(harmed), spread(faulty))
+}
+
+// spread writes the median, the 99th percentile and the greatest value.
+func spread[T float64 | time.Duration](sorted []T) string {
+	if len(sorted) == 0 {
+		return "-"
+	}
+	at := func(q float64) any {
+		v := sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+		if f, ok := any(v).(float64); ok {
+			return fmt.Sprintf("%.0f", f)
+		}
+		return v
+	}
+	return fmt.Sprintf("%v / %v / %v", at(0.5), at(0.99), at(1))
+}
+
+var _ = Describe("simulated moves", func() {
+	It("takes bad versions back and lets good ones finish in time", func() {
+		n := movesOfKind()
+		w := tabwriter.NewWriter(GinkgoWriter, 0, 4, 2, ' ', 0)
+		fmt.Fprintln(w, "kind\tchoice\tmoves\tdone in time\ttaken back\tharmed p50/p99/max\tfault to no traffic p50/p99/max")
+		defer w.Flush()
+		for _, c := range []simulate.Choice{simulate.ByCaller, simulate.ByRequest} {
+			for _, s := range slices.Concat(simulate.GoodVersions(), simulate.BadVersions()) {
+				results := simulateAll(s, c, n)
+				print(w, s, c, results)
+				for i, r := range results {
+					if n == 4 && s.Bad {
+						Expect(r.Phase).To(Equal(move.PhaseTakenBack), "%s, %s, seed %d", s.Name, c, i+1)
+					}
+					if n == 4 && !s.Bad {
+						Expect(r.InTime).To(BeTrue(), "%s, %s, seed %d", s.Name, c, i+1)
+					}
+				}
+			}
+		}
+	})
+
+	It("gives the same result for the same seed", func() {
+		s := simulate.BadVersions()[0]
+		Expect(simulate.Run(s, simulate.ByCaller, 7)).To(Equal(simulate.Run(s, simulate.ByCaller, 7)))
+	})
+})
