Moves: pooled test, two windows, comparison at half the traffic

Changed: one test over all routes beside those of each route; two full windows decide instead of three (a death's burst alone still cannot, and a second death of the same request is explained by the first); a window never spans a step; at 100% the new version alone is watched against what it showed before, and an alarm steps back to 50%, where both can be compared. A second alarm takes back. Weighed: taking back on the first alarm at 100%. It would make a zone's loss at that time take back a good version.

--- a/pkg/move/controller.go
+++ b/pkg/move/controller.go
@@ -55,28 +55,33 @@
 // not safe for concurrent use.
 type Controller struct {
 	rule      State
+	pooled    *routeEvidence
 	routes    map[model.Route]*routeEvidence
 	reporters map[model.InstanceID]bool
 	stops     map[model.InstanceID]string
 	// explained counts failures of the new version that a death accounts for.
-	explained    float64
-	poisoned     map[model.Fingerprint]bool
-	windowEnd    time.Duration
-	step         int
-	stepSince    time.Duration
-	comparing    bool
+	explained float64
+	poisoned  map[model.Fingerprint]bool
+	windowEnd time.Duration
+	step      int
+	stepSince time.Duration
+	comparing bool
+	// alarms counts the alarms of the new version alone.
+	alarms       int
 	windowOpened bool
 }
 
 // NewController returns a controller for the move described by s.
 func NewController(s State) *Controller {
-	return &Controller{
+	c := &Controller{
 		rule: s, step: -1,
 		routes:    make(map[model.Route]*routeEvidence),
 		reporters: make(map[model.InstanceID]bool),
 		stops:     make(map[model.InstanceID]string),
 		poisoned:  make(map[model.Fingerprint]bool),
 	}
+	c.pooled = newRouteEvidence("all routes", c.limit(1))
+	return c
 }
 
 // Observe takes in what an entry reported.
@@ -98,20 +103,33 @@
 }
 
 func (c *Controller) addOutcome(o view.Outcome) {
-	r := c.routes[o.Route]
-	if r == nil {
-		if len(c.routes) >= maximumRoutes {
-			return
-		}
-		r = newRouteEvidence(o.Route, c.limit(len(c.routes)+1))
-		c.routes[o.Route] = r
+	isNew := o.Version == c.rule.Rule.To
+	if !isNew && o.Version != c.rule.Rule.From {
+		return
+	}
+	c.pooled.add(isNew, o)
+	if r := c.route(o.Route); r != nil {
+		r.add(isNew, o)
 	}
-	switch o.Version {
-	case c.rule.Rule.From:
-		r.pending.old.add(o)
-	case c.rule.Rule.To:
-		r.pending.new.add(o)
+}
+
+// route returns the evidence of a route, or nil when too many are watched.
+func (c *Controller) route(route model.Route) *routeEvidence {
+	r := c.routes[route]
+	if r == nil && len(c.routes) < maximumRoutes {
+		r = newRouteEvidence(fmt.Sprintf("route %q", route), c.limit(len(c.routes)+2))
+		c.routes[route] = r
 	}
+	return r
+}
+
+// all returns the evidence of all routes together, then that of each.
+func (c *Controller) all() []*routeEvidence {
+	all := []*routeEvidence{c.pooled}
+	for _, route := range slices.Sorted(maps.Keys(c.routes)) {
+		all = append(all, c.routes[route])
+	}
+	return all
 }
 
 // addDeath notes the failures that a target's death explains. A request that
@@ -159,6 +177,9 @@
 		return newStep(s, now, PhaseTakenBack, 0, evidence), ""
 	}
 	if s.Share == 1 && c.suspiciousAlone() {
+		if c.alarms > 0 {
+			return newStep(s, now, PhaseTakenBack, 0, "the new version fails again at all the traffic, not at half of it"), ""
+		}
 		c.comparing = true
 		return newStep(s, now, PhaseUnderWay, compareShare, "the new version fails; both are compared at half the traffic"), ""
 	}
@@ -171,10 +192,18 @@
 	return c.forward(s, now), ""
 }
 
-// follow notes when a step was first seen, on the monotonic clock.
+// follow notes when a step was first seen, on the monotonic clock. A window
+// never spans a step, since the shares of the versions differ.
 func (c *Controller) follow(s State, now Now) {
-	if s.Step != c.step {
-		c.step, c.stepSince = s.Step, now.Monotonic
+	if s.Step == c.step {
+		return
+	}
+	c.step, c.stepSince = s.Step, now.Monotonic
+	if c.comparing && s.Share < 1 {
+		c.alarms++
+	}
+	for _, r := range c.all() {
+		r.drop()
 	}
 }
 
@@ -187,7 +216,7 @@
 		return
 	}
 	c.windowEnd = now.Monotonic + Window
-	for _, r := range c.routes {
+	for _, r := range c.all() {
 		r.close(c.explained)
 	}
 	c.explained = 0
@@ -195,11 +224,10 @@
 
 // verdict reports whether the new version is bad, and why.
 func (c *Controller) verdict() (evidence string, bad bool) {
-	for _, route := range slices.Sorted(maps.Keys(c.routes)) {
-		r := c.routes[route]
+	for _, r := range c.all() {
 		if part, what := r.strongest(); part >= 1 {
-			return fmt.Sprintf("%s of version %s on route %q beyond version %s in the same windows",
-				what, c.rule.Rule.To, r.route, c.rule.Rule.From), true
+			return fmt.Sprintf("%s of version %s on %s beyond version %s in the same windows",
+				what, c.rule.Rule.To, r.name, c.rule.Rule.From), true
 		}
 	}
 	if n := len(c.stops); c.stopsDecide() {
@@ -233,7 +261,7 @@
 }
 
 func (c *Controller) suspiciousAlone() bool {
-	for _, r := range c.routes {
+	for _, r := range c.all() {
 		if r.baseline.suspicious() {
 			return true
 		}
@@ -244,7 +272,7 @@
 // strongest returns the greatest evidence as a part of its limit.
 func (c *Controller) strongest() float64 {
 	var greatest float64
-	for _, r := range c.routes {
+	for _, r := range c.all() {
 		part, _ := r.strongest()
 		greatest = max(greatest, part)
 	}
--- a/pkg/move/detector.go
+++ b/pkg/move/detector.go
@@ -15,7 +15,7 @@
 
 // minimumWindows is the least number of windows that decide together. A burst
 // in one window, such as one target's death, never decides alone.
-const minimumWindows = 3
+const minimumWindows = 2
 
 // counts are the answers of both versions in one window, and how many of them
 // are bad.
--- a/pkg/move/simulate/scenario.go
+++ b/pkg/move/simulate/scenario.go
@@ -39,10 +39,12 @@
 const (
 	normalFailures = 0.0005
 	usualTraffic   = 100
-	lateFault      = 600 // seconds
-	zoneLostAt     = 700 // seconds
-	zoneEjected    = 3   // seconds until attempts avoid a lost zone
-	zoneReturns    = 60  // seconds
+	lateFault      = 600  // seconds
+	lastFault      = 1500 // seconds
+	zoneLostAt     = 700  // seconds
+	zoneLostLate   = 1600 // seconds
+	zoneEjected    = 3    // seconds until attempts avoid a lost zone
+	zoneReturns    = 60   // seconds
 	coldSeconds    = 60
 	zones          = 3
 	rareRoute      = 2
@@ -69,7 +71,8 @@
 		faulty("fails at once", answers{fail: 0.5}, always),
 		faulty("slow at once", answers{fail: normalFailures, slow: 1, slowBy: 4}, always),
 		faulty("fails after 10 min", answers{fail: 0.5}, func(s situation) bool { return s.second >= lateFault }),
-		faulty("fails late, at 100%", answers{fail: 0.5}, func(s situation) bool { return s.share == 1 && s.sinceNew > 30 }),
+		faulty("fails after 25 min, at 100%", answers{fail: 0.5}, func(s situation) bool { return s.second >= lastFault }),
+		faulty("fails at 100% only", answers{fail: 0.5}, func(s situation) bool { return s.share == 1 }),
 		faulty("fails under load", answers{fail: 0.3}, func(s situation) bool { return s.share >= 0.25 }),
 		faulty("fails on one route", answers{fail: 1}, func(s situation) bool { return s.route == rareRoute }),
 		faulty("fails in one zone", answers{fail: 0.8 / zones}, always),
@@ -81,7 +84,8 @@
 func GoodVersions() []Scenario {
 	return []Scenario{
 		{Name: "no trouble", QueriesPerSecond: usualTraffic, answers: func(situation) answers { return normal() }},
-		{Name: "zone lost", QueriesPerSecond: usualTraffic, answers: zoneLost},
+		{Name: "zone lost", QueriesPerSecond: usualTraffic, answers: zoneLost(zoneLostAt)},
+		{Name: "zone lost at 100%", QueriesPerSecond: usualTraffic, answers: zoneLost(zoneLostLate)},
 		{Name: "stragglers on both", QueriesPerSecond: usualTraffic, answers: func(situation) answers {
 			return answers{fail: normalFailures, slow: 0.05, slowBy: 10}
 		}},
@@ -101,20 +105,22 @@
 	return a
 }
 
-// zoneLost fails the attempts in one zone until they avoid it. The new version
-// has a somewhat greater part of its targets there.
-func zoneLost(s situation) answers {
-	a := normal()
-	since := s.second - zoneLostAt
-	part := 1.0 / zones
-	if s.isNew {
-		part *= 1.2
-	}
-	switch {
-	case since >= 0 && since < zoneEjected:
-		a.fail = part
-	case since >= zoneEjected && since < zoneReturns:
-		a.fail = 0.02
+// zoneLost fails the attempts in one zone from a second on until they avoid it.
+// The new version has a somewhat greater part of its targets there.
+func zoneLost(at int) func(situation) answers {
+	return func(s situation) answers {
+		a := normal()
+		since := s.second - at
+		part := 1.0 / zones
+		if s.isNew {
+			part *= 1.2
+		}
+		switch {
+		case since >= 0 && since < zoneEjected:
+			a.fail = part
+		case since >= zoneEjected && since < zoneReturns:
+			a.fail = 0.02
+		}
+		return a
 	}
-	return a
 }
--- a/pkg/move/simulate/simulate.go
+++ b/pkg/move/simulate/simulate.go
@@ -35,6 +35,7 @@
 	medianMs    = 8
 	deviation   = 0.5
 	atOneTarget = 8 // requests in flight at a target that dies
+	poisonSends = 2
 	collection  = model.CollectionID("shopfront")
 	oldVersion  = model.VersionID("41")
 	newVersion  = model.VersionID("42")
@@ -73,6 +74,9 @@
 	firstFault int
 	result     Result
 	normalPMF  []float64
+	// fingerprint and poisonHash are those of the last poison request.
+	fingerprint uint64
+	poisonHash  float64
 }
 
 // Run simulates one move; the same arguments give the same result.
@@ -152,8 +156,10 @@
 		r.answerQueries(second, route, poisson(r.rand, rate*(1-share)), false)
 		r.answerQueries(second, route, poisson(r.rand, rate*share), true)
 	}
-	if every := int(r.scenario.PoisonEvery / time.Second); every > 0 && second%every == every/2 {
-		r.poison(second)
+	if every := int(r.scenario.PoisonEvery / time.Second); every > 0 {
+		if since := second % every; since < poisonSends {
+			r.poison(second, since > 0)
+		}
 	}
 }
 
@@ -195,19 +201,19 @@
 }
 
 // poison sends a request that kills each target that runs it; its caller sends
-// it again once before the fleet refuses it.
-func (r *run) poison(second int) {
-	fingerprint, hash := r.rand.Uint64(), r.rand.Float64()
-	for range 2 {
-		if r.choice == ByRequest {
-			hash = r.rand.Float64()
-		}
-		isNew := hash < r.state.Share
-		r.die(fingerprint, isNew)
-		o := outcome(0, isNew)
-		o.Window, o.Failed = uint64(second), atOneTarget
-		r.report(view.Evidence{Outcomes: []view.Outcome{o}})
+// it again a second later, before the fleet refuses it.
+func (r *run) poison(second int, again bool) {
+	if !again || r.choice == ByRequest {
+		r.poisonHash = r.rand.Float64()
 	}
+	if !again {
+		r.fingerprint = r.rand.Uint64()
+	}
+	isNew := r.poisonHash < r.state.Share
+	r.die(r.fingerprint, isNew)
+	o := outcome(0, isNew)
+	o.Window, o.Failed = uint64(second), atOneTarget
+	r.report(view.Evidence{Outcomes: []view.Outcome{o}})
 }
 
 func (r *run) die(fingerprint uint64, isNew bool) {
--- a/pkg/move/tally.go
+++ b/pkg/move/tally.go
@@ -1,7 +1,8 @@
 package move
 
 import (
-	"radishturn.example/radishturn/pkg/model"
+	"fmt"
+
 	"radishturn.example/radishturn/pkg/view"
 )
 
@@ -22,6 +23,15 @@
 	}
 }
 
+// addTo adds an outcome to the tally of its version.
+func (t *tally) addTo(isNew bool, o view.Outcome) {
+	if isNew {
+		t.new.add(o)
+		return
+	}
+	t.old.add(o)
+}
+
 func (t *versionTally) all() float64 { return t.ok + t.failed }
 
 // tally sums what the entries reported for one window of a route.
@@ -51,19 +61,6 @@
 	}
 }
 
-// routeEvidence is what the controller knows of one route.
-type routeEvidence struct {
-	route model.Route
-	// limit is the evidence at which a test of this route decides.
-	limit    float64
-	pending  tally
-	oldTimes histogram
-	failures *sequentialTest
-	latency  []*latencyTest
-	// baseline watches the failures while the old version has no traffic.
-	baseline *baselineTest
-}
-
 // latencyTest compares the shares of answers above a quantile of the old version.
 type latencyTest struct {
 	quantile float64
@@ -73,6 +70,9 @@
 const (
 	// minimumOld is the least number of the old version's answers in a window.
 	minimumOld = 20
+	// maximumOpen is the number of windows after which a window that cannot be
+	// compared is dropped.
+	maximumOpen = 30
 	// failureFloor is a rate of failures that is never held against a version.
 	failureFloor = 0.002
 	// slowFloorFactor times 1-quantile is the rate of slow answers always allowed.
@@ -81,27 +81,55 @@
 
 var watchedQuantiles = []float64{0.9, 0.99}
 
-func newRouteEvidence(route model.Route, limit float64) *routeEvidence {
-	r := &routeEvidence{
-		route: route, limit: limit,
-		failures: newSequentialTest(failureFloor),
-		baseline: &baselineTest{},
-	}
+// routeEvidence is what the controller knows of one route, or of all together.
+type routeEvidence struct {
+	name string
+	// limit is the evidence at which a test of this route decides.
+	limit float64
+	// pending is the open window; it stays open until it can be compared.
+	pending tally
+	open    int
+	// fresh holds what came in since the last call of close.
+	fresh    tally
+	oldTimes histogram
+	failures *sequentialTest
+	latency  []*latencyTest
+	// baseline watches the failures while the old version has no traffic.
+	baseline baselineTest
+}
+
+func newRouteEvidence(name string, limit float64) *routeEvidence {
+	r := &routeEvidence{name: name, limit: limit, failures: newSequentialTest(failureFloor)}
 	for _, q := range watchedQuantiles {
 		r.latency = append(r.latency, &latencyTest{q, newSequentialTest(slowFloorFactor * (1 - q))})
 	}
 	return r
 }
 
+func (r *routeEvidence) add(isNew bool, o view.Outcome) {
+	r.pending.addTo(isNew, o)
+	r.fresh.addTo(isNew, o)
+}
+
 // close ends the window if it can be compared.
 func (r *routeEvidence) close(explained float64) {
-	if r.pending.old.all() < minimumOld {
-		r.baseline.add(&r.pending.new, explained)
+	if r.fresh.old.all() == 0 {
+		r.baseline.add(&r.fresh.new, explained)
 	}
-	if !r.pending.comparable() {
-		r.dropOld()
-		return
+	r.fresh = tally{}
+	r.open++
+	if r.pending.comparable() {
+		r.compare(explained)
+	} else if r.open >= maximumOpen {
+		r.oldTimes.add(r.pending.old.latencies)
+		r.drop()
 	}
+}
+
+// drop forgets the open window.
+func (r *routeEvidence) drop() { r.pending, r.open = tally{}, 0 }
+
+func (r *routeEvidence) compare(explained float64) {
 	failures := r.pending.failures(explained)
 	r.failures.add(failures, r.limit)
 	for _, l := range r.latency {
@@ -111,28 +139,16 @@
 	}
 	r.oldTimes.add(r.pending.old.latencies)
 	r.baseline.learn(failures)
-	r.pending = tally{}
-}
-
-// dropOld keeps a window without answers of the new version from growing for
-// the whole move.
-func (r *routeEvidence) dropOld() {
-	if r.pending.new.all() == 0 && r.pending.old.all() > maximumOldOnly {
-		r.oldTimes.add(r.pending.old.latencies)
-		r.pending = tally{}
-	}
+	r.drop()
 }
 
-// maximumOldOnly bounds the old version's answers in a window without the new one.
-const maximumOldOnly = 1000
-
 // strongest returns the greatest evidence of the route's tests as a part of
 // its limit, and which test it is.
 func (r *routeEvidence) strongest() (part float64, what string) {
 	part, what = r.failures.evidence()/r.limit, "failures"
 	for _, l := range r.latency {
 		if p := l.test.evidence() / r.limit; p > part {
-			part, what = p, "latency"
+			part, what = p, fmt.Sprintf("answers above the %g quantile", l.quantile)
 		}
 	}
 	return part, what
