--- a/pkg/entryapi/record.go
+++ b/pkg/entryapi/record.go
@@ -35,6 +35,7 @@
 	}
 	if a != nil {
 		o.Coverage = a.Coverage.Fraction
+		o.Version = a.Version
 	}
 	m.recorder.Record(o)
 }
--- a/pkg/fanout/merge.go
+++ b/pkg/fanout/merge.go
@@ -5,8 +5,10 @@
 	"slices"
 
 	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/query"
 	"radishturn.example/radishturn/pkg/settings"
+	"radishturn.example/radishturn/pkg/target"
 	"radishturn.example/radishturn/pkg/targetproto"
 )
 
@@ -53,9 +55,29 @@
 		Snapshot:  r.plan.snapshot.ID,
 		Coverage:  coverage,
 		Hits:      r.merge(o.request.Limit),
+		Version:   r.mainVersion(),
 	}, nil
 }
 
+// mainVersion returns the version that answered for most leaves.
+func (r *run) mainVersion() model.VersionID {
+	counts := make(map[model.VersionID]int, 2)
+	var most model.VersionID
+	for i := range r.legs {
+		for _, a := range r.legs[i].attempts[:r.legs[i].count] {
+			if !a.ended || a.kind != target.KindOK {
+				continue
+			}
+			v := a.target.target.Version
+			counts[v]++
+			if counts[v] > counts[most] {
+				most = v
+			}
+		}
+	}
+	return most
+}
+
 // leastCoverage is what the caller asks for, else what the collection's policy does.
 func leastCoverage(c settings.Collection, r *query.Request) float64 {
 	if r.MinCoverage >= 0 {
--- a/pkg/query/query.go
+++ b/pkg/query/query.go
@@ -33,6 +33,8 @@
 	Snapshot  model.SnapshotID  `json:"snapshot"`
 	Coverage  Coverage          `json:"coverage"`
 	Hits      []targetproto.Hit `json:"hits"`
+	// Version is the one that served most leaves; callers are not told.
+	Version model.VersionID `json:"-"`
 }
 
 // Coverage states how much of the snapshot an answer covers, in documents.
--- a/proofs/orders_test.go
+++ b/proofs/orders_test.go
@@ -125,6 +125,7 @@
 
 	It("are refused and not run while control has no quorum, and queries go on", func() {
 		f := newFleet(seed())
+		f.warmUp()
 		f.kill(1)
 		f.kill(2)
 		Eventually(func() string { return f.order(4, "no-quorum-probe").kind() }, readyTimeout).Should(Equal(refusedOrder))
