Replace refuses what would change the number of voters

Cause: a spec failed on a loaded machine: it replaced, at random, a member by itself, and Replace added, promoted and removed it for ever. A wrong disk for the old member would have been as bad: it would have added a fourth voter.

Conclusion: both are refused before anything is proposed; a repeated call after the old voter is gone is told apart by the even number of voters. The spec picks its member among the voters now.

--- a/pkg/replica/group_test.go
+++ b/pkg/replica/group_test.go
@@ -172,13 +172,13 @@
 	Expect(leader.Status().Voters).To(And(ContainElement(next), Not(ContainElement(old))))
 }
 
-// followers returns the members that do not lead.
+// followers returns the voters that do not lead.
 func (g *group) followers() []*member {
 	leader := g.leader()
 	var others []*member
-	for _, m := range g.members {
-		if m != leader {
-			others = append(others, m)
+	for _, m := range leader.Status().Voters {
+		if other := g.members[m.Instance]; other != leader {
+			others = append(others, other)
 		}
 	}
 	return others
--- a/pkg/replica/members.go
+++ b/pkg/replica/members.go
@@ -56,12 +56,28 @@
 		if s.Role != consensus.Leader {
 			return n.errNotLeader("replace member")
 		}
+		if err := checkReplacement(s.Membership, old, next); err != nil {
+			return err
+		}
 		step, ok = n.raft.ReplacementStep(now, old, next)
 		return nil
 	})
 	return step, ok, err
 }
 
+// checkReplacement refuses an old member that is no voter, unless it is gone
+// because an earlier call got that far: then the voters are even in number.
+func checkReplacement(c consensus.Membership, old, next Member) error {
+	if old == next {
+		return failure.New(failure.BadRequest, failure.NotRun, "replace member", old.String(), "the new member is the old one")
+	}
+	isBegun := len(c.Voters)%2 == 0 || c.IsVoter(next)
+	if !c.IsVoter(old) && !isBegun {
+		return failure.New(failure.NotFound, failure.NotRun, "replace member", old.String(), "the old member is not a voter")
+	}
+	return nil
+}
+
 // request runs f in the loop and returns its error.
 func (n *Node) request(ctx context.Context, step string, f func(now time.Duration) error) error {
 	done := make(chan error, 1)
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -94,6 +94,21 @@
 		g.propose("c1")
 	})
 
+	It("refuses replacements that would change the number of voters", func() {
+		g := newGroup("a", "b", "c")
+		g.start("a", "b", "c", "d")
+		g.propose("c0")
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		leader := g.leader()
+		voter, next := leader.Status().Self, g.members["d"].Status().Self
+		Expect(failure.CodeOf(leader.Replace(ctx, voter, voter))).To(Equal(failure.BadRequest))
+		unknown := replica.Member{Instance: "a", Disk: "another"}
+		Expect(failure.CodeOf(leader.Replace(ctx, unknown, next))).To(Equal(failure.NotFound))
+		Expect(leader.Status().Voters).To(HaveLen(3))
+		Expect(leader.Status().Learners).To(BeEmpty())
+	})
+
 	It("goes on without a leader that was taken out of the group", func() {
 		g := newGroup("a", "b", "c")
 		g.start("a", "b", "c", "d")
