Elections: narrower spread, and failed pre-votes are asked again soon

Weighed: spreads of one election timeout to an eighth, each with a failed pre-vote waiting for the next election timeout and for one to two heartbeats. A narrow spread alone makes the worst cases worse, since a follower that heard the leader a little later refuses the first pre-vote.

Conclusion: a quarter, asked again after one to two heartbeats.

--- a/pkg/consensus/election.go
+++ b/pkg/consensus/election.go
@@ -32,7 +32,8 @@
 
 // campaign asks the voters whether they would elect this member. The term is
 // raised only after a majority said yes, so that a member which was cut off
-// does not depose a working leader when it returns.
+// does not depose a working leader when it returns. Since the question does no
+// harm it is repeated soon: others may hear the leader's silence a little later.
 func (r *Raft) campaign(now time.Duration) {
 	if !r.mayCampaign() {
 		r.leader = Member{}
@@ -47,6 +48,7 @@
 		return
 	}
 	r.requestVotes(r.term+1, VoteRequest{Pre: true})
+	r.electionDeadline = now + r.cfg.Heartbeat + r.cfg.Jitter(r.cfg.Heartbeat)
 }
 
 // mayCampaign reports whether this member may be needed as a leader. Until its
--- a/pkg/consensus/raft.go
+++ b/pkg/consensus/raft.go
@@ -10,7 +10,7 @@
 type Config struct {
 	Self Member
 	// ElectionTimeout is the shortest silence after which a follower
-	// campaigns; the longest is twice as much.
+	// campaigns; the longest is a quarter more.
 	ElectionTimeout time.Duration
 	Heartbeat       time.Duration
 	// MaxAppendBytes bounds the entries of one message.
@@ -30,6 +30,9 @@
 	DefaultMaxUncommitted = 1 << 14
 )
 
+// jitterShare is the part of the election timeout over which campaigns spread.
+const jitterShare = 4
+
 func (c *Config) setDefaults() {
 	if c.MaxAppendBytes == 0 {
 		c.MaxAppendBytes = DefaultMaxAppendBytes
@@ -155,7 +158,7 @@
 }
 
 func (r *Raft) resetElectionDeadline(now time.Duration) {
-	r.electionDeadline = now + r.cfg.ElectionTimeout + r.cfg.Jitter(r.cfg.ElectionTimeout)
+	r.electionDeadline = now + r.cfg.ElectionTimeout + r.cfg.Jitter(r.cfg.ElectionTimeout/jitterShare)
 }
 
 // Step takes a message in. Messages may be lost, repeated and reordered.
