Leases: acknowledgements spread out, relays not through a silent member

Cause: with 1,600 holders that start at once in one process, each change of the set of instances made all holders renew 20 ms later, and the router relayed through the very member that was silent, so the load fed on itself and no holder got a lease in 60 s (TestScale, on a machine with a load of 27 from others; not measured on a quiet one yet).

Weighed: only grants need an acknowledgement soon; the configuration can wait for the next renewal, which is in force within a second anyway.

--- a/pkg/control/route/request.go
+++ b/pkg/control/route/request.go
@@ -121,14 +121,15 @@
 }
 
 // relayCandidates returns peers that may relay, those that are not members
-// first: a member that can be reached is asked directly.
+// first: a member that can be reached is asked directly. One that is silent
+// gets no second request.
 func (c *request) relayCandidates() []attempt {
 	if !c.relays || c.relaysTried() >= relaysPerRound {
 		return nil
 	}
 	members := c.router.members()
 	peers := slices.DeleteFunc(shuffled(c.router.mesh.Peers()), func(id model.InstanceID) bool {
-		return id == c.router.mesh.Self()
+		return id == c.router.mesh.Self() || c.inFlight[attempt{to: id}]
 	})
 	slices.SortStableFunc(peers, func(a, b model.InstanceID) int {
 		return compareBool(slices.Contains(members, a), slices.Contains(members, b))
--- a/pkg/lease/merge.go
+++ b/pkg/lease/merge.go
@@ -80,10 +80,19 @@
 	if len(changed)+len(gone) == 0 {
 		return old
 	}
-	next := slices.DeleteFunc(slices.Clone(old), func(i model.Instance) bool {
-		return slices.Contains(gone, i.ID) ||
-			slices.ContainsFunc(changed, func(c model.Instance) bool { return c.ID == i.ID })
-	})
+	replaced := make(map[model.InstanceID]bool, len(changed)+len(gone))
+	for _, i := range changed {
+		replaced[i.ID] = true
+	}
+	for _, id := range gone {
+		replaced[id] = true
+	}
+	next := make([]model.Instance, 0, len(old)+len(changed))
+	for _, i := range old {
+		if !replaced[i.ID] {
+			next = append(next, i)
+		}
+	}
 	next = append(next, changed...)
 	slices.SortFunc(next, func(a, b model.Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return next
--- a/pkg/lease/module.go
+++ b/pkg/lease/module.go
@@ -34,7 +34,8 @@
 	views    *view.Holder
 	times    atomic.Pointer[times]
 	reporter *reporter
-	wake     chan struct{}
+	// wake asks for a renewal at once, acknowledge for one soon.
+	wake, acknowledge chan struct{}
 
 	mu     sync.Mutex
 	holder *holder
@@ -91,9 +92,9 @@
 	m.settings, m.mesh, m.router = s.Lease, peers, router
 	m.origin = time.Now()
 	m.views = view.NewHolder()
-	m.wake = make(chan struct{}, 1)
+	m.wake, m.acknowledge = make(chan struct{}, 1), make(chan struct{}, 1)
 	m.stop = make(chan struct{})
-	m.reporter = newReporter(m.wakeUp)
+	m.reporter = newReporter(func() { notify(m.wake) })
 	self := model.Instance{
 		ID: s.Instance.ID, AvailabilityZone: s.Instance.AvailabilityZone, MeshAddress: s.Instance.MeshAddress(),
 	}
@@ -125,9 +126,10 @@
 // Report collects evidence for the next renewal.
 func (m *Module) Report(e view.Evidence) { m.reporter.Report(e) }
 
-func (m *Module) wakeUp() {
+// notify signals without waiting; signals that are not taken yet count as one.
+func notify(c chan<- struct{}) {
 	select {
-	case m.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/pkg/lease/renew.go
+++ b/pkg/lease/renew.go
@@ -10,13 +10,16 @@
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/mesh"
 	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/state"
 	"radishturn.example/radishturn/pkg/view"
 )
 
 const (
-	// minRenewGap is the shortest time between renewals that evidence or an
-	// acknowledgement brings forward.
+	// minRenewGap is the shortest time between renewals.
 	minRenewGap = 20 * time.Millisecond
+	// acknowledgePace is the longest wait before an acknowledgement of grants,
+	// as a share of the interval.
+	acknowledgePace = 0.5
 	// renewJitter spreads the renewals of the fleet, as a share of the interval.
 	renewJitter = 0.1
 	// returnTimeout bounds the handing back of the lease.
@@ -59,6 +62,10 @@
 			if !sleep(ctx, minRenewGap) {
 				return
 			}
+		case <-m.acknowledge:
+			if !sleep(ctx, m.acknowledgePace()) {
+				return
+			}
 		}
 	}
 }
@@ -112,7 +119,7 @@
 	revision := m.holder.view.Revision
 	changed := m.holder.take(m.now(), sent, reply)
 	if changed {
-		m.learnPeers()
+		m.learnPeers(reply.Delta)
 		m.views.Publish(m.holder.view)
 	}
 	m.publishTimes()
@@ -122,8 +129,11 @@
 	if m.holder.view.Revision != revision {
 		events.Emit(events.RulesInForce, m.holder.view.Revision)
 	}
-	if changed || m.holder.report || reply.Challenge {
-		m.wakeUp()
+	switch {
+	case m.holder.report, reply.Challenge:
+		notify(m.wake)
+	case reply.Grants != nil:
+		notify(m.acknowledge)
 	}
 }
 
@@ -133,9 +143,19 @@
 	m.times.Store(&t)
 }
 
-// learnPeers tells the mesh where the instances are reached.
-func (m *Module) learnPeers() {
-	for _, i := range m.holder.view.Instances {
+// acknowledgePace spreads the acknowledgements of grants, so that a change that
+// moves the shares of many instances does not make all renew at once.
+func (m *Module) acknowledgePace() time.Duration {
+	pace := acknowledgePace * float64(m.settings.Renew.Std())
+	return minRenewGap + time.Duration(rand.Float64()*pace)
+}
+
+// learnPeers tells the mesh where changed instances are reached.
+func (m *Module) learnPeers(d *state.Delta) {
+	if d == nil {
+		return
+	}
+	for _, i := range d.Instances {
 		if i.ID != m.holder.self.ID && i.MeshAddress.IsValid() {
 			m.mesh.SetPeer(i.ID, i.MeshAddress)
 		}
--- a/pkg/state/delta.go
+++ b/pkg/state/delta.go
@@ -120,9 +120,8 @@
 		d.From = 0
 		keys = s.allKeys()
 	}
-	index := s.indexRules()
 	for _, k := range keys {
-		s.addItem(d, k, index)
+		s.addItem(d, k)
 	}
 	return d
 }
@@ -160,10 +159,9 @@
 	}
 }
 
-func (s *State) indexRules() map[itemKey]rules.Rule {
-	set := s.Newest().Rules.Rules
-	index := make(map[itemKey]rules.Rule, len(set))
-	for _, r := range set {
+func indexRules(set rules.Set) map[itemKey]rules.Rule {
+	index := make(map[itemKey]rules.Rule, len(set.Rules))
+	for _, r := range set.Rules {
 		if k, ok := ruleKey(r); ok {
 			index[k] = r
 		}
@@ -173,12 +171,7 @@
 
 // logRuleChanges notes each rule that was added, changed or removed.
 func (s *State) logRuleChanges(index uint64, old, next rules.Set) {
-	before := make(map[itemKey]rules.Rule, len(old.Rules))
-	for _, r := range old.Rules {
-		if k, ok := ruleKey(r); ok {
-			before[k] = r
-		}
-	}
+	before := indexRules(old)
 	for _, r := range next.Rules {
 		k, ok := ruleKey(r)
 		if !ok {
@@ -194,16 +187,16 @@
 	}
 }
 
-func (s *State) addItem(d *Delta, k itemKey, index map[itemKey]rules.Rule) {
+func (s *State) addItem(d *Delta, k itemKey) {
 	switch k.kind {
 	case itemZone:
-		_, out := index[k]
+		_, out := s.ruleIndex[k]
 		put(out, &d.ZonesOut, &d.ZonesIn, model.AvailabilityZoneID(k.name))
 	case itemDrain:
-		_, drained := index[k]
+		_, drained := s.ruleIndex[k]
 		put(drained, &d.Drained, &d.Undrained, model.TargetID(k.name))
 	case itemLimit:
-		if r, ok := index[k]; ok {
+		if r, ok := s.ruleIndex[k]; ok {
 			d.Limits = append(d.Limits, *r.Limit)
 		} else {
 			d.Unlimited = append(d.Unlimited, model.CallerID(k.name))
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -9,6 +9,7 @@
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/move"
+	"radishturn.example/radishturn/pkg/rules"
 )
 
 const (
@@ -25,6 +26,8 @@
 	data  data
 	log   changeLog
 	queue expiryQueue
+	// ruleIndex finds the newest rules by item.
+	ruleIndex map[itemKey]rules.Rule
 }
 
 // data is what snapshots hold.
@@ -120,6 +123,7 @@
 	s.data.Changes = append(s.data.Changes, change)
 	s.trimHistory()
 	s.data.Version = index
+	s.ruleIndex = indexRules(change.Rules)
 	s.logRuleChanges(index, newest.Rules, change.Rules)
 	s.startMoves(index, &change)
 	return &Result{Change: &change}
@@ -207,6 +211,7 @@
 		return fmt.Errorf("decode state: %w", err)
 	}
 	restored.loadClaims()
+	restored.ruleIndex = indexRules(restored.Newest().Rules)
 	restored.log.floor = restored.data.Version
 	*s = *restored
 	return nil
