Mesh: a caller that gives up waiting for a stream closes no connection

Cause: with all 1,024 streams to a peer in use, a call that ran out of time closed the connection, and with it all requests in progress; under overload this repeated without end. Red first: 1,024 calls in progress failed with 'Application error 0x0 (local)'; now they end well.

Seen: go test -count=3 ./pkg/mesh passes.

--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -144,6 +144,35 @@
 		Expect(err).To(MatchError(ContainSubstring(`peer is "b", wanted "c"`)))
 	})
 
+	It("keeps the requests in progress when another one finds no free stream in time", func() {
+		const streams = 1024
+		a := start(ctx, issue(folder, folder, "a", keys.RoleInstance))
+		b := start(ctx, issue(folder, folder, "b", keys.RoleInstance))
+		release := make(chan struct{})
+		mesh.Handle(b, "test.wait", func(context.Context, model.InstanceID, *greeting) (*greeting, error) {
+			<-release
+			return &greeting{}, nil
+		})
+		a.SetPeer("b", b.Address())
+		errs := make(chan error, streams)
+		for range streams {
+			go func() {
+				_, err := mesh.Call[greeting, greeting](ctx, a, "b", "test.wait", &greeting{})
+				errs <- err
+			}()
+		}
+		Eventually(func() error {
+			short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+			defer cancel()
+			_, err := mesh.Call[greeting, greeting](short, a, "b", greet, &greeting{Text: "one more"})
+			return err
+		}, "10s", "10ms").Should(HaveOccurred())
+		close(release)
+		for range streams {
+			Expect(<-errs).NotTo(HaveOccurred())
+		}
+	})
+
 	It("does not load an expired certificate", func() {
 		a, err := keys.LoadAuthority(folder)
 		Expect(err).NotTo(HaveOccurred())
--- a/pkg/mesh/quic.go
+++ b/pkg/mesh/quic.go
@@ -198,7 +198,10 @@
 	}
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
-		p.drop(conn)
+		// A caller that gave up waiting for a stream says nothing of the connection.
+		if ctx.Err() == nil {
+			p.drop(conn)
+		}
 		return nil, err
 	}
 	return stream, nil
