Hedging follows the last few hundred latencies of a leaf

Cause: at 20 queries a second for an entry, 1024 samples of a leaf were 50 s, so the slow answers of the start set the delay for a minute (150 leaves: adaptive p50 31.6 ms, fixed 12 ms 20.7 ms, on a machine with a load of 34). Counts are halved every 256 samples now; not measured on a quiet machine yet.

--- a/pkg/query/latency/latency.go
+++ b/pkg/query/latency/latency.go
@@ -68,11 +68,11 @@
 	firstBucket      = 64 * time.Microsecond
 	bucketCount      = 160
 	// windowSamples is how many samples arrive between two halvings of the counts.
-	windowSamples = 1024
+	windowSamples = 256
 )
 
 // Histogram counts latencies in buckets of equal ratio. Counts are halved from
-// time to time, so that the last few thousand samples prevail.
+// time to time, so that the last few hundred samples prevail.
 type Histogram struct {
 	counts [bucketCount]uint32
 	total  uint32
