Legs that a target shed wait for it instead of giving up

A shed attempt has not run and does not count now; the leg waits in the leaf's queue, the pause of the target bounds how often it is asked, and the waits shrink the admission limit.

--- a/pkg/fanout/faults_test.go
+++ b/pkg/fanout/faults_test.go
@@ -211,6 +211,35 @@
 	})
 })
 
+var _ = Describe("a target that sheds", func() {
+	It("is asked again after a pause, so that the answer is whole", func() {
+		f := newFleet(2, 1)
+		f.warmUp()
+		f.targets[0].set(func(t *fakeTarget) { t.refusal, t.refuseNext = targetproto.RefusalShed, 3 })
+		answer, err := f.service.Query(context.Background(), askFor("rye"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Coverage.Fraction).To(Equal(1.0))
+	})
+
+	It("is not asked more often than its pauses allow, however many queries wait", func() {
+		f := newFleet(1, 1)
+		f.warmUp()
+		f.targets[0].set(func(t *fakeTarget) { t.refusal, t.asked = targetproto.RefusalShed, 0 })
+		var all sync.WaitGroup
+		for n := range 30 {
+			all.Go(func() {
+				request := askFor(fmt.Sprintf("shed-%d", n))
+				request.Deadline = time.Now().Add(400 * time.Millisecond)
+				_, err := f.service.Query(context.Background(), request)
+				Expect(failure.CodeOf(err)).To(Equal(failure.Overloaded))
+				Expect(failure.RanOf(err)).To(Equal(failure.NotRun))
+			})
+		}
+		all.Wait()
+		Expect(see(f.targets[0], func(t *fakeTarget) int { return t.asked })).To(BeNumerically("<=", 30))
+	})
+})
+
 var _ = Describe("a late leaf", func() {
 	It("is hedged at another target, and the loser is cancelled", func() {
 		f := newFleet(1, 2, fixedHedge)
--- a/pkg/fanout/fleet_test.go
+++ b/pkg/fanout/fleet_test.go
@@ -49,7 +49,9 @@
 	documents int
 	status    int
 	refusal   targetproto.Refusal
-	hangUp    bool
+	// refuseNext ends the refusal after as many requests; 0 means never.
+	refuseNext int
+	hangUp     bool
 	// crash closes the connections of requests with this text.
 	crash string
 	// hold delays answers until it is closed or the request is cancelled.
@@ -102,6 +104,11 @@
 	held := t.snapshots
 	status, refusal, hangUp, hold, crash := t.status, t.refusal, t.hangUp, t.hold, t.crash
 	boot, state := t.boot, t.state
+	if t.refuseNext > 0 {
+		if t.refuseNext--; t.refuseNext == 0 {
+			t.refusal = ""
+		}
+	}
 	t.mu.Unlock()
 	h := w.Header()
 	h.Set(targetproto.HeaderRequest, r.Header.Get(targetproto.HeaderRequest))
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -189,6 +189,10 @@
 	if l.open > 0 {
 		return false
 	}
+	if e.kind == target.KindShed && e.attempt == l.count-1 {
+		r.requeue(e.leg)
+		return true
+	}
 	r.retry(e.leg)
 	return true
 }
@@ -230,6 +234,7 @@
 		}
 		if l.waiting {
 			l.leaf.leave(r)
+			l.waited += r.service.now() - l.waitSince
 		}
 		r.giveUp(l, reason)
 	}
@@ -286,6 +291,14 @@
 	return query.MissingNoTarget
 }
 
+// requeue lets a leg wait after a target has shed it. The refused attempt has
+// not run and does not count; the pause of the target bounds how often it is
+// asked, and the time that legs wait makes the instance admit fewer queries.
+func (r *run) requeue(i int) {
+	r.legs[i].count--
+	r.queue(i, r.service.now())
+}
+
 // queue lets a leg wait for capacity.
 func (r *run) queue(i int, now time.Duration) {
 	l := &r.legs[i]
