--- a/pkg/fanout/collection.go
+++ b/pkg/fanout/collection.go
@@ -40,6 +40,8 @@
 	// dirty is set when a target refused a snapshot, so that the plan may have
 	// to change before the next refresh.
 	dirty atomic.Bool
+	// wasWhole is set once a whole snapshot was found.
+	wasWhole atomic.Bool
 
 	mu          sync.Mutex
 	leaves      map[model.LeafID]*leaf
@@ -260,24 +262,26 @@
 		}
 		return l.holding(s, now)
 	})
+	c.noteWhole(ok && chosen.Whole)
 	if !ok {
-		c.losePlan()
 		return
 	}
-	c.unavailable = false
-	if old := c.plan.Load(); old == nil || !samePlan(old.snapshot, chosen) {
-		c.plan.Store(c.newPlan(chosen))
-		events.Emit(events.SnapshotPinned, c.id, chosen.ID)
+	if old := c.plan.Load(); old == nil || !samePlan(old.snapshot, chosen.Snapshot) {
+		c.plan.Store(c.newPlan(chosen.Snapshot))
+		events.Emit(events.SnapshotPinned, c.id, chosen.Snapshot.ID)
 	}
 }
 
-// losePlan keeps the last plan: its leaves that still hold the snapshot answer,
-// and the coverage states the others.
-func (c *collection) losePlan() {
-	if !c.unavailable {
+// noteWhole reports once that no snapshot is whole. Queries go on with the one
+// of which most is held, or with the last one; the coverage states the rest.
+func (c *collection) noteWhole(whole bool) {
+	if !whole && !c.unavailable {
 		events.Emit(events.SnapshotUnavailable, c.id)
 	}
-	c.unavailable = true
+	c.unavailable = !whole
+	if whole {
+		c.wasWhole.Store(true)
+	}
 }
 
 func samePlan(a, b *model.Snapshot) bool {
--- a/pkg/query/snapshots/snapshots.go
+++ b/pkg/query/snapshots/snapshots.go
@@ -66,47 +66,65 @@
 // NotHeld if the leaf has none.
 type LeafHolding func(leaf model.LeafID, id model.SnapshotID) Holding
 
+// Choice is a snapshot to answer from.
+type Choice struct {
+	Snapshot *model.Snapshot
+	// Whole is set if no leaf is known to lack the snapshot.
+	Whole bool
+}
+
 // Newest returns the newest snapshot that every leaf of its partition map
-// holds. If none is known to be whole, the newest one that no leaf is known to
-// lack is returned, so that an instance without hints can start.
-func Newest(all []model.Snapshot, holding LeafHolding) (*model.Snapshot, bool) {
-	var known, possible *model.Snapshot
+// holds. If there is none it returns the one of which most documents are held,
+// the newest one in a tie; Whole is then set if no leaf is known to lack it, so
+// that an instance without hints can start.
+func Newest(all []model.Snapshot, holding LeafHolding) (Choice, bool) {
+	var best Choice
+	var bestState state
 	for i := range all {
-		s := &all[i]
-		switch weakest(s, holding) {
-		case Held:
-			known = newer(known, s)
-		case HoldingUnknown:
-			possible = newer(possible, s)
+		st := stateOf(&all[i], holding)
+		if st.leaves == 0 || (st.lacking && st.documents == 0) {
+			continue
+		}
+		if best.Snapshot == nil || st.better(bestState) {
+			best, bestState = Choice{Snapshot: &all[i], Whole: !st.lacking}, st
 		}
 	}
-	if known != nil {
-		return known, true
-	}
-	return possible, possible != nil
+	return best, best.Snapshot != nil
 }
 
-func newer(a, b *model.Snapshot) *model.Snapshot {
-	if a == nil || b.Sequence > a.Sequence {
-		return b
-	}
-	return a
+// state sums up what is known of one snapshot.
+type state struct {
+	sequence uint64
+	leaves   int
+	// documents are those at leaves that are known to hold the snapshot.
+	documents int
+	// unknown and lacking are set if this holds for any leaf.
+	unknown, lacking bool
 }
 
-// weakest returns NotHeld if a leaf lacks the snapshot, else HoldingUnknown if
-// that is not known for a leaf, else Held.
-func weakest(s *model.Snapshot, holding LeafHolding) Holding {
-	if len(s.Leaves) == 0 {
-		return NotHeld
-	}
-	result := Held
+func stateOf(s *model.Snapshot, holding LeafHolding) state {
+	st := state{sequence: s.Sequence, leaves: len(s.Leaves)}
 	for _, part := range s.Leaves {
 		switch holding(part.Leaf, s.ID) {
-		case NotHeld:
-			return NotHeld
+		case Held:
+			st.documents += part.Documents
 		case HoldingUnknown:
-			result = HoldingUnknown
+			st.unknown = true
+		case NotHeld:
+			st.lacking = true
 		}
 	}
-	return result
+	return st
+}
+
+func (s state) whole() bool { return !s.unknown && !s.lacking }
+
+func (s state) better(other state) bool {
+	switch {
+	case s.whole() != other.whole():
+		return s.whole()
+	case !s.whole() && s.documents != other.documents:
+		return s.documents > other.documents
+	}
+	return s.sequence > other.sequence
 }
--- a/pkg/query/snapshots/snapshots_test.go
+++ b/pkg/query/snapshots/snapshots_test.go
@@ -44,9 +44,12 @@
 					best = max(best, s.Sequence)
 				}
 			}
-			if ok != (best > 0) || (ok && chosen.Sequence != best) {
+			if best > 0 && (!ok || !chosen.Whole || chosen.Snapshot.Sequence != best) {
 				t.Fatalf("chose %v, newest whole is %d", chosen, best)
 			}
+			if best == 0 && chosen.Whole {
+				t.Fatalf("%v is not whole", chosen)
+			}
 		})
 	})
 
@@ -59,7 +62,24 @@
 			return snapshots.HoldingUnknown
 		})
 		Expect(ok).To(BeTrue())
-		Expect(chosen.ID).To(Equal(model.SnapshotID("old")))
+		Expect(chosen.Whole).To(BeTrue())
+		Expect(chosen.Snapshot.ID).To(Equal(model.SnapshotID("old")))
+	})
+
+	It("gives way to the one of which most is held while none is whole", func() {
+		all := []model.Snapshot{snapshot("listed again", 1, 4), snapshot("nearly whole", 2, 4)}
+		chosen, ok := snapshots.Newest(all, func(l model.LeafID, id model.SnapshotID) snapshots.Holding {
+			switch {
+			case id == "listed again" && l.Leaf > 0:
+				return snapshots.HoldingUnknown
+			case id == "nearly whole" && l.Leaf == 0:
+				return snapshots.NotHeld
+			}
+			return snapshots.Held
+		})
+		Expect(ok).To(BeTrue())
+		Expect(chosen.Whole).To(BeFalse())
+		Expect(chosen.Snapshot.ID).To(Equal(model.SnapshotID("nearly whole")))
 	})
 
 	It("is never one without leaves", func() {
