Faults tell queries from orders

Cause: the orders experiment named its faults by the text 'order', which stood in the text of queries too, since that held the name of the variant.

Conclusion: a condition has a kind; texts of queries hold a number of the run and no name.

--- a/pkg/load/run.go
+++ b/pkg/load/run.go
@@ -132,8 +132,8 @@
 
 // sendAll sends every request at its intended time, whatever became of others.
 func (r *variantRun) sendAll(ctx context.Context) error {
-	name := fmt.Sprintf("%s-%x", r.variant.Name, time.Now().UnixNano())
-	plan := newArrivals(*r.load, r.variant.RateFactor, name)
+	run := fmt.Sprintf("%x", time.Now().UnixNano())
+	plan := newArrivals(*r.load, r.variant.RateFactor, run)
 	for {
 		a, ok := plan.next()
 		if !ok {
--- a/pkg/standin/behaviour.go
+++ b/pkg/standin/behaviour.go
@@ -57,6 +57,13 @@
 	timeLeft time.Duration
 }
 
+func (r *leafRequest) kind() RequestKind {
+	if r.isOrder {
+		return KindOrder
+	}
+	return KindQuery
+}
+
 // text is what a condition's Query is looked for in.
 func (r *leafRequest) text() string {
 	if r.isOrder {
@@ -69,7 +76,8 @@
 func (f *activeFault) matches(r *leafRequest, served, inFlight int64) bool {
 	c := &f.When
 	switch {
-	case c.Route != "" && string(c.Route) != r.route,
+	case c.Kind != "" && c.Kind != r.kind(),
+		c.Route != "" && string(c.Route) != r.route,
 		c.Query != "" && !strings.Contains(r.text(), c.Query),
 		served-f.servedBefore < c.AfterRequests,
 		c.After > 0 && time.Since(f.since) < c.After.Std(),
--- a/pkg/standin/fault.go
+++ b/pkg/standin/fault.go
@@ -98,11 +98,21 @@
 	RestartAfter settings.Duration `json:"restartAfter,omitempty"`
 }
 
+// RequestKind tells queries from orders.
+type RequestKind string
+
+// Kinds of requests.
+const (
+	KindQuery RequestKind = "query"
+	KindOrder RequestKind = "order"
+)
+
 // Condition selects the requests that a fault concerns. Zero fields do not
 // restrict it.
 type Condition struct {
+	Kind  RequestKind `json:"kind,omitempty"`
 	Route model.Route `json:"route,omitempty"`
-	// Query is a part of the text of the query.
+	// Query is a part of the text of the query or the order.
 	Query string `json:"query,omitempty"`
 	// Fraction is the share of requests concerned, from 0 to 1.
 	Fraction float64 `json:"fraction,omitempty"`
@@ -152,6 +162,7 @@
 	default:
 		errs = append(errs, fmt.Errorf("fault %q is not known", f.Kind))
 	}
+	require("when.kind", f.When.Kind == "" || f.When.Kind == KindQuery || f.When.Kind == KindOrder)
 	require("when.fraction", f.When.Fraction >= 0 && f.When.Fraction <= 1)
 	return errors.Join(errs...)
 }
--- a/pkg/standin/fault_test.go
+++ b/pkg/standin/fault_test.go
@@ -67,6 +67,14 @@
 		Expect(ask("search")).To(Equal(200))
 	})
 
+	It("fail tells queries from orders", func() {
+		f.apply(at("fail", first, `, "status": 500, "when": {"kind": "order"}`))
+		Expect(f.ask(first).status).To(Equal(200))
+		r, err := f.send(context.Background(), f.target(first), call{request: "a", key: "k", query: "loaf"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.status).To(Equal(500))
+	})
+
 	It("fail leaves requests below a load unharmed", func() {
 		f.apply(at("fail", first, `, "status": 500, "when": {"minInFlight": 2}`))
 		Expect(f.ask(first).status).To(Equal(200))
