Command line: test of what load refuses; stand-in tidied

Cause: exit codes of load had no test; a marker string stood for 'replied already' in the stand-in, which an order's confirmation might have equalled.

--- /dev/null
+++ b/pkg/cli/load_test.go
@@ -0,0 +1,25 @@
+package cli_test
+
+import (
+	"io"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/cli"
+)
+
+var _ = DescribeTable("load refuses",
+	func(message string, args ...string) {
+		command := cli.Command()
+		command.SetOut(io.Discard)
+		command.SetArgs(append([]string{"load"}, args...))
+		err := command.Execute()
+		Expect(err).To(MatchError(ContainSubstring(message)))
+		Expect(cli.CodeOf(err)).To(Equal(cli.ExitInvalid))
+	},
+	Entry("a missing file", "no such file", "nothing.jsonc"),
+	Entry("a load without a stand-in", "--standin", "--entries", "127.0.0.1:8101"),
+	Entry("an address elsewhere", "not a loopback address", "--entries", "192.0.2.1:80", "--standin", "127.0.0.1:7001"),
+	Entry("a load without bounds", "load.maxRequests: must be above 0", "--standin", "127.0.0.1:7001", "--collection", "shopfront", "--rate", "1"),
+)
--- a/pkg/standin/replyfault.go
+++ b/pkg/standin/replyfault.go
@@ -12,22 +12,20 @@
 )
 
 // replyToQuery writes the reply to a query, damaged if the effects say so.
-func (t *target) replyToQuery(w http.ResponseWriter, r *http.Request, request *leafRequest, e effects, contents *leafContent) {
+func (t *target) replyToQuery(w http.ResponseWriter, request *leafRequest, e effects, contents *leafContent) {
 	buffer := buffers.Get().(*[]byte)
 	defer buffers.Put(buffer)
-	answered, header := request, request
-	if e.reply == ReplySwap {
-		if previous := t.previous.Load(); previous != nil {
-			answered, header = previous, previous
-		}
+	answered := request
+	if previous := t.previous.Load(); e.reply == ReplySwap && previous != nil {
+		answered = previous
 	}
 	if e.reply == ReplyOtherSnapshot {
 		contents = t.otherContent(contents)
 	}
 	t.previous.Store(request)
 	*buffer = contents.appendReply((*buffer)[:0], model.RequestID(answered.request), answered.Query, request.Limit)
-	t.writeHeaders(w, header)
-	t.writeBody(w, r, e, *buffer)
+	t.writeHeaders(w, answered)
+	t.writeBody(w, e, *buffer)
 }
 
 // replyToOrder writes the reply to an order that ran.
@@ -42,11 +40,11 @@
 		return
 	}
 	t.writeHeaders(w, request)
-	t.writeBody(w, nil, e, body)
+	t.writeBody(w, e, body)
 }
 
 // writeBody writes the body and its length, damaged if the effects say so.
-func (t *target) writeBody(w http.ResponseWriter, _ *http.Request, e effects, body []byte) {
+func (t *target) writeBody(w http.ResponseWriter, e effects, body []byte) {
 	h := w.Header()
 	h["Content-Type"] = []string{contentTypeJSON}
 	h["Content-Length"] = []string{strconv.Itoa(len(body))}
--- a/pkg/standin/serve.go
+++ b/pkg/standin/serve.go
@@ -110,8 +110,8 @@
 	if e.reply == ReplyLate {
 		span, request.timeLeft = request.timeLeft+e.replyDelay, 0
 	}
-	confirmation := t.spend(r.Context(), w, request, e, span)
-	if confirmation == aborted {
+	confirmation, ok := t.spend(r.Context(), w, request, e, span)
+	if !ok {
 		return
 	}
 	t.counters.served.Add(1)
@@ -120,7 +120,7 @@
 		t.replyToOrder(w, request, e, confirmation)
 		return
 	}
-	t.replyToQuery(w, r, request, e, contents)
+	t.replyToQuery(w, request, e, contents)
 }
 
 // enterCold counts a request in at a cold target and returns the number in
@@ -143,15 +143,12 @@
 	}
 }
 
-// aborted says that a request got its reply, or lost its connection, early.
-const aborted = "aborted"
-
 // spend lets the service time pass. An order runs at half of it, so that a
 // crash or a cancellation finds it both before and after its run. It returns
-// the confirmation of an order.
-func (t *target) spend(ctx context.Context, w http.ResponseWriter, request *leafRequest, e effects, span time.Duration) string {
+// the confirmation of an order, and false if the reply was sent already.
+func (t *target) spend(ctx context.Context, w http.ResponseWriter, request *leafRequest, e effects, span time.Duration) (string, bool) {
 	if !t.pass(ctx, w, request, span/2) {
-		return aborted
+		return "", false
 	}
 	confirmation := ""
 	if request.isOrder && e.status == 0 {
@@ -166,15 +163,15 @@
 		request.timeLeft = 0
 	}
 	if !t.pass(ctx, w, request, span-span/2) {
-		return aborted
+		return "", false
 	}
 	if e.status != 0 {
 		t.counters.failed.Add(1)
 		t.writeHeaders(w, request)
 		w.WriteHeader(e.status)
-		return aborted
+		return "", false
 	}
-	return confirmation
+	return confirmation, true
 }
 
 // pass waits for the span. It gives up at the request's deadline or when the
