Stand-in: hints that lie about load or stay behind

Cause: health could lie, but load could not, and no hint could lag.

Conclusion: faults load and stale-hints; the report counts cancelled leaf requests and damaged replies.

--- a/pkg/load/table.go
+++ b/pkg/load/table.go
@@ -46,6 +46,8 @@
 	{"p99 over twice the usual until s", func(v *VariantReport) string { return fmt.Sprint(v.SlowUntil) }},
 	{"longest new work for leaving targets ms", func(v *VariantReport) string { return fmt.Sprint(v.longestLeaving()) }},
 	{"shed by targets", func(v *VariantReport) string { return fmt.Sprint(v.Targets.Shed) }},
+	{"cancelled at targets", func(v *VariantReport) string { return fmt.Sprint(v.Targets.Cancelled) }},
+	{"damaged replies", func(v *VariantReport) string { return fmt.Sprint(v.Targets.DamagedReplies) }},
 	{"target crashes", func(v *VariantReport) string { return fmt.Sprint(v.Targets.Crashes) }},
 	{"order keys", func(v *VariantReport) string { return fmt.Sprint(v.OrderRuns.Keys) }},
 	{"order runs", func(v *VariantReport) string { return fmt.Sprint(v.OrderRuns.Runs) }},
--- a/pkg/standin/behaviour.go
+++ b/pkg/standin/behaviour.go
@@ -14,6 +14,8 @@
 	since time.Time
 	// servedBefore is the number of requests served when the fault was set.
 	servedBefore int64
+	// hints are those of the time when the fault was set.
+	hints hints
 	// cleared is closed when the fault is cleared.
 	cleared chan struct{}
 }
@@ -24,8 +26,17 @@
 	faults   []*activeFault
 	frozen   <-chan struct{}
 	draining bool
-	// health is nil unless the health hint is told what to say.
+	// health and load are nil unless the hints are told what to say.
 	health *bool
+	load   *int
+	// stale is nil unless the hints are those of an earlier time.
+	stale *hints
+}
+
+// hints are what a target says of itself when it is asked.
+type hints struct {
+	health targetproto.Health
+	load   targetproto.Load
 }
 
 func newBehaviour(faults []*activeFault) *behaviour {
@@ -38,6 +49,10 @@
 			b.draining = true
 		case KindHealth:
 			b.health = &f.Healthy
+		case KindLoad:
+			b.load = &f.InFlight
+		case KindStaleHints:
+			b.stale = &f.hints
 		}
 	}
 	return b
--- a/pkg/standin/fault.go
+++ b/pkg/standin/fault.go
@@ -28,6 +28,10 @@
 	KindFreeze Kind = "freeze"
 	// KindHealth makes the health hint say Healthy.
 	KindHealth Kind = "health"
+	// KindLoad makes the load hint say InFlight.
+	KindLoad Kind = "load"
+	// KindStaleHints keeps both hints as they were when the fault was set.
+	KindStaleHints Kind = "stale-hints"
 	// KindReply damages replies as Reply says.
 	KindReply Kind = "reply"
 )
@@ -93,6 +97,7 @@
 	Delay        settings.Duration `json:"delay,omitempty"`
 	Status       int               `json:"status,omitempty"`
 	Healthy      bool              `json:"healthy,omitempty"`
+	InFlight     int               `json:"inFlight,omitempty"`
 	Reply        ReplyFault        `json:"reply,omitempty"`
 	Snapshot     model.SnapshotID  `json:"snapshot,omitempty"`
 	RestartAfter settings.Duration `json:"restartAfter,omitempty"`
@@ -157,7 +162,7 @@
 		require("snapshot", f.Snapshot != "")
 	case KindReply:
 		require("reply", f.Reply.isKnown())
-	case KindCrashOnRequest, KindShed, KindDrain, KindFreeze, KindHealth, KindCrash,
+	case KindCrashOnRequest, KindShed, KindDrain, KindFreeze, KindHealth, KindLoad, KindStaleHints, KindCrash,
 		KindRestart, KindCold, KindLeave, KindUnlist, KindList:
 	default:
 		errs = append(errs, fmt.Errorf("fault %q is not known", f.Kind))
--- a/pkg/standin/fault_test.go
+++ b/pkg/standin/fault_test.go
@@ -157,6 +157,24 @@
 		Expect(h.Healthy).To(BeTrue())
 	})
 
+	It("load says what it is told, and stale hints stay as they were", func() {
+		var l targetproto.Load
+		var h targetproto.Health
+		f.apply(at("load", first, `, "inFlight": 99`))
+		f.get(f.target(first).Address, targetproto.LoadPath, &l)
+		Expect(l.InFlight).To(Equal(99))
+		f.apply(at("stale-hints", first, ""))
+		f.Clear("load")
+		f.apply(at("drain", first, ""))
+		f.get(f.target(first).Address, targetproto.LoadPath, &l)
+		f.get(f.target(first).Address, targetproto.HealthPath, &h)
+		Expect(l.InFlight).To(Equal(99))
+		Expect(h.Healthy).To(BeTrue())
+		f.Clear("stale-hints")
+		f.get(f.target(first).Address, targetproto.HealthPath, &h)
+		Expect(h.Healthy).To(BeFalse())
+	})
+
 	It("hold and switch change the snapshots, also back and to another partition map", func() {
 		held := func(id model.TargetID) []model.SnapshotID {
 			var h targetproto.Health
--- a/pkg/standin/serve.go
+++ b/pkg/standin/serve.go
@@ -285,36 +285,3 @@
 	}
 	return request, json.Unmarshal(body, &request.QueryRequest)
 }
-
-func (t *target) serveHealth(w http.ResponseWriter, r *http.Request) {
-	b := t.behaviour.Load()
-	if b.health == nil && !waitFrozen(r.Context(), b) {
-		panic(http.ErrAbortHandler)
-	}
-	h := targetproto.Health{
-		Healthy:   !b.draining,
-		State:     t.state(),
-		Boot:      *t.boot.Load(),
-		Version:   t.Version,
-		Snapshots: t.heldSnapshots(),
-	}
-	if b.health != nil {
-		h.Healthy = *b.health
-	}
-	writeJSON(w, h)
-}
-
-func (t *target) serveLoad(w http.ResponseWriter, r *http.Request) {
-	if !waitFrozen(r.Context(), t.behaviour.Load()) {
-		panic(http.ErrAbortHandler)
-	}
-	writeJSON(w, targetproto.Load{
-		InFlight:    int(t.counters.inFlight.now.Load()),
-		Connections: int(t.counters.connections.now.Load()),
-	})
-}
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", contentTypeJSON)
-	json.NewEncoder(w).Encode(v) //nolint:errcheck // the client is gone
-}
--- a/pkg/standin/target.go
+++ b/pkg/standin/target.go
@@ -138,6 +138,7 @@
 		Fault:        f,
 		since:        time.Now(),
 		servedBefore: t.counters.requests.Load(),
+		hints:        t.hints(t.behaviour.Load()),
 		cleared:      make(chan struct{}),
 	}
 	t.mu.Lock()
