--- a/pkg/cli/load.go
+++ b/pkg/cli/load.go
@@ -25,6 +25,7 @@
 	options *options
 	// experiment is the file; empty means that the flags describe the load.
 	experiment string
+	variants   []string
 	report     string
 	plot       string
 
@@ -79,6 +80,7 @@
 
 func (f *loadFlags) register(c *cobra.Command) {
 	flags := c.Flags()
+	flags.StringSliceVar(&f.variants, "variant", nil, "run only these variants of the experiment")
 	flags.StringVar(&f.report, "report", "", "write the whole report to this JSON file")
 	flags.StringVar(&f.plot, "plot", "", "write a plot to this .svg or .png file")
 	flags.StringSliceVar(&f.entries, "entries", nil, "caller addresses of the entries")
@@ -118,10 +120,18 @@
 	return nil
 }
 
+func (f *loadFlags) readFile() (*load.Experiment, error) {
+	experiment, err := load.Read(f.experiment)
+	if err != nil || len(f.variants) == 0 {
+		return experiment, err
+	}
+	return experiment, experiment.Only(f.variants)
+}
+
 // read returns the experiment of the file or the one that the flags describe.
 func (f *loadFlags) read() (*load.Experiment, error) {
 	if f.experiment != "" {
-		return load.Read(f.experiment)
+		return f.readFile()
 	}
 	variant := load.Variant{Name: "load"}
 	for _, text := range f.entries {
--- a/pkg/load/experiment.go
+++ b/pkg/load/experiment.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"radishturn.example/radishturn/pkg/model"
@@ -141,6 +142,20 @@
 	return e, e.Check()
 }
 
+// Only keeps the variants with the given names.
+func (e *Experiment) Only(names []string) error {
+	var kept []Variant
+	for _, name := range names {
+		i := slices.IndexFunc(e.Variants, func(v Variant) bool { return v.Name == name })
+		if i < 0 {
+			return fmt.Errorf("%w: no variant %q", ErrSettings, name)
+		}
+		kept = append(kept, e.Variants[i])
+	}
+	e.Variants = kept
+	return nil
+}
+
 // Limits of an experiment.
 const (
 	maxDuration = 10 * time.Minute
--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -2,7 +2,7 @@
 # Runs an experiment against a new fleet of six instances and a stand-in on
 # loopback: scripts/experiment.sh EXPERIMENT [STANDIN-SETTINGS] [LOAD-FLAGS...]
 # e1 and e2 do not hedge, e3 and e4 hedge after a fixed delay, e5 and e6 adapt.
-# ALL_ADAPTIVE=1 makes all six adapt.
+# ALL_ADAPTIVE=1 makes all six adapt. RULES=FILE applies rules before the load.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 EXPERIMENT=$1
@@ -45,6 +45,7 @@
 for n in $(seq $INSTANCES); do start_instance "$n"; done
 for n in $(seq $INSTANCES); do wait_ready "$n"; done
 warm_up
+[ -z "${RULES:-}" ] || bin/radishturn rules apply "$RULES"
 status=0
 bin/radishturn load "$EXPERIMENT" "$@" || status=$?
 trap - EXIT
