--- a/pkg/standin/fault.go
+++ b/pkg/standin/fault.go
@@ -28,6 +28,10 @@
 	KindFreeze Kind = "freeze"
 	// KindHealth makes the health hint say Healthy.
 	KindHealth Kind = "health"
+	// KindLoad makes the load hint say InFlight.
+	KindLoad Kind = "load"
+	// KindStaleHints keeps both hints as they were when the fault was set.
+	KindStaleHints Kind = "stale-hints"
 	// KindReply damages replies as Reply says.
 	KindReply Kind = "reply"
 )
@@ -93,16 +97,27 @@
 	Delay        settings.Duration `json:"delay,omitempty"`
 	Status       int               `json:"status,omitempty"`
 	Healthy      bool              `json:"healthy,omitempty"`
+	InFlight     int               `json:"inFlight,omitempty"`
 	Reply        ReplyFault        `json:"reply,omitempty"`
 	Snapshot     model.SnapshotID  `json:"snapshot,omitempty"`
 	RestartAfter settings.Duration `json:"restartAfter,omitempty"`
 }
 
+// RequestKind tells queries from orders.
+type RequestKind string
+
+// Kinds of requests.
+const (
+	KindQuery RequestKind = "query"
+	KindOrder RequestKind = "order"
+)
+
 // Condition selects the requests that a fault concerns. Zero fields do not
 // restrict it.
 type Condition struct {
+	Kind  RequestKind `json:"kind,omitempty"`
 	Route model.Route `json:"route,omitempty"`
-	// Query is a part of the text of the query.
+	// Query is a part of the text of the query or the order.
 	Query string `json:"query,omitempty"`
 	// Fraction is the share of requests concerned, from 0 to 1.
 	Fraction float64 `json:"fraction,omitempty"`
@@ -147,11 +162,12 @@
 		require("snapshot", f.Snapshot != "")
 	case KindReply:
 		require("reply", f.Reply.isKnown())
-	case KindCrashOnRequest, KindShed, KindDrain, KindFreeze, KindHealth, KindCrash,
+	case KindCrashOnRequest, KindShed, KindDrain, KindFreeze, KindHealth, KindLoad, KindStaleHints, KindCrash,
 		KindRestart, KindCold, KindLeave, KindUnlist, KindList:
 	default:
 		errs = append(errs, fmt.Errorf("fault %q is not known", f.Kind))
 	}
+	require("when.kind", f.When.Kind == "" || f.When.Kind == KindQuery || f.When.Kind == KindOrder)
 	require("when.fraction", f.When.Fraction >= 0 && f.When.Fraction <= 1)
 	return errors.Join(errs...)
 }
