Quarantine: only a death on trial condemns a request

Cause: the proof of cold targets crashed a third of the targets at once while all callers sent the same query.

Ruled out: counting deaths of several targets within a second as one, since a request that harms every leaf looks the same. Taken: a death carries whether the suspect had the target alone on trial, and only such a death condemns. A trial counts on a cold target too, since one request alone is no load.

Red first: 60 deaths with one popular request as the only suspect; green now.

--- a/pkg/fanout/death.go
+++ b/pkg/fanout/death.go
@@ -29,12 +29,12 @@
 
 // confirmDeath reports whether a target that lost a connection died of a
 // request: it refuses connections, or another incarnation answers, and it was
-// not cold. The requests in flight become suspect then, and control is told.
+// not cold or had the request alone. The requests in flight become suspect then, and control is told.
 func (s *Service) confirmDeath(t *targetState, f model.Fingerprint, alone bool) bool {
 	probe, first := t.leaf.joinProbe(t, f)
 	if !first {
 		<-probe.done
-		return probe.died && !probe.cold
+		return probe.died && (!probe.cold || alone)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
@@ -46,7 +46,7 @@
 		s.died(t, probe, alone)
 	}
 	close(probe.done)
-	return probe.died && !probe.cold
+	return probe.died && (!probe.cold || alone)
 }
 
 // joinProbe returns the probe of the target and whether the caller runs it.
@@ -80,11 +80,11 @@
 }
 
 // died tells control of a death. Requests at a cold target become no suspects,
-// since cold targets fall over under load.
+// since cold targets fall over under load; one request alone is no load.
 func (s *Service) died(t *targetState, p *deathProbe, alone bool) {
 	cold := []view.ColdSign{{Target: t.target.ID, Boot: p.boot}}
 	events.Emit(events.TargetDied, t.target.ID, len(p.suspects))
-	if p.cold {
+	if p.cold && !alone {
 		s.reporter.Report(view.Evidence{Cold: cold})
 		return
 	}
@@ -93,7 +93,7 @@
 	s.poison.Died(p.suspects, alone, s.now())
 	s.poisonMu.Unlock()
 	s.reporter.Report(view.Evidence{
-		Deaths: []view.Death{{Target: t.target.ID, Boot: p.boot, Suspects: p.suspects}},
+		Deaths: []view.Death{{Target: t.target.ID, Boot: p.boot, Suspects: p.suspects, Trial: alone}},
 		Cold:   cold,
 	})
 	if alone {
--- a/pkg/state/command.go
+++ b/pkg/state/command.go
@@ -52,6 +52,8 @@
 	Target   model.TargetID      `cbor:"1,keyasint"`
 	Boot     model.BootID        `cbor:"2,keyasint"`
 	Suspects []model.Fingerprint `cbor:"3,keyasint"`
+	// Trial is set if the target had been given a suspect request alone.
+	Trial bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Lift ends a quarantine.
--- a/pkg/state/quarantine.go
+++ b/pkg/state/quarantine.go
@@ -31,8 +31,8 @@
 type suspect struct {
 	// Deaths are the distinct incarnations that died.
 	Deaths []incarnation `cbor:"1,keyasint"`
-	// Alone is set if it was the only suspect of one of the deaths.
-	Alone bool `cbor:"2,keyasint"`
+	// Tried is set if it had the target alone at one of the deaths.
+	Tried bool `cbor:"2,keyasint"`
 	// Expires is on the clock of the group.
 	Expires time.Duration `cbor:"3,keyasint"`
 }
@@ -43,9 +43,10 @@
 }
 
 // recordDeaths counts the deaths for each suspect and condemns those with two
-// distinct deaths, in one of which it was the only suspect. When a whole
-// availability zone fails, the requests in flight see many deaths together;
-// being the only suspect is what tells a harmful request from those.
+// distinct deaths, in one of which it had the target alone on trial. When a
+// rack or an availability zone fails, the requests in flight see many deaths
+// together, and a popular request is the only suspect of many of them; the trial
+// is what tells a harmful request from those.
 func (s *State) recordDeaths(index uint64, d *Deaths) *Result {
 	s.expireSuspects()
 	result := &Result{}
@@ -70,9 +71,9 @@
 	if !slices.Contains(entry.Deaths, died) && len(entry.Deaths) < maxDeathsOfSuspect {
 		entry.Deaths = append(slices.Clone(entry.Deaths), died)
 	}
-	entry.Alone = entry.Alone || len(d.Suspects) == 1
+	entry.Tried = entry.Tried || d.Trial
 	entry.Expires = s.data.Clock + suspicionWindow
-	if len(entry.Deaths) < condemnAfter || !entry.Alone || len(s.data.Quarantined) >= MaxQuarantined {
+	if len(entry.Deaths) < condemnAfter || !entry.Tried || len(s.data.Quarantined) >= MaxQuarantined {
 		s.data.Suspects[f] = entry
 		s.boundSuspects()
 		return false
--- a/pkg/view/view.go
+++ b/pkg/view/view.go
@@ -95,6 +95,9 @@
 	Target   model.TargetID      `cbor:"1,keyasint"`
 	Boot     model.BootID        `cbor:"2,keyasint"`
 	Suspects []model.Fingerprint `cbor:"3,keyasint"`
+	// Trial is set if the target had been given a suspect request alone. It is
+	// then the cause of the death.
+	Trial bool `cbor:"4,keyasint,omitempty"`
 }
 
 // ColdSign is a sign that a target's incarnation is cold, or that it is warm.
