Targets that turn cold together make no suspects

For 5 s after targets turned cold without a restart a death is taken for one of cold start. Targets that restarted do not excuse deaths, since a harmful request leaves them cold too.

--- a/pkg/fanout/collection.go
+++ b/pkg/fanout/collection.go
@@ -40,6 +40,8 @@
 	// dirty is set when a target refused a snapshot, so that the plan may have
 	// to change before the next refresh.
 	dirty atomic.Bool
+	// coldAt is when a target turned cold without a restart last; 0 means never.
+	coldAt atomic.Int64
 	// wasWhole is set once a whole snapshot was found.
 	wasWhole atomic.Bool
 
--- a/pkg/fanout/death.go
+++ b/pkg/fanout/death.go
@@ -15,6 +15,10 @@
 // probeTimeout bounds the check whether a target that lost connections died.
 const probeTimeout = 250 * time.Millisecond
 
+// coldExplainsDeaths is how long after targets turned cold without a restart a
+// death is taken for one of cold start.
+const coldExplainsDeaths = 5 * time.Second
+
 // deathProbe is the check of one target, shared by the requests that were in
 // flight there.
 type deathProbe struct {
@@ -31,7 +35,7 @@
 // request: it refuses connections, or another incarnation answers, and it was
 // not cold. The requests in flight become suspect then, and control is told.
 func (s *Service) confirmDeath(t *targetState, f model.Fingerprint, alone bool) bool {
-	probe, first := t.leaf.joinProbe(t, f)
+	probe, first := t.leaf.joinProbe(t, f, s.now())
 	if !first {
 		<-probe.done
 		return probe.died && !probe.cold
@@ -50,11 +54,11 @@
 }
 
 // joinProbe returns the probe of the target and whether the caller runs it.
-func (l *leaf) joinProbe(t *targetState, f model.Fingerprint) (*deathProbe, bool) {
+func (l *leaf) joinProbe(t *targetState, f model.Fingerprint, now time.Duration) (*deathProbe, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if t.probe == nil {
-		t.probe = &deathProbe{done: make(chan struct{}), boot: t.warmth.Boot(), cold: !t.full()}
+		t.probe = &deathProbe{done: make(chan struct{}), boot: t.warmth.Boot(), cold: !t.full() || l.collection.turnedCold(now)}
 		for _, r := range t.running {
 			t.probe.suspects = append(t.probe.suspects, r.fingerprint)
 		}
@@ -66,6 +70,13 @@
 	return t.probe, false
 }
 
+// turnedCold reports whether targets have lately turned cold without a restart.
+// One that falls over then may have been cold before it could show it.
+func (c *collection) turnedCold(now time.Duration) bool {
+	at := c.coldAt.Load()
+	return at != 0 && now-time.Duration(at) < coldExplainsDeaths
+}
+
 // endProbe lets later losses start another probe.
 func (l *leaf) endProbe(t *targetState) {
 	l.mu.Lock()
--- a/pkg/fanout/faults_test.go
+++ b/pkg/fanout/faults_test.go
@@ -309,6 +309,23 @@
 		poisoned.Wait()
 	})
 
+	It("is not suspected while targets turn cold and fall over", func() {
+		f := newFleet(1, 3)
+		f.warmUp()
+		for _, t := range f.targets {
+			t.set(func(t *fakeTarget) { t.state = targetproto.StateCold })
+		}
+		for range 20 {
+			_, _ = f.service.Query(context.Background(), askFor("rye"))
+		}
+		f.each(0, func(t *fakeTarget) { t.crash = "wheat" })
+		for range 3 {
+			_, err := f.service.Query(context.Background(), askFor("wheat"))
+			Expect(failure.CodeOf(err)).NotTo(Equal(failure.Quarantined))
+		}
+		Expect(f.reported(func(e view.Evidence) bool { return len(e.Deaths) > 0 })).To(BeFalse())
+	})
+
 	It("is refused when control has condemned it, until that is lifted", func() {
 		f := newFleet(1, 1)
 		_, err := f.service.Query(context.Background(), askFor("rye"))
--- a/pkg/fanout/finish.go
+++ b/pkg/fanout/finish.go
@@ -78,9 +78,13 @@
 		t.record(e.snapshot).Answered()
 	}
 	t.warmAnswers++
+	boot := t.warmth.Boot()
 	change := l.noteWarmth(t, t.warmth.Answered(warmth.Answer{
 		Boot: e.result.Meta.Boot, State: e.result.Meta.State, Latency: e.elapsed, Usual: l.usual,
 	}), e.now)
+	if change == warmth.TurnedCold && boot == t.warmth.Boot() {
+		l.collection.coldAt.Store(int64(e.now))
+	}
 	t.mean.Add(e.elapsed, e.now)
 	t.limit.Answered(inFlight, t.mean.Value(e.now, l.prior()), l.usual, e.now)
 	if t.ejection.Succeeded() {
