--- a/pkg/journal/frame.go
+++ b/pkg/journal/frame.go
@@ -8,11 +8,14 @@
 )
 
 // A frame is magic, length and checksum of the header, checksum of the payload,
-// payload. Both checksums cover the frame's offset in its file, so that a frame
+// payload, trailer. The trailer is never zero, so that the part of a frame in
+// its last sector reads as zeros only if that sector was not written. Both checksums cover the frame's offset in its file, so that a frame
 // found elsewhere, such as inside another one's payload, does not count.
 const (
 	frameMagic      = 0x52544a31 // "RTJ1"
+	frameTrailer    = 0xff
 	headerBytes     = 16
+	trailerBytes    = 1
 	maxPayloadBytes = 1 << 30
 	// sectorBytes is the smallest unit that a disk writes as a whole.
 	sectorBytes = 512
@@ -27,7 +30,8 @@
 	b = binary.LittleEndian.AppendUint32(b, uint32(len(payload)))
 	b = binary.LittleEndian.AppendUint32(b, checksum(offset, b[start:start+8]))
 	b = binary.LittleEndian.AppendUint32(b, checksum(offset, payload))
-	return append(b, payload...)
+	b = append(b, payload...)
+	return append(b, frameTrailer)
 }
 
 func checksum(offset int64, p []byte) uint32 {
@@ -60,15 +64,22 @@
 	if !ok {
 		return nil, classify(file, offset, int64(len(file)))
 	}
-	end := headerBytes + int64(length)
+	end := frameBytes(int64(length))
 	if end > int64(len(rest)) {
 		return nil, frameTorn
 	}
-	payload = rest[headerBytes:end]
-	if binary.LittleEndian.Uint32(rest[12:]) != checksum(offset, payload) {
+	if !isPayloadWhole(rest[:end], offset) {
 		return nil, classify(file, offset, offset+end)
 	}
-	return payload, frameWhole
+	return rest[headerBytes : end-trailerBytes], frameWhole
+}
+
+func frameBytes(payload int64) int64 { return headerBytes + payload + trailerBytes }
+
+// isPayloadWhole checks the payload and the trailer of a frame.
+func isPayloadWhole(frame []byte, offset int64) bool {
+	end := len(frame) - trailerBytes
+	return frame[end] == frameTrailer && binary.LittleEndian.Uint32(frame[12:]) == checksum(offset, frame[headerBytes:end])
 }
 
 func readHeader(rest []byte, offset int64) (length uint32, ok bool) {
@@ -110,9 +121,8 @@
 		return false
 	}
 	length, ok := readHeader(rest, offset)
-	end := headerBytes + int64(length)
-	return ok && end <= int64(len(rest)) &&
-		binary.LittleEndian.Uint32(rest[12:]) == checksum(offset, rest[headerBytes:end])
+	end := frameBytes(int64(length))
+	return ok && end <= int64(len(rest)) && isPayloadWhole(rest[:end], offset)
 }
 
 // hasUnwrittenSector reports whether the part of some sector within
@@ -142,7 +152,7 @@
 		if err := take(payload); err != nil {
 			return end, fmt.Errorf("record at offset %d: %w", end, err)
 		}
-		end += headerBytes + int64(len(payload))
+		end += frameBytes(int64(len(payload)))
 	}
 	return end, nil
 }
--- a/pkg/journal/journal_test.go
+++ b/pkg/journal/journal_test.go
@@ -213,6 +213,22 @@
 		}
 	})
 
+	It("refuses a flipped bit in a last record that ends in zeros", func() {
+		name := segments(disk)[0]
+		before := disk.Content(name)
+		for zeros := 1; zeros < sectorBytes; zeros++ {
+			disk.SetContent(name, before)
+			again, _ := reopen(disk)
+			added := consensus.Entry{Term: 1, Index: 1, Command: make([]byte, zeros)}
+			Expect(again.Append(nil, []consensus.Entry{added})).To(Succeed())
+			flipped := disk.Content(name)
+			flipped[len(before)+20] ^= 1
+			disk.SetContent(name, flipped)
+			disk.Crash(nil)
+			expectRefused(disk, failure.DataFolderDamaged)
+		}
+	})
+
 	It("refuses a folder with a missing file", func() {
 		for index := uint64(1); index <= 40; index++ {
 			Expect(j.Append(hard(1), entries(1, index, index))).To(Succeed())
