--- a/pkg/replica/founding.go
+++ b/pkg/replica/founding.go
@@ -169,12 +169,13 @@
 // in between.
 func (f *founding) round(ctx context.Context) {
 	started := f.currentGeneration()
-	replies, complete := f.askDisks(ctx, f.node.opts.Founders)
-	others, _ := f.askDisks(ctx, f.otherPeers())
-	if f.groupExists(append(others, replies...)) || !complete || !f.isFounder() {
+	listed := f.node.opts.Founders
+	replies := f.askDisks(ctx, append(slices.Clone(listed), f.otherPeers()...))
+	complete := !slices.Contains(replies[:len(listed)], nil)
+	if f.groupExists(replies) || !complete || !f.isFounder() {
 		return
 	}
-	founders := foundersOf(replies)
+	founders := foundersOf(replies[:len(listed)])
 	if f.currentGeneration() != started || !f.agree(founders) {
 		return
 	}
@@ -198,21 +199,15 @@
 	return others[:min(len(others), maxAskedPeers)]
 }
 
-// askDisks asks instances for their disks; complete is false if one did not answer.
-func (f *founding) askDisks(ctx context.Context, asked []model.InstanceID) (replies []*diskReply, complete bool) {
-	results := parallel(ctx, f.node, asked, func(ctx context.Context, id model.InstanceID) *diskReply {
+// askDisks asks instances for their disks; those that do not answer have nil.
+func (f *founding) askDisks(ctx context.Context, asked []model.InstanceID) []*diskReply {
+	return parallel(ctx, f.node, asked, func(ctx context.Context, id model.InstanceID) *diskReply {
 		reply, err := mesh.Call[diskRequest, diskReply](ctx, f.node.opts.Mesh, id, diskKind, &diskRequest{})
 		if err != nil || reply.Member.Instance != id {
 			return nil
 		}
 		return reply
 	})
-	for _, r := range results {
-		if r != nil {
-			replies = append(replies, r)
-		}
-	}
-	return replies, len(replies) == len(asked)
 }
 
 // groupExists reports whether some instance is in a group. If that group does
@@ -220,7 +215,7 @@
 func (f *founding) groupExists(replies []*diskReply) bool {
 	exists, known := false, false
 	for _, r := range replies {
-		if r.InGroup && r.Member != f.node.self {
+		if r != nil && r.InGroup && r.Member != f.node.self {
 			exists = true
 			known = known || slices.Contains(r.Voters, f.node.self) || slices.Contains(r.Learners, f.node.self)
 		}
