--- /dev/null
+++ b/pkg/control/server/leader_test.go
@@ -0,0 +1,192 @@
+package server_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/control"
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/move"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+// inForceBound is how long a change may take everywhere.
+const inForceBound = 4 * time.Second
+
+// inForceAfter returns how long a change took until no instance was missing.
+func inForceAfter(g *WithT, fl *fleet, at int, revision model.Revision) time.Duration {
+	started := time.Now()
+	for {
+		where, err := fl.nodes[at].server.InForce(context.Background(), revision)
+		g.Expect(err).NotTo(HaveOccurred())
+		if len(where.Missing) == 0 || time.Since(started) > time.Minute {
+			return time.Since(started)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func apply(g *WithT, fl *fleet, at int, base model.Revision, text string) *control.Change {
+	change, err := fl.nodes[at].server.ApplyRules(context.Background(), control.ApplyRequest{Base: base, Text: text, Author: "ana"})
+	g.Expect(err).NotTo(HaveOccurred())
+	return change
+}
+
+func TestAChangeIsInForceInTime(t *testing.T) {
+	inFleet(t, func(t *testing.T, fl *fleet) {
+		g := NewWithT(t)
+		time.Sleep(settle)
+		apply(g, fl, 4, 0, zoneOut)
+		g.Expect(inForceAfter(g, fl, 4, 1)).To(BeNumerically("<", 1500*time.Millisecond))
+		fl.cutOff("entry-5", others(fl, "entry-5")...)
+		apply(g, fl, 4, 1, "# nothing\n")
+		g.Expect(inForceAfter(g, fl, 4, 2)).To(BeNumerically("<", inForceBound))
+		g.Expect(fl.nodes[5].lease.Lease()).To(Equal(view.LeaseCutOff))
+		_, err := fl.nodes[4].server.InForce(t.Context(), 3)
+		g.Expect(failure.CodeOf(err)).To(Equal(failure.NotFound))
+	})
+}
+
+func TestAMajorityWithoutLeasesIsNamedAsMissing(t *testing.T) {
+	inFleet(t, func(t *testing.T, fl *fleet) {
+		g := NewWithT(t)
+		time.Sleep(settle)
+		far := []model.InstanceID{"entry-2", "entry-3", "entry-4", "entry-5"}
+		for _, id := range far {
+			fl.cutOff(id, "entry-0", "entry-1")
+		}
+		apply(g, fl, 1, 0, zoneOut)
+		time.Sleep(4 * settle)
+		where, err := fl.nodes[1].server.InForce(t.Context(), 1)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(where.Missing).To(ConsistOf(far))
+		for _, id := range far {
+			n := fl.nodes[id[len(id)-1]-'0']
+			g.Expect(n.lease.Lease()).To(Equal(view.LeaseControlLost), string(id))
+		}
+	})
+}
+
+func TestTwoDeathsCondemnEverywhereWithinASecond(t *testing.T) {
+	inFleet(t, func(t *testing.T, fl *fleet) {
+		g := NewWithT(t)
+		time.Sleep(settle)
+		report := func(at int, target model.TargetID) {
+			fl.nodes[at].lease.Report(view.Evidence{Deaths: []view.Death{{Target: target, Boot: "b", Suspects: []model.Fingerprint{7}}}})
+		}
+		report(3, fl.targets[0])
+		time.Sleep(settle)
+		g.Expect(fl.nodes[4].lease.View().Quarantined).To(BeEmpty())
+		report(4, fl.targets[1])
+		time.Sleep(time.Second)
+		for _, n := range fl.nodes {
+			g.Expect(n.lease.View().Quarantined).To(HaveKey(model.Fingerprint(7)), string(n.id))
+		}
+		list, err := fl.nodes[5].server.Quarantined(t.Context())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(list).To(ConsistOf(HaveField("Fingerprint", model.Fingerprint(7))))
+		g.Expect(fl.nodes[5].server.Lift(t.Context(), 7, "ivo")).To(Succeed())
+		time.Sleep(time.Second)
+		g.Expect(fl.nodes[2].lease.View().Quarantined).To(BeEmpty())
+	})
+}
+
+// sink sums the outcomes that the leader hands on.
+type sink struct{ ok uint64 }
+
+func (s *sink) Evidence(_ model.InstanceID, e view.Evidence) {
+	for _, o := range e.Outcomes {
+		s.ok += o.OK
+	}
+}
+
+func TestEvidenceIsHandedOnOnce(t *testing.T) {
+	inFleet(t, func(t *testing.T, fl *fleet) {
+		g := NewWithT(t)
+		total := &sink{}
+		fl.nodes[0].server.Subscribe(total)
+		time.Sleep(settle)
+		for i := range 40 {
+			fl.nodes[3+i%3].lease.Report(view.Evidence{Outcomes: []view.Outcome{{Collection: "shopfront", Version: "41", OK: 1}}})
+			if i%10 == 5 {
+				fl.cutOff("entry-4", "entry-0")
+			}
+			if i%10 == 9 {
+				fl.heal()
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		time.Sleep(settle)
+		g.Expect(total.ok).To(BeEquivalentTo(40))
+	})
+}
+
+func TestStepsOfAMoveReachEveryInstance(t *testing.T) {
+	inFleet(t, func(t *testing.T, fl *fleet) {
+		g := NewWithT(t)
+		time.Sleep(settle)
+		apply(g, fl, 5, 0, "move shopfront from 41 to 42 by 2026-12-05T05:00Z # Marko\n")
+		step := move.Step{Collection: "shopfront", Revision: 1, Phase: move.PhaseUnderWay, Share: 0.05, At: time.Now()}
+		g.Expect(failure.CodeOf(fl.nodes[4].server.ProposeStep(t.Context(), step))).To(Equal(failure.NotLeader))
+		g.Expect(fl.nodes[0].server.ProposeStep(t.Context(), step)).To(Succeed())
+		step.Share = 0.25
+		g.Expect(failure.CodeOf(fl.nodes[0].server.ProposeStep(t.Context(), step))).To(Equal(failure.Conflict))
+		time.Sleep(time.Second)
+		for _, n := range fl.nodes {
+			g.Expect(n.lease.View().Moves).To(HaveKeyWithValue(model.CollectionID("shopfront"), view.Move{From: "41", To: "42", Share: 0.05}))
+		}
+	})
+}
+
+func TestAReturnedLeaseFreesItsSharesAtOnce(t *testing.T) {
+	inFleet(t, func(t *testing.T, fl *fleet) {
+		g := NewWithT(t)
+		time.Sleep(settle)
+		g.Expect(fl.nodes[5].lease.Drain(t.Context())).To(Succeed())
+		g.Expect(fl.nodes[5].lease.Lease()).To(Equal(view.LeaseNone))
+		time.Sleep(2 * time.Second)
+		c, cold := fl.held(fl.targets[0])
+		g.Expect(c).To(Equal(connections))
+		g.Expect(cold).To(Equal(coldLoad))
+		g.Expect(fl.nodes[4].lease.View().Instances).To(HaveLen(instanceCount - 1))
+	})
+}
+
+func TestColdLoadOfATargetGrowsAndFallsForAll(t *testing.T) {
+	inFleet(t, func(t *testing.T, fl *fleet) {
+		g := NewWithT(t)
+		time.Sleep(settle)
+		sign := []view.ColdSign{{Target: fl.targets[0], Boot: "b1"}}
+		for range 8 {
+			fl.nodes[3].lease.Report(view.Evidence{Warm: sign})
+			time.Sleep(time.Second)
+		}
+		time.Sleep(2 * time.Second)
+		_, cold := fl.held(fl.targets[0])
+		g.Expect(cold).To(Equal(connections))
+		fl.group.elect(instanceID(1))
+		time.Sleep(settle)
+		_, cold = fl.held(fl.targets[0])
+		g.Expect(cold).To(Equal(connections), "a new leader keeps what was earned")
+		fl.nodes[4].lease.Report(view.Evidence{Cold: sign})
+		time.Sleep(time.Second)
+		_, cold = fl.held(fl.targets[0])
+		g.Expect(cold).To(BeNumerically("<=", coldLoad))
+	})
+}
+
+func TestMistakesInRulesAreAllNamed(t *testing.T) {
+	inFleet(t, func(t *testing.T, fl *fleet) {
+		g := NewWithT(t)
+		time.Sleep(settle)
+		_, err := fl.nodes[3].server.ApplyRules(t.Context(), control.ApplyRequest{Text: "zone mars out # a\nshut x # a\n", Author: "ana"})
+		g.Expect(failure.CodeOf(err)).To(Equal(failure.BadRequest))
+		g.Expect(err).To(MatchError(And(ContainSubstring(`1:6: unknown availability zone "mars"`), ContainSubstring(`2:1: unknown rule "shut"`))))
+		_, err = fl.nodes[3].server.ApplyRules(t.Context(), control.ApplyRequest{Text: zoneOut})
+		g.Expect(err).To(MatchError(ContainSubstring("author")))
+	})
+}
