Moves: an alarm and a suspicion end with the step that raised them

Ruled out: dropping the sums at each step, which would forget real evidence. The module moves joins the daemon.

--- a/pkg/modules/modules.go
+++ b/pkg/modules/modules.go
@@ -10,6 +10,7 @@
 	_ "radishturn.example/radishturn/pkg/fanout"         // query
 	_ "radishturn.example/radishturn/pkg/lease"          // lease
 	_ "radishturn.example/radishturn/pkg/mesh"           // mesh
+	_ "radishturn.example/radishturn/pkg/move/driver"    // moves
 	_ "radishturn.example/radishturn/pkg/order/claims"   // order
 	_ "radishturn.example/radishturn/pkg/platform"       // platform
 	_ "radishturn.example/radishturn/pkg/replica"        // control.replica
--- a/pkg/move/baseline.go
+++ b/pkg/move/baseline.go
@@ -27,9 +27,12 @@
 func (b *baselineTest) learn(c counts) {
 	b.all = b.all*baselineDecay + c.newAll
 	b.failed = b.failed*baselineDecay + c.newBad
-	b.evidence = 0
+	b.restart()
 }
 
+// restart forgets the evidence, not the baseline.
+func (b *baselineTest) restart() { b.evidence = 0 }
+
 // add takes in a window of the new version alone.
 func (b *baselineTest) add(t *versionTally, explained float64) {
 	allowed := baselineFloor
--- a/pkg/move/controller.go
+++ b/pkg/move/controller.go
@@ -27,6 +27,9 @@
 	stopsShare = 1.0 / 3
 	// suspicion is the part of a limit from which on the share does not grow.
 	suspicion = 0.5
+	// suspicionLasts bounds how long the share waits for evidence that no
+	// longer grows.
+	suspicionLasts = 30 * time.Second
 	// compareShare is the share at which both versions are compared again.
 	compareShare = 0.5
 	// compareFor is how long a second comparison lasts.
@@ -67,7 +70,10 @@
 	stepSince time.Duration
 	comparing bool
 	// alarms counts the alarms of the new version alone.
-	alarms       int
+	alarms int
+	// peak is the strongest evidence of this step so far, and since when.
+	peak         float64
+	peakAt       time.Duration
 	windowOpened bool
 }
 
@@ -183,7 +189,7 @@
 		c.comparing = true
 		return newStep(s, now, PhaseUnderWay, compareShare, "the new version fails; both are compared at half the traffic"), ""
 	}
-	if c.strongest() >= suspicion {
+	if c.suspicious(now) {
 		return nil, ReasonSuspicious
 	}
 	if !c.watched(s, now) {
@@ -202,8 +208,10 @@
 	if c.comparing && s.Share < 1 {
 		c.alarms++
 	}
+	c.peak = 0
 	for _, r := range c.all() {
 		r.drop()
+		r.baseline.restart()
 	}
 }
 
@@ -269,6 +277,17 @@
 	return false
 }
 
+// suspicious reports whether there is much evidence that still grows. Without
+// further answers of the new version evidence stays where it is; the share then
+// has to grow to find out more.
+func (c *Controller) suspicious(now Now) bool {
+	strongest := c.strongest()
+	if strongest > c.peak {
+		c.peak, c.peakAt = strongest, now.Monotonic
+	}
+	return strongest >= suspicion && now.Monotonic-c.peakAt < suspicionLasts
+}
+
 // strongest returns the greatest evidence as a part of its limit.
 func (c *Controller) strongest() float64 {
 	var greatest float64
