Stand-in: list state apart from a target's identity

Cause: marking a target as leaving wrote to the value that other faults read to see whether they concern it. The race detector showed it in a test that sets a fault while another one spreads; the test failed before the change.

--- a/pkg/standin/fault_test.go
+++ b/pkg/standin/fault_test.go
@@ -198,6 +198,21 @@
 		Eventually(func() []model.Snapshot { return f.list().Snapshots }).Should(HaveLen(1))
 	})
 
+	It("can be set while another one spreads", func() {
+		f.apply(`{"fault": "leave", "over": "20ms"}`)
+		left := func() int {
+			f.apply(at("cold", first, ""))
+			leaving := 0
+			for _, t := range f.list().Targets {
+				if t.Leaving {
+					leaving++
+				}
+			}
+			return leaving
+		}
+		Eventually(left).WithPolling(time.Microsecond).Should(Equal(18))
+	})
+
 	It("unlist and list change the platform's list", func() {
 		f.apply(at("unlist", first, ""))
 		Expect(f.list().Targets).To(HaveLen(17))
--- a/pkg/standin/list.go
+++ b/pkg/standin/list.go
@@ -83,12 +83,14 @@
 func (t *target) listEntry() (model.Target, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.Target, t.listed
+	listed := t.Target
+	listed.Leaving = t.leaving
+	return listed, t.listed
 }
 
 // setListed changes how the list shows the target.
 func (t *target) setListed(listed, leaving bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.listed, t.Leaving = listed, leaving
+	t.listed, t.leaving = listed, leaving
 }
--- a/pkg/standin/target.go
+++ b/pkg/standin/target.go
@@ -20,6 +20,7 @@
 // target is one stand-in back-end process: an HTTP server that can crash and
 // restart on its port.
 type target struct {
+	// Target does not change once the target serves.
 	model.Target
 	collection *Collection
 	standin    *Standin
@@ -39,7 +40,8 @@
 	cancel context.CancelFunc
 	boots  int
 	faults []*activeFault
-	listed bool
+	// listed and leaving are how the platform's list shows the target.
+	listed, leaving bool
 }
 
 func newTarget(s *Standin, c *Collection, t model.Target) *target {
