--- a/pkg/cli/load.go
+++ b/pkg/cli/load.go
@@ -80,7 +80,7 @@
 
 func (f *loadFlags) register(c *cobra.Command) {
 	flags := c.Flags()
-	flags.StringSliceVar(&f.variants, "variant", nil, "run only these variants of the experiment")
+	flags.StringArrayVar(&f.variants, "variant", nil, "run only this variant of the experiment; may be repeated")
 	flags.StringVar(&f.report, "report", "", "write the whole report to this JSON file")
 	flags.StringVar(&f.plot, "plot", "", "write a plot to this .svg or .png file")
 	flags.StringSliceVar(&f.entries, "entries", nil, "caller addresses of the entries")
