--- a/proofs/fleet_test.go
+++ b/proofs/fleet_test.go
@@ -37,16 +37,25 @@
 	RunSpecs(t, "proofs")
 }
 
+// basePort is the first port of the fleet; PROOF_PORT moves it, so that two runs
+// can share a machine. It is a multiple of 100.
+var basePort = int(number("PROOF_PORT", 31000))
+
+// Ports of the parts of the fleet. The number of the instance is added to the
+// first four.
+var (
+	meshPort      = basePort + 100
+	forwarderPort = basePort + 200
+	callerPort    = basePort + 300
+	adminPort     = basePort + 400
+	platformPort  = basePort + 500
+	controlPort   = basePort + 501
+	firstPort     = basePort + 1000
+)
+
 const (
 	instances      = 6
 	members        = 3
-	meshPort       = 31100
-	forwarderPort  = 31200
-	callerPort     = 31300
-	adminPort      = 31400
-	platformPort   = 31500
-	controlPort    = 31501
-	firstPort      = 32000
 	readyTimeout   = 20 * time.Second
 	requestTimeout = 5 * time.Second
 	program        = "../bin/"
