--- a/pkg/load/load_test.go
+++ b/pkg/load/load_test.go
@@ -171,6 +171,18 @@
 		}
 	})
 
+	It("does not take callers that hang up for failures", func() {
+		e := experimentFor(startStandin(), noDefect)
+		e.Load.Orders.Share = 0
+		e.Load.HangUpShare, e.Load.HangUpAfter = 0.5, settings.Duration(20*time.Millisecond)
+		// Every query takes longer than the callers wait who hang up.
+		e.Faults = []standin.ScheduledFault{{Fault: standin.Fault{Kind: standin.KindSlow, Delay: settings.Duration(60 * time.Millisecond)}}}
+		v := run(e).Variants[0]
+		Expect(v.Outcomes).To(ContainElement(HaveField("Code", load.CodeHungUp)))
+		Expect(v.Failures.Count).To(BeZero())
+		Expect(v.HarmedUntil).To(BeZero())
+	})
+
 	It("tells how long leaving targets got new work and until when faults were felt", func() {
 		e := experimentFor(startStandin(), noDefect)
 		e.Load.Orders.Share = 0
--- a/pkg/load/recorder.go
+++ b/pkg/load/recorder.go
@@ -168,7 +168,11 @@
 	}
 }
 
+// measure leaves out callers that hung up: that is no failure of the entry.
 func (r *recorder) measure(o *outcome, at, latency time.Duration) {
+	if o.code == CodeHungUp {
+		return
+	}
 	s := r.second(at)
 	s.sent++
 	if o.code != CodeOK {
