--- a/pkg/control/server/scale_test.go
+++ b/pkg/control/server/scale_test.go
@@ -9,6 +9,8 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -32,7 +34,12 @@
 	scaleTargets = 390
 	// holdersPerMesh stays below the streams that a peer may have in progress.
 	holdersPerMesh = 100
-	scaleChanges   = 20
+	// entriesToday and changesOfADay are sizes of today and of the aim.
+	entriesToday  = 9
+	rulesOfAFile  = 300
+	changesOfADay = 3000
+	changePace    = 5 * time.Millisecond
+	scaleChanges  = 20
 	// startPace keeps the start of the holders from being the load.
 	startPace  = 10 * time.Millisecond
 	scaleBound = 4 * time.Second
@@ -70,14 +77,14 @@
 // countingMesh counts the bytes of renewals and their replies.
 type countingMesh struct {
 	*mesh.QUIC
-	renewals, sent, received int
+	renewals, sent, received atomic.Int64
 }
 
 func (c *countingMesh) Call(ctx context.Context, to model.InstanceID, kind mesh.Kind, request cbor.RawMessage) (cbor.RawMessage, error) {
 	reply, err := c.QUIC.Call(ctx, to, kind, request)
-	c.renewals++
-	c.sent += len(request)
-	c.received += len(reply)
+	c.renewals.Add(1)
+	c.sent.Add(int64(len(request)))
+	c.received.Add(int64(len(reply)))
 	return reply, err
 }
 
@@ -87,47 +94,72 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// TestScale runs one leader and many holders of leases over QUIC in one
-// process, and measures how long changes take and what steady renewals cost.
-func TestScale(t *testing.T) {
-	g := NewWithT(t)
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	folder := t.TempDir()
-	g.Expect(keys.InitAuthority(folder, time.Hour)).To(Succeed())
-	leaderMesh := listen(ctx, t, g, folder, string(instanceID(0)))
+// scaleFleet is one leader and many holders of leases.
+type scaleFleet struct {
+	server   *server.Server
+	holders  []*lease.Module
+	counters []*countingMesh
+}
+
+func (s *scaleFleet) withoutLease() int {
+	n := 0
+	for _, h := range s.holders {
+		if h.Lease() != view.LeaseHeld {
+			n++
+		}
+	}
+	return n
+}
+
+func targetsOfToday() *platform.List {
 	list := &platform.List{Sequence: 1}
 	for i := range scaleTargets {
 		id := model.NewTargetID("shopfront", model.LeafID{Service: model.ServiceID(fmt.Sprint("svc-", i/6)), Leaf: i / 3 % 2}, i%3)
 		list.Targets = append(list.Targets, model.Target{ID: id, Collection: "shopfront"})
 	}
+	return list
+}
+
+func startScale(ctx context.Context, t *testing.T, g *WithT, n int) *scaleFleet {
+	folder := t.TempDir()
+	g.Expect(keys.InitAuthority(folder, time.Hour)).To(Succeed())
+	leaderMesh := listen(ctx, t, g, folder, string(instanceID(0)))
 	leaderGroup := &group{leader: instanceID(0), term: 1}
 	leader := &member{group: leaderGroup, id: instanceID(0), machine: state.NewMachine()}
 	leaderGroup.members = []*member{leader}
-	settings := fleetSettings(0)
-	srv := server.New(settings, leaderMesh, staticList{list}, leader.machine, leader)
-	go func() { _ = srv.Run(ctx) }()
-
-	n := holderCount()
-	var clients []*mesh.QUIC
-	for i := range (n + holdersPerMesh - 1) / holdersPerMesh {
-		c := listen(ctx, t, g, folder, fmt.Sprint("clients-", i))
-		c.SetPeer(instanceID(0), leaderMesh.Address())
-		clients = append(clients, c)
-	}
-	holders := make([]*lease.Module, n)
-	counters := make([]*countingMesh, n)
-	for i := range holders {
-		counters[i] = &countingMesh{QUIC: clients[i/holdersPerMesh]}
-		s := fleetSettings(i + 1)
-		router := route.New(counters[i], func() []model.InstanceID { return []model.InstanceID{instanceID(0)} })
-		holders[i] = lease.New(s, counters[i], router)
-		go func() { _ = holders[i].Run(ctx) }()
+	f := &scaleFleet{server: server.New(fleetSettings(0), leaderMesh, staticList{targetsOfToday()}, leader.machine, leader)}
+	go func() { _ = f.server.Run(ctx) }()
+	var clients *mesh.QUIC
+	for i := range n {
+		if i%holdersPerMesh == 0 {
+			clients = listen(ctx, t, g, folder, fmt.Sprint("clients-", i))
+			clients.SetPeer(instanceID(0), leaderMesh.Address())
+		}
+		f.addHolder(ctx, clients, i+1)
 		time.Sleep(startPace)
 	}
-	g.Eventually(func() int {
-		return len(slices.DeleteFunc(slices.Clone(holders), func(m *lease.Module) bool { return m.Lease() == view.LeaseHeld }))
-	}, time.Minute, 100*time.Millisecond).Should(BeZero())
+	return f
+}
+
+func (s *scaleFleet) addHolder(ctx context.Context, clients *mesh.QUIC, i int) {
+	counter := &countingMesh{QUIC: clients}
+	router := route.New(counter, func() []model.InstanceID { return []model.InstanceID{instanceID(0)} })
+	holder := lease.New(fleetSettings(i), counter, router)
+	s.counters = append(s.counters, counter)
+	s.holders = append(s.holders, holder)
+	go func() { _ = holder.Run(ctx) }()
+}
+
+// TestScale runs one leader and many holders of leases over QUIC in one
+// process, and measures how long changes take and what steady renewals cost.
+func TestScale(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	n := holderCount()
+	s := startScale(ctx, t, g, n)
+	srv, counters := s.server, s.counters
+	g.Eventually(s.withoutLease, time.Minute, 100*time.Millisecond).Should(BeZero())
 	time.Sleep(steadyTime)
 
 	before, started := processorTime(), time.Now()
@@ -158,11 +190,43 @@
 	g.Expect(times[len(times)-1]).To(BeNumerically("<=", scaleBound))
 }
 
-func totals(counters []*countingMesh) (renewals, sent, received int) {
+// manyRules is a file of which one line differs from that of the number before.
+func manyRules(n int) string {
+	var text strings.Builder
+	for i := range rulesOfAFile {
+		fmt.Fprintf(&text, "limit caller clinic-%d %d/s # proof\n", i, 1+(n+rulesOfAFile-i)/rulesOfAFile)
+	}
+	return text.String()
+}
+
+// TestManyChanges applies the changes of a day at a steady pace and measures
+// what they cost each holder.
+func TestManyChanges(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	s := startScale(ctx, t, g, entriesToday)
+	g.Eventually(s.withoutLease, time.Minute, 100*time.Millisecond).Should(BeZero())
+	time.Sleep(steadyTime)
+	cpu, started := processorTime(), time.Now()
+	_, sent, received := totals(s.counters)
+	for i := range changesOfADay {
+		_, err := s.server.ApplyRules(ctx, control.ApplyRequest{Base: model.Revision(i), Text: manyRules(i), Author: "ana"})
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(changePace)
+	}
+	g.Eventually(func() model.Revision { return s.holders[0].View().Revision }, scaleBound).Should(BeEquivalentTo(changesOfADay))
+	_, sent2, received2 := totals(s.counters)
+	t.Logf("%d changes in %s at %d holders: %.0f bytes for each holder and change, %.0f us of processor time for each change, leader and holders together",
+		changesOfADay, time.Since(started).Round(time.Second), entriesToday,
+		float64(sent2-sent+received2-received)/float64(entriesToday*changesOfADay), float64((processorTime()-cpu).Microseconds())/changesOfADay)
+}
+
+func totals(counters []*countingMesh) (renewals, sent, received int64) {
 	for _, c := range counters {
-		renewals += c.renewals
-		sent += c.sent
-		received += c.received
+		renewals += c.renewals.Load()
+		sent += c.sent.Load()
+		received += c.received.Load()
 	}
 	return renewals, sent, received
 }
