Hedges wait while a large part of a query is late

When the machine pauses, all 40 legs of a query are late together, and hedging them spends the saved budget at once; the stragglers that follow are not hedged. Hedges wait for twice the delay now while more than a fifth of the legs is open. The highest quantile is 0.975, since with 1% of stragglers the 99th percentile is a straggler.

--- a/pkg/fanout/late.go
+++ b/pkg/fanout/late.go
@@ -1,6 +1,10 @@
 package fanout
 
-import "time"
+import (
+	"time"
+
+	"radishturn.example/radishturn/pkg/query/hedge"
+)
 
 func (r *run) planHedge(l *leg, now time.Duration) {
 	l.hedgeAt = 0
@@ -8,7 +12,7 @@
 	delay, ok := l.leaf.delay, l.leaf.hedged
 	l.leaf.mu.Unlock()
 	if ok && l.count < maxAttempts && !r.trial.on {
-		l.hedgeAt = now + delay
+		l.hedgeAt, l.hedgeDelay = now+delay, delay
 	}
 }
 
@@ -36,14 +40,23 @@
 
 // hedge sends a second attempt at a leg that is late.
 func (r *run) hedge(i int, now time.Duration) {
-	if l := &r.legs[i]; l.open == 0 || l.count >= maxAttempts || r.trial.on || !r.collection.takeHedge(now) {
+	l := &r.legs[i]
+	if l.open == 0 || l.count >= maxAttempts || r.trial.on {
+		return
+	}
+	age := now - l.attempts[l.count-1].started
+	if wait := hedge.Postpone(r.pending, len(r.legs), age, l.hedgeDelay); wait > 0 {
+		l.hedgeAt = now + wait
+		return
+	}
+	if !r.collection.takeHedge(now) {
 		return
 	}
 	if r.try(i, now, true) != available {
 		r.collection.returnHedge()
 		return
 	}
-	r.planHedge(&r.legs[i], now)
+	r.planHedge(l, now)
 }
 
 // schedule sets the timer for the earliest time at which act has work. due is
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -42,12 +42,14 @@
 	count    int
 	open     int
 	// hedgeAt is when the leg is hedged or looks for capacity again; 0 for never.
-	hedgeAt   time.Duration
-	waiting   bool
-	waitSince time.Duration
-	waited    time.Duration
-	answered  bool
-	givenUp   bool
+	hedgeAt time.Duration
+	// hedgeDelay is the delay after which the last attempt is hedged.
+	hedgeDelay time.Duration
+	waiting    bool
+	waitSince  time.Duration
+	waited     time.Duration
+	answered   bool
+	givenUp    bool
 	// held is set while the leg waits for the trial of a suspect request.
 	held    bool
 	reply   *targetproto.QueryReply
--- a/pkg/query/hedge/hedge.go
+++ b/pkg/query/hedge/hedge.go
@@ -22,7 +22,7 @@
 	minSamples = 32
 	// lowQuantile is used while the budget is full, highQuantile while it is empty.
 	lowQuantile    = 0.95
-	highQuantile   = 0.99
+	highQuantile   = 0.975
 	medianQuantile = 0.5
 	// medianFactor times the median is waited at least. Where latencies vary
 	// little, a quantile alone hedges answers that are about to arrive.
@@ -64,6 +64,24 @@
 	return max(d.Quantile(q), medianFactor*d.Quantile(medianQuantile), minDelay), true
 }
 
+const (
+	// generalShare is the part of a query's legs that has to be late for the
+	// lateness to be general: no single target is to blame, and hedges of all
+	// legs would spend the budget at once.
+	generalShare = 0.2
+	// generalPatience times the delay is waited in that case.
+	generalPatience = 2
+)
+
+// Postpone returns how much longer to wait with the hedge of an attempt of
+// this age; 0 sends it now. pending and legs are those of its query.
+func Postpone(pending, legs int, age, delay time.Duration) time.Duration {
+	if float64(pending) <= max(1, generalShare*float64(legs)) {
+		return 0
+	}
+	return max(0, generalPatience*delay-age)
+}
+
 const (
 	// burst is how many extra requests may be saved up.
 	burst = 40
--- a/pkg/query/hedge/hedge_test.go
+++ b/pkg/query/hedge/hedge_test.go
@@ -81,6 +81,13 @@
 		Expect(empty).To(BeNumerically(">=", full))
 	})
 
+	It("is longer while a large part of a query is late, and ends", func() {
+		Expect(hedge.Postpone(2, 40, 10*time.Millisecond, 10*time.Millisecond)).To(BeZero())
+		Expect(hedge.Postpone(1, 1, 10*time.Millisecond, 10*time.Millisecond)).To(BeZero())
+		Expect(hedge.Postpone(20, 40, 10*time.Millisecond, 10*time.Millisecond)).To(Equal(10 * time.Millisecond))
+		Expect(hedge.Postpone(20, 40, 20*time.Millisecond, 10*time.Millisecond)).To(BeZero())
+	})
+
 	It("waits for enough samples", func() {
 		var few latency.Histogram
 		few.Add(time.Millisecond)
