--- a/pkg/move/simulate/simulate_test.go
+++ b/pkg/move/simulate/simulate_test.go
@@ -23,8 +23,12 @@
 	RunSpecs(t, "Simulated moves")
 }
 
-// movesEnv asks for a report over that many moves of each kind.
-const movesEnv = "RADISHTURN_MOVES"
+const (
+	// movesEnv asks for a report over that many moves of each kind.
+	movesEnv = "RADISHTURN_MOVES"
+	// seedEnv is the first seed, 1 unless set.
+	seedEnv = "RADISHTURN_SEED"
+)
 
 func movesOfKind() int {
 	if n, err := strconv.Atoi(os.Getenv(movesEnv)); err == nil {
@@ -33,7 +37,15 @@
 	return 4
 }
 
-// simulateAll runs n moves of a scenario with seeds from 1.
+func firstSeed() uint64 {
+	seed, err := strconv.ParseUint(os.Getenv(seedEnv), 10, 64)
+	if err != nil {
+		return 1
+	}
+	return seed
+}
+
+// simulateAll runs n moves of a scenario with seeds from firstSeed on.
 func simulateAll(s simulate.Scenario, c simulate.Choice, n int) []simulate.Result {
 	results := make([]simulate.Result, n)
 	var wait sync.WaitGroup
@@ -41,7 +53,7 @@
 	for i := range results {
 		wait.Go(func() {
 			slots <- struct{}{}
-			results[i] = simulate.Run(s, c, uint64(i+1))
+			results[i] = simulate.Run(s, c, firstSeed()+uint64(i))
 			<-slots
 		})
 	}
@@ -91,7 +103,7 @@
 	inTime := 0
 	for i, r := range results {
 		if s.Bad {
-			Expect(r.Phase).To(Equal(move.PhaseTakenBack), "%s, %s, seed %d", s.Name, c, i+1)
+			Expect(r.Phase).To(Equal(move.PhaseTakenBack), "%s, %s, seed %d", s.Name, c, firstSeed()+uint64(i))
 		}
 		if r.InTime {
 			inTime++
