Stand-in: a reset stops faults that still spread

Cause: a staggered switch that outlives its variant went on in the next one. The test failed before the change. A first try with a counter alone left a gap between its check and the change; both now stand under one lock.

Conclusion: variants start from the same state.

--- a/pkg/standin/fault_test.go
+++ b/pkg/standin/fault_test.go
@@ -220,6 +220,13 @@
 		Expect(f.list().Targets).To(HaveLen(18))
 	})
 
+	It("stops spreading at a reset", func() {
+		f.apply(`{"fault": "unlist", "over": "100ms"}`)
+		Expect(f.Reset()).To(Succeed())
+		listed := func() int { return len(f.list().Targets) }
+		Consistently(listed, 150*time.Millisecond).Should(Equal(18))
+	})
+
 	It("is undone by a reset", func() {
 		f.apply(at("crash", first, ""))
 		f.apply(at("unlist", second, ""))
--- a/pkg/standin/standin.go
+++ b/pkg/standin/standin.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,11 @@
 	platform net.Listener
 	control  net.Listener
 	stopped  atomic.Bool
+
+	// changes guards resets and makes a reset exclude faults that spread.
+	changes sync.Mutex
+	// resets counts resets, so that a fault that spreads stops at the next one.
+	resets int
 }
 
 // New opens all ports of the stand-in and starts its targets.
