--- a/pkg/standin/list.go
+++ b/pkg/standin/list.go
@@ -51,8 +51,11 @@
 	return l.versions[0].json
 }
 
-// publishList publishes the list as the targets stand now.
+// publishList publishes the list as the targets stand now. One call at a time
+// does so, since a later list must not be replaced by an earlier one.
 func (s *Standin) publishList() error {
+	s.publishing.Lock()
+	defer s.publishing.Unlock()
 	list := platform.List{Instances: s.listedInstances()}
 	held := make(map[snapshotKey]bool)
 	for _, t := range s.targets {
--- a/pkg/standin/standin.go
+++ b/pkg/standin/standin.go
@@ -27,12 +27,13 @@
 	// attempts tells extra leaf requests from first ones.
 	attempts *recentSet[leafAttempt]
 	// ran holds the requests that some target began to run.
-	ran      *recentSet[string]
-	orders   *orderLog
-	list     laggingList
-	platform net.Listener
-	control  net.Listener
-	stopped  atomic.Bool
+	ran        *recentSet[string]
+	orders     *orderLog
+	list       laggingList
+	platform   net.Listener
+	control    net.Listener
+	publishing sync.Mutex
+	stopped    atomic.Bool
 
 	// changes guards resets and makes a reset exclude faults that spread.
 	changes sync.Mutex
