--- a/pkg/standin/standin.go
+++ b/pkg/standin/standin.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,12 +27,18 @@
 	// attempts tells extra leaf requests from first ones.
 	attempts *recentSet[leafAttempt]
 	// ran holds the requests that some target began to run.
-	ran      *recentSet[string]
-	orders   *orderLog
-	list     laggingList
-	platform net.Listener
-	control  net.Listener
-	stopped  atomic.Bool
+	ran        *recentSet[string]
+	orders     *orderLog
+	list       laggingList
+	platform   net.Listener
+	control    net.Listener
+	publishing sync.Mutex
+	stopped    atomic.Bool
+
+	// changes guards resets and makes a reset exclude faults that spread.
+	changes sync.Mutex
+	// resets counts resets, so that a fault that spreads stops at the next one.
+	resets int
 }
 
 // New opens all ports of the stand-in and starts its targets.
