Replica: bounds on a command and on a delivery; why leadership was lost

Cause: a command longer than a message of the mesh would have been appended and never replicated, and messages queued for a peer that was away could together be longer than one message.

RT3003 says whether a member campaigned in a higher term or no majority answered. The spec for sizes passes.

--- a/pkg/replica/proposals.go
+++ b/pkg/replica/proposals.go
@@ -9,6 +9,9 @@
 	"radishturn.example/radishturn/pkg/failure"
 )
 
+// maxCommandBytes bounds one command, so that an entry always fits a message.
+const maxCommandBytes = 4 << 20
+
 // proposal is a command on its way into the log. Either the loop takes it or
 // the proposer withdraws it, and the two exclude each other: a withdrawn
 // proposal is certain not to run.
@@ -33,6 +36,9 @@
 	if len(command) == 0 {
 		return nil, failure.New(failure.BadRequest, failure.NotRun, "propose", "", "the command is empty")
 	}
+	if len(command) > maxCommandBytes {
+		return nil, failure.New(failure.TooLarge, failure.NotRun, "propose", "", "command of %d bytes is longer than %d", len(command), maxCommandBytes)
+	}
 	p := &proposal{command: command, done: make(chan outcome, 1)}
 	select {
 	case n.proposals <- p:
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -94,6 +95,22 @@
 		g.propose("c1")
 	})
 
+	It("replicates commands of any allowed size and refuses others", func() {
+		g := newGroup("a", "b", "c")
+		g.start("a", "b", "c")
+		g.propose("c0")
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		_, err := g.leader().Propose(ctx, nil)
+		Expect(failure.CodeOf(err)).To(Equal(failure.BadRequest))
+		_, err = g.leader().Propose(ctx, make([]byte, 4<<20+1))
+		Expect(failure.CodeOf(err)).To(Equal(failure.TooLarge))
+		Expect(failure.RanOf(err)).To(Equal(failure.NotRun))
+		large := strings.Repeat("x", 4<<20)
+		g.propose(large)
+		g.expectEverywhere([]string{"c0", large})
+	})
+
 	It("refuses replacements that would change the number of voters", func() {
 		g := newGroup("a", "b", "c")
 		g.start("a", "b", "c", "d")
--- a/pkg/replica/status.go
+++ b/pkg/replica/status.go
@@ -55,6 +55,14 @@
 	return RoleCandidate
 }
 
+// lossReason says why a leader leads no longer.
+func lossReason(before, now reportedState) string {
+	if now.term > before.term {
+		return "a member campaigns in a higher term"
+	}
+	return "no majority answered, or this member was removed"
+}
+
 var errLeadershipLost = errors.New("leadership was lost before the entry was accepted")
 
 // report writes events for changes of leadership and answers proposers whose
@@ -69,7 +77,7 @@
 	lost := before.role == consensus.Leader && (now.role != consensus.Leader || now.term != before.term)
 	if lost {
 		n.metrics.losses.Inc()
-		events.Emit(events.LeadershipLost, before.term, "replaced, handed over or without a majority")
+		events.Emit(events.LeadershipLost, before.term, lossReason(before, now))
 		n.waiters.failAfter(s.Commit, errUnknown("propose", string(s.Leader.Instance), errLeadershipLost))
 	}
 	if now.leader != (Member{}) && (now.leader != before.leader || now.term != before.term) {
--- a/pkg/replica/transport.go
+++ b/pkg/replica/transport.go
@@ -18,6 +18,9 @@
 	// queuedMessages bounds the messages that wait for one peer. Further ones
 	// are dropped, as the network might.
 	queuedMessages = 256
+	// deliveryBytes is the size after which a delivery takes no further message.
+	// The longest message on top of it stays below what the mesh carries.
+	deliveryBytes = 8 << 20
 	// parallelDeliveries bounds the deliveries on their way to one peer.
 	parallelDeliveries = 4
 	// callTimeouts is how many election timeouts a delivery may take.
@@ -142,10 +145,12 @@
 
 func (s *sender) collect(m consensus.Message) []consensus.Message {
 	messages := []consensus.Message{m}
-	for len(messages) < queuedMessages {
+	size := entryBytes(m)
+	for len(messages) < queuedMessages && size < deliveryBytes {
 		select {
 		case m := <-s.queue:
 			messages = append(messages, m)
+			size += entryBytes(m)
 		default:
 			return messages
 		}
@@ -153,6 +158,18 @@
 	return messages
 }
 
+// entryBytes returns the size of the commands in a message.
+func entryBytes(m consensus.Message) int {
+	if m.Append == nil {
+		return 0
+	}
+	size := 0
+	for _, e := range m.Append.Entries {
+		size += len(e.Command)
+	}
+	return size
+}
+
 // deliver calls the peer. A failure loses the messages; the consensus repeats
 // what matters.
 func (s *sender) deliver(messages []consensus.Message, timeouts int) {
