Grants: a new leader takes nothing away

A new leader offered the first instances that reported an empty share, since it had not worked the shares out before its first tick; all instances that reported within 100 ms lost their connections for about a second. A leader without a platform list would have done the same for as long as it had none. And each report for itself cooled warm targets down while the others were still to come.

Conclusion: the shares are worked out before the first renewal; nothing changes before the limits are known; the cold load that was earned is taken over once all instances have reported. A list that lost all its targets at once is not followed.

--- a/pkg/control/server/limits.go
+++ b/pkg/control/server/limits.go
@@ -4,7 +4,6 @@
 	"radishturn.example/radishturn/pkg/grant"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/settings"
-	"radishturn.example/radishturn/pkg/view"
 )
 
 // refreshLimits follows the platform's list of targets.
@@ -15,6 +14,10 @@
 	if list == nil || list == n.list {
 		return
 	}
+	// A list that lost all its targets at once tells of a fault of the platform.
+	if len(list.Targets) == 0 && n.list != nil {
+		return
+	}
 	n.list = list
 	n.setLimits()
 }
@@ -38,17 +41,23 @@
 	n.granter.SetLimits(limits)
 }
 
+// limitOf returns what one target bears. Until the holdings under earlier
+// leaders are known, a target without evidence keeps the cold load it has.
 func (n *session) limitOf(id model.TargetID, c settings.Collection) grant.Limit {
 	ceiling := c.Connections
 	if c.Concurrency > 0 {
 		ceiling = min(ceiling, c.Concurrency)
 	}
+	if !n.settled && !n.warmth.Known(id) {
+		return grant.Limit{Connections: c.Connections, ColdLoad: ceiling}
+	}
 	return grant.Limit{Connections: c.Connections, ColdLoad: n.warmth.Load(id, c.ColdLoad, ceiling)}
 }
 
-// assumeWarmth keeps the cold load that an instance held under an earlier
-// leader from shrinking.
-func (n *session) assumeWarmth(held map[model.TargetID]view.Grant) {
+// settleWarmth starts from the cold load that instances hold under earlier
+// leaders, so that a new leader does not cool warm targets down. The lock is held.
+func (n *session) settleWarmth() {
+	n.settled = true
 	if n.list == nil {
 		return
 	}
@@ -57,7 +66,7 @@
 		start[c.ID] = c.ColdLoad
 	}
 	for _, t := range n.list.Targets {
-		if _, ok := held[t.ID]; ok {
+		if !n.warmth.Known(t.ID) {
 			n.warmth.Assume(n.now(), t.ID, n.granter.Held(t.ID).ColdLoad, start[t.Collection])
 		}
 	}
--- a/pkg/control/server/session.go
+++ b/pkg/control/server/session.go
@@ -29,6 +29,8 @@
 	lock    sync.Mutex
 	granter *granter.Granter
 	warmth  *grant.Warmth
+	// settled is set once it is known what all instances hold.
+	settled bool
 	// list is the platform's list that the limits were taken from.
 	list    *platform.List
 	batches *batcher
@@ -45,6 +47,7 @@
 		}
 	})
 	n.granter = granter.New(s.mesh.Self(), term, n.started, s.settings.Lease.Duration.Std(), s.runOut(), known)
+	n.granter.OnSettled(n.settleWarmth)
 	n.batches = newBatcher(n)
 	n.refreshLimits()
 	return n
@@ -104,11 +107,7 @@
 func (n *session) extend(r *wire.Renewal) (*wire.RenewalReply, error) {
 	n.lock.Lock()
 	defer n.lock.Unlock()
-	reply, adopted, err := n.granter.Renew(n.now(), r)
-	if err == nil && len(adopted) > 0 {
-		n.assumeWarmth(adopted)
-	}
-	return reply, err
+	return n.granter.Renew(n.now(), r)
 }
 
 // returned ends a lease that was handed back.
--- a/pkg/grant/ledger.go
+++ b/pkg/grant/ledger.go
@@ -31,6 +31,8 @@
 	// Rebalance, so that many joins together cost as much as one.
 	members []model.InstanceID
 	stale   bool
+	// limited is set once the limits are known; until then no share changes.
+	limited bool
 	// generation grows with each change that may let a share change.
 	generation uint64
 	// unknown counts the holders that have not reported what they hold.
@@ -65,6 +67,10 @@
 
 // SetLimits replaces what all targets bear.
 func (l *Ledger) SetLimits(limits map[model.TargetID]Limit) {
+	if !l.limited {
+		l.limited = true
+		l.generation++
+	}
 	for id, limit := range limits {
 		l.setLimit(id, limit)
 	}
@@ -226,7 +232,7 @@
 	if h.pending != nil {
 		return h.pending
 	}
-	if h.settled == l.generation {
+	if !l.limited || h.settled == l.generation {
 		return nil
 	}
 	h.settled = l.generation
@@ -298,6 +304,9 @@
 	return view.Grant{}
 }
 
+// Settled reports whether the holdings of all instances are known.
+func (l *Ledger) Settled() bool { return l.unknown == 0 }
+
 // Unknown reports whether the instance has yet to report what it holds.
 func (l *Ledger) Unknown(id model.InstanceID) bool {
 	h, ok := l.holders[id]
--- a/pkg/grant/warmth.go
+++ b/pkg/grant/warmth.go
@@ -59,6 +59,9 @@
 // Assume raises the load of a target to at least what instances hold already,
 // so that a new leader does not cool warm targets down.
 func (w *Warmth) Assume(now time.Duration, id model.TargetID, held, start int) {
+	if held <= start {
+		return
+	}
 	t := w.targets[id]
 	if t == nil {
 		t = &warmth{factor: 1, grownAt: now}
@@ -69,6 +72,9 @@
 	}
 }
 
+// Known reports whether there is evidence about a target.
+func (w *Warmth) Known(id model.TargetID) bool { return w.targets[id] != nil }
+
 // Load returns how much cold load a target bears now, at most limit.
 func (w *Warmth) Load(id model.TargetID, start, limit int) int {
 	factor := 1
--- a/pkg/lease/fleet_test.go
+++ b/pkg/lease/fleet_test.go
@@ -118,7 +118,7 @@
 			continue
 		}
 		w.register(id)
-		answer, _, err := w.leader.Renew(w.now, r.renewal)
+		answer, err := w.leader.Renew(w.now, r.renewal)
 		if err != nil {
 			return
 		}
--- a/pkg/lease/granter/granter.go
+++ b/pkg/lease/granter/granter.go
@@ -28,6 +28,9 @@
 	challenges map[model.InstanceID]*session
 	// numbered counts the sessions of this term.
 	numbered uint64
+	// onSettled is called once, when all holdings are known and before any grows.
+	onSettled func()
+	settled   bool
 }
 
 // session is what an instance was granted since it had nothing, or since this
@@ -52,23 +55,37 @@
 	for _, k := range known {
 		g.ledger.Assume(k.Instance)
 	}
+	g.ledger.Rebalance()
 	return g
 }
 
+// OnSettled sets a function that is called once, when it is known what every
+// instance holds from earlier leaders and before any share grows.
+func (g *Granter) OnSettled(f func()) { g.onSettled = f }
+
+func (g *Granter) settle() {
+	if g.settled || !g.ledger.Settled() {
+		return
+	}
+	g.settled = true
+	if g.onSettled != nil {
+		g.onSettled()
+	}
+}
+
 // Renew grants a lease or more time on it. The reply lacks the changes of the
-// configuration. Adopted is what the instance reported to hold from an earlier
-// leader, if it did so now.
-func (g *Granter) Renew(now time.Duration, r *wire.Renewal) (reply *wire.RenewalReply, adopted map[model.TargetID]view.Grant, err error) {
+// configuration.
+func (g *Granter) Renew(now time.Duration, r *wire.Renewal) (*wire.RenewalReply, error) {
 	id := r.Instance.ID
 	if !g.admit(r) {
-		return g.challenge(r), nil, nil
+		return g.challenge(r), nil
 	}
 	outcome := g.table.Renew(now, table.Renewal{
 		Instance: id, Boot: r.Boot, Sequence: r.Sequence, Answered: r.Answered, Revision: r.Revision,
 	})
 	switch {
 	case outcome == table.Stale:
-		return nil, nil, failure.New(failure.Conflict, failure.NotRun, "renew", string(id), "a newer renewal was taken before")
+		return nil, failure.New(failure.Conflict, failure.NotRun, "renew", string(id), "a newer renewal was taken before")
 	case r.Void, outcome == table.Fresh:
 		g.ledger.Join(id)
 		g.startSession(id, r.Boot)
@@ -77,12 +94,13 @@
 	}
 	s := g.sessions[id]
 	if s.number == r.Session {
-		adopted = g.acknowledge(id, r)
+		g.acknowledge(id, r)
 	}
+	g.settle()
 	return &wire.RenewalReply{
 		Leader: g.self, Sequence: r.Sequence, Session: s.number,
 		Report: g.ledger.Unknown(id), Grants: g.ledger.Offer(id),
-	}, adopted, nil
+	}, nil
 }
 
 // admit reports whether the renewal goes on with the instance's lease, or
@@ -121,20 +139,19 @@
 	g.sessions[id] = s
 }
 
-func (g *Granter) acknowledge(id model.InstanceID, r *wire.Renewal) map[model.TargetID]view.Grant {
+func (g *Granter) acknowledge(id model.InstanceID, r *wire.Renewal) {
 	if !g.ledger.Unknown(id) {
 		g.ledger.Acknowledge(id, r.GrantSequence)
-		return nil
+		return
 	}
 	if !r.Reported {
-		return nil
+		return
 	}
 	held := make(map[model.TargetID]view.Grant, len(r.Held))
 	for _, e := range r.Held {
 		held[e.Target] = e.Grant
 	}
 	g.ledger.Adopt(id, held)
-	return held
 }
 
 // Return ends the lease of a process that handed it back.
