Adaptive hedging uses its budget: earlier while it is full

Cause, seen with 'scripts/experiment.sh experiments/stragglers-wide.jsonc' (150 leaves, load of the machine about 20): adaptive p50 31.0 ms at 1.7% extra leaf requests, a fixed delay of 12 ms 20.6 ms at 2.2%. Twice the median, which includes the work of this instance, was the delay, and the budget of 5% lay idle. The delay is now at least 1.5 times the median and the quantile goes from 0.92, budget full, to 0.975, budget empty.

--- a/pkg/query/hedge/hedge.go
+++ b/pkg/query/hedge/hedge.go
@@ -21,12 +21,12 @@
 	// minSamples is how many latencies an adaptive delay needs.
 	minSamples = 32
 	// lowQuantile is used while the budget is full, highQuantile while it is empty.
-	lowQuantile    = 0.95
+	lowQuantile    = 0.92
 	highQuantile   = 0.975
 	medianQuantile = 0.5
 	// medianFactor times the median is waited at least. Where latencies vary
 	// little, a quantile alone hedges answers that are about to arrive.
-	medianFactor = 2
+	medianFactor = 1.5
 	// minDelay keeps hedges from racing answers that are on their way.
 	minDelay = time.Millisecond
 )
@@ -61,7 +61,7 @@
 		return 0, false
 	}
 	q := highQuantile - (highQuantile-lowQuantile)*min(max(fill, 0), 1)
-	return max(d.Quantile(q), medianFactor*d.Quantile(medianQuantile), minDelay), true
+	return max(d.Quantile(q), time.Duration(medianFactor*float64(d.Quantile(medianQuantile))), minDelay), true
 }
 
 const (
