--- a/pkg/move/baseline.go
+++ b/pkg/move/baseline.go
@@ -4,7 +4,7 @@
 
 const (
 	// baselineDecay is the part of the baseline kept from window to window.
-	baselineDecay = 0.99
+	baselineDecay = 0.95
 	// baselineFloor is the least rate of failures that counts as a fault when
 	// there is no old version beside it.
 	baselineFloor = 0.02
