Stand-in: cold overloads after every instance can know

Cause: a target that turns cold without a restart is overloaded by what was on its way; what counts is overload after the first sign.

Conclusion: knownColdOverloads counts those over a second after the first reply that said cold.

--- a/pkg/load/table.go
+++ b/pkg/load/table.go
@@ -40,6 +40,7 @@
 	{"most in flight at a target", func(v *VariantReport) string { return fmt.Sprint(v.Targets.MaxInFlight) }},
 	{"most in flight while cold", func(v *VariantReport) string { return fmt.Sprint(v.Targets.MaxColdInFlight) }},
 	{"cold overloads", func(v *VariantReport) string { return fmt.Sprint(v.Targets.ColdOverloads) }},
+	{"cold overloads 1 s after the first sign", func(v *VariantReport) string { return fmt.Sprint(v.Targets.KnownColdOverloads) }},
 	{"longest warm-up ms (ideal)", func(v *VariantReport) string { return fmt.Sprintf("%d (%d)", v.Targets.MaxWarmUp, v.IdealWarmUp) }},
 	{"targets cold at the end", func(v *VariantReport) string { return fmt.Sprint(v.Targets.ColdTargets) }},
 	{"failures or gaps until s", func(v *VariantReport) string { return fmt.Sprint(v.HarmedUntil) }},
--- a/pkg/standin/cold.go
+++ b/pkg/standin/cold.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// signSpread is the time after a cold target's first reply in which instances
+// may not know yet that it is cold.
+const signSpread = time.Second
+
 // warmth is how far a target has come from cold start.
 type warmth struct {
 	settings Cold
@@ -14,10 +18,14 @@
 	// warm, both as time.Duration; since counts from the target's origin.
 	origin         time.Time
 	since, longest atomic.Int64
+	// sign is when the first reply since then said that the target is cold; 0
+	// means not yet.
+	sign atomic.Int64
 }
 
 func (w *warmth) turnCold() {
 	w.since.Store(int64(time.Since(w.origin)))
+	w.sign.Store(0)
 	w.remaining.Store(int64(w.settings.Requests))
 }
 
@@ -53,6 +61,15 @@
 	return w.isCold() && inFlight > int64(w.settings.Load)
 }
 
+// replied notes that a reply stated that the target is cold.
+func (w *warmth) replied() { w.sign.CompareAndSwap(0, int64(time.Since(w.origin))) }
+
+// isKnownCold reports whether every instance should know by now.
+func (w *warmth) isKnownCold() bool {
+	sign := time.Duration(w.sign.Load())
+	return sign > 0 && time.Since(w.origin) > sign+signSpread
+}
+
 // crashes reports whether a cold target falls over.
 func (w *warmth) crashes(inFlight int64) bool {
 	return w.isCold() && w.settings.CrashLoad > 0 && inFlight >= int64(w.settings.CrashLoad)
--- a/pkg/standin/serve.go
+++ b/pkg/standin/serve.go
@@ -133,6 +133,9 @@
 	inFlight := t.counters.coldFlight.add()
 	if t.warmth.overloaded(inFlight) {
 		t.counters.coldOverloads.Add(1)
+		if t.warmth.isKnownCold() {
+			t.counters.knownColdOverloads.Add(1)
+		}
 	}
 	return inFlight
 }
@@ -248,10 +251,19 @@
 	h[targetproto.HeaderLeaf] = t.standin.paths.name[t.Leaf]
 	h[targetproto.HeaderVersion] = []string{string(t.Version)}
 	h[targetproto.HeaderBoot] = []string{string(*t.boot.Load())}
-	h[targetproto.HeaderState] = []string{string(t.state())}
+	h[targetproto.HeaderState] = []string{string(t.statedState())}
 	h[targetproto.HeaderLoad] = []string{strconv.FormatInt(t.counters.inFlight.now.Load(), 10)}
 }
 
+// statedState returns the state for a reply and notes when it is cold.
+func (t *target) statedState() targetproto.State {
+	s := t.state()
+	if s == targetproto.StateCold {
+		t.warmth.replied()
+	}
+	return s
+}
+
 func (t *target) state() targetproto.State {
 	switch {
 	case t.behaviour.Load().draining:
--- a/pkg/standin/standin_test.go
+++ b/pkg/standin/standin_test.go
@@ -151,6 +151,24 @@
 		Expect(f.statsOf(first).Up).To(BeFalse())
 	})
 
+	It("tells overload before the first sign of cold from that a second after", func() {
+		s := testSettings()
+		s.Collections[0].Cold = standin.Cold{Load: 1, Requests: 1000, Factor: 1, AtStart: true}
+		s.Collections[0].ServiceTime.Median = settings.Duration(200 * time.Millisecond)
+		f := start(s)
+		pair := func() standin.TargetStats {
+			a := f.askInBackground(context.Background(), first, call{request: "a", snapshot: "s1"})
+			b := f.askInBackground(context.Background(), first, call{request: "b", snapshot: "s1"})
+			Expect(<-a).To(Succeed())
+			Expect(<-b).To(Succeed())
+			return f.statsOf(first)
+		}
+		before := pair()
+		Expect(before.ColdOverloads).To(BeEquivalentTo(1))
+		Expect(before.KnownColdOverloads).To(BeZero())
+		Eventually(func() int64 { return pair().KnownColdOverloads }).WithTimeout(5 * time.Second).Should(BeNumerically(">", 0))
+	})
+
 	It("logs every run of an order under its key", func() {
 		f := start(testSettings())
 		for _, request := range []string{"a", "b"} {
--- a/pkg/standin/stats.go
+++ b/pkg/standin/stats.go
@@ -14,6 +14,7 @@
 	shed, draining, notHeld           atomic.Int64
 	cancelled, expired, failed        atomic.Int64
 	coldRequests, coldOverloads       atomic.Int64
+	knownColdOverloads                atomic.Int64
 	crashes, ordersRun, damaged       atomic.Int64
 	lastRequest                       atomic.Int64
 	inFlight, connections, coldFlight gauge
@@ -39,6 +40,9 @@
 	ColdRequests int64 `json:"coldRequests"`
 	// ColdOverloads counts requests that took a cold target above its cold load.
 	ColdOverloads int64 `json:"coldOverloads"`
+	// KnownColdOverloads counts those of them that came over a second after
+	// the target's first reply that said it is cold.
+	KnownColdOverloads int64 `json:"knownColdOverloads"`
 	// ColdTargets is the number of targets that are cold now.
 	ColdTargets int64 `json:"coldTargets"`
 	// MaxWarmUp is the longest time in which a target turned warm, in
@@ -75,6 +79,7 @@
 	c.Failed += other.Failed
 	c.ColdRequests += other.ColdRequests
 	c.ColdOverloads += other.ColdOverloads
+	c.KnownColdOverloads += other.KnownColdOverloads
 	c.Crashes += other.Crashes
 	c.OrdersRun += other.OrdersRun
 	c.DamagedReplies += other.DamagedReplies
@@ -103,6 +108,7 @@
 	c.Failed -= earlier.Failed
 	c.ColdRequests -= earlier.ColdRequests
 	c.ColdOverloads -= earlier.ColdOverloads
+	c.KnownColdOverloads -= earlier.KnownColdOverloads
 	c.Crashes -= earlier.Crashes
 	c.OrdersRun -= earlier.OrdersRun
 	c.DamagedReplies -= earlier.DamagedReplies
@@ -130,6 +136,7 @@
 		Failed:             c.failed.Load(),
 		ColdRequests:       c.coldRequests.Load(),
 		ColdOverloads:      c.coldOverloads.Load(),
+		KnownColdOverloads: c.knownColdOverloads.Load(),
 		Crashes:            c.crashes.Load(),
 		OrdersRun:          c.ordersRun.Load(),
 		DamagedReplies:     c.damaged.Load(),
