Stand-in: a restart is a sign of cold too

Cause: after a crash the count of overloads past the first sign waited for a reply, although the broken connections tell every instance that had one.

Conclusion: the count is of overloads that instances could have avoided.

--- a/pkg/standin/cold.go
+++ b/pkg/standin/cold.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// signSpread is the time after a cold target's first reply in which instances
-// may not know yet that it is cold.
+// signSpread is the time after a target's first sign of cold in which instances
+// may not know it yet.
 const signSpread = time.Second
 
 // warmth is how far a target has come from cold start.
@@ -18,8 +18,8 @@
 	// warm, both as time.Duration; since counts from the target's origin.
 	origin         time.Time
 	since, longest atomic.Int64
-	// sign is when the first reply since then said that the target is cold; 0
-	// means not yet.
+	// sign is when the target first showed that it is cold, by a reply or by a
+	// restart; 0 means not yet.
 	sign atomic.Int64
 }
 
@@ -61,8 +61,8 @@
 	return w.isCold() && inFlight > int64(w.settings.Load)
 }
 
-// replied notes that a reply stated that the target is cold.
-func (w *warmth) replied() { w.sign.CompareAndSwap(0, int64(time.Since(w.origin))) }
+// shown notes a sign that the target is cold.
+func (w *warmth) shown() { w.sign.CompareAndSwap(0, int64(time.Since(w.origin))) }
 
 // isKnownCold reports whether every instance should know by now.
 func (w *warmth) isKnownCold() bool {
--- a/pkg/standin/serve.go
+++ b/pkg/standin/serve.go
@@ -259,7 +259,7 @@
 func (t *target) statedState() targetproto.State {
 	s := t.state()
 	if s == targetproto.StateCold {
-		t.warmth.replied()
+		t.warmth.shown()
 	}
 	return s
 }
--- a/pkg/standin/stats.go
+++ b/pkg/standin/stats.go
@@ -41,7 +41,7 @@
 	// ColdOverloads counts requests that took a cold target above its cold load.
 	ColdOverloads int64 `json:"coldOverloads"`
 	// KnownColdOverloads counts those of them that came over a second after
-	// the target's first reply that said it is cold.
+	// the target's first sign: its restart or a reply that said it is cold.
 	KnownColdOverloads int64 `json:"knownColdOverloads"`
 	// ColdTargets is the number of targets that are cold now.
 	ColdTargets int64 `json:"coldTargets"`
--- a/pkg/standin/target.go
+++ b/pkg/standin/target.go
@@ -99,6 +99,7 @@
 		return
 	}
 	t.warmth.turnCold()
+	t.warmth.shown() // by the connections that the crash broke
 	t.startOn(l)
 }
 
