Stand-in and load: plain comments in place of linter directives

Cause: the directives were those of a linter that this project does not use.

Conclusion: the reason why an error is left out stays as a comment.

--- a/pkg/load/balancer.go
+++ b/pkg/load/balancer.go
@@ -70,6 +70,6 @@
 	if err != nil {
 		return false
 	}
-	response.Body.Close() //nolint:errcheck // the status is enough
+	response.Body.Close() // the status is enough
 	return response.StatusCode == http.StatusOK
 }
--- a/pkg/load/caller.go
+++ b/pkg/load/caller.go
@@ -117,7 +117,7 @@
 		o.lost(err)
 		return o
 	}
-	defer response.Body.Close() //nolint:errcheck // only read from
+	defer response.Body.Close() // only read from
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
 		o.lost(err)
--- a/pkg/load/recorder.go
+++ b/pkg/load/recorder.go
@@ -31,7 +31,7 @@
 }
 
 func record(h *hdrhistogram.Histogram, d time.Duration) {
-	h.RecordValue(min(max(int64(d), histogramMin), histogramMax)) //nolint:errcheck // the value is in range
+	h.RecordValue(min(max(int64(d), histogramMin), histogramMax)) // the value is in range
 }
 
 // OutcomeCount counts the requests with the same outcome.
--- a/pkg/load/standin.go
+++ b/pkg/load/standin.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return fmt.Errorf("ask the stand-in: %w", err)
 	}
-	defer response.Body.Close() //nolint:errcheck // only read from
+	defer response.Body.Close() // only read from
 	text, err := io.ReadAll(response.Body)
 	if err != nil {
 		return fmt.Errorf("ask the stand-in: %w", err)
--- a/pkg/standin/apply.go
+++ b/pkg/standin/apply.go
@@ -48,7 +48,7 @@
 				return
 			}
 			t.apply(f)
-			s.publishList() //nolint:errcheck // encoding a list never fails
+			s.publishList() // encoding a list never fails
 		})
 	}
 }
--- a/pkg/standin/connections.go
+++ b/pkg/standin/connections.go
@@ -26,7 +26,7 @@
 			return &delayedConn{Conn: c, ready: time.Now().Add(l.connectTime), open: &l.counters.connections}, nil
 		}
 		l.counters.refusedConnections.Add(1)
-		c.Close() //nolint:errcheck // the caller sees the closed connection
+		c.Close() // the caller sees the closed connection
 	}
 }
 
--- a/pkg/standin/content/content.go
+++ b/pkg/standin/content/content.go
@@ -61,7 +61,7 @@
 // hash is FNV-1a with a final mix, since names differ in few bytes.
 func hash(text string) uint64 {
 	h := fnv.New64a()
-	h.Write([]byte(text)) //nolint:errcheck // a hash never fails
+	h.Write([]byte(text)) // a hash never fails
 	x := h.Sum64()
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
--- a/pkg/standin/hints.go
+++ b/pkg/standin/hints.go
@@ -53,5 +53,5 @@
 
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", contentTypeJSON)
-	json.NewEncoder(w).Encode(v) //nolint:errcheck // the client is gone
+	json.NewEncoder(w).Encode(v) // the client is gone
 }
--- a/pkg/standin/reply.go
+++ b/pkg/standin/reply.go
@@ -21,7 +21,7 @@
 }
 
 func newLeafContent(c model.CollectionID, s model.SnapshotID, part model.LeafPart) *leafContent {
-	leaf, _ := json.Marshal(part.Leaf) //nolint:errcheck // strings and numbers always encode
+	leaf, _ := json.Marshal(part.Leaf) // strings and numbers always encode
 	l := &leafContent{snapshot: s, documents: part.Documents}
 	l.head = append(l.head, `,"leaf":`...)
 	l.head = append(l.head, leaf...)
@@ -65,7 +65,7 @@
 func appendString(b []byte, text string) []byte {
 	for i := range len(text) {
 		if c := text[i]; c < ' ' || c >= 0x7f || c == '"' || c == '\\' {
-			quoted, _ := json.Marshal(text) //nolint:errcheck // strings always encode
+			quoted, _ := json.Marshal(text) // strings always encode
 			return append(b, quoted...)
 		}
 	}
--- a/pkg/standin/replyfault.go
+++ b/pkg/standin/replyfault.go
@@ -53,7 +53,7 @@
 	}
 	switch e.reply {
 	case ReplyTruncate:
-		w.Write(body[:len(body)/2]) //nolint:errcheck // the connection is closed next
+		w.Write(body[:len(body)/2]) // the connection is closed next
 		panic(http.ErrAbortHandler)
 	case ReplyWrongLength:
 		h["Content-Length"] = []string{strconv.Itoa(len(body) - len(body)/4)}
@@ -61,7 +61,7 @@
 	case ReplyDuplicate:
 		writeRaw(w, body, 2)
 	default:
-		w.Write(body) //nolint:errcheck // the client is gone
+		w.Write(body) // the client is gone
 	}
 }
 
@@ -72,16 +72,16 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	defer conn.Close() //nolint:errcheck // nothing is left to do
+	defer conn.Close() // nothing is left to do
 	var reply bytes.Buffer
 	fmt.Fprint(&reply, "HTTP/1.1 200 OK\r\n")
-	w.Header().Write(&reply) //nolint:errcheck // a buffer never fails
+	w.Header().Write(&reply) // a buffer never fails
 	reply.WriteString("\r\n")
 	reply.Write(body)
 	for range times {
-		stream.Write(reply.Bytes()) //nolint:errcheck // the client is gone
+		stream.Write(reply.Bytes()) // the client is gone
 	}
-	stream.Flush() //nolint:errcheck // the client is gone
+	stream.Flush() // the client is gone
 }
 
 // otherContent returns the target's part of another snapshot that it holds.
--- a/pkg/standin/standin.go
+++ b/pkg/standin/standin.go
@@ -146,7 +146,7 @@
 		}
 		return nil
 	}
-	return execute, func(error) { server.Close() } //nolint:errcheck // only closes sockets
+	return execute, func(error) { server.Close() } // only closes sockets
 }
 
 func contextActor(parent context.Context, f func(context.Context) error) (execute func() error, interrupt func(error)) {
@@ -163,7 +163,7 @@
 	}
 	for _, l := range []net.Listener{s.platform, s.control} {
 		if l != nil {
-			l.Close() //nolint:errcheck // may be closed already
+			l.Close() // may be closed already
 		}
 	}
 }
--- a/pkg/standin/target.go
+++ b/pkg/standin/target.go
@@ -85,7 +85,7 @@
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
 	t.server, t.cancel = server, cancel
-	go server.Serve(l) //nolint:errcheck // ends with the listener
+	go server.Serve(l) // ends with the listener
 }
 
 // restart starts a target that is down, cold and with a new boot ID.
@@ -125,7 +125,7 @@
 	}
 	before()
 	cancel()
-	server.Close() //nolint:errcheck // only closes sockets
+	server.Close() // only closes sockets
 	return true
 }
 
