--- a/pkg/move/simulate/simulate_test.go
+++ b/pkg/move/simulate/simulate_test.go
@@ -131,10 +131,10 @@
 
 	// The seeds are those at which a run of 400 moves of each kind failed.
 	DescribeTable("finishes moves that once failed",
-		func(kind string, choice simulate.Choice, seed uint64) {
+		func(kind string, choice simulate.Choice, seed int) {
 			all := simulate.GoodVersions()
 			i := slices.IndexFunc(all, func(s simulate.Scenario) bool { return s.Name == kind })
-			Expect(simulate.Run(all[i], choice, seed).InTime).To(BeTrue())
+			Expect(simulate.Run(all[i], choice, uint64(seed)).InTime).To(BeTrue())
 		},
 		Entry("an alarm was remembered on a route without old traffic", "zone lost at 100%", simulate.ByCaller, 302),
 		Entry("a suspicion never ended", "poison request", simulate.ByCaller, 303),
