Consensus: a vote in a term that was known before is durable, by a spec

Cause: a mutation on a scratch copy was caught by no spec: a vote that is not saved when the term did not change. The spec for votes over a restart always changed the term as well.

--- a/pkg/consensus/rules_test.go
+++ b/pkg/consensus/rules_test.go
@@ -78,6 +78,21 @@
 		Expect(granted(r.TakeEffects())).To(BeTrue())
 	})
 
+	ginkgo.It("makes a vote durable also in a term that it knew before", func() {
+		r := restart(foundingState(), 0)
+		shorter := voteRequest("c", 5)
+		shorter.Vote = &VoteRequest{}
+		r.Step(lateTime, shorter)
+		e := r.TakeEffects()
+		Expect(granted(e)).To(BeFalse())
+		Expect(e.HardState.Term).To(Equal(uint64(5)))
+		r.Step(lateTime, voteRequest("b", 5))
+		e = r.TakeEffects()
+		Expect(granted(e)).To(BeTrue())
+		Expect(e.HardState).NotTo(BeNil())
+		Expect(e.HardState.Vote).To(Equal(memberOf("b")))
+	})
+
 	ginkgo.It("gives no vote within an election timeout of its start", func() {
 		r := restart(foundingState(), lateTime)
 		r.Step(lateTime+worldElectionTimeout-1, voteRequest("b", 5))
