--- a/pkg/fanout/cold.go
+++ b/pkg/fanout/cold.go
@@ -60,6 +60,11 @@
 func (s *Service) reportStillWarm(c *collection, now time.Duration) {
 	var signs []view.ColdSign
 	c.mu.Lock()
+	if now < c.warmCheckAt {
+		c.mu.Unlock()
+		return
+	}
+	c.warmCheckAt = now + warmReportInterval
 	for _, t := range c.targets {
 		if sign, ok := t.stillWarm(now); ok {
 			signs = append(signs, sign)
--- a/pkg/fanout/collection.go
+++ b/pkg/fanout/collection.go
@@ -18,6 +18,10 @@
 	"radishturn.example/radishturn/pkg/view"
 )
 
+// replanInterval is how often the snapshot is chosen again when nothing is new,
+// for what is known only for a time.
+const replanInterval = time.Second
+
 // plan is a whole snapshot with the leaves that serve it.
 type plan struct {
 	snapshot *model.Snapshot
@@ -52,6 +56,10 @@
 	established model.VersionID
 	outcomes    outcomes
 	unavailable bool
+	list        *platform.List
+	view        *view.View
+	replanAt    time.Duration
+	warmCheckAt time.Duration
 	instances   []model.InstanceID
 	// sameInstances is set if the last refresh found the same instances.
 	sameInstances bool
@@ -116,10 +124,18 @@
 	c.budget.Shed(now)
 }
 
-// refresh takes in the platform's list and the view.
+// refresh takes in the platform's list and the view. Both are never changed
+// once they are published, so the same pointers mean that nothing is new.
 func (c *collection) refresh(list *platform.List, v *view.View, now time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if list == c.list && v == c.view {
+		if c.dirty.Load() || now >= c.replanAt {
+			c.replan(now)
+		}
+		return
+	}
+	c.list, c.view = list, v
 	c.snapshots = c.snapshots[:0]
 	for _, s := range list.Snapshots {
 		if s.Collection == c.id {
@@ -257,6 +273,7 @@
 // replan chooses the snapshot of the queries that start from now on.
 func (c *collection) replan(now time.Duration) {
 	c.dirty.Store(false)
+	c.replanAt = now + replanInterval
 	chosen, ok := snapshots.Newest(c.snapshots, func(id model.LeafID, s model.SnapshotID) snapshots.Holding {
 		l := c.leaves[id]
 		if l == nil {
--- a/pkg/fanout/faults_test.go
+++ b/pkg/fanout/faults_test.go
@@ -48,7 +48,7 @@
 var _ = Describe("a snapshot", func() {
 	twoSnapshots := func() *fleet {
 		f := newFleet(3, 2)
-		f.list.Snapshots = append(f.list.Snapshots, snapshotOf("s2", 2, 3))
+		f.listSnapshots(snapshotOf("s1", 1, 3), snapshotOf("s2", 2, 3))
 		for _, t := range f.targets {
 			t.set(func(t *fakeTarget) { t.snapshots = []model.SnapshotID{"s1", "s2"} })
 		}
@@ -76,8 +76,7 @@
 
 	It("that all targets switch from at once is followed without waiting for the next hint", func() {
 		f := newFleet(3, 2)
-		f.list.Snapshots = append(f.list.Snapshots, snapshotOf("s2", 2, 3), snapshotOf("s3", 3, 3))
-		f.service.Refresh()
+		f.listSnapshots(snapshotOf("s1", 1, 3), snapshotOf("s2", 2, 3), snapshotOf("s3", 3, 3))
 		f.service.ReadHealth(context.Background())
 		f.service.Refresh()
 		for _, t := range f.targets {
--- a/pkg/fanout/fleet_test.go
+++ b/pkg/fanout/fleet_test.go
@@ -231,6 +231,16 @@
 	f.service.Refresh()
 }
 
+// listSnapshots publishes a list with other snapshots.
+func (f *fleet) listSnapshots(all ...model.Snapshot) {
+	f.mu.Lock()
+	list := *f.list
+	list.Snapshots = all
+	f.list = &list
+	f.mu.Unlock()
+	f.service.Refresh()
+}
+
 // each changes every target of a leaf.
 func (f *fleet) each(leaf int, change func(*fakeTarget)) {
 	for _, t := range f.targets {
--- a/pkg/fanout/health.go
+++ b/pkg/fanout/health.go
@@ -54,7 +54,6 @@
 	go func() {
 		defer func() { <-s.soonReads }()
 		s.readHealthOf(context.Background(), t)
-		t.leaf.collection.dirty.Store(true)
 	}()
 }
 
@@ -80,7 +79,10 @@
 	defer cancel()
 	health, err := t.client.Health(ctx)
 	known := t.leaf.collection.snapshotIDs()
-	change := t.leaf.hinted(t, health, err, known, s.now())
+	change, news := t.leaf.hinted(t, health, err, known, s.now())
+	if news {
+		t.leaf.collection.dirty.Store(true)
+	}
 	if err == nil {
 		s.reportWarmth(t, health.Boot, change)
 	}
@@ -98,18 +100,22 @@
 }
 
 // hinted takes in a hint. It says nothing about whether the target is
-// healthy, since the hint lags or lies about that.
-func (l *leaf) hinted(t *targetState, h *targetproto.Health, err error, known []model.SnapshotID, now time.Duration) warmth.Change {
+// healthy, since the hint lags or lies about that. news is set if the hint
+// changes what is known of the snapshots.
+func (l *leaf) hinted(t *targetState, h *targetproto.Health, err error, known []model.SnapshotID, now time.Duration) (change warmth.Change, news bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t.readingHealth = false
 	t.inFlight--
 	l.wakeOne()
 	if err != nil {
-		return warmth.Unchanged
+		return warmth.Unchanged, false
 	}
 	for _, id := range known {
-		t.record(id).Hint(slices.Contains(h.Snapshots, id), now)
+		r := t.record(id)
+		before := r.Holding(now)
+		r.Hint(slices.Contains(h.Snapshots, id), now)
+		news = news || r.Holding(now) != before
 	}
 	for id := range t.snapshots {
 		if !slices.Contains(known, id) {
@@ -117,7 +123,7 @@
 		}
 	}
 	l.hintedDrain(t, h, now)
-	return l.noteWarmth(t, t.warmth.Hinted(h.Boot), now)
+	return l.noteWarmth(t, t.warmth.Hinted(h.Boot), now), news
 }
 
 func (l *leaf) hintedDrain(t *targetState, h *targetproto.Health, now time.Duration) {
