--- a/pkg/fanout/collection.go
+++ b/pkg/fanout/collection.go
@@ -22,10 +22,12 @@
 // for what is known only for a time.
 const replanInterval = time.Second
 
-// plan is a whole snapshot with the leaves that serve it.
+// plan is a snapshot with the leaves that serve it.
 type plan struct {
 	snapshot *model.Snapshot
-	leaves   []*leaf
+	// whole is set if no leaf was known to lack the snapshot.
+	whole  bool
+	leaves []*leaf
 	// ordered holds the leaves in order of their ID, for the keys of orders.
 	ordered []*leaf
 	total   int
@@ -285,8 +287,15 @@
 	if !ok {
 		return
 	}
-	if old := c.plan.Load(); old == nil || !samePlan(old.snapshot, chosen.Snapshot) {
-		c.plan.Store(c.newPlan(chosen.Snapshot))
+	old := c.plan.Load()
+	same := old != nil && samePlan(old.snapshot, chosen.Snapshot)
+	if same && old.whole == chosen.Whole {
+		return
+	}
+	next := c.newPlan(chosen.Snapshot)
+	next.whole = chosen.Whole
+	c.plan.Store(next)
+	if !same {
 		events.Emit(events.SnapshotPinned, c.id, chosen.Snapshot.ID)
 	}
 }
--- a/pkg/fanout/fleet_test.go
+++ b/pkg/fanout/fleet_test.go
@@ -68,6 +68,12 @@
 	return t.queries
 }
 
+func (t *fakeTarget) inFlightNow() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.inFlight
+}
+
 // set changes the target while it serves.
 func (t *fakeTarget) set(change func(*fakeTarget)) {
 	t.mu.Lock()
--- a/pkg/fanout/service.go
+++ b/pkg/fanout/service.go
@@ -197,18 +197,21 @@
 
 // awaitOtherPlan waits for a short time until another snapshot is known to be
 // whole, since the hints of targets that refused the first one are read again.
+// If none is in that time, one that is not whole is still worth a run.
 func (s *Service) awaitOtherPlan(ctx context.Context, c *collection, lost *plan) bool {
 	ctx, cancel := context.WithTimeout(ctx, replanWait)
 	defer cancel()
 	ticker := time.NewTicker(replanPoll)
 	defer ticker.Stop()
 	for {
-		if next := c.current(s.now()); next != nil && next.snapshot.ID != lost.snapshot.ID {
+		next := c.current(s.now())
+		other := next != nil && next.snapshot.ID != lost.snapshot.ID
+		if other && next.whole {
 			return true
 		}
 		select {
 		case <-ctx.Done():
-			return false
+			return other
 		case <-ticker.C:
 		}
 	}
