Stops of leases and orders are ordered with their starts

Conclusion: a lease module that was drained starts no loops; a drain of orders takes every place for recordings, so it needs no second count.

--- a/pkg/lease/module.go
+++ b/pkg/lease/module.go
@@ -41,7 +41,7 @@
 	holder *holder
 	// stop ends the renewals when the lease is handed back.
 	stop     chan struct{}
-	stopOnce sync.Once
+	stopped  bool
 	renewals sync.WaitGroup
 
 	evidence         *view.Evidence
--- a/pkg/lease/renew.go
+++ b/pkg/lease/renew.go
@@ -30,15 +30,7 @@
 func (m *Module) Run(ctx context.Context) error {
 	renewing, cancel := context.WithCancel(ctx)
 	defer cancel()
-	m.renewals.Add(2)
-	go func() {
-		defer m.renewals.Done()
-		m.renewLoop(renewing)
-	}()
-	go func() {
-		defer m.renewals.Done()
-		m.watchLoop(renewing)
-	}()
+	m.start(renewing)
 	select {
 	case <-ctx.Done():
 	case <-m.stop:
@@ -48,6 +40,28 @@
 	return nil
 }
 
+// start begins the loops, unless the lease was handed back before.
+func (m *Module) start(ctx context.Context) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopped {
+		return
+	}
+	m.renewals.Go(func() { m.renewLoop(ctx) })
+	m.renewals.Go(func() { m.watchLoop(ctx) })
+}
+
+// halt ends the loops and waits for them.
+func (m *Module) halt() {
+	m.mu.Lock()
+	if !m.stopped {
+		m.stopped = true
+		close(m.stop)
+	}
+	m.mu.Unlock()
+	m.renewals.Wait()
+}
+
 // renewLoop renews in time, and sooner when there is something to tell.
 func (m *Module) renewLoop(ctx context.Context) {
 	for {
@@ -228,8 +242,7 @@
 
 // Drain hands the lease back. Modules that need it have drained before.
 func (m *Module) Drain(ctx context.Context) error {
-	m.stopOnce.Do(func() { close(m.stop) })
-	m.renewals.Wait()
+	m.halt()
 	m.mu.Lock()
 	m.holder.times.returned = true
 	m.publishTimes()
--- a/pkg/order/claims/module.go
+++ b/pkg/order/claims/module.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"radishturn.example/radishturn"
@@ -34,9 +33,8 @@
 	attempts   *attempts
 	now        func() time.Time
 
-	// recording counts the outcomes that are being recorded.
-	recording sync.WaitGroup
-	slots     chan struct{}
+	// recording has an entry for each outcome that is being recorded.
+	recording chan struct{}
 }
 
 var _ order.Service = (*Service)(nil)
@@ -86,21 +84,26 @@
 	s.mesh, s.router, s.leases, s.dispatcher = peers, router, leases, dispatcher
 	s.attempts = newAttempts()
 	s.now = time.Now
-	s.slots = make(chan struct{}, maxRecording)
+	s.recording = make(chan struct{}, maxRecording)
 	mesh.Handle(peers, wire.KindAsk, s.serveAsk)
 }
 
-// Drain waits until the outcomes of finished orders are recorded.
+// Drain waits until the outcomes of finished orders are recorded: then every
+// place for a recording is free.
 func (s *Service) Drain(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		s.recording.Wait()
-		close(done)
+	taken := 0
+	defer func() {
+		for range taken {
+			<-s.recording
+		}
 	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	for taken < cap(s.recording) {
+		select {
+		case s.recording <- struct{}{}:
+			taken++
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
+	return nil
 }
--- a/pkg/order/claims/record.go
+++ b/pkg/order/claims/record.go
@@ -24,11 +24,9 @@
 // is answered meanwhile, and those who ask hear of it from this instance. With
 // too many outcomes in progress it waits for a free place.
 func (s *Service) record(a *attempt, key state.OrderKey) {
-	s.slots <- struct{}{}
-	s.recording.Add(1)
+	s.recording <- struct{}{}
 	go func() {
-		defer s.recording.Done()
-		defer func() { <-s.slots }()
+		defer func() { <-s.recording }()
 		s.recordUntilDone(a, key)
 	}()
 }
