--- a/context.go
+++ b/context.go
@@ -43,3 +43,13 @@
 	}
 	return service, nil
 }
+
+// Fetch stores the service offered under type T in target; see Require.
+func Fetch[T any](c *Context, target *T) error {
+	service, err := Require[T](c)
+	if err != nil {
+		return err
+	}
+	*target = service
+	return nil
+}
--- a/pkg/adminapi/module.go
+++ b/pkg/adminapi/module.go
@@ -65,29 +65,20 @@
 // Provision finds the services and opens the listener.
 func (m *Module) Provision(c *radishturn.Context) (err error) {
 	m.settings = c.Settings
-	if m.admin, err = radishturn.Require[control.Admin](c); err != nil {
-		return err
-	}
-	if m.view, err = radishturn.Require[view.Source](c); err != nil {
-		return err
-	}
-	if m.stories, err = radishturn.Require[fanout.Explainer](c); err != nil {
-		return err
-	}
-	if m.targets, err = radishturn.Require[fanout.Inspector](c); err != nil {
-		return err
-	}
-	if m.mesh, err = radishturn.Require[mesh.Mesh](c); err != nil {
-		return err
-	}
-	mesh.Handle(m.mesh, kindExplain, m.serveExplain)
-	if m.burn, err = radishturn.Require[recorder.Reporter](c); err != nil {
-		return err
-	}
-	credentials, err := radishturn.Require[*keys.Credentials](c)
+	var credentials *keys.Credentials
+	err = errors.Join(
+		radishturn.Fetch(c, &m.admin),
+		radishturn.Fetch(c, &m.view),
+		radishturn.Fetch(c, &m.stories),
+		radishturn.Fetch(c, &m.targets),
+		radishturn.Fetch(c, &m.mesh),
+		radishturn.Fetch(c, &m.burn),
+		radishturn.Fetch(c, &credentials),
+	)
 	if err != nil {
 		return err
 	}
+	mesh.Handle(m.mesh, kindExplain, m.serveExplain)
 	address := c.Settings.Instance.AdminListen.String()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
--- a/pkg/control/server/module.go
+++ b/pkg/control/server/module.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -67,19 +68,18 @@
 
 // Provision gathers the services it needs and offers its own.
 func (s *Server) Provision(c *radishturn.Context) error {
-	m, err := radishturn.Require[mesh.Mesh](c)
-	if err != nil {
-		return err
-	}
-	list, err := radishturn.Require[platform.Source](c)
-	if err != nil {
-		return err
-	}
-	machine, err := radishturn.Require[*state.Machine](c)
-	if err != nil {
-		return err
-	}
-	proposer, err := radishturn.Require[replica.Proposer](c)
+	var (
+		m        mesh.Mesh
+		list     platform.Source
+		machine  *state.Machine
+		proposer replica.Proposer
+	)
+	err := errors.Join(
+		radishturn.Fetch(c, &m),
+		radishturn.Fetch(c, &list),
+		radishturn.Fetch(c, &machine),
+		radishturn.Fetch(c, &proposer),
+	)
 	if err != nil {
 		return err
 	}
--- a/pkg/entryapi/module.go
+++ b/pkg/entryapi/module.go
@@ -76,19 +76,14 @@
 func (m *Module) Provision(c *radishturn.Context) (err error) {
 	m.settings = c.Settings
 	m.started = time.Now()
-	if m.view, err = radishturn.Require[view.Source](c); err != nil {
-		return err
-	}
-	if m.queries, err = radishturn.Require[query.Service](c); err != nil {
-		return err
-	}
-	if m.orders, err = radishturn.Require[order.Service](c); err != nil {
-		return err
-	}
-	if m.targets, err = radishturn.Require[fanout.Readiness](c); err != nil {
-		return err
-	}
-	if m.recorder, err = radishturn.Require[burn.Recorder](c); err != nil {
+	err = errors.Join(
+		radishturn.Fetch(c, &m.view),
+		radishturn.Fetch(c, &m.queries),
+		radishturn.Fetch(c, &m.orders),
+		radishturn.Fetch(c, &m.targets),
+		radishturn.Fetch(c, &m.recorder),
+	)
+	if err != nil {
 		return err
 	}
 	address := c.Settings.Instance.CallerListen.String()
--- a/pkg/fanout/module.go
+++ b/pkg/fanout/module.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"radishturn.example/radishturn"
@@ -45,15 +46,16 @@
 
 // Provision offers query.Service, order.Dispatcher and Explainer.
 func (m *Module) Provision(c *radishturn.Context) error {
-	source, err := radishturn.Require[platform.Source](c)
-	if err != nil {
-		return err
-	}
-	views, err := radishturn.Require[view.Source](c)
-	if err != nil {
-		return err
-	}
-	reporter, err := radishturn.Require[view.Reporter](c)
+	var (
+		source   platform.Source
+		views    view.Source
+		reporter view.Reporter
+	)
+	err := errors.Join(
+		radishturn.Fetch(c, &source),
+		radishturn.Fetch(c, &views),
+		radishturn.Fetch(c, &reporter),
+	)
 	if err != nil {
 		return err
 	}
--- a/pkg/lease/module.go
+++ b/pkg/lease/module.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,11 +67,14 @@
 
 // Provision offers the view and takes evidence.
 func (m *Module) Provision(c *radishturn.Context) error {
-	peers, err := radishturn.Require[mesh.Mesh](c)
-	if err != nil {
-		return err
-	}
-	router, err := radishturn.Require[*route.Router](c)
+	var (
+		peers  mesh.Mesh
+		router *route.Router
+	)
+	err := errors.Join(
+		radishturn.Fetch(c, &peers),
+		radishturn.Fetch(c, &router),
+	)
 	if err != nil {
 		return err
 	}
--- a/pkg/order/claims/module.go
+++ b/pkg/order/claims/module.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"radishturn.example/radishturn"
@@ -52,19 +53,18 @@
 
 // Provision gathers the services it needs and offers the order.Service.
 func (s *Service) Provision(c *radishturn.Context) error {
-	peers, err := radishturn.Require[mesh.Mesh](c)
-	if err != nil {
-		return err
-	}
-	router, err := radishturn.Require[*route.Router](c)
-	if err != nil {
-		return err
-	}
-	leases, err := radishturn.Require[view.Source](c)
-	if err != nil {
-		return err
-	}
-	dispatcher, err := radishturn.Require[order.Dispatcher](c)
+	var (
+		peers      mesh.Mesh
+		router     *route.Router
+		leases     view.Source
+		dispatcher order.Dispatcher
+	)
+	err := errors.Join(
+		radishturn.Fetch(c, &peers),
+		radishturn.Fetch(c, &router),
+		radishturn.Fetch(c, &leases),
+		radishturn.Fetch(c, &dispatcher),
+	)
 	if err != nil {
 		return err
 	}
--- a/pkg/replica/module.go
+++ b/pkg/replica/module.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"radishturn.example/radishturn"
 	"radishturn.example/radishturn/pkg/journal"
@@ -34,11 +35,14 @@
 	if s.DataFolder == "" {
 		return radishturn.Provide[Proposer](c, outside{})
 	}
-	transport, err := radishturn.Require[mesh.Mesh](c)
-	if err != nil {
-		return err
-	}
-	machine, err := radishturn.Require[StateMachine](c)
+	var (
+		transport mesh.Mesh
+		machine   StateMachine
+	)
+	err := errors.Join(
+		radishturn.Fetch(c, &transport),
+		radishturn.Fetch(c, &machine),
+	)
 	if err != nil {
 		return err
 	}
--- a/proofs/capacity_test.go
+++ b/proofs/capacity_test.go
@@ -31,6 +31,8 @@
 	// capacityChanges is the number of changes of the rules at each size.
 	capacityChanges = 20
 	ticksPerSecond  = 100
+	// holderPace keeps the start of the holders from being the load.
+	holderPace      = 20 * time.Millisecond
 	certificateLife = time.Hour
 )
 
@@ -50,6 +52,7 @@
 	holders := make([]*lightHolder, count)
 	for i := range holders {
 		holders[i] = f.startHolder(ctx, authority, *base, i)
+		time.Sleep(holderPace)
 	}
 	return holders
 }
