Specs of the caller API's bad input and of keys

Bad input: 13 kinds are refused as not run before a service is asked, headers over 16 KiB get 431, and no goroutine is left.

--- /dev/null
+++ b/pkg/entryapi/entryapi_test.go
@@ -0,0 +1,209 @@
+package entryapi_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"radishturn.example/radishturn"
+	"radishturn.example/radishturn/pkg/burn"
+	"radishturn.example/radishturn/pkg/entryapi"
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/fanout"
+	"radishturn.example/radishturn/pkg/order"
+	"radishturn.example/radishturn/pkg/problem"
+	"radishturn.example/radishturn/pkg/query"
+	"radishturn.example/radishturn/pkg/settings"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+func TestEntryAPI(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "entryapi")
+}
+
+// backend stands for every service that the module needs.
+type backend struct {
+	lease   view.LeaseState
+	asked   query.Request
+	placed  order.Request
+	failure error
+}
+
+func (b *backend) View() *view.View         { return &view.View{} }
+func (b *backend) Lease() view.LeaseState   { return b.lease }
+func (b *backend) LeaseLeft() time.Duration { return time.Second }
+func (b *backend) Snapshots() (int, int)    { return 1, 1 }
+func (b *backend) Record(burn.Observation)  {}
+
+func (b *backend) Query(_ context.Context, r query.Request) (*query.Answer, error) {
+	b.asked = r
+	return &query.Answer{RequestID: r.ID, Snapshot: "s1"}, b.failure
+}
+
+func (b *backend) Place(_ context.Context, r order.Request) (*order.Result, error) {
+	b.placed = r
+	return &order.Result{RequestID: r.ID}, b.failure
+}
+
+// serve runs the module on a free port until the spec ends.
+func serve(b *backend) string {
+	GinkgoHelper()
+	address := freeAddress()
+	c := radishturn.NewContext(&settings.Settings{
+		Instance:    settings.Instance{ID: "e1", CallerListen: address},
+		Collections: []settings.Collection{{ID: "shopfront", Deadline: settings.Duration(time.Second)}},
+	})
+	Expect(radishturn.Provide[view.Source](c, b)).To(Succeed())
+	Expect(radishturn.Provide[query.Service](c, b)).To(Succeed())
+	Expect(radishturn.Provide[order.Service](c, b)).To(Succeed())
+	Expect(radishturn.Provide[fanout.Readiness](c, b)).To(Succeed())
+	Expect(radishturn.Provide[burn.Recorder](c, b)).To(Succeed())
+	m := &entryapi.Module{}
+	Expect(m.Provision(c)).To(Succeed())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer GinkgoRecover()
+		defer close(done)
+		Expect(m.Run(ctx)).To(Succeed())
+	}()
+	DeferCleanup(func() {
+		cancel()
+		<-done
+	})
+	return "http://" + address.String()
+}
+
+func freeAddress() netip.AddrPort {
+	GinkgoHelper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// post sends a request and returns the status and the problem, if any.
+func post(url, body string, headers ...string) (int, problem.Details) {
+	GinkgoHelper()
+	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	var d problem.Details
+	if response.StatusCode >= http.StatusBadRequest {
+		Expect(response.Header.Get("Content-Type")).To(Equal(problem.ContentType))
+		Expect(json.Unmarshal(text, &d)).To(Succeed())
+	}
+	return response.StatusCode, d
+}
+
+const goodQuery = `{"query": "olive bread", "route": "search", "limit": 3}`
+
+var _ = Describe("Caller API", func() {
+	var leaks goleak.Option
+
+	BeforeEach(func() {
+		leaks = goleak.IgnoreCurrent()
+		DeferCleanup(func() {
+			Eventually(func() error { return goleak.Find(leaks) }, 5*time.Second).Should(Succeed())
+		})
+	})
+
+	It("passes a query on with its deadline, limit and caller", func() {
+		b := &backend{lease: view.LeaseHeld}
+		status, _ := post(serve(b)+"/v1/collections/shopfront/query", goodQuery, "Radishturn-Caller", "bakery", "Request-Timeout", "250")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(b.asked.Caller).To(BeEquivalentTo("bakery"))
+		Expect(b.asked.Limit).To(Equal(3))
+		Expect(b.asked.MinCoverage).To(BeNumerically("<", 0))
+		Expect(time.Until(b.asked.Deadline)).To(BeNumerically("<=", 250*time.Millisecond))
+		Expect(string(b.asked.ID)).To(HavePrefix("e1."))
+	})
+
+	It("refuses an order without a key, since a resend could not be told from a new order", func() {
+		b := &backend{lease: view.LeaseHeld}
+		status, d := post(serve(b)+"/v1/collections/shopfront/orders", `{"leafKey": "k", "order": "loaf"}`)
+		Expect(status).To(Equal(http.StatusBadRequest))
+		Expect(d.Ran).To(Equal(failure.NotRun))
+		Expect(b.placed).To(BeZero())
+	})
+
+	DescribeTable("refuses bad input as not run", func(path, body, timeout string, status int, code failure.Code) {
+		b := &backend{lease: view.LeaseHeld}
+		got, d := post(serve(b)+path, body, "Request-Timeout", timeout)
+		Expect(got).To(Equal(status))
+		Expect(d.Code).To(Equal(code))
+		Expect(d.Ran).To(Equal(failure.NotRun))
+		Expect(b.asked).To(BeZero())
+	},
+		Entry("malformed JSON", "/v1/collections/shopfront/query", `{"query": `, "", http.StatusBadRequest, failure.BadRequest),
+		Entry("unknown field", "/v1/collections/shopfront/query", `{"query": "a", "q": 1}`, "", http.StatusBadRequest, failure.BadRequest),
+		Entry("two values", "/v1/collections/shopfront/query", goodQuery+goodQuery, "", http.StatusBadRequest, failure.BadRequest),
+		Entry("empty query", "/v1/collections/shopfront/query", `{"query": ""}`, "", http.StatusBadRequest, failure.BadRequest),
+		Entry("limit of zero", "/v1/collections/shopfront/query", `{"query": "a", "limit": 0}`, "", http.StatusBadRequest, failure.BadRequest),
+		Entry("coverage above one", "/v1/collections/shopfront/query", `{"query": "a", "minCoverage": 2}`, "", http.StatusBadRequest, failure.BadRequest),
+		Entry("body over the limit", "/v1/collections/shopfront/query", `{"query": "`+strings.Repeat("a", 2<<20)+`"}`, "", http.StatusRequestEntityTooLarge, failure.TooLarge),
+		Entry("deadline of zero", "/v1/collections/shopfront/query", goodQuery, "0", http.StatusBadRequest, failure.BadRequest),
+		Entry("deadline in the past", "/v1/collections/shopfront/query", goodQuery, "-5", http.StatusBadRequest, failure.BadRequest),
+		Entry("deadline that is no number", "/v1/collections/shopfront/query", goodQuery, "soon", http.StatusBadRequest, failure.BadRequest),
+		Entry("unknown collection", "/v1/collections/moon/query", goodQuery, "", http.StatusNotFound, failure.UnknownCollection),
+		Entry("unknown path", "/v1/nothing", goodQuery, "", http.StatusNotFound, failure.NotFound),
+		Entry("admin path", "/admin/v1/rules", goodQuery, "", http.StatusNotFound, failure.NotFound),
+	)
+
+	It("refuses headers over the limit", func() {
+		url := serve(&backend{lease: view.LeaseHeld})
+		request, err := http.NewRequest(http.MethodPost, url+"/v1/collections/shopfront/query", strings.NewReader(goodQuery))
+		Expect(err).NotTo(HaveOccurred())
+		request.Header.Set("Radishturn-Caller", strings.Repeat("a", 64<<10))
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		response, err := client.Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
+	})
+
+	It("passes on what a failure knows", func() {
+		b := &backend{lease: view.LeaseHeld, failure: &failure.Error{
+			Code: failure.OutcomeUnknown, Ran: failure.Unknown, Step: "dispatch", Peer: "t1", RetryAfter: 1500 * time.Millisecond,
+		}}
+		status, d := post(serve(b)+"/v1/collections/shopfront/orders", `{"leafKey": "k", "order": "loaf"}`, "Idempotency-Key", "key-1")
+		Expect(status).To(Equal(http.StatusGatewayTimeout))
+		Expect(d.Ran).To(Equal(failure.Unknown))
+		Expect(d.Step).To(Equal("dispatch"))
+		Expect(d.Peer).To(Equal("t1"))
+		Expect(d.RetryAfterMs).To(BeEquivalentTo(1500))
+		Expect(d.RequestID).To(Equal(b.placed.ID))
+	})
+
+	DescribeTable("is ready only with a lease or while control is lost", func(lease view.LeaseState, status int) {
+		response, err := http.Get(serve(&backend{lease: lease}) + "/readyz")
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Expect(response.StatusCode).To(Equal(status))
+		http.DefaultClient.CloseIdleConnections()
+	},
+		Entry("none", view.LeaseNone, http.StatusServiceUnavailable),
+		Entry("held", view.LeaseHeld, http.StatusOK),
+		Entry("control lost", view.LeaseControlLost, http.StatusOK),
+		Entry("cut off", view.LeaseCutOff, http.StatusServiceUnavailable),
+	)
+})
