--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -81,6 +81,7 @@
 	}
 	var e *failure.Error
 	if errors.As(err, &e) {
+		d.Detail = cause(e)
 		d.Step = e.Step
 		d.Peer = e.Peer
 		d.RetryAfterMs = e.RetryAfter.Milliseconds()
@@ -88,6 +89,15 @@
 	return d
 }
 
+// cause is the text of a failure without its step, peer and code, which have
+// fields of their own.
+func cause(e *failure.Error) string {
+	if e.Err == nil {
+		return ""
+	}
+	return e.Err.Error()
+}
+
 // Write sends err as a problem.
 func Write(c echo.Context, err error, id model.RequestID) error {
 	d := From(err, id)
--- a/pkg/replica/module.go
+++ b/pkg/replica/module.go
@@ -32,9 +32,6 @@
 // Provision opens the journal and restores the state machine from it.
 func (m *Module) Provision(c *radishturn.Context) error {
 	s := c.Settings
-	if s.DataFolder == "" {
-		return radishturn.Provide[Proposer](c, outside{})
-	}
 	var (
 		transport mesh.Mesh
 		machine   StateMachine
@@ -46,6 +43,10 @@
 	if err != nil {
 		return err
 	}
+	if s.DataFolder == "" {
+		mesh.Handle(transport, diskKind, refuseDisk(s.Instance.ID))
+		return radishturn.Provide[Proposer](c, outside{})
+	}
 	m.node, err = Open(Options{
 		Mesh:            transport,
 		StateMachine:    machine,
