--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -15,7 +15,6 @@
 	"net/url"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"radishturn.example/radishturn/pkg/failure"
@@ -228,28 +227,3 @@
 	}
 	return Result{Kind: kind, Err: failure.New(code, ran, step, string(c.id), "%w", err)}
 }
-
-// ProbeResult is the end of a Probe.
-type ProbeResult int
-
-// Results of a probe.
-const (
-	// ProbeUnclear means that neither could be shown in time.
-	ProbeUnclear ProbeResult = iota
-	// ProbeRefused means that the target accepts no connection.
-	ProbeRefused
-	// ProbeAnswered means that an incarnation of the target answered.
-	ProbeAnswered
-)
-
-// Probe finds out which incarnation of the target runs, if any.
-func (c *Client) Probe(ctx context.Context) (ProbeResult, model.BootID) {
-	health, err := c.Health(ctx)
-	switch {
-	case err == nil:
-		return ProbeAnswered, health.Boot
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return ProbeRefused, ""
-	}
-	return ProbeUnclear, ""
-}
