Moves: divide by request below a share of 25%, by caller from there on

Cause: by caller, one large caller among the first 1% meets a bad version with all its queries.

A resent query has another ID.

--- a/pkg/fanout/collection.go
+++ b/pkg/fanout/collection.go
@@ -342,10 +342,10 @@
 	return c.plan.Load()
 }
 
-// choice returns the versions that a caller's queries may use.
-func (c *collection) choice(v *view.View, caller model.CallerID) versions.Choice {
+// choice returns the versions that a request of a caller may use at every leaf.
+func (c *collection) choice(v *view.View, caller model.CallerID, request model.RequestID) versions.Choice {
 	if m, ok := v.Moves[c.id]; ok {
-		return versions.ForMove(m, callerFraction(c.id, caller), c.outcomes.stopped)
+		return versions.ForMove(m, versions.Fraction(m, c.id, caller, request), c.outcomes.stopped)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/fanout/orders.go
+++ b/pkg/fanout/orders.go
@@ -43,7 +43,7 @@
 	defer cancel()
 	d := &dispatch{service: s, leaf: l, request: &r, allowed: allowed}
 	d.need.patient = true
-	d.need.choice = c.choice(s.view.View(), r.Caller)
+	d.need.choice = c.choice(s.view.View(), r.Caller, r.ID)
 	return d.run(ctx)
 }
 
--- a/pkg/fanout/service.go
+++ b/pkg/fanout/service.go
@@ -170,7 +170,7 @@
 func (s *Service) answer(ctx context.Context, c *collection, o *outcome) (*query.Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, o.request.Deadline.Add(-answerMargin))
 	defer cancel()
-	choice := c.choice(s.view.View(), o.request.Caller)
+	choice := c.choice(s.view.View(), o.request.Caller, o.request.ID)
 	first, err := s.pass(ctx, c, o, choice)
 	if err != nil {
 		return nil, err
@@ -324,13 +324,6 @@
 	return model.Fingerprint(d.Sum64())
 }
 
-// callerFraction is a stable hash of a caller in [0, 1).
-func callerFraction(c model.CollectionID, caller model.CallerID) float64 {
-	const mantissaBits = 53
-	hash := xxhash.Sum64String(string(c) + "\x00" + string(caller))
-	return float64(hash>>(64-mantissaBits)) / (1 << mantissaBits)
-}
-
 // Readiness says whether queries can be answered.
 type Readiness interface {
 	// Snapshots returns how many collections have a whole snapshot, and the
--- /dev/null
+++ b/pkg/query/versions/divide.go
@@ -0,0 +1,32 @@
+package versions
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+// callerShare is the share of a move from which on callers are divided between
+// the versions. Below it requests are, so that no caller meets a new version
+// that is not yet trusted with all its requests.
+const callerShare = 0.25
+
+// Fraction returns a stable hash in [0, 1) of what is divided between the
+// versions of a move: the request at a small share, else its caller.
+func Fraction(m view.Move, c model.CollectionID, caller model.CallerID, request model.RequestID) float64 {
+	if m.Share < callerShare {
+		return fractionOf(string(c), "request", string(request))
+	}
+	return fractionOf(string(c), "caller", string(caller))
+}
+
+func fractionOf(parts ...string) float64 {
+	const mantissaBits = 53
+	digest := xxhash.New()
+	for _, part := range parts {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	return float64(digest.Sum64()>>(64-mantissaBits)) / (1 << mantissaBits)
+}
--- a/pkg/query/versions/versions.go
+++ b/pkg/query/versions/versions.go
@@ -34,8 +34,8 @@
 	established model.VersionID
 }
 
-// ForMove returns the choice for a caller during a move. fraction is a stable
-// hash of the caller in [0, 1). stopped reports versions that this instance
+// ForMove returns the choice for a request during a move. fraction is that of
+// the request by Fraction. stopped reports versions that this instance
 // has stopped using.
 func ForMove(m view.Move, fraction float64, stopped func(model.VersionID) bool) Choice {
 	c := Choice{move: true, primary: m.From}
