Fan-out: hold the refusal of a condemned request until all instances know

A caller that resent a condemned request at another instance ended a third target there. It is now held for the time of one renewal more, within the request's deadline.

Weighed: sending the quarantine to instances out of turn, which needs another message of the control; left open.

--- a/pkg/fanout/death.go
+++ b/pkg/fanout/death.go
@@ -19,6 +19,9 @@
 // death is taken for one of cold start.
 const coldExplainsDeaths = 5 * time.Second
 
+// renewalTime is how long the renewal of a lease takes at most in good order.
+const renewalTime = 100 * time.Millisecond
+
 // deathProbe is the check of one target, shared by the requests that were in
 // flight there.
 type deathProbe struct {
@@ -136,8 +139,9 @@
 	s.poison.Survived(f)
 }
 
-// awaitQuarantine waits until the quarantine is in force here, so that the
-// caller does not send the request to an instance that would run it again.
+// awaitQuarantine waits until the quarantine is in force here, and then for the
+// time in which every other instance renews its lease and learns of it, so that
+// the caller does not send the request to an instance that would run it again.
 func (s *Service) awaitQuarantine(ctx context.Context, f model.Fingerprint) {
 	ticker := time.NewTicker(capacityPoll)
 	defer ticker.Stop()
@@ -148,6 +152,10 @@
 		case <-ticker.C:
 		}
 	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(s.settings.Lease.Renew.Std() + renewalTime):
+	}
 }
 
 // refreshQuarantine forgets local verdicts that operators have lifted.
