Moves: count the requests that one death cost as one failure

Cause: six requests in flight at one target of the new version that died were six failures in a row, so that this instance stopped the version. A spec with one target and six requests in flight failed with a stop in the evidence; it passes now. Weighed: requiring failures at two targets, which would spare a version that fails at the only target it has.

A version whose targets die again and again is still stopped, since each incarnation counts once.

--- a/pkg/fanout/attempt.go
+++ b/pkg/fanout/attempt.go
@@ -68,18 +68,21 @@
 func (r *run) attempt(ctx context.Context, cancel context.CancelFunc, a sent, q *target.Query) {
 	t := a.target
 	result := t.client.Query(ctx, q)
-	died := result.Kind == target.KindReset && r.service.confirmDeath(t, r.fingerprint, a.alone)
+	var death verdict
+	if result.Kind == target.KindReset {
+		death = r.service.confirmDeath(t, r.fingerprint, a.alone)
+	}
 	now := r.service.now()
 	e := ended{
 		result: &result, snapshot: q.Snapshot, fingerprint: r.fingerprint,
-		elapsed: now - a.started, now: now, alone: a.alone,
+		elapsed: now - a.started, now: now, alone: a.alone, lost: death.lost,
 		beaten: ctx.Err() != nil && r.ctx.Err() == nil, expired: r.ctx.Err() == context.DeadlineExceeded,
 	}
 	change := t.leaf.finish(t, &e)
 	cancel()
 	r.service.observe(r, t, &e, change)
 	r.mail.put(attemptEnd{
-		leg: a.leg, attempt: a.attempt, kind: result.Kind, elapsed: e.elapsed, died: died, reply: result.Reply,
+		leg: a.leg, attempt: a.attempt, kind: result.Kind, elapsed: e.elapsed, died: death.suspicious, reply: result.Reply,
 	})
 }
 
--- a/pkg/fanout/death.go
+++ b/pkg/fanout/death.go
@@ -34,14 +34,23 @@
 	died bool
 }
 
-// confirmDeath reports whether a target that lost a connection died of a
-// request: it refuses connections, or another incarnation answers, and it was
-// not cold or had the request alone. The requests in flight become suspect then, and control is told.
-func (s *Service) confirmDeath(t *targetState, f model.Fingerprint, alone bool) bool {
+// verdict is what a probe says about a request that lost its connection.
+type verdict struct {
+	// lost is the incarnation that died; empty if the target lives.
+	lost model.BootID
+	// suspicious is set if the target may have died of a request: it was not
+	// cold, or had the request alone.
+	suspicious bool
+}
+
+// confirmDeath finds out whether a target that lost a connection died: it
+// refuses connections, or another incarnation answers. The requests in flight
+// become suspect if it may have died of one, and control is told.
+func (s *Service) confirmDeath(t *targetState, f model.Fingerprint, alone bool) verdict {
 	probe, first := t.leaf.joinProbe(t, f, s.now())
 	if !first {
 		<-probe.done
-		return probe.died && (!probe.cold || alone)
+		return probe.verdict(alone)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
@@ -53,7 +62,14 @@
 		s.died(t, probe, alone)
 	}
 	close(probe.done)
-	return probe.died && (!probe.cold || alone)
+	return probe.verdict(alone)
+}
+
+func (p *deathProbe) verdict(alone bool) verdict {
+	if !p.died {
+		return verdict{}
+	}
+	return verdict{lost: p.boot, suspicious: !p.cold || alone}
 }
 
 // joinProbe returns the probe of the target and whether the caller runs it.
--- a/pkg/fanout/finish.go
+++ b/pkg/fanout/finish.go
@@ -23,6 +23,8 @@
 	// expired is set when the query's deadline ended the attempt.
 	expired bool
 	alone   bool
+	// lost is the incarnation that died of this or another request, if any.
+	lost model.BootID
 	// cold is set by finish if the target does not count as warm.
 	cold bool
 }
--- /dev/null
+++ b/pkg/fanout/moves_test.go
@@ -0,0 +1,34 @@
+package fanout_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+var _ = Describe("the death of one target of a new version", func() {
+	It("does not stop the version, however many requests were in flight", func() {
+		const requests = 6
+		f := newFleet(1, 1, withoutHedges)
+		only := f.targets[0]
+		f.list.Targets[0].Version = "2"
+		f.setView(func(v *view.View) { v.Moves = map[model.CollectionID]view.Move{shop: {From: "1", To: "2", Share: 1}} })
+		f.warmUp()
+		hold := make(chan struct{})
+		defer close(hold)
+		only.set(func(t *fakeTarget) { t.hold = hold })
+		go func() {
+			defer GinkgoRecover()
+			Eventually(only.inFlightNow).Should(Equal(requests))
+			only.set(func(t *fakeTarget) { t.boot, t.hold = "b2", nil })
+			only.server.CloseClientConnections()
+		}()
+		for _, answer := range f.askTogether(requests) {
+			Expect(answer).NotTo(BeNil())
+		}
+		Expect(f.reported(func(e view.Evidence) bool { return len(e.Deaths) > 0 })).To(BeTrue())
+		Expect(f.reported(func(e view.Evidence) bool { return len(e.Stop) > 0 })).To(BeFalse())
+	})
+})
--- a/pkg/fanout/outcomes.go
+++ b/pkg/fanout/outcomes.go
@@ -58,14 +58,21 @@
 	defer o.mu.Unlock()
 	o.turn(s, c, e.now)
 	entry := o.entry(c, t.target.Version, route)
-	ok = e.result.Kind == target.KindOK
-	o.count(entry, ok, e)
-	if reason := o.local.Add(move, t.target.Version, ok); reason != "" {
+	o.count(entry, e.result.Kind == target.KindOK, e)
+	if reason := o.judge(move, t, e); reason != "" {
 		events.Emit(events.VersionStopped, c, t.target.Version, reason)
 		s.reporter.Report(view.Evidence{Stop: []view.VersionStop{{Collection: c, Version: t.target.Version, Reason: reason}}})
 	}
 }
 
+// judge returns why the new version is stopped here by the end of an attempt.
+func (o *outcomes) judge(move view.Move, t *targetState, e *ended) string {
+	if e.lost != "" {
+		return o.local.AddDeath(move, t.target.Version, versions.Incarnation{Target: t.target.ID, Boot: e.lost})
+	}
+	return o.local.Add(move, t.target.Version, e.result.Kind == target.KindOK)
+}
+
 // counts reports whether a result says something about the version.
 func counts(k target.Kind) bool {
 	switch k {
--- a/pkg/query/versions/evidence.go
+++ b/pkg/query/versions/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/view"
@@ -16,6 +17,8 @@
 	oldFailuresAllowed = 2
 	// failuresInRow stops the new version before recentAnswers are there.
 	failuresInRow = 6
+	// maxDeaths bounds the deaths that are remembered; the oldest goes first.
+	maxDeaths = 16
 )
 
 // recent remembers the last answers of a version, one bit each.
@@ -49,6 +52,13 @@
 	old     recent
 	new     recent
 	stopped bool
+	deaths  []Incarnation
+}
+
+// Incarnation is one life of a target.
+type Incarnation struct {
+	Target model.TargetID
+	Boot   model.BootID
 }
 
 // Follow starts anew when another move begins or the move is gone. A move that
@@ -83,5 +93,19 @@
 		e.new.fails, e.new.count, e.old.fails, e.old.count, m.From)
 }
 
+// AddDeath takes in a request that was lost when a target died. All requests in
+// flight are lost together, so one death counts as one failure.
+func (e *Evidence) AddDeath(m view.Move, v model.VersionID, died Incarnation) string {
+	e.Follow(m, true)
+	if slices.Contains(e.deaths, died) {
+		return ""
+	}
+	if len(e.deaths) == maxDeaths {
+		e.deaths = slices.Delete(e.deaths, 0, 1)
+	}
+	e.deaths = append(e.deaths, died)
+	return e.Add(m, v, false)
+}
+
 // Stopped reports whether this instance stopped using a version.
 func (e *Evidence) Stopped(v model.VersionID) bool { return e.stopped && v == e.move.To }
--- a/pkg/query/versions/versions_test.go
+++ b/pkg/query/versions/versions_test.go
@@ -1,6 +1,8 @@
 package versions_test
 
 import (
+	"fmt"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -78,6 +80,24 @@
 		Expect(e.Stopped("41")).To(BeFalse())
 	})
 
+	It("counts the requests that one death cost as one failure", func() {
+		var e versions.Evidence
+		for range 20 {
+			Expect(e.AddDeath(move, "42", versions.Incarnation{Target: "t1", Boot: "b1"})).To(BeEmpty())
+		}
+		Expect(e.Stopped("42")).To(BeFalse())
+	})
+
+	It("stops a version whose targets die one after the other", func() {
+		var e versions.Evidence
+		reason := ""
+		for n := 0; reason == ""; n++ {
+			Expect(n).To(BeNumerically("<", 10))
+			reason = e.AddDeath(move, "42", versions.Incarnation{Target: "t1", Boot: model.BootID(fmt.Sprint(n))})
+		}
+		Expect(e.Stopped("42")).To(BeTrue())
+	})
+
 	It("does not blame the new version for a general fault", func() {
 		var e versions.Evidence
 		for range 100 {
