--- a/pkg/fanout/death.go
+++ b/pkg/fanout/death.go
@@ -19,6 +19,9 @@
 // death is taken for one of cold start.
 const coldExplainsDeaths = 5 * time.Second
 
+// renewalTime is how long the renewal of a lease takes at most in good order.
+const renewalTime = 100 * time.Millisecond
+
 // deathProbe is the check of one target, shared by the requests that were in
 // flight there.
 type deathProbe struct {
@@ -31,14 +34,23 @@
 	died bool
 }
 
-// confirmDeath reports whether a target that lost a connection died of a
-// request: it refuses connections, or another incarnation answers, and it was
-// not cold or had the request alone. The requests in flight become suspect then, and control is told.
-func (s *Service) confirmDeath(t *targetState, f model.Fingerprint, alone bool) bool {
+// verdict is what a probe says about a request that lost its connection.
+type verdict struct {
+	// lost is the incarnation that died; empty if the target lives.
+	lost model.BootID
+	// suspicious is set if the target may have died of a request: it was not
+	// cold, or had the request alone.
+	suspicious bool
+}
+
+// confirmDeath finds out whether a target that lost a connection died: it
+// refuses connections, or another incarnation answers. The requests in flight
+// become suspect if it may have died of one, and control is told.
+func (s *Service) confirmDeath(t *targetState, f model.Fingerprint, alone bool) verdict {
 	probe, first := t.leaf.joinProbe(t, f, s.now())
 	if !first {
 		<-probe.done
-		return probe.died && (!probe.cold || alone)
+		return probe.verdict(alone)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
@@ -50,7 +62,14 @@
 		s.died(t, probe, alone)
 	}
 	close(probe.done)
-	return probe.died && (!probe.cold || alone)
+	return probe.verdict(alone)
+}
+
+func (p *deathProbe) verdict(alone bool) verdict {
+	if !p.died {
+		return verdict{}
+	}
+	return verdict{lost: p.boot, suspicious: !p.cold || alone}
 }
 
 // joinProbe returns the probe of the target and whether the caller runs it.
@@ -136,8 +155,9 @@
 	s.poison.Survived(f)
 }
 
-// awaitQuarantine waits until the quarantine is in force here, so that the
-// caller does not send the request to an instance that would run it again.
+// awaitQuarantine waits until the quarantine is in force here, and then for the
+// time in which every other instance renews its lease and learns of it, so that
+// the caller does not send the request to an instance that would run it again.
 func (s *Service) awaitQuarantine(ctx context.Context, f model.Fingerprint) {
 	ticker := time.NewTicker(capacityPoll)
 	defer ticker.Stop()
@@ -148,6 +168,10 @@
 		case <-ticker.C:
 		}
 	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(s.settings.Lease.Renew.Std() + renewalTime):
+	}
 }
 
 // refreshQuarantine forgets local verdicts that operators have lifted.
