Log: addresses and durations are written as text

Seen while starting an instance alone: a listener's address came out as an object with IP, Port and Zone. Red first: a spec of the address; green now.

--- a/pkg/events/events.go
+++ b/pkg/events/events.go
@@ -60,12 +60,17 @@
 	write(log.WithFields(fields), e)
 }
 
-// fieldValue renders errors as text, since the JSON handler would write "{}".
+// fieldValue renders errors, addresses and durations as text, since the JSON
+// handler would write what they are made of.
 func fieldValue(v any) any {
-	if err, ok := v.(error); ok {
-		return err.Error()
+	switch v := v.(type) {
+	case error:
+		return v.Error()
+	case fmt.Stringer:
+		return v.String()
+	default:
+		return v
 	}
-	return v
 }
 
 func write(entry *log.Entry, e Event) {
--- a/pkg/events/events_test.go
+++ b/pkg/events/events_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"strings"
 	"testing"
@@ -52,17 +53,34 @@
 	})
 })
 
+// logLine is what the specs read of a line of the log.
+type logLine struct {
+	Message string
+	Fields  map[string]string
+}
+
+func read(out *bytes.Buffer) logLine {
+	GinkgoHelper()
+	var line logLine
+	Expect(json.Unmarshal(out.Bytes(), &line)).To(Succeed())
+	return line
+}
+
 var _ = Describe("Emit", func() {
 	It("writes number, message and named fields, with errors as text", func() {
 		var out bytes.Buffer
 		Expect(events.Setup(&out, "json", "info")).To(Succeed())
 		events.Emit(events.PlatformListLost, errors.New("refused"))
-		var line struct {
-			Message string
-			Fields  map[string]string
-		}
-		Expect(json.Unmarshal(out.Bytes(), &line)).To(Succeed())
-		Expect(line.Message).To(Equal("platform list cannot be read"))
-		Expect(line.Fields).To(Equal(map[string]string{"event": "RT1101", "error": "refused"}))
+		Expect(read(&out)).To(Equal(logLine{
+			Message: "platform list cannot be read",
+			Fields:  map[string]string{"event": "RT1101", "error": "refused"},
+		}))
+	})
+
+	It("writes addresses as text", func() {
+		var out bytes.Buffer
+		Expect(events.Setup(&out, "json", "info")).To(Succeed())
+		events.Emit(events.ListenerServing, "callers", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 8101})
+		Expect(read(&out).Fields).To(HaveKeyWithValue("address", "127.0.0.1:8101"))
 	})
 })
