Fan-out: make the spec of a dying target independent of the machine's load

The spec waited for exactly six requests in flight at a target with eight connections; under load the target's limit shrank and only three were let through (seen in one run of all packages). It now grants 24, asks for 24 and waits for at least the six that stop a version. Asserted as before; without the counting of deaths it fails.

--- a/pkg/fanout/moves_test.go
+++ b/pkg/fanout/moves_test.go
@@ -10,18 +10,21 @@
 
 var _ = Describe("the death of one target of a new version", func() {
 	It("does not stop the version, however many requests were in flight", func() {
-		const requests = 6
+		const lost, requests = 6, 24
 		f := newFleet(1, 1, withoutHedges)
 		only := f.targets[0]
 		f.list.Targets[0].Version = "2"
-		f.setView(func(v *view.View) { v.Moves = map[model.CollectionID]view.Move{shop: {From: "1", To: "2", Share: 1}} })
+		f.setView(func(v *view.View) {
+			v.Moves = map[model.CollectionID]view.Move{shop: {From: "1", To: "2", Share: 1}}
+			v.Grants = map[model.TargetID]view.Grant{only.target.ID: {Connections: requests, ColdLoad: requests}}
+		})
 		f.warmUp()
 		hold := make(chan struct{})
 		defer close(hold)
 		only.set(func(t *fakeTarget) { t.hold = hold })
 		go func() {
 			defer GinkgoRecover()
-			Eventually(only.inFlightNow).Should(Equal(requests))
+			Eventually(only.inFlightNow).Should(BeNumerically(">=", lost))
 			only.set(func(t *fakeTarget) { t.boot, t.hold = "b2", nil })
 			only.server.CloseClientConnections()
 		}()
