Experiments on other ports, and again and again

The scripts used fixed ports, so that two fleets on one machine got in each other's way. PORT_SHIFT moves every port of the settings and of the experiment as they are copied to the output folder; NAME keeps the folders apart.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,12 +8,6 @@
 SECONDS_OF_LOAD=${SECONDS_OF_LOAD:-5}
 . scripts/fleet.sh
 
-entries() { # addresses for callers, separated by commas
-  local list
-  list=$(seq -f '127.0.0.1:810%.0f' $INSTANCES)
-  echo "${list//$'\n'/,}"
-}
-
 trap 'stop_all || true' EXIT
 prepare_fleet $INSTANCES
 start_standin config/demo/standin.jsonc
@@ -21,15 +15,15 @@
 for n in $(seq $INSTANCES); do wait_ready "$n"; done
 bin/radishturn status
 echo
-curl -sS http://127.0.0.1:8104/v1/collections/shopfront/query \
+curl -sS "http://$(caller_address 4)/v1/collections/shopfront/query" \
   -H 'Content-Type: application/json' -H 'Radishturn-Caller: bakery' \
   -d '{"query": "olive bread", "route": "search", "limit": 3}'
 echo
-curl -sS http://127.0.0.1:8105/v1/collections/shopfront/orders \
+curl -sS "http://$(caller_address 5)/v1/collections/shopfront/orders" \
   -H 'Content-Type: application/json' -H 'Idempotency-Key: demo-1' \
   -d '{"leafKey": "loaf-17", "order": "two loaves for Saturday"}'
 echo
-bin/radishturn load --entries "$(entries)" --standin 127.0.0.1:7001 --collection shopfront \
+bin/radishturn load --entries "$(entries)" --standin "127.0.0.1:$((7001 + PORT_SHIFT))" --collection shopfront \
   --rate 100 --duration "${SECONDS_OF_LOAD}s" --max-requests 10000 \
   --order-share 0.05 --order-services 20 --order-leaves 2
 stop_all
--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -2,13 +2,16 @@
 # Runs an experiment against a new fleet of six instances and a stand-in on
 # loopback: scripts/experiment.sh EXPERIMENT [STANDIN-SETTINGS] [LOAD-FLAGS...]
 # e1 and e2 do not hedge, e3 and e4 hedge after a fixed delay, e5 and e6 adapt.
-# ALL_ADAPTIVE=1 makes all six adapt. RULES=FILE applies rules before the load.
+# ALL_ADAPTIVE=1 makes all six adapt. RULES=FILE applies rules before the load
+# and lists the moves after it.
+# PORT_SHIFT moves all ports, and NAME names the folder below out/. REPEAT=N runs
+# the load N times against the same fleet, with seeds 1 to N; RATE replaces its rate.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 EXPERIMENT=$1
 STANDIN=${2:-config/experiments/standin.jsonc}
 shift $(($# < 2 ? $# : 2))
-FOLDER=$PWD/out/fleet
+FOLDER=$PWD/out/${NAME:-fleet}
 TEMPLATE=config/experiments/instance.jsonc
 INSTANCES=6
 . scripts/fleet.sh
@@ -20,21 +23,23 @@
   esac
 }
 
-entries() { # addresses for callers, separated by commas
-  local list
-  list=$(seq -f '127.0.0.1:810%.0f' $INSTANCES)
-  echo "${list//$'\n'/,}"
-}
-
 # Instances count targets as cold until they are shown warm, so a first load
 # through all of them comes before the measured one.
 warm_up() {
   local collection
   collection=$(sed -n 's/.*"collection": "\([a-z-]*\)".*/\1/p' "$EXPERIMENT")
-  bin/radishturn load --entries "$(entries)" --standin 127.0.0.1:7001 --collection "$collection" \
+  bin/radishturn load --entries "$(entries)" --standin "127.0.0.1:$((7001 + PORT_SHIFT))" --collection "$collection" \
     --rate 100 --duration 5s --max-requests 1000 >"$FOLDER/warm-up.txt" || true
 }
 
+run_load() { # SEED FLAGS...
+  local file=$FOLDER/seed-$1.jsonc seed=$1
+  shift
+  shift_ports <"$EXPERIMENT" |
+    sed -E "s|(\"seed\": )[0-9]+|\1$seed|; ${RATE:+s|^(    \"rate\": )[0-9]+|\1$RATE|}" >"$file"
+  bin/radishturn load "$file" --report "$FOLDER/seed-$seed.json" "$@"
+}
+
 trap 'stop_all || true' EXIT
 prepare_fleet $INSTANCES
 for n in $(seq $INSTANCES); do
@@ -47,7 +52,8 @@
 warm_up
 [ -z "${RULES:-}" ] || bin/radishturn rules apply "$RULES"
 status=0
-bin/radishturn load "$EXPERIMENT" "$@" || status=$?
+for seed in $(seq "${REPEAT:-1}"); do run_load "$seed" "$@" || status=$?; done
+[ -z "${RULES:-}" ] || bin/radishturn moves list
 trap - EXIT
 stop_all
 exit $status
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,15 +1,38 @@
 # Functions that start and stop a fleet on loopback; sourced by the other scripts.
-# FOLDER is where keys, settings, logs and data go.
+# FOLDER is where keys, settings, logs and data go. PORT_SHIFT moves every port;
+# targets listen on 20000+PORT_SHIFT and up, which has to stay below 32768.
 
 ZONES=(split-a zadar-b sibenik-c)
 CONTROL_MEMBERS=3
 declare -A PIDS=()
+export PORT_SHIFT=${PORT_SHIFT:-0}
+
+shift_ports() { # reads settings, writes them with every port moved
+  perl -pe 's/(127\.0\.0\.1:|"firstPort": )(\d+)/$1 . ($2 + $ENV{PORT_SHIFT})/ge'
+}
+
+shifted_copy() { # FILE: prints the path of a copy with its ports moved
+  local copy=$FOLDER/shifted-${1##*/}
+  shift_ports <"$1" >"$copy"
+  echo "$copy"
+}
+
+caller_address() { # N
+  echo "127.0.0.1:$((8100 + $1 + PORT_SHIFT))"
+}
+
+entries() { # addresses for callers, separated by commas
+  local n list=
+  for n in $(seq $INSTANCES); do list+=,$(caller_address "$n"); done
+  echo "${list#,}"
+}
 
 write_settings() { # N INSTANCES
   local zone=${ZONES[$((($1 - 1) % 3))]} drop='^$'
   [ "$1" -le $CONTROL_MEMBERS ] || drop='"dataFolder"'
   grep -v "$drop" "${TEMPLATE:-config/demo/instance.jsonc}" |
-    sed "s|@N@|$1|g; s|@ZONE@|$zone|g; s|@FOLDER@|$FOLDER|g" >"$FOLDER/e$1.jsonc"
+    sed "s|@N@|$1|g; s|@ZONE@|$zone|g; s|@FOLDER@|$FOLDER|g" |
+    shift_ports >"$FOLDER/e$1.jsonc"
 }
 
 prepare_fleet() { # INSTANCES
@@ -22,7 +45,7 @@
     write_settings "$n"
   done
   bin/radishturn keys issue --for-operator "$FOLDER/keys" operator
-  export RADISHTURN_ADMIN=127.0.0.1:9101,127.0.0.1:9102
+  export RADISHTURN_ADMIN=127.0.0.1:$((9101 + PORT_SHIFT)),127.0.0.1:$((9102 + PORT_SHIFT))
   export RADISHTURN_KEYS=$FOLDER/keys RADISHTURN_OPERATOR=operator
 }
 
@@ -38,12 +61,12 @@
 }
 
 start_standin() { # SETTINGS
-  start standin bin/radishturn-standin --config "$1"
+  start standin bin/radishturn-standin --config "$(shifted_copy "$1")"
 }
 
 wait_ready() { # N
   for _ in $(seq 150); do
-    curl -fsS -o /dev/null "http://127.0.0.1:810$1/readyz" 2>/dev/null && return
+    curl -fsS -o /dev/null "http://$(caller_address "$1")/readyz" 2>/dev/null && return
     sleep 0.1
   done
   echo "instance e$1 did not become ready; its log ends:" >&2
