--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -4,6 +4,8 @@
 # e1 and e2 do not hedge, e3 and e4 hedge after a fixed delay, e5 and e6 adapt.
 # ALL_ADAPTIVE=1 makes all six adapt. RULES=FILE applies rules before the load
 # and lists the moves after it.
+# RULES_DURING="SECONDS:FILE ..." applies rules at seconds of the first variant.
+# The goroutines of the instances are counted before the load and 2 s after it.
 # PORT_SHIFT moves all ports, and NAME names the folder below out/. REPEAT=N runs
 # the load N times against the same fleet, with seeds 1 to N; RATE replaces its rate.
 set -euo pipefail
@@ -40,6 +42,16 @@
   bin/radishturn load "$file" --report "$FOLDER/seed-$seed.json" "$@"
 }
 
+apply_rules_during() { # runs beside the load, whose first variant starts when it has settled
+  local settle step
+  settle=$(sed -n 's/.*"settle": "\([0-9]*\)s".*/\1/p' "$EXPERIMENT")
+  SECONDS=0
+  for step in $RULES_DURING; do
+    sleep $((settle + ${step%%:*} - SECONDS))
+    bin/radishturn rules apply "${step#*:}" 2>&1 | sed "s|^|at ${step%%:*} s: |"
+  done
+}
+
 trap 'stop_all || true' EXIT
 prepare_fleet $INSTANCES
 for n in $(seq $INSTANCES); do
@@ -51,8 +63,13 @@
 for n in $(seq $INSTANCES); do wait_ready "$n"; done
 warm_up
 [ -z "${RULES:-}" ] || bin/radishturn rules apply "$RULES"
+goroutines
 status=0
+[ -z "${RULES_DURING:-}" ] || start rules apply_rules_during
 for seed in $(seq "${REPEAT:-1}"); do run_load "$seed" "$@" || status=$?; done
+sleep 2
+[ -z "${RULES_DURING:-}" ] || cat "$FOLDER/rules.out"
+goroutines
 [ -z "${RULES:-}" ] || bin/radishturn moves list
 trap - EXIT
 stop_all
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -27,6 +27,14 @@
   echo "${list#,}"
 }
 
+goroutines() { # prints the number of each instance's goroutines
+  local n counts=
+  for n in $(seq "$INSTANCES"); do
+    counts+=" $(curl -fsS "http://$(caller_address "$n")/metrics" | sed -n 's/^go_goroutines //p')"
+  done
+  echo "goroutines:$counts"
+}
+
 write_settings() { # N INSTANCES
   local zone=${ZONES[$((($1 - 1) % 3))]} drop='^$'
   [ "$1" -le $CONTROL_MEMBERS ] || drop='"dataFolder"'
