Fan-out: spare popular requests that meet another instance's harmful one

Cause: a suspect has a target alone only for its own instance.

A request that the leaf has answered within 5 s is now condemned by its second death alone; the first leaves it a suspect, and is not reported as a trial. A harmful request has no answer from its leaf and is condemned by its first, as before. A request that turns harmful within 5 s of an answer ends one target more.

Weighed: telling the two apart at control, where both name the same incarnation; neither would be condemned then, and a third target would end.

The new spec of the fan-out failed first (2 crashes instead of 3).

--- a/pkg/fanout/attempt.go
+++ b/pkg/fanout/attempt.go
@@ -82,7 +82,7 @@
 	cancel()
 	r.service.observe(r, t, &e, change)
 	r.mail.put(attemptEnd{
-		leg: a.leg, attempt: a.attempt, kind: result.Kind, elapsed: e.elapsed, died: death.suspicious, reply: result.Reply,
+		leg: a.leg, attempt: a.attempt, kind: result.Kind, elapsed: e.elapsed, died: death.suspicious, condemned: death.condemned, reply: result.Reply,
 	})
 }
 
--- a/pkg/fanout/death.go
+++ b/pkg/fanout/death.go
@@ -32,6 +32,10 @@
 	// cold is set if the target was cold, which explains a death by itself.
 	cold bool
 	died bool
+	// answered is set if the leaf has answered the request lately that was lost first.
+	answered bool
+	// condemned is set if that request had the target alone and is condemned.
+	condemned bool
 }
 
 // verdict is what a probe says about a request that lost its connection.
@@ -41,6 +45,8 @@
 	// suspicious is set if the target may have died of a request: it was not
 	// cold, or had the request alone.
 	suspicious bool
+	// condemned is set if the request is refused from now on.
+	condemned bool
 }
 
 // confirmDeath finds out whether a target that lost a connection died: it
@@ -69,7 +75,7 @@
 	if !p.died {
 		return verdict{}
 	}
-	return verdict{lost: p.boot, suspicious: !p.cold || alone}
+	return verdict{lost: p.boot, suspicious: !p.cold || alone, condemned: alone && p.condemned}
 }
 
 // joinProbe returns the probe of the target and whether the caller runs it.
@@ -78,6 +84,7 @@
 	defer l.mu.Unlock()
 	if t.probe == nil {
 		t.probe = &deathProbe{done: make(chan struct{}), boot: t.warmth.Boot(), cold: !t.full() || l.collection.turnedCold(now)}
+		t.probe.answered = l.answers.has(f, now)
 		for _, r := range t.running {
 			t.probe.suspects = append(t.probe.suspects, r.fingerprint)
 		}
@@ -119,18 +126,29 @@
 		return
 	}
 	s.lastDeath.Store(int64(max(1, s.now())))
-	s.poisonMu.Lock()
-	s.poison.Died(p.suspects, alone, s.now())
-	s.poisonMu.Unlock()
+	p.condemned = s.judgeDeath(p, alone)
 	s.reporter.Report(view.Evidence{
-		Deaths: []view.Death{{Target: t.target.ID, Boot: p.boot, Suspects: p.suspects, Trial: alone}},
+		Deaths: []view.Death{{Target: t.target.ID, Boot: p.boot, Suspects: p.suspects, Trial: p.condemned}},
 		Cold:   cold,
 	})
-	if alone {
+	if p.condemned {
 		events.Emit(events.FingerprintCondemn, p.suspects, poison.DeathsToCondemn)
 	}
 }
 
+// judgeDeath makes the requests in flight suspect, and reports whether the one
+// that had the target alone is condemned.
+func (s *Service) judgeDeath(p *deathProbe, alone bool) bool {
+	s.poisonMu.Lock()
+	defer s.poisonMu.Unlock()
+	now := s.now()
+	if alone && len(p.suspects) == 1 {
+		return s.poison.DiedOnTrial(p.suspects[0], p.answered, now)
+	}
+	s.poison.Died(p.suspects, false, now)
+	return false
+}
+
 func (s *Service) standing(f model.Fingerprint) poison.Standing {
 	s.poisonMu.Lock()
 	defer s.poisonMu.Unlock()
--- a/pkg/fanout/finish.go
+++ b/pkg/fanout/finish.go
@@ -79,6 +79,7 @@
 	if e.snapshot != "" {
 		t.record(e.snapshot).Answered()
 	}
+	l.answers.add(e.fingerprint, e.now)
 	t.warmAnswers++
 	boot := t.warmth.Boot()
 	change := l.noteWarmth(t, t.warmth.Answered(warmth.Answer{
--- a/pkg/fanout/leaf.go
+++ b/pkg/fanout/leaf.go
@@ -97,6 +97,7 @@
 	delay     time.Duration
 	hedged    bool
 	samples   int
+	answers   answers
 	waiters   []waiter
 }
 
--- a/pkg/fanout/mailbox.go
+++ b/pkg/fanout/mailbox.go
@@ -15,8 +15,10 @@
 	kind    target.Kind
 	elapsed time.Duration
 	// died is set if the target died with the attempt in flight.
-	died  bool
-	reply *targetproto.QueryReply
+	died bool
+	// condemned is set if the request is refused from now on.
+	condemned bool
+	reply     *targetproto.QueryReply
 }
 
 // mailbox hands the ends of attempts and wakes to the goroutine of a run. Its
--- a/pkg/fanout/poison_test.go
+++ b/pkg/fanout/poison_test.go
@@ -58,6 +58,17 @@
 		Expect(f.crashes()).To(BeNumerically("<=", 5))
 	})
 
+	It("is condemned by its second death alone if it was answered lately", func() {
+		f := newFleet(1, 4)
+		f.warmUp()
+		_, err := f.service.Query(context.Background(), askForPoison())
+		Expect(err).NotTo(HaveOccurred())
+		f.each(0, func(t *fakeTarget) { t.crash = "poison" })
+		_, err = f.service.Query(context.Background(), askForPoison())
+		Expect(failure.CodeOf(err)).To(Equal(failure.Quarantined))
+		Expect(f.crashes()).To(Equal(3))
+	})
+
 	It("leaves others their answers", func() {
 		f := newFleet(2, 3)
 		f.warmUp()
--- a/pkg/fanout/trial.go
+++ b/pkg/fanout/trial.go
@@ -76,7 +76,7 @@
 func (r *run) judge(a *attempt, e *attemptEnd) {
 	switch {
 	case r.trial.condemned:
-	case e.died && a.alone:
+	case e.condemned:
 		r.condemn()
 	case e.died:
 		r.trial.on, r.trial.stepped = true, true
--- a/pkg/query/poison/poison.go
+++ b/pkg/query/poison/poison.go
@@ -1,6 +1,6 @@
 // Package poison decides how a request is treated that was in flight at a
 // target when it died. Such a request is suspect: it runs again only alone on a
-// target, and a second death condemns it here, before control has confirmed it.
+// target, and a death there condemns it here, before control has confirmed it.
 package poison
 
 import (
@@ -13,6 +13,9 @@
 const DeathsToCondemn = 2
 
 const (
+	// trialsOfAnswered is how many deaths alone condemn a request that targets
+	// have answered lately.
+	trialsOfAnswered = 2
 	// suspicionLasts is how long an unproven suspicion is kept.
 	suspicionLasts = 10 * time.Minute
 	// maxSuspects bounds the memory of suspects; the oldest is dropped first.
@@ -34,6 +37,8 @@
 
 type record struct {
 	deaths int
+	// trials counts the deaths that it met alone.
+	trials int
 	at     time.Duration
 	// trial is set while one run tries the request alone.
 	trial bool
@@ -61,7 +66,8 @@
 
 // Died counts a death with the requests that were in flight. A request that
 // ran alone caused the death, so it is counted as the cause; of several
-// requests each stays a suspect, however often it was near.
+// requests each stays a suspect, however often it was near. See DiedOnTrial
+// for requests that the leaf has answered lately.
 func (s *State) Died(inFlight []model.Fingerprint, alone bool, now time.Duration) {
 	for _, f := range inFlight {
 		r, known := s.records[f]
@@ -77,6 +83,20 @@
 	}
 }
 
+// DiedOnTrial counts a death that a request met alone and reports whether it
+// condemned the request. One that targets have answered lately, and that may
+// have met the death of another instance's request, is condemned by its second.
+func (s *State) DiedOnTrial(f model.Fingerprint, answeredLately bool, now time.Duration) bool {
+	r, known := s.records[f]
+	r.trials++
+	if known {
+		s.records[f] = r
+	}
+	guilty := known && (!answeredLately || r.trials >= trialsOfAnswered)
+	s.Died([]model.Fingerprint{f}, guilty, now)
+	return guilty
+}
+
 // BeginTrial reports whether a suspect may be tried alone now. Only one trial
 // runs at a time, so that a request cannot cause two more deaths at once.
 func (s *State) BeginTrial(f model.Fingerprint, now time.Duration) bool {
--- a/pkg/query/poison/poison_test.go
+++ b/pkg/query/poison/poison_test.go
@@ -33,6 +33,17 @@
 		})
 	})
 
+	It("that targets have answered lately is condemned by its second death alone", func() {
+		s := poison.New()
+		s.Died([]model.Fingerprint{1, 2}, false, 0)
+		Expect(s.DiedOnTrial(1, true, 0)).To(BeFalse())
+		Expect(s.Standing(1, 0)).To(Equal(poison.Suspect))
+		Expect(s.DiedOnTrial(1, true, 0)).To(BeTrue())
+		Expect(s.Standing(1, 0)).To(Equal(poison.Condemned))
+		Expect(s.DiedOnTrial(2, false, 0)).To(BeTrue())
+		Expect(s.Standing(2, 0)).To(Equal(poison.Condemned))
+	})
+
 	It("is tried by one run at a time", func() {
 		s := poison.New()
 		s.Died([]model.Fingerprint{1}, false, 0)
