--- a/pkg/adminapi/module.go
+++ b/pkg/adminapi/module.go
@@ -7,11 +7,9 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
-	"log"
 	"net"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -20,6 +18,7 @@
 	"radishturn.example/radishturn/pkg/control"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/fanout"
+	"radishturn.example/radishturn/pkg/httpserver"
 	"radishturn.example/radishturn/pkg/keys"
 	"radishturn.example/radishturn/pkg/mesh"
 	"radishturn.example/radishturn/pkg/problem"
@@ -27,13 +26,8 @@
 	"radishturn.example/radishturn/pkg/view"
 )
 
-const (
-	maxHeaderBytes = 16 << 10
-	maxBodyBytes   = 4 << 20
-	headerTimeout  = 5 * time.Second
-	bodyTimeout    = 10 * time.Second
-	idleTimeout    = time.Minute
-)
+// maxBodyBytes bounds the body of one request; a file of rules has to fit.
+const maxBodyBytes = 4 << 20
 
 // ModuleName is the ID of the admin module.
 const ModuleName radishturn.ModuleID = "admin"
@@ -47,8 +41,7 @@
 	stories  fanout.Explainer
 	targets  fanout.Inspector
 	mesh     mesh.Mesh
-	listener net.Listener
-	server   *http.Server
+	server   *httpserver.Server
 }
 
 func init() { radishturn.RegisterModule(&Module{}) }
@@ -84,15 +77,9 @@
 	if err != nil {
 		return fmt.Errorf("listen for operators on %s: %w", address, err)
 	}
-	m.listener = tls.NewListener(listener, credentials.ServerConfig([]string{"http/1.1"}, keys.RoleOperator))
-	m.server = &http.Server{
-		Handler:           m.handler(),
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       bodyTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          log.New(refusalWriter{}, "", 0),
-	}
+	secured := tls.NewListener(listener, credentials.ServerConfig([]string{"http/1.1"}, keys.RoleOperator))
+	m.server = httpserver.New("operators", secured, m.handler())
+	m.server.LogRefusals(refusalWriter{})
 	return nil
 }
 
@@ -130,15 +117,7 @@
 }
 
 // Run serves operators until ctx is done.
-func (m *Module) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = m.server.Close() })
-	defer stop()
-	events.Emit(events.ListenerServing, "operators", m.listener.Addr())
-	if err := m.server.Serve(m.listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
+func (m *Module) Run(ctx context.Context) error { return m.server.Run(ctx) }
 
 // Cleanup closes the listener.
 func (m *Module) Cleanup() error {
--- a/pkg/entryapi/module.go
+++ b/pkg/entryapi/module.go
@@ -18,6 +18,7 @@
 	"radishturn.example/radishturn/pkg/burn"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/fanout"
+	"radishturn.example/radishturn/pkg/httpserver"
 	"radishturn.example/radishturn/pkg/order"
 	"radishturn.example/radishturn/pkg/problem"
 	"radishturn.example/radishturn/pkg/query"
@@ -28,14 +29,8 @@
 const (
 	// maxConnections bounds the callers' connections to one instance.
 	maxConnections = 4096
-	// maxHeaderBytes bounds the headers of one request.
-	maxHeaderBytes = 16 << 10
 	// maxBodyBytes bounds the body of one request.
 	maxBodyBytes = 1 << 20
-	// headerTimeout and bodyTimeout bound slow senders.
-	headerTimeout = 5 * time.Second
-	bodyTimeout   = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
 	// readinessPoll is how often changes of readiness are logged.
 	readinessPoll = 500 * time.Millisecond
 	// startGrace is how long after the start an instance waits for a whole
@@ -56,8 +51,7 @@
 	recorder burn.Recorder
 	targets  fanout.Readiness
 	started  time.Time
-	listener net.Listener
-	server   *http.Server
+	server   *httpserver.Server
 	draining atomic.Bool
 }
 
@@ -91,25 +85,10 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers on %s: %w", address, err)
 	}
-	m.listener = netutil.LimitListener(listener, maxConnections)
-	m.server = newServer(m.handler())
+	m.server = httpserver.New("callers", netutil.LimitListener(listener, maxConnections), m.handler())
 	return nil
 }
 
-func newServer(handler http.Handler) *http.Server {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
-		Handler:           handler,
-		Protocols:         protocols,
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       bodyTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-}
-
 func (m *Module) handler() http.Handler {
 	e := echo.New()
 	e.HTTPErrorHandler = problem.HandleError
@@ -123,16 +102,8 @@
 
 // Run serves callers until ctx is done.
 func (m *Module) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = m.server.Close() })
-	defer stop()
 	go m.logReadiness(ctx)
-	events.Emit(events.ListenerServing, "callers", m.listener.Addr())
-	if err := m.server.Serve(m.listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	// After Drain has closed the server, the actor goes on until it is interrupted.
-	<-ctx.Done()
-	return nil
+	return m.server.Run(ctx)
 }
 
 // Drain stops being ready, goes on serving for as long as the balancer may
