--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,6 @@
 
 capacity: build
 	go test -tags proofs -count=1 -timeout 30m -v ./proofs -ginkgo.label-filter=capacity
+
+bench:
+	go test -run '^$$' -bench . ./pkg/...
