Moves: one entry's stop waits for the others to be heard

Cause, seen in the bad-version experiment: a move was taken back with '1 of 0 entries stopped'. An entry sends a stop at once and outcomes with its next renewal, so at the start of a move the leader knew of no reporter and took one entry for the whole fleet; a single poison request could have taken a good version back.

Change: an entry that stops counts as heard of, and while it is the only one its stop decides after 2 s. Weighed: asking control for the number of entries, which the pure controller does not know. Red first: two specs of the driver.

--- a/pkg/move/controller.go
+++ b/pkg/move/controller.go
@@ -23,6 +23,9 @@
 	maximumRoutes = 64
 	// stopsNeeded is the least number of entries whose local stops decide.
 	stopsNeeded = 2
+	// loneStopWait is how long the stop of the only entry that was heard of
+	// waits for reports of others; they come with each renewal.
+	loneStopWait = 2 * Window
 	// stopsShare is the least share of the reporting entries among them.
 	stopsShare = 1.0 / 3
 	// suspicion is the part of a limit from which on the share does not grow.
@@ -62,6 +65,9 @@
 	routes    map[model.Route]*routeEvidence
 	reporters map[model.InstanceID]bool
 	stops     map[model.InstanceID]string
+	// stopSince is when the first stop was seen, if stopped is set.
+	stopSince time.Duration
+	stopped   bool
 	// explained counts failures of the new version that a death accounts for.
 	explained float64
 	poisoned  map[model.Fingerprint]bool
@@ -100,7 +106,7 @@
 	}
 	for _, s := range e.Stop {
 		if s.Collection == c.rule.Rule.Collection && s.Version == c.rule.Rule.To {
-			c.stops[from] = s.Reason
+			c.stops[from], c.reporters[from] = s.Reason, true
 		}
 	}
 	for _, d := range e.Deaths {
@@ -179,7 +185,7 @@
 	}
 	c.follow(s, now)
 	c.closeWindow(now)
-	if evidence, bad := c.verdict(); bad {
+	if evidence, bad := c.verdict(now); bad {
 		return newStep(s, now, PhaseTakenBack, 0, evidence), ""
 	}
 	if s.Share == 1 && c.suspiciousAlone() {
@@ -231,14 +237,14 @@
 }
 
 // verdict reports whether the new version is bad, and why.
-func (c *Controller) verdict() (evidence string, bad bool) {
+func (c *Controller) verdict(now Now) (evidence string, bad bool) {
 	for _, r := range c.all() {
 		if part, what := r.strongest(); part >= 1 {
 			return fmt.Sprintf("%s of version %s on %s beyond version %s in the same windows",
 				what, c.rule.Rule.To, r.name, c.rule.Rule.From), true
 		}
 	}
-	if n := len(c.stops); c.stopsDecide() {
+	if n := len(c.stops); c.stopsDecide(now) {
 		return fmt.Sprintf("%d of %d entries stopped version %s: %s",
 			n, len(c.reporters), c.rule.Rule.To, c.anyStop()), true
 	}
@@ -246,14 +252,18 @@
 }
 
 // stopsDecide reports whether enough entries stopped the new version by
-// themselves. A fleet of one entry has no second one to ask.
-func (c *Controller) stopsDecide() bool {
+// themselves. A fleet of one entry has no second one to ask, but entries get the
+// time of loneStopWait to show that they are there.
+func (c *Controller) stopsDecide(now Now) bool {
 	n := len(c.stops)
 	if n == 0 {
 		return false
 	}
+	if !c.stopped {
+		c.stopped, c.stopSince = true, now.Monotonic
+	}
 	if len(c.reporters) <= 1 {
-		return true
+		return now.Monotonic >= c.stopSince+loneStopWait
 	}
 	return n >= stopsNeeded && float64(n) >= stopsShare*float64(len(c.reporters))
 }
--- a/pkg/move/driver/driver_test.go
+++ b/pkg/move/driver/driver_test.go
@@ -188,6 +188,30 @@
 		Expect(g.state.Phase).To(Equal(move.PhaseTakenBack))
 	})
 
+	It("waits for the others to report before one entry's stop decides", func() {
+		_, d := newMember()
+		stop := view.Evidence{Stop: []view.VersionStop{{Collection: "ledger", Version: "2", Reason: "6 failures in a row"}}}
+		run(d, now+time.Second/2, func() {})
+		d.Evidence("a", stop)
+		run(d, now+time.Second/2, func() {})
+		Expect(g.state.Phase).To(Equal(move.PhaseUnderWay), "nobody has reported yet")
+		run(d, now+2*time.Second, func() {
+			for _, entry := range []model.InstanceID{"a", "b", "c"} {
+				d.Evidence(entry, answers("1", 10, 0))
+			}
+		})
+		Expect(g.state.Phase).To(Equal(move.PhaseUnderWay), "one of three is too few")
+	})
+
+	It("lets the only entry's stop decide", func() {
+		_, d := newMember()
+		run(d, now+time.Second/2, func() {})
+		d.Evidence("a", view.Evidence{Stop: []view.VersionStop{{Collection: "ledger", Version: "2", Reason: "6 failures in a row"}}})
+		run(d, now+3*time.Second, func() {})
+		Expect(g.state.Phase).To(Equal(move.PhaseTakenBack))
+		Expect(g.state.Evidence).To(ContainSubstring("1 of 1 entries"))
+	})
+
 	DescribeTable("steps once although the answer to a proposal is lost",
 		func(applied bool) {
 			m, d := newMember()
