Fan-out: requests on probe are hedged four times later

A request that no target has run yet is now hedged after four times the usual delay. Weighed: no hedge at all for it; a frozen target would then hold the whole query until its deadline.

--- a/pkg/fanout/late.go
+++ b/pkg/fanout/late.go
@@ -6,11 +6,19 @@
 	"radishturn.example/radishturn/pkg/query/hedge"
 )
 
+// probeHedgeFactor delays the hedge of a request that no target has run yet. A
+// target that it ends says so sooner, and a hedge would end a second one.
+const probeHedgeFactor = 4
+
+// planHedge sets when the leg is hedged unless it is answered before.
 func (r *run) planHedge(l *leg, now time.Duration) {
 	l.hedgeAt = 0
 	l.leaf.mu.Lock()
 	delay, ok := l.leaf.delay, l.leaf.hedged
 	l.leaf.mu.Unlock()
+	if r.probe.on {
+		delay *= probeHedgeFactor
+	}
 	if ok && l.count < maxAttempts && !r.trial.on {
 		l.hedgeAt, l.hedgeDelay = now+delay, delay
 	}
