--- a/pkg/adminapi/module.go
+++ b/pkg/adminapi/module.go
@@ -78,7 +78,7 @@
 		return fmt.Errorf("listen for operators on %s: %w", address, err)
 	}
 	secured := tls.NewListener(listener, credentials.ServerConfig([]string{"http/1.1"}, keys.RoleOperator))
-	m.server = httpserver.New("operators", secured, m.handler())
+	m.server = httpserver.New("operators", secured, m.handler(), httpserver.DefaultLimits)
 	m.server.LogRefusals(refusalWriter{})
 	return nil
 }
--- a/pkg/entryapi/module.go
+++ b/pkg/entryapi/module.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers on %s: %w", address, err)
 	}
-	m.server = httpserver.New("callers", netutil.LimitListener(listener, maxConnections), m.handler())
+	m.server = httpserver.New("callers", netutil.LimitListener(listener, maxConnections), m.handler(), httpserver.DefaultLimits)
 	return nil
 }
 
--- a/pkg/httpserver/httpserver.go
+++ b/pkg/httpserver/httpserver.go
@@ -14,14 +14,24 @@
 	"radishturn.example/radishturn/pkg/events"
 )
 
-const (
-	// maxHeaderBytes bounds the headers of one request.
-	maxHeaderBytes = 16 << 10
-	// headerTimeout and bodyTimeout bound slow senders.
-	headerTimeout = 5 * time.Second
-	bodyTimeout   = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
-)
+// Limits bound what one connection may hold.
+type Limits struct {
+	// HeaderBytes bounds the headers of one request.
+	HeaderBytes int
+	// Header and Body bound slow senders: the time to send the headers, and the
+	// whole request.
+	Header, Body time.Duration
+	// Idle bounds the time between two requests.
+	Idle time.Duration
+}
+
+// DefaultLimits are those of the daemon's listeners.
+var DefaultLimits = Limits{
+	HeaderBytes: 16 << 10,
+	Header:      5 * time.Second,
+	Body:        10 * time.Second,
+	Idle:        2 * time.Minute,
+}
 
 // Server serves one listener.
 type Server struct {
@@ -32,17 +42,17 @@
 
 // New returns a server for the listener; name appears in the log. The server
 // speaks HTTP/1.1, and h2c too if the listener has no TLS of its own.
-func New(name string, l net.Listener, handler http.Handler) *Server {
+func New(name string, l net.Listener, handler http.Handler, limits Limits) *Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &Server{name: name, listener: l, http: &http.Server{
 		Handler:           handler,
 		Protocols:         protocols,
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       bodyTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: limits.Header,
+		ReadTimeout:       limits.Body,
+		IdleTimeout:       limits.Idle,
+		MaxHeaderBytes:    limits.HeaderBytes,
 	}}
 }
 
--- /dev/null
+++ b/pkg/httpserver/httpserver_test.go
@@ -0,0 +1,71 @@
+package httpserver_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"radishturn.example/radishturn/pkg/httpserver"
+)
+
+func TestHTTPServer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "httpserver")
+}
+
+// serve runs a server with short limits and returns its address and the number
+// of requests whose whole body arrived.
+func serve() (address string, whole *int) {
+	GinkgoHelper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	whole = new(int)
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err == nil {
+			*whole++
+		}
+	})
+	limits := httpserver.Limits{HeaderBytes: 4096, Header: 50 * time.Millisecond, Body: 100 * time.Millisecond, Idle: time.Second}
+	s := httpserver.New("test", l, handler, limits)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer GinkgoRecover()
+		defer close(done)
+		Expect(s.Run(ctx)).To(Succeed())
+	}()
+	DeferCleanup(func() {
+		cancel()
+		<-done
+	})
+	return l.Addr().String(), whole
+}
+
+var _ = Describe("Server", func() {
+	DescribeTable("cuts off slow senders and keeps nothing of them", func(sent string) {
+		leaks := goleak.IgnoreCurrent()
+		DeferCleanup(func() {
+			Eventually(func() error { return goleak.Find(leaks) }, 5*time.Second).Should(Succeed())
+		})
+		address, whole := serve()
+		conn, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = io.WriteString(conn, sent)
+		Expect(err).NotTo(HaveOccurred())
+		// The read ends only when the server gives the connection up.
+		_, err = io.ReadAll(conn)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(*whole).To(BeZero())
+	},
+		Entry("in the headers", "POST / HTTP/1.1\r\nHost: a\r\nX-"),
+		Entry("in the body", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nhalf"),
+	)
+})
