Fan-out: the spec of a dying target lets no old connection answer as the next process

The fake target changed its boot and released its requests before it closed its connections, so a request on an old connection could be answered with the new boot; the instance then knew the new one and saw no death. The order is now boot, close, release. The assertions are as before.

--- a/pkg/fanout/moves_test.go
+++ b/pkg/fanout/moves_test.go
@@ -1,6 +1,8 @@
 package fanout_test
 
 import (
+	"sync"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -20,13 +22,17 @@
 		})
 		f.warmUp()
 		hold := make(chan struct{})
-		defer close(hold)
+		release := sync.OnceFunc(func() { close(hold) })
+		defer release()
 		only.set(func(t *fakeTarget) { t.hold = hold })
 		go func() {
 			defer GinkgoRecover()
 			Eventually(only.inFlightNow).Should(BeNumerically(">=", lost))
-			only.set(func(t *fakeTarget) { t.boot, t.hold = "b2", nil })
+			// No connection of the lost incarnation may answer as the next one.
+			only.set(func(t *fakeTarget) { t.boot = "b2" })
 			only.server.CloseClientConnections()
+			only.set(func(t *fakeTarget) { t.hold = nil })
+			release()
 		}()
 		for _, answer := range f.askTogether(requests) {
 			Expect(answer).NotTo(BeNil())
