Events: take out two that nothing writes

Cause, found by reading the whole change: RT2003 (peer refused) and RT4002 (lease expired) stood in the catalogue and no code emitted them; the operators' page sent people to look for RT2003.

No behaviour changed.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -20,7 +20,6 @@
 
 	PeerConnected    Number = 2001
 	PeerDisconnected Number = 2002
-	PeerRefused      Number = 2003
 
 	GroupFormed        Number = 3001
 	LeaderElected      Number = 3002
@@ -40,7 +39,6 @@
 	LeaderNotReady     Number = 3102
 
 	LeaseGranted     Number = 4001
-	LeaseExpired     Number = 4002
 	LeaseControlLost Number = 4003
 	LeaseCutOff      Number = 4004
 	LeaseReturned    Number = 4005
@@ -107,7 +105,6 @@
 
 	{PeerConnected, debug, "peer connected", []string{"peer", "address"}},
 	{PeerDisconnected, debug, "peer disconnected", []string{"peer", "error"}},
-	{PeerRefused, warn, "peer refused", []string{"address", "error"}},
 
 	{GroupFormed, info, "control group formed", []string{"members"}},
 	{LeaderElected, info, "leader elected", []string{"leader", "term"}},
@@ -127,7 +124,6 @@
 	{LeaderNotReady, warn, "leader cannot take office yet", []string{"term", "error"}},
 
 	{LeaseGranted, info, "lease granted", []string{"leader", "revision"}},
-	{LeaseExpired, warn, "lease expired", []string{"lastRenewal"}},
 	{LeaseControlLost, warn, "control is lost; queries go on, orders are refused", []string{"reached", "known"}},
 	{LeaseCutOff, warn, "instance is cut off from control; work is refused", []string{"reached", "known"}},
 	{LeaseReturned, info, "lease handed back", nil},
--- a/pkg/keys/tls.go
+++ b/pkg/keys/tls.go
@@ -133,11 +133,3 @@
 	}
 	return s.PeerCertificates[0].Subject.CommonName
 }
-
-// PeerRole returns the role in the peer's certificate, or "" without one.
-func PeerRole(s tls.ConnectionState) Role {
-	if len(s.PeerCertificates) == 0 || len(s.PeerCertificates[0].Subject.OrganizationalUnit) == 0 {
-		return ""
-	}
-	return Role(s.PeerCertificates[0].Subject.OrganizationalUnit[0])
-}
