--- a/cmd/radishturnd/main.go
+++ b/cmd/radishturnd/main.go
@@ -16,6 +16,8 @@
 	"radishturn.example/radishturn/pkg/settings"
 
 	_ "radishturn.example/radishturn/pkg/modules"
+	"radishturn.example/radishturn/platform/boot"
+	_ "radishturn.example/radishturn/platform/modules"
 )
 
 const (
@@ -24,18 +26,20 @@
 )
 
 func main() {
-	file := flag.String("config", "", "settings file, JSON with comments")
+	file := flag.String("config", "", "settings file, JSON with comments; without it the platform's file is read")
 	flag.Parse()
 	os.Exit(serve(*file))
 }
 
 func serve(file string) int {
-	s, err := settings.Load(file)
+	s, err := load(file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	if err := events.Setup(os.Stderr, s.Log.Format, s.Log.Level); err != nil {
+	sink := events.NewSink(os.Stdout)
+	defer sink.Flush()
+	if err := events.Setup(sink, s.Log.Format, s.Log.Level); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
@@ -46,6 +50,14 @@
 	return 0
 }
 
+// load reads the settings file, or the one that the users' platform provides.
+func load(file string) (*settings.Settings, error) {
+	if file == "" {
+		return boot.Load()
+	}
+	return settings.Load(file)
+}
+
 // runUntilStopped runs every module until one fails or a signal asks for a
 // planned stop. On a signal the modules drain while all of them still run.
 func runUntilStopped(s *settings.Settings) error {
--- a/kernel.go
+++ b/kernel.go
@@ -28,7 +28,7 @@
 // Load creates, provisions and validates every registered module. If one
 // fails, those loaded before it are cleaned up.
 func Load(s *settings.Settings) (*Kernel, error) {
-	infos, err := Modules()
+	infos, err := Modules(s.Instance.Role)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -10,6 +10,7 @@
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/move"
 	"radishturn.example/radishturn/pkg/replica"
+	"radishturn.example/radishturn/pkg/routing"
 	"radishturn.example/radishturn/pkg/rules"
 	"radishturn.example/radishturn/pkg/view"
 )
@@ -46,6 +47,20 @@
 	RemoveMember(ctx context.Context, m replica.Member) error
 }
 
+// Routing is what operators may ask about the routing table and about
+// availability zones. Any instance serves it and passes requests on to the
+// leader. Errors are *failure.Error.
+type Routing interface {
+	// PutTable replaces the routing table if its version is higher, and returns
+	// the version in force afterwards. A table that fails its check is refused.
+	PutTable(ctx context.Context, t *routing.Table) (uint64, error)
+	// Table returns the newest accepted table, or nil before the first one. It
+	// fails rather than answer with one that may be out of date.
+	Table(ctx context.Context) (*routing.Table, error)
+	// Evacuate begins or ends the evacuation of an availability zone.
+	Evacuate(ctx context.Context, zone model.AvailabilityZoneID, end bool) error
+}
+
 // ApplyRequest asks for a change of the rules.
 type ApplyRequest struct {
 	// Base is the revision that the change builds on.
--- a/pkg/control/route/request.go
+++ b/pkg/control/route/request.go
@@ -114,7 +114,7 @@
 
 func (c *request) members() []attempt {
 	var members []attempt
-	for _, id := range shuffled(c.router.members()) {
+	for _, id := range shuffled(c.router.mayLead()) {
 		members = append(members, attempt{to: id})
 	}
 	return members
@@ -127,7 +127,7 @@
 	if !c.relays || c.relaysTried() >= relaysPerRound {
 		return nil
 	}
-	members := c.router.members()
+	members := c.router.mayLead()
 	peers := slices.DeleteFunc(shuffled(c.router.mesh.Peers()), func(id model.InstanceID) bool {
 		return id == c.router.mesh.Self() || c.inFlight[attempt{to: id}]
 	})
--- a/pkg/control/route/route.go
+++ b/pkg/control/route/route.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,8 @@
 	// relay worked last, while the leader could not be reached directly.
 	relay      model.InstanceID
 	relayUntil time.Time
+	// learned are the control members that the leader named last.
+	learned []model.InstanceID
 }
 
 // New returns a Router. Members returns those who may lead.
@@ -85,6 +88,30 @@
 	return c.run(ctx)
 }
 
+// LearnMembers notes the control members that the leader names. They are asked
+// first; those from the settings may be gone by then.
+func (r *Router) LearnMembers(ids []model.InstanceID) {
+	if len(ids) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.learned = ids
+}
+
+// mayLead returns the instances that may lead, each once.
+func (r *Router) mayLead() []model.InstanceID {
+	r.mu.Lock()
+	ids := slices.Clone(r.learned)
+	r.mu.Unlock()
+	for _, id := range r.members() {
+		if !slices.Contains(ids, id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // known returns the likely leader and the relay to use, if any.
 func (r *Router) known() (leader, relay model.InstanceID) {
 	r.mu.Lock()
--- a/pkg/control/server/fleet_test.go
+++ b/pkg/control/server/fleet_test.go
@@ -172,6 +172,7 @@
 }
 
 func (m *member) AddLearner(context.Context, replica.Member) error              { return nil }
+func (m *member) Promote(context.Context, replica.Member) error                 { return nil }
 func (m *member) Replace(context.Context, replica.Member, replica.Member) error { return nil }
 func (m *member) Remove(context.Context, replica.Member) error                  { return nil }
 
--- a/pkg/control/server/limits.go
+++ b/pkg/control/server/limits.go
@@ -19,6 +19,7 @@
 		return
 	}
 	n.list = list
+	n.catalog.Update(list.Targets)
 	n.setLimits()
 }
 
--- a/pkg/control/server/module.go
+++ b/pkg/control/server/module.go
@@ -62,6 +62,7 @@
 	return radishturn.ModuleInfo{
 		ID:    control.ModuleName,
 		After: []radishturn.ModuleID{mesh.ModuleName, platform.ModuleName, state.ModuleName, "control.replica"},
+		Roles: settings.AllRoles,
 		New:   func() radishturn.Module { return &Server{} },
 	}
 }
@@ -94,6 +95,9 @@
 	if err := radishturn.Provide[control.Leader](c, s); err != nil {
 		return err
 	}
+	if err := radishturn.Provide[control.Routing](c, s); err != nil {
+		return err
+	}
 	return radishturn.Provide(c, s.router)
 }
 
@@ -131,6 +135,10 @@
 	mesh.Handle(s.mesh, wire.KindMembers, onLeader(s, (*session).members))
 	mesh.Handle(s.mesh, wire.KindAdd, onLeader(s, (*session).addMember))
 	mesh.Handle(s.mesh, wire.KindReplace, onLeader(s, (*session).replaceMember))
+	mesh.Handle(s.mesh, wire.KindPutTable, onLeader(s, (*session).putTable))
+	mesh.Handle(s.mesh, wire.KindTable, onLeader(s, (*session).table))
+	mesh.Handle(s.mesh, wire.KindEvacuate, onLeader(s, (*session).evacuate))
+	mesh.Handle(s.mesh, wire.KindOffer, onLeader(s, (*session).offered))
 	mesh.Handle(s.mesh, wire.KindRemove, onLeader(s, (*session).removeMember))
 }
 
@@ -178,6 +186,11 @@
 // Run takes office when this instance is elected and keeps the leases until
 // ctx is done.
 func (s *Server) Run(ctx context.Context) error {
+	if s.keepsMembers() {
+		var offers sync.WaitGroup
+		offers.Go(func() { s.offerLoop(ctx) })
+		defer offers.Wait()
+	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
--- a/pkg/control/server/session.go
+++ b/pkg/control/server/session.go
@@ -4,8 +4,10 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/control/wire"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/failure"
@@ -15,6 +17,7 @@
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/platform"
 	"radishturn.example/radishturn/pkg/state"
+	"radishturn.example/radishturn/pkg/steward"
 )
 
 // session is one term of this instance as leader.
@@ -34,10 +37,17 @@
 	// list is the platform's list that the limits were taken from.
 	list    *platform.List
 	batches *batcher
+	// offers are what instances with a disk told; changing is set while the
+	// membership changes.
+	offers   map[model.InstanceID]steward.Offer
+	changing atomic.Bool
+	// catalog is the list of targets that entries follow.
+	catalog *catalog.Catalog
 }
 
 func newSession(s *Server, term uint64) *session {
-	n := &session{Server: s, term: term, started: s.now(), warmth: grant.NewWarmth()}
+	n := &session{Server: s, term: term, started: s.now(), warmth: grant.NewWarmth(), catalog: catalog.New(term),
+		offers: make(map[model.InstanceID]steward.Offer)}
 	var known []table.Known
 	s.machine.Read(func(st *state.State) {
 		n.clock = st.Clock()
@@ -88,9 +98,30 @@
 	}
 	renewalsServed.Inc()
 	n.machine.Read(func(s *state.State) { reply.Delta = s.Delta(r.Version) })
+	n.addCatalog(r, reply)
+	reply.Voters = n.voters()
 	return reply, nil
 }
 
+// addCatalog adds what changed in the list of targets. Holders that read the
+// platform's list themselves take no notice of it.
+func (n *session) addCatalog(r *wire.Renewal, reply *wire.RenewalReply) {
+	if !n.settings.Instance.NamedByAddress {
+		return
+	}
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	reply.Catalog = n.catalog.Since(r.Catalog)
+}
+
+func (n *session) voters() []model.InstanceID {
+	var ids []model.InstanceID
+	for _, m := range n.proposer.Status().Voters {
+		ids = append(ids, m.Instance)
+	}
+	return ids
+}
+
 // register records an instance in the replicated state before its first lease,
 // so that a later leader knows that the lease may exist.
 func (n *session) register(ctx context.Context, i model.Instance) error {
@@ -129,6 +160,7 @@
 	gone := n.unlisted(n.granter.Released())
 	n.lock.Unlock()
 	n.refreshLimits()
+	n.keepMembers(ctx)
 	if len(gone) > 0 {
 		n.forget(ctx, gone)
 	}
--- /dev/null
+++ b/pkg/control/server/table.go
@@ -0,0 +1,74 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"radishturn.example/radishturn/pkg/control"
+	"radishturn.example/radishturn/pkg/control/route"
+	"radishturn.example/radishturn/pkg/control/wire"
+	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/routing"
+	"radishturn.example/radishturn/pkg/state"
+)
+
+var _ control.Routing = (*Server)(nil)
+
+// PutTable replaces the routing table if its version is higher. It returns the
+// version in force afterwards.
+func (s *Server) PutTable(ctx context.Context, t *routing.Table) (uint64, error) {
+	if err := t.Check(); err != nil {
+		return 0, failure.New(failure.BadRequest, failure.NotRun, "check routing table", "", "%w", err)
+	}
+	reply, err := route.Call[state.PutTable, wire.TableVersion](ctx, s.router, wire.KindPutTable, &state.PutTable{Table: *t})
+	if err != nil {
+		return 0, err
+	}
+	return reply.Version, nil
+}
+
+// Table returns the newest accepted table, or nil before the first one.
+func (s *Server) Table(ctx context.Context) (*routing.Table, error) {
+	reply, err := route.Call[wire.Empty, wire.TableReply](ctx, s.router, wire.KindTable, &wire.Empty{})
+	if err != nil {
+		return nil, err
+	}
+	return reply.Table, nil
+}
+
+// Evacuate begins or ends the evacuation of an availability zone.
+func (s *Server) Evacuate(ctx context.Context, zone model.AvailabilityZoneID, end bool) error {
+	_, err := route.Call[state.Evacuate, wire.Empty](ctx, s.router, wire.KindEvacuate, &state.Evacuate{AvailabilityZone: zone, End: end})
+	return err
+}
+
+func (n *session) putTable(ctx context.Context, p *state.PutTable) (*wire.TableVersion, error) {
+	started := time.Now()
+	result, err := n.propose(ctx, "put routing table", &state.Command{PutTable: p})
+	if err != nil {
+		return nil, err
+	}
+	events.Emit(events.TableAccepted, p.Table.Version, result.TableVersion, len(p.Table.Routes), time.Since(started).Milliseconds())
+	return &wire.TableVersion{Version: result.TableVersion}, nil
+}
+
+// table reads the table behind a barrier: the answer is no older than any
+// change that was acknowledged before the question, whoever leads by now.
+func (n *session) table(ctx context.Context, _ *wire.Empty) (*wire.TableReply, error) {
+	if _, err := n.propose(ctx, "confirm leadership", &state.Command{}); err != nil {
+		return nil, err
+	}
+	reply := &wire.TableReply{}
+	n.machine.Read(func(s *state.State) { reply.Table = s.Table() })
+	return reply, nil
+}
+
+func (n *session) evacuate(ctx context.Context, e *state.Evacuate) (*wire.Empty, error) {
+	if _, err := n.propose(ctx, "evacuate", &state.Command{Evacuate: e}); err != nil {
+		return nil, err
+	}
+	events.Emit(events.ZoneEvacuation, e.AvailabilityZone, !e.End)
+	return &wire.Empty{}, nil
+}
--- a/pkg/control/wire/wire.go
+++ b/pkg/control/wire/wire.go
@@ -5,12 +5,14 @@
 import (
 	"time"
 
+	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/control"
 	"radishturn.example/radishturn/pkg/grant"
 	"radishturn.example/radishturn/pkg/mesh"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/move"
 	"radishturn.example/radishturn/pkg/replica"
+	"radishturn.example/radishturn/pkg/routing"
 	"radishturn.example/radishturn/pkg/state"
 	"radishturn.example/radishturn/pkg/view"
 )
@@ -34,6 +36,14 @@
 	KindRemove      mesh.Kind = "admin.remove-member"
 )
 
+// Kinds for routing tables and for members that join by themselves.
+const (
+	KindPutTable mesh.Kind = "table.put"
+	KindTable    mesh.Kind = "table.get"
+	KindEvacuate mesh.Kind = "zone.evacuate"
+	KindOffer    mesh.Kind = "member.offer"
+)
+
 // Kinds that every instance serves.
 const (
 	// KindRelay passes a request on to the leader.
@@ -49,6 +59,7 @@
 	KindRenew: true, KindReturn: true, KindOrders: true, KindApply: true, KindRules: true,
 	KindHistory: true, KindInForce: true, KindMoves: true, KindQuarantined: true, KindLift: true,
 	KindInstances: true, KindMembers: true, KindAdd: true, KindReplace: true, KindRemove: true,
+	KindPutTable: true, KindTable: true, KindEvacuate: true, KindOffer: true,
 }
 
 // Relay is a request to the leader that goes through another instance.
@@ -87,6 +98,8 @@
 	Answered uint64 `cbor:"12,keyasint,omitempty"`
 	// Void is set if the holder has no grants and starts anew.
 	Void bool `cbor:"13,keyasint,omitempty"`
+	// Catalog is how far the holder has followed the leader's list of targets.
+	Catalog catalog.Position `cbor:"14,keyasint"`
 }
 
 // RenewalReply grants the lease for the duration in the settings, counted from
@@ -105,6 +118,10 @@
 	// Challenge is set when no lease was granted: the renewal may be a delayed
 	// one. The next renewal in the given session starts anew.
 	Challenge bool `cbor:"7,keyasint,omitempty"`
+	// Catalog is what changed in the leader's list of targets.
+	Catalog *catalog.Delta `cbor:"8,keyasint,omitempty"`
+	// Voters are the control members, so that holders find a later leader.
+	Voters []model.InstanceID `cbor:"9,keyasint,omitempty"`
 }
 
 // Return hands a lease back.
@@ -187,3 +204,25 @@
 type Remove struct {
 	Member replica.Member `cbor:"1,keyasint"`
 }
+
+// TableVersion is the version of the routing table in force.
+type TableVersion struct {
+	Version uint64 `cbor:"1,keyasint"`
+}
+
+// TableReply holds the newest routing table; nil before the first one.
+type TableReply struct {
+	Table *routing.Table `cbor:"1,keyasint,omitempty"`
+}
+
+// Offer tells the leader that an instance with a disk can be a member.
+type Offer struct {
+	Member replica.Member `cbor:"1,keyasint"`
+	// Leaving is set while the instance stops.
+	Leaving bool `cbor:"2,keyasint,omitempty"`
+}
+
+// OfferReply names the control members.
+type OfferReply struct {
+	Voters []model.InstanceID `cbor:"1,keyasint,omitempty"`
+}
--- /dev/null
+++ b/pkg/dispatch/engine.go
@@ -0,0 +1,159 @@
+// Package dispatch passes callers' requests to targets: to one target of a
+// service, or to one target of each shard of a query. It chooses targets,
+// hedges and repeats within the retry budget, and says truly how it ended.
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/exchange"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/retry"
+	"radishturn.example/radishturn/pkg/routing"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+// Options configure an Engine.
+type Options struct {
+	AvailabilityZone model.AvailabilityZoneID
+	Views            view.Source
+	Codec            exchange.Codec
+	// Extra bounds hedges and repeats over the fleet, for each service.
+	Extra retry.Bound
+}
+
+// Engine passes requests on.
+type Engine struct {
+	opts   Options
+	origin time.Time
+	book   *book
+
+	mu      sync.Mutex
+	stats   map[string]*routeStats
+	budgets map[model.ServiceID]*retry.Budget
+	turns   map[string]*turn
+}
+
+// budgetSafety is the part of the retry budget that the instances share out.
+const budgetSafety = 0.85
+
+// New returns an Engine.
+func New(o Options) *Engine {
+	return &Engine{
+		opts: o, origin: time.Now(), book: newBook(o.Codec, o.AvailabilityZone),
+		stats:   make(map[string]*routeStats),
+		budgets: make(map[model.ServiceID]*retry.Budget),
+		turns:   make(map[string]*turn),
+	}
+}
+
+// Call is a caller's request with what is known of its way here.
+type Call struct {
+	Request *exchange.Request
+	Route   *routing.Route
+	// Arrived is when the request was read.
+	Arrived time.Time
+	// Timeout is how long the caller waits, from Arrived.
+	Timeout time.Duration
+	// Elapsed is the estimated time that the caller waited before Arrived.
+	Elapsed time.Duration
+
+	page  *page
+	stats *routeStats
+}
+
+// Table returns the routing table in force, or nil if this instance cannot
+// serve yet.
+func (e *Engine) Table() *routing.Index {
+	p := e.page()
+	if !p.serves() {
+		return nil
+	}
+	return p.table()
+}
+
+func (e *Engine) page() *page { return e.book.at(e.opts.Views.View()) }
+
+// now returns the time on the monotonic clock.
+func (e *Engine) now() time.Duration { return time.Since(e.origin) }
+
+// prepare fills in what the call works with.
+func (e *Engine) prepare(c *Call) {
+	c.page = e.page()
+	key := c.Route.Host + c.Route.Prefix
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c.stats = e.stats[key]
+	if c.stats == nil {
+		c.stats = newRouteStats(c.Route.Objective)
+		e.stats[key] = c.stats
+	}
+}
+
+func (e *Engine) bound() retry.Bound {
+	return e.opts.Extra.Share(len(e.opts.Views.View().Instances), budgetSafety)
+}
+
+func (e *Engine) budget(s model.ServiceID) *retry.Budget {
+	b := e.budgets[s]
+	if b == nil {
+		b = &retry.Budget{}
+		e.budgets[s] = b
+	}
+	return b
+}
+
+// noteFirst counts the first requests to services.
+func (e *Engine) noteFirst(services ...model.ServiceID) {
+	bound, now := e.bound(), e.now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range services {
+		e.budget(s).Note(now, bound)
+	}
+}
+
+// takeExtra reports whether a service may get an extra request, and counts it.
+func (e *Engine) takeExtra(s model.ServiceID) bool {
+	bound, now := e.bound(), e.now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.budget(s).Take(now, bound)
+}
+
+// Run opens connections ahead of use until ctx is done, and follows the view
+// while no requests come.
+func (e *Engine) Run(ctx context.Context) error {
+	ticker := time.NewTicker(warmPause)
+	defer ticker.Stop()
+	idle := time.NewTicker(followInterval)
+	defer idle.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-idle.C:
+			e.page()
+		case <-ticker.C:
+			e.warmOne()
+		}
+	}
+}
+
+// followInterval is how often the view is looked at without a request.
+const followInterval = 200 * time.Millisecond
+
+func (e *Engine) warmOne() {
+	select {
+	case t := <-e.book.warm:
+		go func() {
+			if err := t.pool.Warm(); err != nil {
+				events.Emit(events.TargetUnreached, t.ID, err)
+			}
+		}()
+	default:
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/fanout.go
@@ -0,0 +1,285 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/gather"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/pool"
+)
+
+const (
+	// answerMargin is the time between the decision to answer and the caller's
+	// receipt of it, the way back included.
+	answerMargin = 8 * time.Millisecond
+	// deadlineMargin is the same for the end of the caller's patience.
+	deadlineMargin = 40 * time.Millisecond
+	// partSlack is how long after the end of the objective a target may still
+	// work on its part. It then gives up by itself, which spares the connection.
+	partSlack = 60 * time.Millisecond
+	// minPartShare is the least time that a target is given, as a share of the
+	// objective.
+	minPartShare = 0.12
+	// lingerTime is how long an abandoned request may go on before its
+	// connection is closed.
+	lingerTime = 400 * time.Millisecond
+	// callerGoneLinger is the same after the caller has left.
+	callerGoneLinger = 250 * time.Millisecond
+	// unreachableRetryAfter is what callers are told while too few shards have a
+	// target; a target that restarts is back in about that time.
+	unreachableRetryAfter = 400 * time.Millisecond
+)
+
+// sentPart is one request in flight.
+type sentPart struct {
+	shard   int
+	target  *target
+	attempt *pool.Attempt
+	ended   bool
+	// result is set before the part is delivered.
+	result pool.Result
+}
+
+// query is one call over many shards in progress.
+type query struct {
+	engine  *Engine
+	call    *Call
+	run     *gather.Run
+	plan    gather.Plan
+	top     *gather.Top
+	answer  Answer
+	sent    []*sentPart
+	results chan *sentPart
+	trace   Trace
+	// used has the targets that a shard's request was sent to.
+	used [][]*target
+}
+
+// Query passes a call to one target of each shard and merges the parts.
+func (e *Engine) Query(ctx context.Context, c *Call) Outcome {
+	e.prepare(c)
+	q := e.newQuery(c)
+	if err := q.checkReach(); err != nil {
+		return Outcome{Err: err, Trace: q.trace}
+	}
+	e.noteFirst(c.Route.Fanout.Shards...)
+	return q.loop(ctx)
+}
+
+func (e *Engine) newQuery(c *Call) *query {
+	f := c.Route.Fanout
+	began := e.now() - time.Since(c.Arrived)
+	timeout := min(c.Timeout, c.Route.Timeout)
+	plan := gather.Plan{
+		Deadline:   began + timeout - deadlineMargin,
+		Usual:      c.stats.usual(),
+		Required:   f.ShardsRequired(),
+		MaxTargets: c.Route.MaxAttempts,
+	}
+	plan.End = plan.Deadline
+	if c.Route.Objective > 0 {
+		plan.End = min(plan.Deadline, began+c.Route.Objective-c.Elapsed-answerMargin)
+	}
+	return &query{
+		engine: e, call: c, plan: plan,
+		run:     gather.New(plan, len(f.Shards)),
+		top:     gather.NewTop(f.Limit),
+		results: make(chan *sentPart, len(f.Shards)*gather.MaxSends),
+		used:    make([][]*target, len(f.Shards)),
+		trace:   Trace{TableVersion: c.page.table().Table.Version, Usual: plan.Usual},
+	}
+}
+
+// checkReach refuses a query before anything is sent if too few shards have a
+// target.
+func (q *query) checkReach() *failure.Error {
+	now, reachable := q.engine.now(), 0
+	for _, s := range q.call.Route.Fanout.Shards {
+		if q.call.page.reachable(s, now) {
+			reachable++
+		} else {
+			q.trace.Late = append(q.trace.Late, string(s))
+		}
+	}
+	if reachable >= q.plan.Required {
+		return nil
+	}
+	return refuse(failure.NoTarget, failure.NotRun, "find targets", "", unreachableRetryAfter,
+		"%d of %d shards have a target, %d are needed", reachable, len(q.call.Route.Fanout.Shards), q.plan.Required)
+}
+
+func (q *query) loop(ctx context.Context) Outcome {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		now := q.engine.now()
+		q.sendDue(now)
+		switch q.run.Verdict(now) {
+		case gather.Answer:
+			return q.finish()
+		case gather.TimedOut:
+			return q.fail(lingerTime, failure.DeadlineExceeded, "gather parts")
+		case gather.Unreachable:
+			return q.fail(lingerTime, failure.NoTarget, "gather parts")
+		}
+		timer.Reset(max(0, q.run.Next(now)-now))
+		select {
+		case <-ctx.Done():
+			return q.fail(callerGoneLinger, failure.Draining, "wait for the caller")
+		case r := <-q.results:
+			q.take(r)
+			q.takeWaiting()
+		case <-timer.C:
+		}
+	}
+}
+
+// takeWaiting takes in all results that are there, so that one look serves all.
+func (q *query) takeWaiting() {
+	for {
+		select {
+		case r := <-q.results:
+			q.take(r)
+		default:
+			return
+		}
+	}
+}
+
+// sendDue sends the requests that are due.
+func (q *query) sendDue(now time.Duration) {
+	for _, i := range q.run.Due(now) {
+		q.send(i, now)
+	}
+}
+
+func (q *query) send(i int, now time.Duration) {
+	service := q.call.Route.Fanout.Shards[i]
+	t := q.choose(i, service, now)
+	if t == nil {
+		q.run.Unsent(i, now, q.call.page.reachable(service, now))
+		return
+	}
+	if len(q.used[i]) > 0 && !q.engine.takeExtra(service) {
+		q.trace.Denied++
+		q.run.Unsent(i, now, true)
+		return
+	}
+	sent := &sentPart{shard: i, target: t}
+	attempt, ok := t.send(q.engine, q.call, q.partTimeout(now), func(r pool.Result, _ time.Duration) {
+		sent.result = r
+		q.results <- sent
+	})
+	if !ok {
+		q.run.Unsent(i, now, true)
+		return
+	}
+	sent.attempt = attempt
+	q.note(i, t, sent)
+	q.run.Sent(i, now)
+}
+
+func (q *query) note(i int, t *target, sent *sentPart) {
+	q.trace.Sent++
+	if len(q.used[i]) > 0 {
+		q.trace.Hedged++
+	}
+	q.used[i] = append(q.used[i], t)
+	q.sent = append(q.sent, sent)
+}
+
+// choose returns the target for the next request to a shard: one that was not
+// asked yet, or else one that no longer works on an earlier request.
+func (q *query) choose(i int, service model.ServiceID, now time.Duration) *target {
+	asked := func(t *target) bool {
+		for _, u := range q.used[i] {
+			if u.ID == t.ID {
+				return true
+			}
+		}
+		return false
+	}
+	distinct := len(q.used[i])
+	if distinct < max(1, q.call.Route.MaxAttempts) {
+		if t := q.engine.book.choose(q.call.page, service, now, asked); t != nil {
+			return t
+		}
+	}
+	if distinct == 0 || q.inFlight(i) {
+		return nil
+	}
+	return q.engine.book.choose(q.call.page, service, now, func(t *target) bool { return !asked(t) })
+}
+
+func (q *query) inFlight(i int) bool {
+	for _, s := range q.sent {
+		if s.shard == i && !s.ended {
+			return true
+		}
+	}
+	return false
+}
+
+// partTimeout is how long a target may work on its part.
+func (q *query) partTimeout(now time.Duration) time.Duration {
+	left := q.plan.Deadline + deadlineMargin/2 - now
+	if now >= q.plan.End {
+		return left
+	}
+	least := time.Duration(minPartShare * float64(q.call.Route.Objective))
+	return min(left, max(q.plan.End-now+partSlack, least))
+}
+
+func (q *query) take(r *sentPart) {
+	r.ended = true
+	reply := r.result.Reply
+	switch {
+	case reply != nil && reply.OK() && reply.ID == q.call.Request.ID:
+		if q.run.Part(r.shard) {
+			q.answer.Signatures = append(q.answer.Signatures, reply.Signature)
+			q.top.Add(reply.Body)
+		}
+	case reply != nil:
+		q.run.Failed(r.shard, !reply.NotRun && !reply.WrongTarget)
+	default:
+		q.run.Failed(r.shard, !isNotSent(r.result.Err))
+	}
+}
+
+func (q *query) finish() Outcome {
+	q.abandon(lingerTime)
+	q.answer.Missing = len(q.call.Route.Fanout.Shards) - q.run.Parts()
+	q.answer.Records = q.top.Bytes()
+	q.noteLate()
+	return Outcome{Answer: &q.answer, Trace: q.trace}
+}
+
+func (q *query) fail(linger time.Duration, code failure.Code, step string) Outcome {
+	q.abandon(linger)
+	q.noteLate()
+	err := failure.New(code, failure.Unknown, step, "", "%d of %d parts came, %d are needed",
+		q.run.Parts(), len(q.call.Route.Fanout.Shards), q.plan.Required)
+	return Outcome{Err: err, Trace: q.trace}
+}
+
+// maxLateNames bounds the names in a trace.
+const maxLateNames = 4
+
+func (q *query) noteLate() {
+	for i, s := range q.call.Route.Fanout.Shards {
+		if !q.run.Done(i) && len(q.trace.Late) < maxLateNames {
+			q.trace.Late = append(q.trace.Late, string(s))
+		}
+	}
+}
+
+// abandon gives up what is still in flight.
+func (q *query) abandon(linger time.Duration) {
+	for _, s := range q.sent {
+		if !s.ended {
+			s.attempt.Abandon(linger)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/health.go
@@ -0,0 +1,147 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// slownessWeight is the weight of one reply in the mean slowness.
+	slownessWeight = 0.15
+	// failureWeight is the weight of one reply in the failure rate.
+	failureWeight = 0.15
+	// memory is the time after which old evidence has lost most of its weight,
+	// so that a target that has recovered is tried again.
+	memory = 4 * time.Second
+	// overdueFactor is how many times the usual latency an unanswered request
+	// may take before it counts against the target.
+	overdueFactor = 1.8
+	// failureCost is what a certain failure costs, in usual latencies.
+	failureCost = 6
+	// firstEjection and longestEjection bound the time for which a target that
+	// cannot be reached gets nothing.
+	firstEjection   = 150 * time.Millisecond
+	longestEjection = 2 * time.Second
+	// shedPause is how long a target that sheds gets nothing if others are there.
+	shedPause = 60 * time.Millisecond
+	// maxSlowness bounds the evidence of one slow reply.
+	maxSlowness = 30
+)
+
+// health is what this instance has seen of one target. It is pure; times are on
+// the monotonic clock.
+type health struct {
+	// slowness is the mean latency in multiples of the usual one.
+	slowness float64
+	failures float64
+	seen     time.Duration
+	// pending are the times at which unanswered requests were sent, with the
+	// usual latency of their route.
+	pending []pendingRequest
+	// unreachable counts failures to connect in a row.
+	unreachable  int
+	ejectedUntil time.Duration
+	shedUntil    time.Duration
+	// queued is what the target last told of its work, beside ours.
+	queued      int
+	queuedUntil time.Duration
+	slots       int
+}
+
+type pendingRequest struct {
+	sent, usual time.Duration
+}
+
+// loadMemory is how long a target's statement of its load counts.
+const loadMemory = 200 * time.Millisecond
+
+// age moves the evidence towards that of a healthy target.
+func (h *health) age(now time.Duration) {
+	if now <= h.seen {
+		return
+	}
+	if h.slowness == 0 {
+		h.slowness = 1
+	}
+	keep := math.Exp(-float64(now-h.seen) / float64(memory))
+	h.slowness = 1 + (h.slowness-1)*keep
+	h.failures *= keep
+	h.seen = now
+}
+
+func (h *health) begin(now, usual time.Duration) {
+	h.pending = append(h.pending, pendingRequest{sent: now, usual: usual})
+}
+
+func (h *health) end(sent time.Duration) {
+	if i := slices.IndexFunc(h.pending, func(p pendingRequest) bool { return p.sent == sent }); i >= 0 {
+		h.pending = slices.Delete(h.pending, i, i+1)
+	}
+}
+
+// replied takes in a reply that came after latency.
+func (h *health) replied(now, latency, usual time.Duration, failed bool) {
+	h.age(now)
+	h.unreachable, h.ejectedUntil = 0, 0
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	}
+	h.failures += failureWeight * (outcome - h.failures)
+	if failed || usual <= 0 {
+		return
+	}
+	ratio := min(float64(latency)/float64(usual), maxSlowness)
+	h.slowness += slownessWeight * (ratio - h.slowness)
+}
+
+// broke takes in a connection that ended during a request.
+func (h *health) broke(now time.Duration) {
+	h.age(now)
+	h.failures += failureWeight * (1 - h.failures)
+}
+
+// unreached takes in a failure to connect.
+func (h *health) unreached(now time.Duration) {
+	h.age(now)
+	pause := min(firstEjection<<min(h.unreachable, 6), longestEjection)
+	h.unreachable++
+	h.ejectedUntil = now + pause
+}
+
+func (h *health) shed(now time.Duration) { h.shedUntil = now + shedPause }
+
+func (h *health) told(now time.Duration, running, waiting, slots int) {
+	h.slots = slots
+	h.queued = max(0, running+waiting-1)
+	h.queuedUntil = now + loadMemory
+}
+
+func (h *health) ejected(now time.Duration) bool { return now < h.ejectedUntil }
+
+// cost is the expected time of another request, in usual latencies. Unanswered
+// requests count as soon as they are overdue: a target that stands still holds
+// up all that it has.
+func (h *health) cost(now time.Duration) float64 {
+	h.age(now)
+	slow := max(h.slowness, 0.5)
+	for _, p := range h.pending {
+		if p.usual > 0 && now-p.sent > time.Duration(overdueFactor*float64(p.usual)) {
+			slow = max(slow, float64(now-p.sent)/float64(p.usual))
+		}
+	}
+	busy := len(h.pending)
+	if now < h.queuedUntil {
+		busy = max(busy, h.queued)
+	}
+	slots := max(h.slots, 1)
+	if wait := busy + 1 - slots; wait > 0 {
+		slow *= 1 + float64(wait)/float64(slots)
+	}
+	cost := slow + failureCost*h.failures
+	if now < h.shedUntil {
+		cost += failureCost
+	}
+	return cost
+}
--- /dev/null
+++ b/pkg/dispatch/module.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+
+	"radishturn.example/radishturn"
+	"radishturn.example/radishturn/pkg/exchange"
+	"radishturn.example/radishturn/pkg/lease"
+	"radishturn.example/radishturn/pkg/retry"
+	"radishturn.example/radishturn/pkg/settings"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+// ModuleName is the ID of the module.
+const ModuleName radishturn.ModuleID = "dispatch"
+
+// Module runs the Engine of an entry.
+type Module struct{ engine *Engine }
+
+func init() { radishturn.RegisterModule(&Module{}) }
+
+// ModuleInfo returns the module's description.
+func (*Module) ModuleInfo() radishturn.ModuleInfo {
+	return radishturn.ModuleInfo{
+		ID:    ModuleName,
+		After: []radishturn.ModuleID{lease.ModuleName},
+		Roles: []settings.Role{settings.RoleEntry},
+		New:   func() radishturn.Module { return &Module{} },
+	}
+}
+
+// Provision offers the Engine.
+func (m *Module) Provision(c *radishturn.Context) error {
+	var (
+		views view.Source
+		codec exchange.Codec
+	)
+	if err := errors.Join(radishturn.Fetch(c, &views), radishturn.Fetch(c, &codec)); err != nil {
+		return err
+	}
+	b := c.Settings.RetryBudget
+	m.engine = New(Options{
+		AvailabilityZone: c.Settings.Instance.AvailabilityZone, Views: views, Codec: codec,
+		Extra: retry.Bound{Window: b.Window.Std(), Ratio: b.Ratio, Slack: b.Slack},
+	})
+	return radishturn.Provide(c, m.engine)
+}
+
+// Run follows the view until ctx is done.
+func (m *Module) Run(ctx context.Context) error { return m.engine.Run(ctx) }
--- /dev/null
+++ b/pkg/dispatch/outcome.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import (
+	"time"
+
+	"radishturn.example/radishturn/pkg/exchange"
+	"radishturn.example/radishturn/pkg/failure"
+)
+
+// Outcome is how a call ended. Exactly one of Reply, Answer and Err is set.
+type Outcome struct {
+	// Reply is a target's reply, to be passed on unchanged.
+	Reply *exchange.Reply
+	// Answer is the merged answer to a query over shards.
+	Answer *Answer
+	Err    *failure.Error
+	Trace  Trace
+}
+
+// Answer is merged from the parts of several shards.
+type Answer struct {
+	// Signatures are those of the parts, one for each shard that is in.
+	Signatures []string
+	// Missing is the number of shards that are left out.
+	Missing int
+	// Records are the greatest records of all parts, greatest first.
+	Records []byte
+}
+
+// Trace is what the log tells of a call.
+type Trace struct {
+	// Sent counts requests to targets; Hedged and Repeated those beyond the
+	// first to each shard.
+	Sent, Hedged, Repeated int
+	// Denied counts extra requests that the retry budget did not allow.
+	Denied int
+	// TableVersion is the version of the routing table that was used.
+	TableVersion uint64
+	// Late names shards or targets that did not answer in time.
+	Late []string
+	// Usual is the usual latency of the route's requests to targets.
+	Usual time.Duration
+}
+
+func refuse(code failure.Code, ran failure.Ran, step, peer string, retryAfter time.Duration, format string, args ...any) *failure.Error {
+	e := failure.New(code, ran, step, peer, format, args...)
+	e.RetryAfter = retryAfter
+	return e
+}
--- /dev/null
+++ b/pkg/dispatch/single.go
@@ -0,0 +1,274 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"radishturn.example/radishturn/pkg/exchange"
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/pool"
+)
+
+const (
+	// maxSingleSends bounds the requests for one call to a service.
+	maxSingleSends = 4
+	// connectionWait is how long a call waits for a target with a free
+	// connection before it is refused.
+	connectionWait = 60 * time.Millisecond
+	// connectionPoll is how often it looks.
+	connectionPoll = 5 * time.Millisecond
+	// singleHedgeFactor is after how many usual latencies an idempotent request
+	// is sent to a second target.
+	singleHedgeFactor = 2.5
+	// refusedRetryAfter is what callers are told when no target takes the request.
+	refusedRetryAfter = 150 * time.Millisecond
+)
+
+func isNotSent(err error) bool { return errors.Is(err, pool.ErrNotSent) }
+
+// single is one call to one service in progress.
+type single struct {
+	engine   *Engine
+	call     *Call
+	service  model.ServiceID
+	deadline time.Duration
+	results  chan *sentPart
+	inFlight []*sentPart
+	used     map[model.TargetID]bool
+	// ran is set once a target may have run the request.
+	ran bool
+	// fallback is a target's failure, to be passed on if nothing better comes.
+	fallback *exchange.Reply
+	lastErr  error
+	lastSent time.Duration
+	trace    Trace
+}
+
+// Do passes a call to one target of the route's service.
+func (e *Engine) Do(ctx context.Context, c *Call) Outcome {
+	e.prepare(c)
+	service := e.pick(c)
+	timeout := min(c.Timeout, c.Route.Timeout)
+	s := &single{
+		engine: e, call: c, service: service,
+		deadline: e.now() - time.Since(c.Arrived) + timeout - deadlineMargin,
+		results:  make(chan *sentPart, maxSingleSends),
+		used:     make(map[model.TargetID]bool),
+		trace:    Trace{TableVersion: c.page.table().Table.Version, Usual: c.stats.usual()},
+	}
+	if !c.page.reachable(service, e.now()) {
+		return s.refuse("find target", "no target of %s can be reached", service)
+	}
+	e.noteFirst(service)
+	return s.loop(ctx)
+}
+
+// pick chooses the service of a route that is split.
+func (e *Engine) pick(c *Call) model.ServiceID {
+	if len(c.Route.Split) == 1 {
+		return c.Route.Split[0].Service
+	}
+	key := c.Route.Host + c.Route.Prefix
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	t := e.turns[key]
+	if t == nil {
+		t = &turn{}
+		e.turns[key] = t
+	}
+	return c.Route.Split[t.pick(c.page.table().Table.Version, c.Route.Split)].Service
+}
+
+func (s *single) loop(ctx context.Context) Outcome {
+	if out, ok := s.first(ctx); !ok {
+		return out
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		now := s.engine.now()
+		if now >= s.deadline {
+			return s.timedOut()
+		}
+		timer.Reset(max(0, s.next(now)-now))
+		select {
+		case <-ctx.Done():
+			s.abandon(0)
+			return Outcome{Err: failure.New(failure.Draining, s.notRun(), "wait for the caller", "", "the caller has left"), Trace: s.trace}
+		case r := <-s.results:
+			if out, done := s.take(r); done {
+				s.abandon(0)
+				return out
+			}
+		case <-timer.C:
+			s.hedge()
+		}
+	}
+}
+
+// first sends the first request; it waits a moment for a free connection.
+func (s *single) first(ctx context.Context) (Outcome, bool) {
+	until := min(s.engine.now()+connectionWait, s.deadline)
+	for !s.send() {
+		if s.engine.now() >= until {
+			return s.refuse("find connection", "no target of %s has a free connection", s.service), false
+		}
+		select {
+		case <-ctx.Done():
+			return s.refuse("find connection", "the caller has left"), false
+		case <-time.After(connectionPoll):
+		}
+	}
+	return Outcome{}, true
+}
+
+// send sends the request to the best target that was not asked yet.
+func (s *single) send() bool {
+	now := s.engine.now()
+	t := s.engine.book.choose(s.call.page, s.service, now, func(t *target) bool { return s.used[t.ID] })
+	if t == nil {
+		return false
+	}
+	part := &sentPart{target: t}
+	attempt, ok := t.send(s.engine, s.call, s.deadline+deadlineMargin/2-now, func(r pool.Result, _ time.Duration) {
+		part.result = r
+		s.results <- part
+	})
+	if !ok {
+		return false
+	}
+	part.attempt = attempt
+	s.used[t.ID] = true
+	s.inFlight = append(s.inFlight, part)
+	s.lastSent = now
+	s.trace.Sent++
+	return true
+}
+
+// mayRepeat reports whether another request may be sent now.
+func (s *single) mayRepeat(arrived bool) bool {
+	if s.trace.Sent >= maxSingleSends || len(s.used) >= max(1, s.call.Route.MaxAttempts) && s.ran {
+		return false
+	}
+	if s.ran && !s.call.Route.Idempotent {
+		return false
+	}
+	if arrived && !s.engine.takeExtra(s.service) {
+		s.trace.Denied++
+		return false
+	}
+	return true
+}
+
+// next returns when the loop needs a look even if no reply comes.
+func (s *single) next(now time.Duration) time.Duration {
+	if !s.call.Route.Idempotent || len(s.inFlight) != 1 || s.trace.Hedged > 0 {
+		return s.deadline
+	}
+	return min(s.deadline, max(now, s.lastSent+s.hedgeDelay()))
+}
+
+func (s *single) hedgeDelay() time.Duration {
+	delay := time.Duration(singleHedgeFactor * float64(s.trace.Usual))
+	if half := s.call.Route.Objective / 2; half > 0 {
+		delay = min(delay, half)
+	}
+	return max(delay, connectionWait)
+}
+
+func (s *single) hedge() {
+	if !s.call.Route.Idempotent || s.trace.Hedged > 0 || len(s.inFlight) == 0 {
+		return
+	}
+	s.trace.Hedged++
+	if len(s.used) < s.call.Route.MaxAttempts && s.mayRepeat(true) {
+		s.send()
+	}
+}
+
+// take decides on a result. It reports whether the call has ended.
+func (s *single) take(r *sentPart) (Outcome, bool) {
+	s.drop(r)
+	reply, err := r.result.Reply, r.result.Err
+	switch {
+	case reply != nil && reply.OK() && reply.ID == s.call.Request.ID:
+		return s.pass(reply), true
+	case reply != nil && (reply.NotRun || reply.WrongTarget):
+		s.lastErr = failure.New(failure.TargetShed, failure.NotRun, "send", string(r.target.ID), "status %d, not run", reply.Status)
+	case reply != nil:
+		s.ran = true
+		if reply.Signature != "" && reply.ID == s.call.Request.ID {
+			s.fallback = reply
+		}
+		s.lastErr = failure.New(failure.TargetFailed, failure.DidRun, "send", string(r.target.ID), "status %d", reply.Status)
+		if s.fallback == reply && reply.Status < 500 {
+			return s.pass(reply), true
+		}
+	default:
+		s.ran = s.ran || !isNotSent(err)
+		s.lastErr = err
+	}
+	if len(s.inFlight) > 0 {
+		return Outcome{}, false
+	}
+	s.trace.Repeated++
+	if s.mayRepeat(!isNotSent(err)) && s.send() {
+		return Outcome{}, false
+	}
+	return s.giveUp(), true
+}
+
+func (s *single) drop(part *sentPart) {
+	part.ended = true
+	for i, p := range s.inFlight {
+		if p == part {
+			s.inFlight = append(s.inFlight[:i], s.inFlight[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *single) pass(reply *exchange.Reply) Outcome { return Outcome{Reply: reply, Trace: s.trace} }
+
+// giveUp ends a call that no further request can save.
+func (s *single) giveUp() Outcome {
+	switch {
+	case s.fallback != nil:
+		return s.pass(s.fallback)
+	case !s.ran:
+		return s.refuse("send", "no target took the request: %v", s.lastErr)
+	}
+	return Outcome{Err: failure.New(failure.TargetFailed, failure.Unknown, "send", string(s.service), "%w", s.lastErr), Trace: s.trace}
+}
+
+func (s *single) timedOut() Outcome {
+	s.abandon(0)
+	for _, p := range s.inFlight {
+		s.trace.Late = append(s.trace.Late, string(p.target.ID))
+	}
+	if s.fallback != nil {
+		return s.pass(s.fallback)
+	}
+	return Outcome{Err: failure.New(failure.DeadlineExceeded, failure.Unknown, "wait for target", string(s.service), "no reply in time"), Trace: s.trace}
+}
+
+func (s *single) refuse(step, format string, args ...any) Outcome {
+	return Outcome{Err: refuse(failure.NoTarget, failure.NotRun, step, string(s.service), refusedRetryAfter, format, args...), Trace: s.trace}
+}
+
+func (s *single) notRun() failure.Ran {
+	if s.ran || len(s.inFlight) > 0 {
+		return failure.Unknown
+	}
+	return failure.NotRun
+}
+
+// abandon gives up what is still in flight. A target that still works on it
+// sees its connection close.
+func (s *single) abandon(linger time.Duration) {
+	for _, p := range s.inFlight {
+		p.attempt.Abandon(linger)
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/target.go
@@ -0,0 +1,99 @@
+package dispatch
+
+import (
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"radishturn.example/radishturn/pkg/exchange"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/pool"
+)
+
+// target is a target as it is listed, with the process behind it.
+type target struct {
+	model.Target
+	*process
+}
+
+// process is what this instance knows of a target's process. It outlives
+// changes of the list that concern the same address.
+type process struct {
+	pool *pool.Pool
+
+	mu     sync.Mutex
+	health health
+	// mistaken is set once the process at the address denied to be the target;
+	// only a listing at another address clears it.
+	mistaken bool
+}
+
+// send starts an attempt. It returns false if no connection is to be had. Done
+// is called after the target's health took in the result.
+func (t *target) send(e *Engine, call *Call, timeout time.Duration, done func(pool.Result, time.Duration)) (*pool.Attempt, bool) {
+	sent := e.now()
+	usual := call.stats.usual()
+	a := &pool.Attempt{
+		Request: call.Request,
+		Order:   exchange.Order{Target: t.ID, Timeout: timeout},
+	}
+	a.Done = func(r pool.Result) {
+		now := e.now()
+		t.finished(now, sent, usual, timeout, r)
+		if r.Reply != nil && r.Reply.OK() {
+			call.stats.add(now - sent)
+		}
+		done(r, now-sent)
+	}
+	t.mu.Lock()
+	t.health.begin(sent, usual)
+	t.mu.Unlock()
+	if !t.pool.Start(a) {
+		t.mu.Lock()
+		t.health.end(sent)
+		t.mu.Unlock()
+		return nil, false
+	}
+	return a, true
+}
+
+func (t *target) finished(now, sent, usual, timeout time.Duration, r pool.Result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := &t.health
+	h.end(sent)
+	switch {
+	case errors.Is(r.Err, pool.ErrNotSent):
+		h.unreached(now)
+	case errors.Is(r.Err, pool.ErrAbandoned):
+		// A reply that did not come within its own deadline is one from a target
+		// that stands still.
+		h.replied(now, now-sent, usual, false)
+	case r.Err != nil:
+		h.broke(now)
+	case r.Reply.WrongTarget:
+		t.mistaken = true
+	case r.Reply.NotRun:
+		h.shed(now)
+	case r.Reply.Status == http.StatusGatewayTimeout && now-sent >= timeout:
+		h.replied(now, now-sent, usual, false)
+	default:
+		h.replied(now, now-sent, usual, r.Reply.Status >= http.StatusInternalServerError || !r.Reply.OK())
+	}
+	if r.Reply != nil && r.Reply.Load.Known {
+		l := r.Reply.Load
+		h.told(now, l.Running, l.Waiting, l.Slots)
+	}
+}
+
+// cost returns the expected cost of another request, or false if the target
+// gets none.
+func (t *target) cost(now time.Duration) (float64, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.mistaken || t.Leaving || t.health.ejected(now) {
+		return 0, false
+	}
+	return t.health.cost(now), true
+}
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -18,6 +18,9 @@
 	PlatformListLost  Number = 1101
 	PlatformListFound Number = 1102
 
+	PlatformEntryUnread Number = 1103
+	LinesDropped        Number = 1104
+
 	PeerConnected    Number = 2001
 	PeerDisconnected Number = 2002
 
@@ -35,9 +38,16 @@
 	ReplicaRestored    Number = 3012
 	ReplicaNotInGroup  Number = 3013
 	DataFolderOccupied Number = 3014
+	MemberPromoted     Number = 3015
 	LeaderReady        Number = 3101
 	LeaderNotReady     Number = 3102
 
+	MembershipChanging     Number = 3103
+	MembershipChangeFailed Number = 3104
+	OfferFailed            Number = 3105
+	TableAccepted          Number = 3106
+	ZoneEvacuation         Number = 3107
+
 	LeaseGranted     Number = 4001
 	LeaseControlLost Number = 4003
 	LeaseCutOff      Number = 4004
@@ -59,6 +69,12 @@
 	FingerprintLifted   Number = 5010
 	EntryOverloaded     Number = 5011
 	SnapshotUnavailable Number = 5012
+	TargetListed        Number = 5013
+	TargetUnreached     Number = 5014
+	CallAnswered        Number = 5015
+	CallPartial         Number = 5016
+	CallFailed          Number = 5017
+	CallRefused         Number = 5018
 
 	OrderOutcomeUnknown   Number = 6001
 	OrderClaimUnconfirmed Number = 6002
@@ -89,6 +105,12 @@
 	fail  = log.ErrorLevel
 )
 
+// callFields are what every line on the end of a request tells.
+var callFields = []string{
+	"request", "route", "milliseconds", "status", "missing", "sent", "hedged", "repeated", "denied",
+	"tableVersion", "usualMicroseconds", "late", "error",
+}
+
 // Catalogue lists every event in order of number.
 var Catalogue = []Event{
 	{UnknownEvent, fail, "event without a catalogue entry", []string{"number"}},
@@ -102,6 +124,8 @@
 	{ListenerServing, info, "listener is serving", []string{"listener", "address"}},
 	{PlatformListLost, warn, "platform list cannot be read", []string{"error"}},
 	{PlatformListFound, info, "platform list is read", []string{"sequence", "targets", "instances"}},
+	{PlatformEntryUnread, debug, "entry of the platform list cannot be read", []string{"error"}},
+	{LinesDropped, warn, "log lines dropped", []string{"lines"}},
 
 	{PeerConnected, debug, "peer connected", []string{"peer", "address"}},
 	{PeerDisconnected, debug, "peer disconnected", []string{"peer", "error"}},
@@ -120,8 +144,14 @@
 	{ReplicaRestored, info, "state restored from the data folder", []string{"index", "entries", "milliseconds"}},
 	{ReplicaNotInGroup, warn, "this disk is not a member of the control group", []string{"disk"}},
 	{DataFolderOccupied, fail, "data folder is in use by another process", []string{"folder"}},
+	{MemberPromoted, info, "learner has a vote", []string{"member"}},
 	{LeaderReady, info, "leader has taken office", []string{"term"}},
 	{LeaderNotReady, warn, "leader cannot take office yet", []string{"term", "error"}},
+	{MembershipChanging, info, "control group is about to change", []string{"old", "new", "reason"}},
+	{MembershipChangeFailed, warn, "control group could not be changed", []string{"old", "new", "error"}},
+	{OfferFailed, debug, "leader could not be told that this instance is there", []string{"error"}},
+	{TableAccepted, info, "routing table accepted", []string{"version", "inForce", "routes", "milliseconds"}},
+	{ZoneEvacuation, warn, "evacuation of an availability zone changed", []string{"availabilityZone", "evacuated"}},
 
 	{LeaseGranted, info, "lease granted", []string{"leader", "revision"}},
 	{LeaseControlLost, warn, "control is lost; queries go on, orders are refused", []string{"reached", "known"}},
@@ -144,6 +174,12 @@
 	{FingerprintLifted, info, "quarantine lifted", []string{"fingerprint", "author"}},
 	{EntryOverloaded, warn, "instance sheds queries", []string{"inFlight", "limit"}},
 	{SnapshotUnavailable, warn, "no whole snapshot of the collection", []string{"collection"}},
+	{TargetListed, info, "target is listed", []string{"target", "service", "address", "availabilityZone", "leaving"}},
+	{TargetUnreached, warn, "connection ahead of use failed", []string{"target", "error"}},
+	{CallAnswered, debug, "request answered", callFields},
+	{CallPartial, info, "request answered without some shards", callFields},
+	{CallFailed, warn, "request failed", callFields},
+	{CallRefused, warn, "request refused, not run", callFields},
 
 	{OrderOutcomeUnknown, warn, "outcome of an order is unknown", []string{"request", "error"}},
 	{OrderClaimUnconfirmed, warn, "claim of an order could not be confirmed", []string{"request", "error"}},
--- /dev/null
+++ b/pkg/events/sink.go
@@ -0,0 +1,104 @@
+package events
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// sinkBytes bounds the lines that wait to be written, and how many may come
+	// at once.
+	sinkBytes = 256 << 10
+	// sinkRate bounds the bytes that are written in a second.
+	sinkRate = 64 << 10
+	// sinkInterval is how long lines wait for others to be written with.
+	sinkInterval = 100 * time.Millisecond
+)
+
+var linesDropped = metrics.GetOrCreateCounter("radishturn_log_lines_dropped_total")
+
+// Sink is a writer that never blocks: lines wait in a bounded buffer, and those
+// over the bound are dropped and counted.
+type Sink struct {
+	w     io.Writer
+	write sync.Mutex
+
+	mu      sync.Mutex
+	waiting bytes.Buffer
+	// allowance is how many bytes may be taken in now; it grows by sinkRate.
+	allowance int
+	refilled  time.Time
+	dropped   int
+	wake      chan struct{}
+}
+
+// NewSink returns a Sink that writes to w in the background.
+func NewSink(w io.Writer) *Sink {
+	s := &Sink{w: w, allowance: sinkBytes, refilled: time.Now(), wake: make(chan struct{}, 1)}
+	go s.run()
+	return s
+}
+
+// Write takes in one line, or drops it.
+func (s *Sink) Write(line []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refill(time.Now())
+	if s.waiting.Len()+len(line) > sinkBytes || len(line) > s.allowance {
+		s.dropped++
+		linesDropped.Inc()
+		return len(line), nil
+	}
+	s.allowance -= len(line)
+	s.waiting.Write(line)
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	return len(line), nil
+}
+
+func (s *Sink) refill(now time.Time) {
+	grown := int(now.Sub(s.refilled).Seconds() * sinkRate)
+	if grown > 0 {
+		s.allowance = min(sinkBytes, s.allowance+grown)
+		s.refilled = now
+	}
+}
+
+func (s *Sink) run() {
+	for range s.wake {
+		time.Sleep(sinkInterval)
+		s.Flush()
+	}
+}
+
+// Flush writes what waits. It blocks as long as the writer does.
+func (s *Sink) Flush() {
+	s.write.Lock()
+	defer s.write.Unlock()
+	text := s.take()
+	if len(text) == 0 {
+		return
+	}
+	// A log that cannot be written has nowhere to be reported.
+	_, _ = s.w.Write(text)
+}
+
+func (s *Sink) take() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	text := bytes.Clone(s.waiting.Bytes())
+	s.waiting.Reset()
+	if s.dropped > 0 {
+		const form = `{"fields":{"event":%q,"lines":%d},"level":"warn","message":"log lines dropped"}` + "\n"
+		text = fmt.Appendf(text, form, LinesDropped, s.dropped)
+		s.dropped = 0
+	}
+	return text
+}
--- /dev/null
+++ b/pkg/gather/records.go
@@ -0,0 +1,44 @@
+package gather
+
+import (
+	"bytes"
+	"sort"
+)
+
+// RecordBytes is the length of one record.
+const RecordBytes = 16
+
+// Top collects the greatest records of all parts, compared byte by byte. Equal
+// records all count.
+type Top struct {
+	limit   int
+	records [][]byte
+}
+
+// NewTop returns a Top that keeps limit records.
+func NewTop(limit int) *Top { return &Top{limit: limit} }
+
+// Add takes in the records of one part. A remainder that is shorter than a
+// record is none.
+func (t *Top) Add(part []byte) {
+	for len(part) >= RecordBytes {
+		t.add(part[:RecordBytes])
+		part = part[RecordBytes:]
+	}
+}
+
+func (t *Top) add(record []byte) {
+	full := len(t.records) >= t.limit
+	if full && (t.limit <= 0 || bytes.Compare(record, t.records[len(t.records)-1]) <= 0) {
+		return
+	}
+	at := sort.Search(len(t.records), func(i int) bool { return bytes.Compare(t.records[i], record) < 0 })
+	if !full {
+		t.records = append(t.records, nil)
+	}
+	copy(t.records[at+1:], t.records[at:])
+	t.records[at] = record
+}
+
+// Bytes returns the records, greatest first.
+func (t *Top) Bytes() []byte { return bytes.Join(t.records, nil) }
--- a/pkg/httpserver/httpserver.go
+++ b/pkg/httpserver/httpserver.go
@@ -59,6 +59,9 @@
 // LogRefusals sends the server's complaints, such as failed handshakes, to w.
 func (s *Server) LogRefusals(w io.Writer) { s.http.ErrorLog = log.New(w, "", 0) }
 
+// OnConnect lets f add to the context of each new connection.
+func (s *Server) OnConnect(f func(context.Context, net.Conn) context.Context) { s.http.ConnContext = f }
+
 // Run serves until ctx is done. After Shutdown it waits for ctx, so that a
 // planned stop does not end the process before the other modules are done.
 func (s *Server) Run(ctx context.Context) error {
--- a/pkg/keys/keys.go
+++ b/pkg/keys/keys.go
@@ -44,7 +44,9 @@
 	keyFileMode              = 0o600
 	folderMode               = 0o700
 	serialBits               = 128
-	clockSkew                = 5 * time.Minute
+	// backdate lets instances accept certificates although their clocks are
+	// behind, or were set to the wrong year.
+	backdate = 2 * 365 * 24 * time.Hour
 )
 
 // Authority signs certificates.
@@ -82,7 +84,12 @@
 
 // LoadAuthority reads the authority in folder.
 func LoadAuthority(folder string) (*Authority, error) {
-	pair, err := tls.LoadX509KeyPair(filepath.Join(folder, AuthorityCertificateFile), filepath.Join(folder, AuthorityKeyFile))
+	return LoadAuthorityFiles(filepath.Join(folder, AuthorityCertificateFile), filepath.Join(folder, AuthorityKeyFile))
+}
+
+// LoadAuthorityFiles reads an authority from its certificate and private key.
+func LoadAuthorityFiles(certificate, privateKey string) (*Authority, error) {
+	pair, err := tls.LoadX509KeyPair(certificate, privateKey)
 	if err != nil {
 		return nil, fmt.Errorf("load authority: %w", err)
 	}
@@ -96,13 +103,40 @@
 // Issue writes NAME.pem and NAME.key to folder: a certificate for the holder
 // name with the given role.
 func (a *Authority) Issue(folder, name string, role Role, validFor time.Duration) error {
+	der, key, err := a.sign(name, role, validFor)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return fmt.Errorf("make key folder: %w", err)
+	}
+	return writePair(filepath.Join(folder, name+".pem"), filepath.Join(folder, name+".key"), der, key)
+}
+
+// IssueCredentials returns a certificate for an instance without writing it.
+func (a *Authority) IssueCredentials(name string, validFor time.Duration) (*Credentials, error) {
+	der, key, err := a.sign(name, RoleInstance, validFor)
+	if err != nil {
+		return nil, err
+	}
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, fmt.Errorf("read certificate of %s: %w", name, err)
+	}
+	roots := x509.NewCertPool()
+	roots.AddCert(a.certificate)
+	pair := tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key, Leaf: leaf}
+	return &Credentials{pair: pair, roots: roots}, nil
+}
+
+func (a *Authority) sign(name string, role Role, validFor time.Duration) ([]byte, *ecdsa.PrivateKey, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
-		return fmt.Errorf("make key of %s: %w", name, err)
+		return nil, nil, fmt.Errorf("make key of %s: %w", name, err)
 	}
 	template, err := newTemplate(name, role, validFor)
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
 	template.KeyUsage = x509.KeyUsageDigitalSignature
 	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}
@@ -112,12 +146,9 @@
 	}
 	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, key.Public(), a.key)
 	if err != nil {
-		return fmt.Errorf("sign certificate of %s: %w", name, err)
+		return nil, nil, fmt.Errorf("sign certificate of %s: %w", name, err)
 	}
-	if err := os.MkdirAll(folder, folderMode); err != nil {
-		return fmt.Errorf("make key folder: %w", err)
-	}
-	return writePair(filepath.Join(folder, name+".pem"), filepath.Join(folder, name+".key"), der, key)
+	return der, key, nil
 }
 
 func newTemplate(name string, role Role, validFor time.Duration) (*x509.Certificate, error) {
@@ -133,7 +164,7 @@
 	return &x509.Certificate{
 		SerialNumber: serial,
 		Subject:      subject,
-		NotBefore:    now.Add(-clockSkew),
+		NotBefore:    now.Add(-backdate),
 		NotAfter:     now.Add(validFor),
 	}, nil
 }
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/control/wire"
 	"radishturn.example/radishturn/pkg/grant"
 	"radishturn.example/radishturn/pkg/model"
@@ -77,6 +78,9 @@
 		Session: h.session, GrantSequence: h.grantSequence, Answered: h.applied,
 		Void: h.void,
 	}
+	if h.view.Catalog != nil {
+		r.Catalog = h.view.Catalog.Position
+	}
 	if h.report {
 		r.Reported = true
 		r.Held = h.held()
@@ -126,6 +130,7 @@
 		h.view = merge(h.view, d)
 		h.version, h.membership = d.To, d.Membership
 	}
+	h.takeCatalog(r.Catalog)
 	return h.view != before
 }
 
@@ -156,6 +161,15 @@
 	h.setGrants(grants)
 }
 
+func (h *holder) takeCatalog(d *catalog.Delta) {
+	if d == nil {
+		return
+	}
+	next := *h.view
+	next.Catalog = h.view.Catalog.Apply(d)
+	h.view = &next
+}
+
 func (h *holder) setGrants(grants map[model.TargetID]view.Grant) {
 	next := *h.view
 	next.Grants = grants
--- a/pkg/lease/merge.go
+++ b/pkg/lease/merge.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/routing"
 	"radishturn.example/radishturn/pkg/rules"
 	"radishturn.example/radishturn/pkg/state"
 	"radishturn.example/radishturn/pkg/view"
@@ -15,7 +16,8 @@
 // change are shared. Grants are not part of deltas of the configuration.
 func merge(old *view.View, d *state.Delta) *view.View {
 	if d.Whole() {
-		old = &view.View{Grants: old.Grants}
+		// A table in use is kept until a newer one comes: its version only grows.
+		old = &view.View{Grants: old.Grants, Catalog: old.Catalog, Routing: old.Routing}
 	}
 	return &view.View{
 		Revision:     d.Revision,
@@ -26,9 +28,27 @@
 		Moves:        mergeMoves(old.Moves, d.Moves, d.MovesEnded),
 		Grants:       old.Grants,
 		Quarantined:  mergeSet(old.Quarantined, d.Quarantined, d.Lifted),
+		Routing:      mergeTable(old.Routing, d.Table),
+		Catalog:      old.Catalog,
+		Evacuated:    mergeEvacuated(old.Evacuated, d),
 	}
 }
 
+// mergeTable takes up a table only if its version is higher.
+func mergeTable(old *routing.Index, t *routing.Table) *routing.Index {
+	if t == nil || old != nil && old.Table.Version >= t.Version {
+		return old
+	}
+	return routing.NewIndex(t)
+}
+
+func mergeEvacuated(old map[model.AvailabilityZoneID]bool, d *state.Delta) map[model.AvailabilityZoneID]bool {
+	if !d.EvacuationChanged {
+		return old
+	}
+	return mergeSet(nil, d.Evacuated, nil)
+}
+
 // edit returns a copy of old that change has worked on, or old itself if
 // nothing changes.
 func edit[K comparable, V any](old map[K]V, changes int, change func(map[K]V)) map[K]V {
--- a/pkg/lease/module.go
+++ b/pkg/lease/module.go
@@ -61,6 +61,7 @@
 	return radishturn.ModuleInfo{
 		ID:    ModuleName,
 		After: []radishturn.ModuleID{mesh.ModuleName, control.ModuleName},
+		Roles: []settings.Role{settings.RoleStandalone, settings.RoleEntry},
 		New:   func() radishturn.Module { return &Module{} },
 	}
 }
--- a/pkg/lease/renew.go
+++ b/pkg/lease/renew.go
@@ -107,6 +107,7 @@
 	}
 	renewalsOK.Inc()
 	renewalTime.Update((m.now() - sent).Seconds())
+	m.router.LearnMembers(reply.Voters)
 	m.take(sent, reply)
 }
 
--- a/pkg/mesh/module.go
+++ b/pkg/mesh/module.go
@@ -1,8 +1,11 @@
 package mesh
 
 import (
+	"time"
+
 	"radishturn.example/radishturn"
 	"radishturn.example/radishturn/pkg/keys"
+	"radishturn.example/radishturn/pkg/settings"
 )
 
 // Module offers the Mesh as a service and serves peers.
@@ -18,15 +21,16 @@
 // ModuleInfo returns the module's description.
 func (*Module) ModuleInfo() radishturn.ModuleInfo {
 	return radishturn.ModuleInfo{
-		ID:  ModuleName,
-		New: func() radishturn.Module { return &Module{} },
+		ID:    ModuleName,
+		Roles: settings.AllRoles,
+		New:   func() radishturn.Module { return &Module{} },
 	}
 }
 
 // Provision loads the keys, opens the socket and offers the Mesh.
 func (m *Module) Provision(c *radishturn.Context) error {
 	s := c.Settings
-	credentials, err := keys.Load(keys.Files(s.Keys))
+	credentials, err := loadCredentials(s)
 	if err != nil {
 		return err
 	}
@@ -34,6 +38,9 @@
 	if err != nil {
 		return err
 	}
+	if s.Instance.NamedByAddress {
+		m.ResolveByAddress()
+	}
 	for _, p := range s.Peers {
 		m.SetPeer(p.ID, p.MeshAddress)
 	}
@@ -43,6 +50,23 @@
 	return radishturn.Provide[Mesh](c, m.QUIC)
 }
 
+// certificateLife is the life of a certificate that an instance issues itself.
+const certificateLife = 10 * 365 * 24 * time.Hour
+
+// loadCredentials reads the instance's certificate, or issues one if the
+// settings name the authority's key.
+func loadCredentials(s *settings.Settings) (*keys.Credentials, error) {
+	k := s.Keys
+	if k.AuthorityKey == "" {
+		return keys.Load(keys.Files{Authority: k.Authority, Certificate: k.Certificate, Key: k.Key})
+	}
+	authority, err := keys.LoadAuthorityFiles(k.Authority, k.AuthorityKey)
+	if err != nil {
+		return nil, err
+	}
+	return authority.IssueCredentials(string(s.Instance.ID), certificateLife)
+}
+
 // Cleanup closes the socket.
 func (m *Module) Cleanup() error {
 	if m.QUIC == nil {
--- a/pkg/mesh/quic.go
+++ b/pkg/mesh/quic.go
@@ -53,6 +53,9 @@
 	listener    *quic.Listener
 	dispatcher  dispatcher
 
+	// resolve, if set, returns the address of a peer that no SetPeer named.
+	resolve func(id model.InstanceID) (netip.AddrPort, bool)
+
 	mu    sync.Mutex
 	peers map[model.InstanceID]*peer
 }
@@ -186,9 +189,7 @@
 }
 
 func (m *QUIC) openStream(ctx context.Context, to model.InstanceID) (*quic.Stream, error) {
-	m.mu.Lock()
-	p := m.peers[to]
-	m.mu.Unlock()
+	p := m.peer(to)
 	if p == nil {
 		return nil, errors.New("no address known")
 	}
@@ -207,6 +208,33 @@
 	return stream, nil
 }
 
+// peer returns the peer with an ID, or nil if its address is not known.
+func (m *QUIC) peer(id model.InstanceID) *peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[id]
+	if p != nil || m.resolve == nil {
+		return p
+	}
+	address, ok := m.resolve(id)
+	if !ok {
+		return nil
+	}
+	p = &peer{id: id, address: address}
+	m.peers[id] = p
+	return p
+}
+
+// ResolveByAddress makes every ID that is an IP number a peer at that address,
+// with the port on which this instance listens.
+func (m *QUIC) ResolveByAddress() {
+	port := m.Address().Port()
+	m.resolve = func(id model.InstanceID) (netip.AddrPort, bool) {
+		ip, err := netip.ParseAddr(string(id))
+		return netip.AddrPortFrom(ip, port), err == nil
+	}
+}
+
 func (m *QUIC) connect(ctx context.Context, p *peer) (*quic.Conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/model/model.go
+++ b/pkg/model/model.go
@@ -76,6 +76,12 @@
 	AvailabilityZone AvailabilityZoneID `json:"availabilityZone"`
 	Version          VersionID          `json:"version"`
 	Leaving          bool               `json:"leaving"`
+	// Concurrency is how many requests the target works on at a time; 0 means
+	// that it is not stated.
+	Concurrency int `json:"concurrency,omitempty"`
+	// Service is the target's service, for targets that are not listed by
+	// collection and leaf.
+	Service ServiceID `json:"service,omitempty"`
 }
 
 // Instance is a machine of the query tier as its peers know it.
--- /dev/null
+++ b/pkg/pool/pool.go
@@ -0,0 +1,220 @@
+// Package pool keeps the connections of an instance to one target: no more than
+// its share of what the target accepts, one request at a time on each.
+package pool
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sys/unix"
+
+	"radishturn.example/radishturn/pkg/exchange"
+	"radishturn.example/radishturn/pkg/model"
+)
+
+const (
+	// connectTimeout bounds the opening of a connection.
+	connectTimeout = time.Second
+	// userTimeout is how long sent bytes may stay unacknowledged before the
+	// connection counts as lost.
+	userTimeout = 2 * time.Second
+)
+
+var dialer = net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: setUserTimeout}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var option error
+	err := raw.Control(func(fd uintptr) {
+		option = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return option
+}
+
+// Pool holds the connections to one target.
+type Pool struct {
+	target  model.TargetID
+	address string
+	codec   exchange.Codec
+	opened  *metrics.Counter
+	foreign *metrics.Counter
+
+	mu sync.Mutex
+	// limit bounds all connections, those being opened included.
+	limit int
+	idle  []*conn
+	open  map[*conn]bool
+	// opening counts connections being opened.
+	opening int
+	closed  bool
+}
+
+// New returns an empty pool.
+func New(target model.TargetID, address string, codec exchange.Codec, limit int) *Pool {
+	return &Pool{
+		target: target, address: address, codec: codec, limit: limit,
+		open:    make(map[*conn]bool),
+		opened:  metrics.GetOrCreateCounter("radishturn_target_connections_opened_total"),
+		foreign: metrics.GetOrCreateCounter("radishturn_target_replies_foreign_total"),
+	}
+}
+
+// SetLimit changes the share of connections. Surplus ones are closed as they
+// become idle.
+func (p *Pool) SetLimit(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = limit
+}
+
+// Start sends an attempt over an idle connection, or over a new one if the
+// share allows. It returns false if neither is to be had; Done is not called
+// then.
+func (p *Pool) Start(a *Attempt) bool {
+	for {
+		c, fresh := p.take()
+		switch {
+		case c != nil && c.start(a):
+			return true
+		case c != nil:
+			p.remove(c)
+		case fresh:
+			go p.startFresh(a)
+			return true
+		default:
+			return false
+		}
+	}
+}
+
+// take returns an idle connection, or true if a new one may be opened.
+func (p *Pool) take() (*conn, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if c.usable(now) {
+			return c, false
+		}
+		delete(p.open, c)
+		go c.fail(ErrNotSent)
+	}
+	if p.closed || len(p.open)+p.opening >= p.limit {
+		return nil, false
+	}
+	p.opening++
+	return nil, true
+}
+
+func (p *Pool) startFresh(a *Attempt) {
+	c, err := p.dial()
+	if err != nil {
+		a.Done(Result{Err: errDial(p.target, p.address, err)})
+		return
+	}
+	if a.abandoned.Load() {
+		p.release(c)
+		a.Done(Result{Err: errDial(p.target, p.address, ErrNotSent)})
+		return
+	}
+	if !c.start(a) {
+		a.Done(Result{Err: errDial(p.target, p.address, ErrNotSent)})
+	}
+}
+
+// Warm opens a connection ahead of the first request, unless there is one.
+func (p *Pool) Warm() error {
+	p.mu.Lock()
+	if p.closed || len(p.open)+p.opening > 0 || p.limit == 0 {
+		p.mu.Unlock()
+		return nil
+	}
+	p.opening++
+	p.mu.Unlock()
+	c, err := p.dial()
+	if err != nil {
+		return errDial(p.target, p.address, err)
+	}
+	p.release(c)
+	return nil
+}
+
+// dial opens a connection; opening was counted before.
+func (p *Pool) dial() (*conn, error) {
+	p.opened.Inc()
+	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+	defer cancel()
+	raw, err := dialer.DialContext(ctx, "tcp4", p.address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opening--
+	if err != nil {
+		return nil, err
+	}
+	if p.closed {
+		_ = raw.Close()
+		return nil, net.ErrClosed
+	}
+	c := &conn{pool: p, net: raw, br: bufio.NewReaderSize(raw, readBufferBytes)}
+	p.open[c] = true
+	go c.readLoop()
+	return c, nil
+}
+
+func (p *Pool) release(c *conn) {
+	p.mu.Lock()
+	surplus := p.closed || len(p.open) > p.limit
+	if !surplus && p.open[c] {
+		p.idle = append(p.idle, c)
+	}
+	p.mu.Unlock()
+	if surplus {
+		go c.fail(ErrNotSent)
+	}
+}
+
+func (p *Pool) remove(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.open, c)
+	if i := slices.Index(p.idle, c); i >= 0 {
+		p.idle = slices.Delete(p.idle, i, i+1)
+	}
+}
+
+// Available reports whether Start would find a connection.
+func (p *Pool) Available() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.closed && (len(p.idle) > 0 || len(p.open)+p.opening < p.limit)
+}
+
+// Open returns the number of connections.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.open)
+}
+
+// Close takes no further attempts and closes idle connections; those in use
+// close after their reply.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		go c.fail(ErrNotSent)
+	}
+}
--- a/pkg/replica/members.go
+++ b/pkg/replica/members.go
@@ -25,6 +25,15 @@
 	return nil
 }
 
+// Promote gives a learner a vote once it has caught up.
+func (n *Node) Promote(ctx context.Context, m Member) error {
+	if err := n.change(ctx, consensus.Change{Kind: consensus.Promote, Member: m}); err != nil {
+		return err
+	}
+	events.Emit(events.MemberPromoted, m.String())
+	return nil
+}
+
 // Replace makes next a voter in place of old, in the order that
 // consensus.Raft.ReplacementStep gives; next is added as a learner if need be. After a failure it may be called
 // again and goes on where it stopped.
--- a/pkg/replica/module.go
+++ b/pkg/replica/module.go
@@ -5,8 +5,11 @@
 	"errors"
 
 	"radishturn.example/radishturn"
+	"radishturn.example/radishturn/pkg/boottime"
 	"radishturn.example/radishturn/pkg/journal"
 	"radishturn.example/radishturn/pkg/mesh"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/settings"
 )
 
 // ModuleName is the ID of the module.
@@ -25,6 +28,7 @@
 	return radishturn.ModuleInfo{
 		ID:    ModuleName,
 		After: []radishturn.ModuleID{mesh.ModuleName, "control.state"},
+		Roles: settings.AllRoles,
 		New:   func() radishturn.Module { return &Module{} },
 	}
 }
@@ -51,7 +55,8 @@
 		Mesh:            transport,
 		StateMachine:    machine,
 		Journal:         journal.Options{Folder: s.DataFolder},
-		Founders:        s.Control.Members,
+		Founders:        founders(s.Control),
+		Clock:           boottime.Clock(),
 		ElectionTimeout: s.Control.ElectionTimeout.Std(),
 		Heartbeat:       s.Control.Heartbeat.Std(),
 		SnapshotEvery:   s.Control.SnapshotEvery,
@@ -62,6 +67,15 @@
 	return radishturn.Provide[Proposer](c, m.node)
 }
 
+// founders returns the instances that form the group, if this one may be among
+// them.
+func founders(c settings.Control) []model.InstanceID {
+	if c.Rejoin {
+		return nil
+	}
+	return c.Members
+}
+
 // Run takes part in the group until ctx is done.
 func (m *Module) Run(ctx context.Context) error {
 	if m.node == nil {
--- a/pkg/replica/outside.go
+++ b/pkg/replica/outside.go
@@ -33,6 +33,9 @@
 // AddLearner refuses.
 func (outside) AddLearner(context.Context, Member) error { return errOutside("add learner") }
 
+// Promote refuses.
+func (outside) Promote(context.Context, Member) error { return errOutside("promote member") }
+
 // Replace refuses.
 func (outside) Replace(context.Context, Member, Member) error { return errOutside("replace member") }
 
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -60,6 +60,8 @@
 	Status() Status
 	// AddLearner adds a member that receives the log and has no vote.
 	AddLearner(ctx context.Context, m Member) error
+	// Promote gives a learner that has caught up a vote.
+	Promote(ctx context.Context, m Member) error
 	// Replace makes next a voter in place of old, one change at a time: next is
 	// added as a learner if it is none, and gets its vote only after it has
 	// caught up.
--- /dev/null
+++ b/pkg/retry/budget.go
@@ -0,0 +1,74 @@
+// Package retry bounds the extra requests that a service gets from the fleet:
+// hedges and repeats beyond the first request to each shard. The bound holds in
+// any window of fixed length, as a share of the requests plus a constant, which
+// the instances divide among themselves.
+package retry
+
+import "time"
+
+// buckets divide the window. One more is kept, so that a bucket that is partly
+// out of the window still counts.
+const buckets = 10
+
+// Bound is the allowance of the whole fleet.
+type Bound struct {
+	Window time.Duration
+	// Ratio is the share of extra requests, from 0 to 1.
+	Ratio float64
+	// Slack is the constant part, in requests per window.
+	Slack float64
+}
+
+// Share returns one instance's part of the bound. Safety below 1 leaves room
+// for windows that do not align and for restarts.
+func (b Bound) Share(instances int, safety float64) Bound {
+	return Bound{Window: b.Window, Ratio: b.Ratio * safety, Slack: b.Slack * safety / float64(max(1, instances))}
+}
+
+// Budget counts the requests of one service. It is not safe for concurrent use.
+type Budget struct {
+	first, extra [buckets + 1]int
+	// newest is the number of the newest bucket since the origin of time.
+	newest int64
+}
+
+// Note counts the first request to a service.
+func (b *Budget) Note(now time.Duration, bound Bound) {
+	b.advance(now, bound)
+	b.first[b.newest%(buckets+1)]++
+}
+
+// Take counts an extra request if the bound allows it.
+func (b *Budget) Take(now time.Duration, bound Bound) bool {
+	if b.Left(now, bound) < 1 {
+		return false
+	}
+	b.extra[b.newest%(buckets+1)]++
+	return true
+}
+
+// Left returns how many extra requests the bound allows now.
+func (b *Budget) Left(now time.Duration, bound Bound) float64 {
+	b.advance(now, bound)
+	first, extra := 0, 0
+	for i := range b.first {
+		first += b.first[i]
+		extra += b.extra[i]
+	}
+	// The oldest bucket may be out of the window: it counts as extra but not as
+	// a request that allows some.
+	first -= b.first[(b.newest+1)%(buckets+1)]
+	return bound.Ratio*float64(first) + bound.Slack - float64(extra)
+}
+
+func (b *Budget) advance(now time.Duration, bound Bound) {
+	current := int64(now / (bound.Window / buckets))
+	for steps := 0; b.newest < current; steps++ {
+		if steps > buckets {
+			b.newest = current
+			return
+		}
+		b.newest++
+		b.first[b.newest%(buckets+1)], b.extra[b.newest%(buckets+1)] = 0, 0
+	}
+}
--- /dev/null
+++ b/pkg/routing/check.go
@@ -0,0 +1,71 @@
+package routing
+
+import (
+	"fmt"
+
+	"radishturn.example/radishturn/pkg/model"
+)
+
+// Check returns the first mistake that makes the table unusable as a whole.
+func (t *Table) Check() error {
+	known := make(map[model.ServiceID]bool, len(t.Services))
+	for _, s := range t.Services {
+		known[s.Name] = true
+	}
+	places := make(map[place]string, len(t.Routes))
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if err := r.check(known); err != nil {
+			return fmt.Errorf("route %q: %w", r.Name, err)
+		}
+		at := place{r.Host, r.Prefix}
+		if other, taken := places[at]; taken {
+			return fmt.Errorf("route %q: route %q has the same host and prefix", r.Name, other)
+		}
+		places[at] = r.Name
+	}
+	return nil
+}
+
+func (r *Route) check(known map[model.ServiceID]bool) error {
+	if r.Timeout <= 0 {
+		return fmt.Errorf("the timeout is %s", r.Timeout)
+	}
+	if r.Fanout != nil {
+		return r.Fanout.check(known)
+	}
+	total := 0.0
+	for _, w := range r.Split {
+		if !known[w.Service] {
+			return fmt.Errorf("unknown service %q", w.Service)
+		}
+		if w.Weight < 0 {
+			return fmt.Errorf("service %q has the weight %g", w.Service, w.Weight)
+		}
+		total += w.Weight
+	}
+	if total <= 0 {
+		return fmt.Errorf("the weights add up to %g", total)
+	}
+	return nil
+}
+
+func (f *Fanout) check(known map[model.ServiceID]bool) error {
+	if len(f.Shards) == 0 {
+		return fmt.Errorf("the query has no shards")
+	}
+	seen := make(map[model.ServiceID]bool, len(f.Shards))
+	for _, s := range f.Shards {
+		if !known[s] {
+			return fmt.Errorf("unknown service %q", s)
+		}
+		if seen[s] {
+			return fmt.Errorf("shard %q is named twice", s)
+		}
+		seen[s] = true
+	}
+	return nil
+}
+
+// place is where a route applies; no two routes share one.
+type place struct{ host, prefix string }
--- /dev/null
+++ b/pkg/routing/index.go
@@ -0,0 +1,53 @@
+package routing
+
+import (
+	"strings"
+
+	"radishturn.example/radishturn/pkg/model"
+)
+
+// Index finds routes and services of a table. It is immutable.
+type Index struct {
+	Table    *Table
+	hosts    map[string]map[string]*Route
+	services map[model.ServiceID]*Service
+}
+
+// NewIndex returns the index of a table.
+func NewIndex(t *Table) *Index {
+	x := &Index{
+		Table:    t,
+		hosts:    make(map[string]map[string]*Route),
+		services: make(map[model.ServiceID]*Service, len(t.Services)),
+	}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if x.hosts[r.Host] == nil {
+			x.hosts[r.Host] = make(map[string]*Route)
+		}
+		x.hosts[r.Host][r.Prefix] = r
+	}
+	for i := range t.Services {
+		x.services[t.Services[i].Name] = &t.Services[i]
+	}
+	return x
+}
+
+// Route returns the route of a host with the longest prefix of path, or nil.
+func (x *Index) Route(host, path string) *Route {
+	prefixes := x.hosts[host]
+	for len(prefixes) > 0 {
+		end := strings.LastIndexByte(path, '/')
+		if end < 0 {
+			return nil
+		}
+		if r := prefixes[path[:end+1]]; r != nil {
+			return r
+		}
+		path = path[:end]
+	}
+	return nil
+}
+
+// Service returns the service with a name, or nil.
+func (x *Index) Service(name model.ServiceID) *Service { return x.services[name] }
--- /dev/null
+++ b/pkg/routing/routing.go
@@ -0,0 +1,100 @@
+// Package routing is the table by which requests find their service: routes by
+// host and path prefix, the services that they lead to, and the limits of what
+// callers may send. A table is versioned as a whole and replaced as a whole.
+package routing
+
+import (
+	"time"
+
+	"radishturn.example/radishturn/pkg/model"
+)
+
+// Table is one version of the routing table. It is immutable once it is in use.
+type Table struct {
+	// Version orders tables; the highest accepted one is in force.
+	Version  uint64    `cbor:"1,keyasint"`
+	Routes   []Route   `cbor:"2,keyasint"`
+	Services []Service `cbor:"3,keyasint"`
+	Limits   Limits    `cbor:"4,keyasint"`
+	// Source is the document from which the table was read, as its author sent
+	// it. Entries do not receive it.
+	Source []byte `cbor:"5,keyasint,omitempty"`
+}
+
+// Route says what becomes of requests to one host whose path has a prefix.
+type Route struct {
+	Name string `cbor:"1,keyasint"`
+	Host string `cbor:"2,keyasint"`
+	// Prefix begins and ends with a slash.
+	Prefix string `cbor:"3,keyasint"`
+	// Idempotent requests may run more than once.
+	Idempotent bool `cbor:"4,keyasint"`
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration `cbor:"5,keyasint"`
+	// Objective is the latency within which an answer has its full worth; 0
+	// means that none is stated.
+	Objective time.Duration `cbor:"6,keyasint,omitempty"`
+	// MaxAttempts bounds the targets that one request is sent to, for each shard.
+	MaxAttempts int `cbor:"7,keyasint"`
+	// Priority is the rank of the route; 0 is the highest.
+	Priority int `cbor:"8,keyasint,omitempty"`
+	// Split divides the requests of a route to one leaf among services. A route
+	// to a single service has one entry.
+	Split []Weighted `cbor:"9,keyasint,omitempty"`
+	// Fanout is set on routes that query many shards; Split is then empty.
+	Fanout *Fanout `cbor:"10,keyasint,omitempty"`
+}
+
+// Weighted is a service with its share of a route's requests.
+type Weighted struct {
+	Service model.ServiceID `cbor:"1,keyasint"`
+	Weight  float64         `cbor:"2,keyasint"`
+}
+
+// Fanout describes a query over many shards.
+type Fanout struct {
+	// Shards are the services that hold one part of the index each.
+	Shards []model.ServiceID `cbor:"1,keyasint"`
+	// Limit is the number of records in an answer.
+	Limit int `cbor:"2,keyasint"`
+	// MinCoverage is the least share of shards in an answer, from 0 to 1.
+	MinCoverage float64 `cbor:"3,keyasint"`
+}
+
+// Service is a set of targets that answer equally well.
+type Service struct {
+	Name model.ServiceID `cbor:"1,keyasint"`
+	// Connections is the number of connections that one target accepts from
+	// all instances together.
+	Connections int `cbor:"2,keyasint"`
+	// ColdRate is how many requests a second a cold target bears from all
+	// instances together; 0 means that cold targets are not limited.
+	ColdRate float64 `cbor:"3,keyasint,omitempty"`
+	// HealthPath is where targets report their health.
+	HealthPath string `cbor:"4,keyasint,omitempty"`
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes int           `cbor:"1,keyasint"`
+	BodyBytes   int           `cbor:"2,keyasint"`
+	Header      time.Duration `cbor:"3,keyasint"`
+	Idle        time.Duration `cbor:"4,keyasint"`
+}
+
+// ShardsRequired returns the least number of parts in an answer.
+func (f *Fanout) ShardsRequired() int {
+	n := len(f.Shards)
+	need := max(1, int(f.MinCoverage*float64(n)))
+	for need < n && float64(need) < f.MinCoverage*float64(n) {
+		need++
+	}
+	return need
+}
+
+// ForEntries returns the table without what only control members need.
+func (t *Table) ForEntries() *Table {
+	c := *t
+	c.Source = nil
+	return &c
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -26,10 +26,44 @@
 	Collections []Collection `json:"collections"`
 	Log         Log          `json:"log"`
 	Stop        Stop         `json:"stop"`
+	RetryBudget RetryBudget  `json:"retryBudget,omitzero"`
 }
 
+// RetryBudget bounds the extra requests that a service gets from the fleet in
+// any window: Ratio times its requests, plus Slack.
+type RetryBudget struct {
+	Window Duration `json:"window"`
+	// Ratio is a share from 0 to 1.
+	Ratio float64 `json:"ratio"`
+	// Slack is a number of requests.
+	Slack float64 `json:"slack"`
+}
+
+// Role selects the modules that an instance loads.
+type Role string
+
+// Roles of an instance.
+const (
+	// RoleStandalone serves callers and may be a control member. It is the
+	// default.
+	RoleStandalone Role = ""
+	// RoleEntry serves callers on a platform that has control members of its own.
+	RoleEntry Role = "entry"
+	// RoleControl is a control member that serves no callers.
+	RoleControl Role = "control"
+)
+
+// AllRoles are the roles of modules that every instance loads.
+var AllRoles = []Role{RoleStandalone, RoleEntry, RoleControl}
+
 // Instance says who and where this process is.
 type Instance struct {
+	// Role selects the modules; a file may leave it out.
+	Role Role `json:"role,omitempty"`
+	// NamedByAddress means that the IDs of all instances are their IP numbers
+	// and that all listen for peers on the port of MeshListen. A peer is then
+	// reached without an entry in Peers.
+	NamedByAddress   bool                     `json:"namedByAddress,omitempty"`
 	ID               model.InstanceID         `json:"id"`
 	AvailabilityZone model.AvailabilityZoneID `json:"availabilityZone"`
 	// MeshListen is the UDP address for other instances.
@@ -40,6 +74,11 @@
 	CallerListen netip.AddrPort `json:"callerListen"`
 	// AdminListen is the TCP address for operators, with mutual TLS.
 	AdminListen netip.AddrPort `json:"adminListen"`
+	// ReadyListen is the TCP address for the balancer's readiness checks; empty
+	// means CallerListen.
+	ReadyListen netip.AddrPort `json:"readyListen,omitzero"`
+	// MetricsListen is the TCP address for metrics; empty means CallerListen.
+	MetricsListen netip.AddrPort `json:"metricsListen,omitzero"`
 	// DisableUDPOffload turns off segmentation offload for QUIC.
 	DisableUDPOffload bool `json:"disableUDPOffload,omitempty"`
 	// MaxInFlight bounds the queries in progress at this instance.
@@ -58,6 +97,12 @@
 	// Members are the first voters: 1, 3, 5 or 7 instances among the peers.
 	// It forms the group once; later changes go through the admin API.
 	Members []model.InstanceID `json:"members"`
+	// Rejoin means that Members are places to ask rather than founders: this
+	// instance takes part in no founding.
+	Rejoin bool `json:"rejoin,omitempty"`
+	// Voters is the number of voters that the group grows to and keeps by
+	// itself, from instances that offer to join; 0 leaves it to operators.
+	Voters int `json:"voters,omitempty"`
 	// ElectionTimeout is the shortest silence after which a follower campaigns.
 	ElectionTimeout Duration `json:"electionTimeout"`
 	// Heartbeat is the leader's interval between heartbeats.
@@ -79,6 +124,9 @@
 	Authority   string `json:"authority"`
 	Certificate string `json:"certificate"`
 	Key         string `json:"key"`
+	// AuthorityKey, if set, is the private key of the authority; the instance
+	// then issues its own certificate at start and needs no other key file.
+	AuthorityKey string `json:"authorityKey,omitempty"`
 }
 
 // Platform says where the platform's list is.
--- a/pkg/state/command.go
+++ b/pkg/state/command.go
@@ -13,6 +13,7 @@
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/move"
+	"radishturn.example/radishturn/pkg/routing"
 	"radishturn.example/radishturn/pkg/rules"
 )
 
@@ -29,6 +30,20 @@
 	PutInstance *PutInstance  `cbor:"6,keyasint,omitempty"`
 	Forget      *Forget       `cbor:"7,keyasint,omitempty"`
 	Orders      *Orders       `cbor:"8,keyasint,omitempty"`
+	PutTable    *PutTable     `cbor:"9,keyasint,omitempty"`
+	Evacuate    *Evacuate     `cbor:"10,keyasint,omitempty"`
+}
+
+// PutTable replaces the routing table if its version is higher.
+type PutTable struct {
+	Table routing.Table `cbor:"1,keyasint"`
+}
+
+// Evacuate begins or ends the evacuation of an availability zone.
+type Evacuate struct {
+	AvailabilityZone model.AvailabilityZoneID `cbor:"1,keyasint"`
+	// End withdraws the evacuation.
+	End bool `cbor:"2,keyasint,omitempty"`
 }
 
 // ApplyRules replaces the rules if Base is the newest revision.
@@ -150,6 +165,8 @@
 	Condemned []model.Fingerprint `cbor:"3,keyasint,omitempty"`
 	// Orders has one result for each OrderChange.
 	Orders []OrderResult `cbor:"4,keyasint,omitempty"`
+	// TableVersion is the version of the routing table after a PutTable.
+	TableVersion uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Refusal says why a command changed nothing.
--- a/pkg/state/delta.go
+++ b/pkg/state/delta.go
@@ -6,6 +6,7 @@
 	"sort"
 
 	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/routing"
 	"radishturn.example/radishturn/pkg/rules"
 	"radishturn.example/radishturn/pkg/view"
 )
@@ -36,6 +37,11 @@
 	Gone        []model.InstanceID         `cbor:"15,keyasint,omitempty"`
 	// Membership is the version of the set of instances.
 	Membership uint64 `cbor:"16,keyasint"`
+	// Table is set if the routing table changed.
+	Table *routing.Table `cbor:"17,keyasint,omitempty"`
+	// Evacuated lists all evacuated availability zones if EvacuationChanged.
+	Evacuated         []model.AvailabilityZoneID `cbor:"18,keyasint,omitempty"`
+	EvacuationChanged bool                       `cbor:"19,keyasint,omitempty"`
 }
 
 // MoveEntry is a move as entries need it.
@@ -56,6 +62,8 @@
 	itemMove
 	itemQuarantine
 	itemInstance
+	itemTable
+	itemEvacuation
 )
 
 // itemKey names one item of the view.
@@ -127,7 +135,7 @@
 }
 
 func (s *State) allKeys() []itemKey {
-	var keys []itemKey
+	keys := []itemKey{{kind: itemTable}, {kind: itemEvacuation}}
 	for _, r := range s.Newest().Rules.Rules {
 		if k, ok := ruleKey(r); ok {
 			keys = append(keys, k)
@@ -206,6 +214,13 @@
 	case itemQuarantine:
 		_, condemned := s.data.Quarantined[k.fingerprint]
 		put(condemned, &d.Quarantined, &d.Lifted, k.fingerprint)
+	case itemTable:
+		if s.data.Table != nil {
+			d.Table = s.data.Table.ForEntries()
+		}
+	case itemEvacuation:
+		d.EvacuationChanged = true
+		d.Evacuated = slices.Sorted(maps.Keys(s.data.Evacuated))
 	case itemInstance:
 		if i, ok := s.data.Instances[model.InstanceID(k.name)]; ok {
 			d.Instances = append(d.Instances, i)
--- a/pkg/state/machine.go
+++ b/pkg/state/machine.go
@@ -9,6 +9,7 @@
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/move"
 	"radishturn.example/radishturn/pkg/replica"
+	"radishturn.example/radishturn/pkg/settings"
 )
 
 // ModuleName is the ID of the state module.
@@ -31,8 +32,9 @@
 // ModuleInfo returns the module's description.
 func (*Machine) ModuleInfo() radishturn.ModuleInfo {
 	return radishturn.ModuleInfo{
-		ID:  ModuleName,
-		New: func() radishturn.Module { return NewMachine() },
+		ID:    ModuleName,
+		Roles: settings.AllRoles,
+		New:   func() radishturn.Module { return NewMachine() },
 	}
 }
 
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -9,6 +9,7 @@
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/move"
+	"radishturn.example/radishturn/pkg/routing"
 	"radishturn.example/radishturn/pkg/rules"
 )
 
@@ -48,6 +49,10 @@
 	Membership uint64                   `cbor:"10,keyasint"`
 	Claims     map[OrderKey]ClaimRecord `cbor:"-"`
 	ClaimList  []claimEntry             `cbor:"8,keyasint"`
+	// Table is the routing table in force; nil until the first one.
+	Table *routing.Table `cbor:"11,keyasint,omitempty"`
+	// Evacuated are the availability zones whose targets get nothing new.
+	Evacuated map[model.AvailabilityZoneID]bool `cbor:"12,keyasint,omitempty"`
 }
 
 // New returns the empty state.
@@ -81,6 +86,10 @@
 		return s.forget(index, c.Forget.Instances)
 	case c.Orders != nil:
 		return s.changeOrders(c.Orders)
+	case c.PutTable != nil:
+		return s.putTable(index, &c.PutTable.Table)
+	case c.Evacuate != nil:
+		return s.evacuate(index, c.Evacuate)
 	default:
 		return &Result{}
 	}
--- a/pkg/view/view.go
+++ b/pkg/view/view.go
@@ -7,7 +7,9 @@
 	"sync/atomic"
 	"time"
 
+	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/routing"
 )
 
 // LeaseState says what the instance may do.
@@ -43,6 +45,13 @@
 	Grants map[model.TargetID]Grant
 	// Quarantined are the fingerprints that every instance refuses.
 	Quarantined map[model.Fingerprint]bool
+	// Routing is the routing table in force; nil until one is known.
+	Routing *routing.Index
+	// Catalog are the targets that the leader lists; nil where instances read
+	// the platform's list themselves, and until the first list comes.
+	Catalog *catalog.Set
+	// Evacuated are availability zones whose targets get nothing new.
+	Evacuated map[model.AvailabilityZoneID]bool
 }
 
 // Move is the state of a move of traffic as entries need it.
--- a/radishturn.go
+++ b/radishturn.go
@@ -11,6 +11,8 @@
 	"fmt"
 	"slices"
 	"sync"
+
+	"radishturn.example/radishturn/pkg/settings"
 )
 
 // ModuleID names a module. The part before the first dot is its namespace,
@@ -22,8 +24,16 @@
 	// ID is unique within the process.
 	ID ModuleID
 	// After lists the modules that have to be provisioned before this one.
-	// A name that is not registered is an error when the kernel is built.
+	// A name that is not registered is an error when the kernel is built; one
+	// that is registered for other roles only is passed over.
 	After []ModuleID
+	// Before lists modules that have to be provisioned after this one, for a
+	// module that offers what they ask for without their knowing it. Names that
+	// are not registered are passed over.
+	Before []ModuleID
+	// Roles are the roles in which the module is loaded; empty means
+	// settings.RoleStandalone only.
+	Roles []settings.Role
 	// New returns an empty instance of the module.
 	New func() Module
 }
@@ -84,12 +94,23 @@
 	registry.modules[info.ID] = info
 }
 
-// Modules returns the registered modules in an order that respects After.
+// Modules returns the modules of a role in an order that respects After.
 // Modules that do not depend on each other are ordered by ID.
-func Modules() ([]ModuleInfo, error) {
+func Modules(role settings.Role) ([]ModuleInfo, error) {
 	registry.Lock()
 	defer registry.Unlock()
-	return sortModules(registry.modules)
+	sorted, err := sortModules(registry.modules)
+	if err != nil {
+		return nil, err
+	}
+	return slices.DeleteFunc(sorted, func(info ModuleInfo) bool { return !info.loadedIn(role) }), nil
+}
+
+func (i ModuleInfo) loadedIn(role settings.Role) bool {
+	if len(i.Roles) == 0 {
+		return role == settings.RoleStandalone
+	}
+	return slices.Contains(i.Roles, role)
 }
 
 func sortModules(modules map[ModuleID]ModuleInfo) ([]ModuleInfo, error) {
@@ -134,7 +155,7 @@
 		return fmt.Errorf("module %s depends on itself", id)
 	}
 	s.state[id] = visiting
-	for _, dep := range info.After {
+	for _, dep := range s.dependencies(info) {
 		if err := s.visit(dep); err != nil {
 			return fmt.Errorf("module %s: %w", id, err)
 		}
@@ -143,3 +164,16 @@
 	s.sorted = append(s.sorted, info)
 	return nil
 }
+
+// dependencies are the modules that come before a module, in a fixed order.
+func (s *sorter) dependencies(info ModuleInfo) []ModuleID {
+	deps := slices.Clone(info.After)
+	var offering []ModuleID
+	for id, other := range s.modules {
+		if slices.Contains(other.Before, info.ID) {
+			offering = append(offering, id)
+		}
+	}
+	slices.Sort(offering)
+	return append(deps, offering...)
+}
