Settings are read again on SIGHUP and when they change

Settings may also change without a signal, so they are looked at every two seconds; the instances that may lead follow them.

--- a/cmd/radishturnd/main.go
+++ b/cmd/radishturnd/main.go
@@ -7,7 +7,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"reflect"
 	"syscall"
+	"time"
 
 	"github.com/oklog/run"
 
@@ -43,7 +46,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	if err := runUntilStopped(s); err != nil {
+	if err := runUntilStopped(s, file); err != nil {
 		events.Emit(events.ProcessFailed, err)
 		return exitFailure
 	}
@@ -60,7 +63,7 @@
 
 // runUntilStopped runs every module until one fails or a signal asks for a
 // planned stop. On a signal the modules drain while all of them still run.
-func runUntilStopped(s *settings.Settings) error {
+func runUntilStopped(s *settings.Settings, file string) error {
 	k, err := radishturn.Load(s)
 	if err != nil {
 		return err
@@ -79,6 +82,7 @@
 		)
 	}
 	g.Add(plannedStop(k))
+	g.Add(followSettings(k, file, s))
 	events.Emit(events.ProcessStarted, s.Instance.ID, s.Instance.AvailabilityZone, radishturn.Version)
 
 	err = g.Run()
@@ -89,6 +93,55 @@
 	return errors.Join(err, k.Cleanup())
 }
 
+// settingsInterval is how often the settings are looked at without a signal.
+const settingsInterval = 2 * time.Second
+
+// followSettings is the actor that reads the settings again on SIGHUP, and from
+// time to time, since they may change without a signal.
+func followSettings(k *radishturn.Kernel, file string, current *settings.Settings) (execute func() error, interrupt func(error)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	ticker := time.NewTicker(settingsInterval)
+	execute = func() error {
+		defer ticker.Stop()
+		for {
+			asked := false
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-hangups:
+				asked = true
+			case <-ticker.C:
+			}
+			current = reload(k, file, current, asked)
+		}
+	}
+	return execute, func(error) { cancel() }
+}
+
+// reload reads the settings and returns those in force afterwards. Settings
+// with mistakes leave the old ones in force.
+func reload(k *radishturn.Kernel, file string, current *settings.Settings, asked bool) *settings.Settings {
+	next, err := load(file)
+	if err != nil {
+		events.Emit(events.SettingsRefused, err)
+		return current
+	}
+	if reflect.DeepEqual(next, current) {
+		if asked {
+			events.Emit(events.SettingsReloaded, false)
+		}
+		return current
+	}
+	if err := k.Reload(next); err != nil {
+		events.Emit(events.SettingsRefused, err)
+		return current
+	}
+	events.Emit(events.SettingsReloaded, true)
+	return next
+}
+
 var errPlannedStop = errors.New("planned stop")
 
 // plannedStop is the actor that waits for a signal and then drains the modules.
@@ -96,11 +149,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	wait, stop := run.SignalHandler(ctx, syscall.SIGINT, syscall.SIGTERM)
 	execute = func() error {
-		var signal *run.SignalError
-		if err := wait(); !errors.As(err, &signal) {
+		var stopped *run.SignalError
+		if err := wait(); !errors.As(err, &stopped) {
 			return err
 		}
-		events.Emit(events.ProcessStopping, signal.Signal.String())
+		events.Emit(events.ProcessStopping, stopped.Signal.String())
 		if err := k.Drain(ctx); err != nil {
 			events.Emit(events.DrainIncomplete, err)
 		}
--- a/kernel.go
+++ b/kernel.go
@@ -84,6 +84,19 @@
 	return errors.Join(errs...)
 }
 
+// Reload tells each module that follows them of changed settings.
+func (k *Kernel) Reload(s *settings.Settings) error {
+	var errs []error
+	for _, l := range k.loaded {
+		if r, ok := l.module.(Reloader); ok {
+			if err := r.Reload(s); err != nil {
+				errs = append(errs, fmt.Errorf("reload %s: %w", l.id, err))
+			}
+		}
+	}
+	return errors.Join(errs...)
+}
+
 // Cleanup releases what the modules hold, last provisioned first.
 func (k *Kernel) Cleanup() error {
 	var errs []error
--- a/pkg/control/server/module.go
+++ b/pkg/control/server/module.go
@@ -46,6 +46,8 @@
 	sinks    []control.EvidenceSink
 
 	mu sync.Mutex
+	// listed are the instances that may lead, from the newest settings.
+	listed []model.InstanceID
 	// session is the present term's, or nil while this instance does not lead.
 	session *session
 }
@@ -112,6 +114,7 @@
 	s.settings, s.known = c, rules.KnownFrom(c)
 	s.mesh, s.platform, s.machine, s.proposer = m, list, machine, proposer
 	s.origin = time.Now()
+	s.listed = c.Control.Members
 	s.router = route.New(m, s.members)
 	s.handle()
 }
@@ -168,10 +171,20 @@
 	return current, nil
 }
 
+// Reload follows changes of the instances that may lead.
+func (s *Server) Reload(next *settings.Settings) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listed = slices.Clone(next.Control.Members)
+	return nil
+}
+
 // members returns who may lead: the group as this instance knows it, or else
 // the first members.
 func (s *Server) members() []model.InstanceID {
-	members := slices.Clone(s.settings.Control.Members)
+	s.mu.Lock()
+	members := slices.Clone(s.listed)
+	s.mu.Unlock()
 	for _, m := range s.proposer.Status().Voters {
 		if !slices.Contains(members, m.Instance) {
 			members = append(members, m.Instance)
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -15,6 +15,8 @@
 	InstanceNotReady  Number = 1006
 	DrainIncomplete   Number = 1007
 	ListenerServing   Number = 1008
+	SettingsReloaded  Number = 1009
+	SettingsRefused   Number = 1010
 	PlatformListLost  Number = 1101
 	PlatformListFound Number = 1102
 
@@ -122,6 +124,8 @@
 	{InstanceNotReady, warn, "instance is not ready for new work", []string{"reason"}},
 	{DrainIncomplete, warn, "stop goes on with unfinished work", []string{"error"}},
 	{ListenerServing, info, "listener is serving", []string{"listener", "address"}},
+	{SettingsReloaded, info, "settings read again", []string{"changed"}},
+	{SettingsRefused, warn, "settings have mistakes; the old ones stay in force", []string{"error"}},
 	{PlatformListLost, warn, "platform list cannot be read", []string{"error"}},
 	{PlatformListFound, info, "platform list is read", []string{"sequence", "targets", "instances"}},
 	{PlatformEntryUnread, debug, "entry of the platform list cannot be read", []string{"error"}},
--- a/radishturn.go
+++ b/radishturn.go
@@ -69,6 +69,12 @@
 	Drain(ctx context.Context) error
 }
 
+// Reloader is implemented by modules that follow changes of the settings while
+// they run. Fields that a module does not follow take effect at the next start.
+type Reloader interface {
+	Reload(s *settings.Settings) error
+}
+
 // CleanerUp is implemented by modules that hold resources after Provision.
 type CleanerUp interface {
 	Cleanup() error
