--- a/pkg/control/server/module.go
+++ b/pkg/control/server/module.go
@@ -29,6 +29,8 @@
 const (
 	// tickInterval paces the leader's housekeeping.
 	tickInterval = 100 * time.Millisecond
+	// officeInterval paces the look for a new term, in which entries wait.
+	officeInterval = 20 * time.Millisecond
 	// takeOfficeTimeout bounds the barrier of a new leader.
 	takeOfficeTimeout = 2 * time.Second
 )
@@ -204,18 +206,26 @@
 		offers.Go(func() { s.offerLoop(ctx) })
 		defer offers.Wait()
 	}
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
 	for {
 		s.tick(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-time.After(s.untilTick()):
 		}
 	}
 }
 
+// untilTick is shorter while entries may wait for this instance: until it knows
+// a leader, and as a leader until it has the platform's list.
+func (s *Server) untilTick() time.Duration {
+	waits := s.proposer.Status().Leader.Instance == "" || s.proposer.IsLeader() && s.platform.List() == nil
+	if s.settings.DataFolder != "" && s.settings.Instance.NamedByAddress && waits {
+		return officeInterval
+	}
+	return tickInterval
+}
+
 func (s *Server) tick(ctx context.Context) {
 	if !s.proposer.IsLeader() {
 		s.mu.Lock()
--- a/pkg/dispatch/book.go
+++ b/pkg/dispatch/book.go
@@ -20,7 +20,7 @@
 const (
 	// distance is the cost of another availability zone, in usual latencies. It
 	// keeps traffic within the zone while its targets do about as well.
-	distance = 0.3
+	distance = 0.6
 	// defaultConnections is the share of connections for services that no table
 	// names yet.
 	defaultConnections = 1
--- a/pkg/dispatch/fanout.go
+++ b/pkg/dispatch/fanout.go
@@ -12,8 +12,10 @@
 
 const (
 	// answerMargin is the time between the decision to answer and the caller's
-	// receipt of it, the way back included.
-	answerMargin = 8 * time.Millisecond
+	// receipt of it, the way back included; answerShare adds a share of the
+	// objective for a busy processor.
+	answerMargin = 9 * time.Millisecond
+	answerShare  = 0.05
 	// deadlineMargin is the same for the end of the caller's patience.
 	deadlineMargin = 40 * time.Millisecond
 	// partSlack is how long after the end of the objective a target may still
@@ -80,7 +82,7 @@
 	}
 	plan.End = plan.Deadline
 	if c.Route.Objective > 0 {
-		plan.End = min(plan.Deadline, began+c.Route.Objective-c.Elapsed-answerMargin)
+		plan.End = min(plan.Deadline, began+time.Duration((1-answerShare)*float64(c.Route.Objective))-c.Elapsed-answerMargin)
 	}
 	return &query{
 		engine: e, call: c, plan: plan,
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -42,6 +42,8 @@
 	// fallback is a target's failure, to be passed on if nothing better comes.
 	fallback *exchange.Reply
 	lastErr  error
+	// hedged is set once a second request was due, sent or not.
+	hedged   bool
 	lastSent time.Duration
 	trace    Trace
 }
@@ -164,7 +166,7 @@
 
 // next returns when the loop needs a look even if no reply comes.
 func (s *single) next(now time.Duration) time.Duration {
-	if !s.call.Route.Idempotent || len(s.inFlight) != 1 || s.trace.Hedged > 0 {
+	if !s.call.Route.Idempotent || len(s.inFlight) != 1 || s.hedged {
 		return s.deadline
 	}
 	return min(s.deadline, max(now, s.lastSent+s.hedgeDelay()))
@@ -179,12 +181,12 @@
 }
 
 func (s *single) hedge() {
-	if !s.call.Route.Idempotent || s.trace.Hedged > 0 || len(s.inFlight) == 0 {
+	if !s.call.Route.Idempotent || s.hedged || len(s.inFlight) == 0 {
 		return
 	}
-	s.trace.Hedged++
-	if len(s.used) < s.call.Route.MaxAttempts && s.mayRepeat(true) {
-		s.send()
+	s.hedged = true
+	if len(s.used) < s.call.Route.MaxAttempts && s.mayRepeat(true) && s.send() {
+		s.trace.Hedged++
 	}
 }
 
--- a/pkg/lease/module.go
+++ b/pkg/lease/module.go
@@ -32,6 +32,8 @@
 	mesh     mesh.Mesh
 	router   *route.Router
 	origin   time.Time
+	// follows is set if the routing table and the list come with the lease.
+	follows  bool
 	views    *view.Holder
 	times    atomic.Pointer[times]
 	reporter *reporter
@@ -96,6 +98,7 @@
 func (m *Module) setup(s *settings.Settings, peers mesh.Mesh, router *route.Router) {
 	m.settings, m.mesh, m.router = s.Lease, peers, router
 	m.origin = time.Now()
+	m.follows = s.Instance.NamedByAddress
 	m.views = view.NewHolder()
 	m.wake, m.acknowledge = make(chan struct{}, 1), make(chan struct{}, 1)
 	m.stop = make(chan struct{})
--- a/pkg/lease/renew.go
+++ b/pkg/lease/renew.go
@@ -66,7 +66,7 @@
 func (m *Module) renewLoop(ctx context.Context) {
 	for {
 		m.renew(ctx)
-		interval := m.settings.Renew.Std()
+		interval := m.interval()
 		jitter := time.Duration(renewJitter * rand.Float64() * float64(interval))
 		select {
 		case <-ctx.Done():
@@ -84,6 +84,19 @@
 	}
 }
 
+// eagerRenew is the interval of renewals while the instance cannot serve for
+// want of a routing table or of a list of targets.
+const eagerRenew = 60 * time.Millisecond
+
+// interval returns the time until the next renewal.
+func (m *Module) interval() time.Duration {
+	v := m.views.View()
+	if m.follows && (v.Routing == nil || v.Catalog == nil) {
+		return min(eagerRenew, m.settings.Renew.Std())
+	}
+	return m.settings.Renew.Std()
+}
+
 // sleep waits and reports whether ctx is still not done.
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
