--- a/pkg/dispatch/book.go
+++ b/pkg/dispatch/book.go
@@ -81,11 +81,13 @@
 		next.view = v
 		return &next
 	}
+	var listedAnew []*target
 	next := &page{view: v, targets: make(map[model.TargetID]*target), services: make(map[model.ServiceID][]*target)}
 	for id, listed := range listedTargets(v.Catalog) {
 		t := old.targets[id]
 		if t == nil || t.Target != listed {
 			t = b.replace(t, listed)
+			listedAnew = append(listedAnew, t)
 		}
 		t.pool.SetLimit(connectionShare(v, listed.Service))
 		next.targets[id] = t
@@ -100,9 +102,24 @@
 	for _, targets := range next.services {
 		slices.SortFunc(targets, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	announceListed(listedAnew, len(next.targets))
 	return next
 }
 
+// maxListedLines bounds the lines on one change of the list.
+const maxListedLines = 8
+
+// announceListed writes a line for each new target, or one for many.
+func announceListed(listed []*target, total int) {
+	if len(listed) > maxListedLines {
+		events.Emit(events.TargetsListed, len(listed), total)
+		return
+	}
+	for _, t := range listed {
+		events.Emit(events.TargetListed, t.ID, t.Service, t.Address, t.AvailabilityZone, t.Leaving)
+	}
+}
+
 func listedTargets(c *catalog.Set) map[model.TargetID]model.Target {
 	if c == nil {
 		return nil
@@ -126,7 +143,6 @@
 		pool:   pool.New(listed.ID, listed.Address.String(), b.codec, defaultConnections),
 		health: health{slots: listed.Concurrency},
 	}}
-	events.Emit(events.TargetListed, listed.ID, listed.Service, listed.Address, listed.AvailabilityZone, listed.Leaving)
 	if !listed.Leaving {
 		select {
 		case b.warm <- t:
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -77,6 +77,7 @@
 	CallPartial         Number = 5016
 	CallFailed          Number = 5017
 	CallRefused         Number = 5018
+	TargetsListed       Number = 5019
 
 	OrderOutcomeUnknown   Number = 6001
 	OrderClaimUnconfirmed Number = 6002
@@ -184,6 +185,7 @@
 	{CallPartial, info, "request answered without some shards", callFields},
 	{CallFailed, warn, "request failed", callFields},
 	{CallRefused, warn, "request refused, not run", callFields},
+	{TargetsListed, info, "many targets are listed anew", []string{"changed", "targets"}},
 
 	{OrderOutcomeUnknown, warn, "outcome of an order is unknown", []string{"request", "error"}},
 	{OrderClaimUnconfirmed, warn, "claim of an order could not be confirmed", []string{"request", "error"}},
--- a/pkg/events/events.go
+++ b/pkg/events/events.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"io"
+	"sync/atomic"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -35,6 +36,7 @@
 		return fmt.Errorf("log level %q: %w", level, err)
 	}
 	log.SetLevel(l)
+	lowest.Store(int64(l))
 	if format == "text" {
 		log.SetHandler(text.New(w))
 		return nil
@@ -43,6 +45,11 @@
 	return nil
 }
 
+// lowest is the level below which events are passed over.
+var lowest atomic.Int64
+
+func init() { lowest.Store(int64(log.InfoLevel)) }
+
 // Emit writes event n with its fields. Values are given in the order of the
 // catalogue's Fields; a surplus value is dropped and a lacking one left out.
 func Emit(n Number, values ...any) {
@@ -51,6 +58,9 @@
 		e = byNumber[UnknownEvent]
 		values = []any{n.String()}
 	}
+	if int64(e.Level) < lowest.Load() {
+		return
+	}
 	fields := log.Fields{"event": e.Number.String()}
 	for i, name := range e.Fields {
 		if i < len(values) {
