--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -58,12 +58,12 @@
 
 // age moves the evidence towards that of a healthy target.
 func (h *health) age(now time.Duration) {
-	if now <= h.seen {
-		return
-	}
 	if h.slowness == 0 {
 		h.slowness = 1
 	}
+	if now <= h.seen {
+		return
+	}
 	keep := math.Exp(-float64(now-h.seen) / float64(memory))
 	h.slowness = 1 + (h.slowness-1)*keep
 	h.failures *= keep
--- /dev/null
+++ b/pkg/exchange/exchangetest/exchangetest.go
@@ -0,0 +1,184 @@
+// Package exchangetest has a fake target that speaks a plain protocol of lines,
+// with the faults that targets have.
+package exchangetest
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"radishturn.example/radishturn/pkg/exchange"
+	"radishturn.example/radishturn/pkg/model"
+)
+
+// Codec is the protocol of the fake: one line for a request, and one line with
+// a body for a reply.
+type Codec struct{}
+
+// AppendRequest encodes a request; its body is not sent.
+func (Codec) AppendRequest(dst []byte, r *exchange.Request, o exchange.Order) []byte {
+	return fmt.Appendf(dst, "%s %s %d\n", r.ID, o.Target, o.Timeout.Milliseconds())
+}
+
+// ReadReply decodes a reply.
+func (Codec) ReadReply(br *bufio.Reader, _ exchange.Expect) (*exchange.Reply, error) {
+	line, err := br.ReadString('\n')
+	if err != nil {
+		return nil, err
+	}
+	var id, signature string
+	var notRun, wrong, closes bool
+	var length int
+	reply := &exchange.Reply{}
+	if _, err := fmt.Sscanf(line, "%d %s %s %t %t %t %d\n", &reply.Status, &id, &signature, &notRun, &wrong, &closes, &length); err != nil {
+		return nil, err
+	}
+	reply.ID, reply.Signature = model.RequestID(id), signature
+	if signature == "-" {
+		reply.Signature = ""
+	}
+	reply.NotRun, reply.WrongTarget, reply.Close = notRun, wrong, closes
+	reply.Body = make([]byte, length)
+	_, err = io.ReadFull(br, reply.Body)
+	return reply, err
+}
+
+// Behaviour is how a fake target answers one request.
+type Behaviour struct {
+	Delay  time.Duration
+	Status int
+	NotRun bool
+	Wrong  bool
+	// Silent means that no reply comes and the connection stays open.
+	Silent bool
+	// Cut ends the connection in the middle of the reply.
+	Cut bool
+	// Extra sends a second reply, to an earlier request, before the right one.
+	Extra bool
+	// Close closes the connection after the reply.
+	Close bool
+	Body  []byte
+}
+
+// Target is a fake target.
+type Target struct {
+	ID       model.TargetID
+	listener net.Listener
+
+	mu        sync.Mutex
+	behave    func(n int) Behaviour
+	requests  []model.RequestID
+	conns     map[net.Conn]bool
+	connected int
+}
+
+// Start starts a fake target. Behave is asked for each request by its number,
+// from 0; nil answers all at once.
+func Start(id model.TargetID, behave func(n int) Behaviour) (*Target, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	if behave == nil {
+		behave = func(int) Behaviour { return Behaviour{} }
+	}
+	t := &Target{ID: id, listener: l, behave: behave, conns: make(map[net.Conn]bool)}
+	go t.accept()
+	return t, nil
+}
+
+// Address is where the target listens.
+func (t *Target) Address() netip.AddrPort { return netip.MustParseAddrPort(t.listener.Addr().String()) }
+
+// Requests returns the requests that came, in order.
+func (t *Target) Requests() []model.RequestID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]model.RequestID(nil), t.requests...)
+}
+
+// Connected returns how many connections were opened.
+func (t *Target) Connected() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.connected
+}
+
+// Stop closes the listener and all connections.
+func (t *Target) Stop() {
+	_ = t.listener.Close()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.conns {
+		_ = c.Close()
+	}
+}
+
+func (t *Target) accept() {
+	for {
+		c, err := t.listener.Accept()
+		if err != nil {
+			return
+		}
+		t.mu.Lock()
+		t.conns[c] = true
+		t.connected++
+		t.mu.Unlock()
+		go t.serve(c)
+	}
+}
+
+func (t *Target) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		line, err := br.ReadString('\n')
+		if err != nil {
+			return
+		}
+		var id, target string
+		var timeout int
+		if _, err := fmt.Sscanf(line, "%s %s %d\n", &id, &target, &timeout); err != nil {
+			return
+		}
+		t.mu.Lock()
+		n := len(t.requests)
+		t.requests = append(t.requests, model.RequestID(id))
+		b := t.behave(n)
+		t.mu.Unlock()
+		if target != string(t.ID) {
+			b.Wrong = true
+		}
+		if !t.reply(c, id, b) {
+			return
+		}
+	}
+}
+
+// reply answers one request and reports whether the connection goes on.
+func (t *Target) reply(c net.Conn, id string, b Behaviour) bool {
+	time.Sleep(b.Delay)
+	if b.Silent {
+		return true
+	}
+	if b.Status == 0 {
+		b.Status = 200
+	}
+	signature := string(t.ID) + "." + id
+	if b.NotRun || b.Wrong {
+		b.Status, signature = 503, "-"
+	}
+	if b.Extra {
+		_, _ = fmt.Fprintf(c, "200 earlier %s.earlier false false false 0\n", t.ID)
+	}
+	length := len(b.Body)
+	if b.Cut {
+		length += 10
+	}
+	_, _ = fmt.Fprintf(c, "%d %s %s %t %t %t %d\n%s", b.Status, id, signature, b.NotRun, b.Wrong, b.Close, length, b.Body)
+	return !b.Cut && !b.Close
+}
--- /dev/null
+++ b/pkg/gather/gather_test.go
@@ -0,0 +1,138 @@
+package gather_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"radishturn.example/radishturn/pkg/gather"
+)
+
+func TestGather(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "gather")
+}
+
+const ms = time.Millisecond
+
+var plan = gather.Plan{End: 180 * ms, Deadline: 2000 * ms, Usual: 20 * ms, Required: 3, MaxTargets: 2}
+
+// sendAll sends the first request to each shard.
+func sendAll(r *gather.Run, shards int) {
+	Expect(r.Due(0)).To(HaveLen(shards))
+	for i := range shards {
+		r.Sent(i, 0)
+	}
+}
+
+var _ = Describe("Run", func() {
+	var r *gather.Run
+
+	BeforeEach(func() {
+		r = gather.New(plan, 4)
+		sendAll(r, 4)
+	})
+
+	It("answers as soon as all parts are in", func() {
+		for i := range 4 {
+			Expect(r.Verdict(30 * ms)).To(Equal(gather.Wait))
+			Expect(r.Part(i)).To(BeTrue())
+		}
+		Expect(r.Verdict(30 * ms)).To(Equal(gather.Answer))
+	})
+
+	It("hedges only what is overdue, and once for each second target", func() {
+		r.Part(0)
+		Expect(r.Due(r.HedgeDelay() - ms)).To(BeEmpty())
+		Expect(r.Due(r.HedgeDelay())).To(Equal([]int{1, 2, 3}))
+		r.Sent(1, r.HedgeDelay())
+		Expect(r.Due(r.HedgeDelay())).To(Equal([]int{2, 3}))
+		Expect(r.Due(100 * r.HedgeDelay())).NotTo(ContainElement(1))
+	})
+
+	It("answers with three of four when the objective ends, while a target stands still", func() {
+		for i := range 3 {
+			r.Part(i)
+		}
+		Expect(r.Verdict(plan.End - ms)).To(Equal(gather.Wait))
+		Expect(r.Next(100 * ms)).To(BeNumerically("<=", plan.End))
+		Expect(r.Verdict(plan.End)).To(Equal(gather.Answer))
+	})
+
+	It("waits past the objective for the required coverage, and gives up at the deadline", func() {
+		r.Part(0)
+		r.Part(1)
+		Expect(r.Verdict(plan.End)).To(Equal(gather.Wait))
+		Expect(r.Verdict(plan.Deadline)).To(Equal(gather.TimedOut))
+	})
+
+	It("answers at once when the missing shards have no target left", func() {
+		for i := range 3 {
+			r.Part(i)
+		}
+		r.Failed(3, false)
+		r.Unsent(3, 25*ms, false)
+		Expect(r.Verdict(25 * ms)).To(Equal(gather.Answer))
+	})
+
+	It("gives up at once when the required coverage cannot be reached", func() {
+		r.Part(0)
+		r.Part(1)
+		for _, i := range []int{2, 3} {
+			r.Failed(i, false)
+			r.Unsent(i, 25*ms, false)
+		}
+		Expect(r.Verdict(25 * ms)).To(Equal(gather.Unreachable))
+	})
+
+	It("repeats a failed request at once", func() {
+		r.Failed(2, true)
+		Expect(r.Due(5 * ms)).To(Equal([]int{2}))
+	})
+
+	It("counts a part once although two requests bring it", func() {
+		r.Sent(0, r.HedgeDelay())
+		Expect(r.Part(0)).To(BeTrue())
+		Expect(r.Part(0)).To(BeFalse())
+		Expect(r.Parts()).To(Equal(1))
+	})
+})
+
+// record returns a record of a given rank.
+func record(rank uint32) []byte {
+	b := make([]byte, gather.RecordBytes)
+	binary.BigEndian.PutUint32(b, rank)
+	return b
+}
+
+var _ = Describe("Top", func() {
+	It("keeps the greatest records of all parts, equal ones included", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			ranks := rapid.SliceOf(rapid.Uint32Range(0, 50)).Draw(t, "ranks")
+			limit := rapid.IntRange(1, 12).Draw(t, "limit")
+			top := gather.NewTop(limit)
+			var all [][]byte
+			for _, n := range ranks {
+				top.Add(record(n))
+				all = append(all, record(n))
+			}
+			slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+			want := bytes.Join(all[:min(limit, len(all))], nil)
+			if !bytes.Equal(top.Bytes(), want) {
+				t.Fatalf("got %x, want %x", top.Bytes(), want)
+			}
+		})
+	})
+
+	It("passes over a remainder that is no record", func() {
+		top := gather.NewTop(3)
+		top.Add(append(record(7), 1, 2, 3))
+		Expect(top.Bytes()).To(Equal(record(7)))
+	})
+})
--- /dev/null
+++ b/pkg/pool/pool_test.go
@@ -0,0 +1,141 @@
+package pool_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/exchange"
+	"radishturn.example/radishturn/pkg/exchange/exchangetest"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/pool"
+)
+
+func TestPool(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "pool")
+}
+
+func start(behave func(int) exchangetest.Behaviour) *exchangetest.Target {
+	t, err := exchangetest.Start("i-1", behave)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(t.Stop)
+	return t
+}
+
+func newPool(t *exchangetest.Target, limit int) *pool.Pool {
+	p := pool.New(t.ID, t.Address().String(), exchangetest.Codec{}, limit)
+	DeferCleanup(p.Close)
+	return p
+}
+
+// send starts an attempt and returns where its result comes.
+func send(p *pool.Pool, id string) (*pool.Attempt, chan pool.Result, bool) {
+	results := make(chan pool.Result, 1)
+	a := &pool.Attempt{
+		Request: &exchange.Request{ID: model.RequestID(id), Method: "GET"},
+		Order:   exchange.Order{Target: "i-1", Timeout: time.Second},
+		Done:    func(r pool.Result) { results <- r },
+	}
+	return a, results, p.Start(a)
+}
+
+func await(results chan pool.Result) pool.Result {
+	var r pool.Result
+	Eventually(results, "5s").Should(Receive(&r))
+	return r
+}
+
+var _ = Describe("Pool", func() {
+	It("sends one request at a time on a connection and uses it again", func() {
+		t := start(nil)
+		p := newPool(t, 1)
+		for i := range 20 {
+			_, results, ok := send(p, fmt.Sprint(i))
+			Expect(ok).To(BeTrue())
+			r := await(results)
+			Expect(r.Err).NotTo(HaveOccurred())
+			Expect(r.Reply.ID).To(BeEquivalentTo(fmt.Sprint(i)))
+		}
+		Expect(t.Connected()).To(Equal(1))
+	})
+
+	It("opens no more than its share of connections", func() {
+		t := start(func(int) exchangetest.Behaviour { return exchangetest.Behaviour{Delay: 100 * time.Millisecond} })
+		p := newPool(t, 2)
+		_, first, ok := send(p, "a")
+		Expect(ok).To(BeTrue())
+		_, second, ok := send(p, "b")
+		Expect(ok).To(BeTrue())
+		_, _, ok = send(p, "c")
+		Expect(ok).To(BeFalse())
+		await(first)
+		await(second)
+		Expect(t.Connected()).To(Equal(2))
+	})
+
+	It("passes over a late reply to an earlier request", func() {
+		t := start(func(n int) exchangetest.Behaviour { return exchangetest.Behaviour{Extra: n == 1} })
+		p := newPool(t, 1)
+		for _, id := range []string{"a", "b", "c"} {
+			_, results, _ := send(p, id)
+			r := await(results)
+			Expect(r.Err).NotTo(HaveOccurred())
+			Expect(r.Reply.ID).To(BeEquivalentTo(id))
+		}
+	})
+
+	It("does not call a reply whole that ends early", func() {
+		t := start(func(int) exchangetest.Behaviour { return exchangetest.Behaviour{Cut: true, Body: []byte("part")} })
+		_, results, _ := send(newPool(t, 1), "a")
+		r := await(results)
+		Expect(r.Reply).To(BeNil())
+		Expect(errors.Is(r.Err, pool.ErrNotSent)).To(BeFalse())
+	})
+
+	It("says that nothing was sent when no connection is to be had", func() {
+		t := start(nil)
+		p := newPool(t, 1)
+		t.Stop()
+		_, results, ok := send(p, "a")
+		Expect(ok).To(BeTrue())
+		Expect(errors.Is(await(results).Err, pool.ErrNotSent)).To(BeTrue())
+	})
+
+	It("notices that the target closed an idle connection and opens another", func() {
+		t := start(func(int) exchangetest.Behaviour { return exchangetest.Behaviour{Close: true} })
+		p := newPool(t, 1)
+		for _, id := range []string{"a", "b"} {
+			_, results, ok := send(p, id)
+			Expect(ok).To(BeTrue())
+			Expect(await(results).Err).NotTo(HaveOccurred())
+		}
+		Expect(t.Connected()).To(Equal(2))
+	})
+
+	It("gives an abandoned attempt up after its linger and frees the share", func() {
+		t := start(func(n int) exchangetest.Behaviour { return exchangetest.Behaviour{Silent: n == 0} })
+		p := newPool(t, 1)
+		a, results, _ := send(p, "a")
+		Eventually(t.Requests).Should(HaveLen(1))
+		Expect(p.Available()).To(BeFalse())
+		a.Abandon(50 * time.Millisecond)
+		Expect(errors.Is(await(results).Err, pool.ErrAbandoned)).To(BeTrue())
+		Eventually(p.Available).Should(BeTrue())
+	})
+
+	It("keeps the connection if the reply to an abandoned attempt comes in time", func() {
+		t := start(func(int) exchangetest.Behaviour { return exchangetest.Behaviour{Delay: 30 * time.Millisecond} })
+		p := newPool(t, 1)
+		a, results, _ := send(p, "a")
+		a.Abandon(time.Second)
+		Expect(await(results).Err).NotTo(HaveOccurred())
+		_, results, _ = send(p, "b")
+		Expect(await(results).Err).NotTo(HaveOccurred())
+		Expect(t.Connected()).To(Equal(1))
+	})
+})
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -1,7 +1,9 @@
 // Package retry bounds the extra requests that a service gets from the fleet:
 // hedges and repeats beyond the first request to each shard. The bound holds in
 // any window of fixed length, as a share of the requests plus a constant, which
-// the instances divide among themselves.
+// the instances divide among themselves. It holds while the rate of requests
+// does not change manifold within a window: then the requests that an instance
+// has counted may lie in two windows, and each allows its share alone.
 package retry
 
 import "time"
--- /dev/null
+++ b/pkg/retry/budget_test.go
@@ -0,0 +1,91 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"radishturn.example/radishturn/pkg/retry"
+)
+
+func TestRetry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "retry")
+}
+
+type arrival struct {
+	at    time.Duration
+	extra bool
+}
+
+// count counts arrivals in a window of length w.
+func count(arrivals []arrival, from, w time.Duration, extra bool) int {
+	n := 0
+	for _, a := range arrivals {
+		if a.extra == extra && a.at >= from && a.at < from+w {
+			n++
+		}
+	}
+	return n
+}
+
+// exceeded returns the first window in which the fleet's extra requests pass
+// the bound: the share of the requests of that window, of the one before it or
+// of the one half a window before it.
+func exceeded(arrivals []arrival, b retry.Bound) (time.Duration, bool) {
+	for _, start := range arrivals {
+		from := start.at
+		requests := max(
+			count(arrivals, from, b.Window, false),
+			count(arrivals, from-b.Window, b.Window, false),
+			count(arrivals, from-b.Window/2, b.Window, false),
+		)
+		if float64(count(arrivals, from, b.Window, true)) > b.Ratio*float64(requests)+b.Slack {
+			return from, true
+		}
+	}
+	return 0, false
+}
+
+var _ = Describe("Budget", func() {
+	It("keeps the fleet within the bound in every window while the rate of requests swings by half", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			fleet := retry.Bound{Window: 10 * time.Second, Ratio: 0.2, Slack: 12}
+			instances := rapid.IntRange(1, 4).Draw(t, "instances")
+			budgets := make([]retry.Budget, instances)
+			var arrivals []arrival
+			now := time.Duration(0)
+			for range rapid.IntRange(1, 600).Draw(t, "requests") {
+				now += time.Duration(rapid.IntRange(25, 75).Draw(t, "gap")) * time.Millisecond
+				b := &budgets[rapid.IntRange(0, instances-1).Draw(t, "instance")]
+				share := fleet.Share(instances, 0.85)
+				b.Note(now, share)
+				arrivals = append(arrivals, arrival{at: now})
+				for range rapid.IntRange(0, 3).Draw(t, "hedges") {
+					if b.Take(now, share) {
+						arrivals = append(arrivals, arrival{at: now, extra: true})
+					}
+				}
+			}
+			if at, bad := exceeded(arrivals, fleet); bad {
+				t.Fatalf("bound passed in the window from %s", at)
+			}
+		})
+	})
+
+	It("allows the share again once the window has passed", func() {
+		b, bound := &retry.Budget{}, retry.Bound{Window: time.Second, Slack: 1}
+		Expect(b.Take(0, bound)).To(BeTrue())
+		Expect(b.Take(500*time.Millisecond, bound)).To(BeFalse())
+		Expect(b.Take(1200*time.Millisecond, bound)).To(BeTrue())
+	})
+
+	It("starts anew after a long pause", func() {
+		b, bound := &retry.Budget{}, retry.Bound{Window: time.Second, Slack: 1}
+		Expect(b.Take(0, bound)).To(BeTrue())
+		Expect(b.Take(time.Hour, bound)).To(BeTrue())
+	})
+})
