Targets are divided among the instances where connections are scarce

Cause: on the grown site a target of a shard accepts 61 connections and 78 entries want one each. Each instance now keeps connections to as many targets as the caps allow: those of its own availability zone first, the others in turns by an ordinal that the replicated state gives each instance once, so that a new instance moves nobody else's. Other targets are a reserve. The first connections wait until the fleet is known.

Ruled out: rendezvous hashing, whose spread would pass the cap of some targets.

--- a/pkg/dispatch/book.go
+++ b/pkg/dispatch/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -21,12 +22,6 @@
 	// distance is the cost of another availability zone, in usual latencies. It
 	// keeps traffic within the zone while its targets do about as well.
 	distance = 0.6
-	// defaultConnections is the share of connections for services that no table
-	// names yet.
-	defaultConnections = 1
-	// connectionSafety leaves room for connections of processes that have ended
-	// and that their targets still count.
-	connectionSafety = 0.9
 	// warmPause is the time between connections that are opened ahead of use.
 	warmPause = 15 * time.Millisecond
 )
@@ -34,6 +29,7 @@
 // book holds the targets of all services as the newest view lists them.
 type book struct {
 	codec exchange.Codec
+	self  model.InstanceID
 	zone  model.AvailabilityZoneID
 
 	current atomic.Pointer[page]
@@ -46,14 +42,18 @@
 type page struct {
 	view     *view.View
 	targets  map[model.TargetID]*target
-	services map[model.ServiceID][]*target
+	services map[model.ServiceID]pair
 }
 
+// pair divides the targets of a service: this instance keeps connections to its
+// own ones, and turns to the spare ones only when none of its own is usable.
+type pair struct{ own, spare []*target }
+
 // maxWarm bounds the targets that wait for a connection ahead of use.
 const maxWarm = 4096
 
-func newBook(codec exchange.Codec, zone model.AvailabilityZoneID) *book {
-	b := &book{codec: codec, zone: zone, warm: make(chan *target, maxWarm)}
+func newBook(codec exchange.Codec, self model.InstanceID, zone model.AvailabilityZoneID) *book {
+	b := &book{codec: codec, self: self, zone: zone, warm: make(chan *target, maxWarm)}
 	b.current.Store(&page{view: &view.View{}})
 	return b
 }
@@ -76,22 +76,25 @@
 
 // turn makes the page of a new view and keeps the targets that go on.
 func (b *book) turn(old *page, v *view.View) *page {
-	if v.Catalog == old.view.Catalog && v.Routing == old.view.Routing && len(v.Instances) == len(old.view.Instances) {
+	if v.Catalog == old.view.Catalog && v.Routing == old.view.Routing &&
+		len(v.Instances) == len(old.view.Instances) && maps.Equal(v.Evacuated, old.view.Evacuated) {
 		next := *old
 		next.view = v
 		return &next
 	}
 	var listedAnew []*target
-	next := &page{view: v, targets: make(map[model.TargetID]*target), services: make(map[model.ServiceID][]*target)}
+	usable := make(map[model.ServiceID][]*target)
+	next := &page{view: v, targets: make(map[model.TargetID]*target), services: make(map[model.ServiceID]pair)}
 	for id, listed := range listedTargets(v.Catalog) {
 		t := old.targets[id]
 		if t == nil || t.Target != listed {
 			t = b.replace(t, listed)
 			listedAnew = append(listedAnew, t)
 		}
-		t.pool.SetLimit(connectionShare(v, listed.Service))
 		next.targets[id] = t
-		next.services[listed.Service] = append(next.services[listed.Service], t)
+		if !t.Leaving && !v.Evacuated[t.AvailabilityZone] {
+			usable[t.Service] = append(usable[t.Service], t)
+		}
 	}
 	for id, t := range old.targets {
 		if next.targets[id] == nil {
@@ -99,8 +102,10 @@
 			events.Emit(events.TargetLeaving, id, "no longer listed")
 		}
 	}
-	for _, targets := range next.services {
+	crowd := newCrowd(v, b.self, b.zone)
+	for service, targets := range usable {
 		slices.SortFunc(targets, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
+		next.services[service] = b.divide(crowd, service, targets)
 	}
 	announceListed(listedAnew, len(next.targets))
 	return next
@@ -140,38 +145,53 @@
 		old.pool.Close()
 	}
 	t := &target{Target: listed, process: &process{
-		pool:   pool.New(listed.ID, listed.Address.String(), b.codec, defaultConnections),
+		pool:   pool.New(listed.ID, listed.Address.String(), b.codec, spareConnections),
 		health: health{slots: listed.Concurrency},
 	}}
-	if !listed.Leaving {
-		select {
-		case b.warm <- t:
-		default:
-		}
-	}
 	return t
 }
 
-// connectionShare is this instance's part of the connections that a target of
-// the service accepts.
-func connectionShare(v *view.View, service model.ServiceID) int {
-	if v.Routing == nil {
-		return defaultConnections
+// divide chooses this instance's own targets of a service, sets their shares of
+// connections and asks for a first one.
+func (b *book) divide(c crowd, service model.ServiceID, targets []*target) pair {
+	own, share := c.subset(service, targets)
+	p := pair{own: own}
+	for _, t := range targets {
+		if !slices.Contains(own, t) {
+			t.pool.SetLimit(spareConnections)
+			p.spare = append(p.spare, t)
+			continue
+		}
+		t.pool.SetLimit(share)
+		if !t.warmed.Swap(true) {
+			b.askWarm(t)
+		}
 	}
-	s := v.Routing.Service(service)
-	if s == nil || s.Connections == 0 {
-		return defaultConnections
+	return p
+}
+
+func (b *book) askWarm(t *target) {
+	select {
+	case b.warm <- t:
+	default:
+		// The first request opens the connection instead.
 	}
-	return max(1, int(connectionSafety*float64(s.Connections)/float64(max(1, len(v.Instances)))))
 }
 
 // choose returns the target of a service with the least expected cost, or nil.
 // Those in skip are left out.
 func (b *book) choose(p *page, service model.ServiceID, now time.Duration, skip func(*target) bool) *target {
+	if t := b.best(p.services[service].own, now, skip); t != nil {
+		return t
+	}
+	return b.best(p.services[service].spare, now, skip)
+}
+
+func (b *book) best(targets []*target, now time.Duration, skip func(*target) bool) *target {
 	var best *target
 	var least float64
-	for _, t := range p.services[service] {
-		if p.view.Evacuated[t.AvailabilityZone] || skip != nil && skip(t) {
+	for _, t := range targets {
+		if skip != nil && skip(t) {
 			continue
 		}
 		cost, ok := t.cost(now)
@@ -192,13 +212,12 @@
 
 // reachable reports whether some target of the service may get requests.
 func (p *page) reachable(service model.ServiceID, now time.Duration) bool {
-	return slices.ContainsFunc(p.services[service], func(t *target) bool {
-		if p.view.Evacuated[t.AvailabilityZone] {
-			return false
-		}
+	usable := func(t *target) bool {
 		_, ok := t.cost(now)
 		return ok
-	})
+	}
+	s := p.services[service]
+	return slices.ContainsFunc(s.own, usable) || slices.ContainsFunc(s.spare, usable)
 }
 
 // serves reports whether a table is known to which the targets belong.
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -18,6 +18,7 @@
 
 // Options configure an Engine.
 type Options struct {
+	Instance         model.InstanceID
 	AvailabilityZone model.AvailabilityZoneID
 	Views            view.Source
 	Codec            exchange.Codec
@@ -43,7 +44,7 @@
 // New returns an Engine.
 func New(o Options) *Engine {
 	return &Engine{
-		opts: o, origin: time.Now(), book: newBook(o.Codec, o.AvailabilityZone),
+		opts: o, origin: time.Now(), book: newBook(o.Codec, o.Instance, o.AvailabilityZone),
 		stats:   make(map[string]*routeStats),
 		budgets: make(map[model.ServiceID]*retry.Budget),
 		turns:   make(map[string]*turn),
@@ -127,6 +128,13 @@
 // Run opens connections ahead of use until ctx is done, and follows the view
 // while no requests come.
 func (e *Engine) Run(ctx context.Context) error {
+	// At the first start the other instances have to be known before the targets
+	// can be divided among them.
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-time.After(warmDelay):
+	}
 	ticker := time.NewTicker(warmPause)
 	defer ticker.Stop()
 	idle := time.NewTicker(followInterval)
@@ -143,6 +151,9 @@
 	}
 }
 
+// warmDelay is the time from the start to the first connection ahead of use.
+const warmDelay = time.Second
+
 // followInterval is how often the view is looked at without a request.
 const followInterval = 200 * time.Millisecond
 
--- a/pkg/dispatch/module.go
+++ b/pkg/dispatch/module.go
@@ -41,6 +41,7 @@
 	}
 	b := c.Settings.RetryBudget
 	m.engine = New(Options{
+		Instance:         c.Settings.Instance.ID,
 		AvailabilityZone: c.Settings.Instance.AvailabilityZone, Views: views, Codec: codec,
 		Extra: retry.Bound{Window: b.Window.Std(), Ratio: b.Ratio, Slack: b.Slack},
 	})
--- /dev/null
+++ b/pkg/dispatch/subset_test.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/routing"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+// crowdOf returns a view of instances per availability zone and one service.
+func crowdOf(perZone map[model.AvailabilityZoneID]int, connections int) *view.View {
+	v := &view.View{Routing: routing.NewIndex(&routing.Table{
+		Services: []routing.Service{{Name: "s", Connections: connections}},
+	})}
+	for _, zone := range []model.AvailabilityZoneID{"a", "b", "c", "d", "e"} {
+		for range perZone[zone] {
+			n := uint64(len(v.Instances) + 1)
+			v.Instances = append(v.Instances, model.Instance{
+				ID: model.InstanceID(fmt.Sprint(n)), AvailabilityZone: zone, Ordinal: n,
+			})
+		}
+	}
+	return v
+}
+
+func targetsIn(zones ...model.AvailabilityZoneID) []*target {
+	var targets []*target
+	for i, z := range zones {
+		targets = append(targets, &target{Target: model.Target{ID: model.TargetID(fmt.Sprint(i)), Service: "s", AvailabilityZone: z}})
+	}
+	return targets
+}
+
+// load counts the connections that each target gets if all instances use their
+// shares to the full.
+func load(v *view.View, targets []*target) map[model.TargetID]int {
+	connections := make(map[model.TargetID]int)
+	for _, i := range v.Instances {
+		own, share := newCrowd(v, i.ID, i.AvailabilityZone).subset("s", targets)
+		for _, t := range own {
+			connections[t.ID] += share
+		}
+	}
+	return connections
+}
+
+var _ = Describe("subset", func() {
+	DescribeTable("keeps every target within its connections and gives every instance two where they allow",
+		func(perZone map[model.AvailabilityZoneID]int, connections int, zones ...model.AvailabilityZoneID) {
+			v, targets := crowdOf(perZone, connections), targetsIn(zones...)
+			for id, n := range load(v, targets) {
+				Expect(n).To(BeNumerically("<=", connections), "target %s", id)
+			}
+			for _, i := range v.Instances {
+				own, _ := newCrowd(v, i.ID, i.AvailabilityZone).subset("s", targets)
+				Expect(len(own)).To(BeNumerically(">=", 2))
+			}
+		},
+		Entry("6 instances, 2 targets", map[model.AvailabilityZoneID]int{"a": 2, "b": 3, "c": 1}, 30,
+			model.AvailabilityZoneID("a"), model.AvailabilityZoneID("b")),
+		Entry("78 instances, 3 targets", map[model.AvailabilityZoneID]int{"a": 26, "b": 30, "c": 22}, 61,
+			model.AvailabilityZoneID("a"), model.AvailabilityZoneID("b"), model.AvailabilityZoneID("c")),
+		Entry("62 instances, 3 targets", map[model.AvailabilityZoneID]int{"a": 12, "b": 11, "c": 14, "d": 12, "e": 13}, 53,
+			model.AvailabilityZoneID("a"), model.AvailabilityZoneID("c"), model.AvailabilityZoneID("e")),
+	)
+
+	It("keeps the near target of an instance among its own", func() {
+		v, targets := crowdOf(map[model.AvailabilityZoneID]int{"a": 26, "b": 30, "c": 22}, 61), targetsIn("a", "b", "c")
+		for _, i := range v.Instances {
+			own, _ := newCrowd(v, i.ID, i.AvailabilityZone).subset("s", targets)
+			Expect(own[0].AvailabilityZone).To(Equal(i.AvailabilityZone))
+		}
+	})
+
+	It("does not move the targets of others when an instance comes", func() {
+		v, targets := crowdOf(map[model.AvailabilityZoneID]int{"a": 26, "b": 30, "c": 22}, 61), targetsIn("a", "b", "c")
+		more := *v
+		more.Instances = append(append([]model.Instance(nil), v.Instances...), model.Instance{ID: "new", AvailabilityZone: "a", Ordinal: 79})
+		for _, i := range v.Instances {
+			before, _ := newCrowd(v, i.ID, i.AvailabilityZone).subset("s", targets)
+			after, _ := newCrowd(&more, i.ID, i.AvailabilityZone).subset("s", targets)
+			Expect(after).To(Equal(before))
+		}
+	})
+})
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"radishturn.example/radishturn/pkg/exchange"
@@ -21,6 +22,8 @@
 // changes of the list that concern the same address.
 type process struct {
 	pool *pool.Pool
+	// warmed is set once a connection ahead of use was asked for.
+	warmed atomic.Bool
 
 	mu     sync.Mutex
 	health health
--- a/pkg/model/model.go
+++ b/pkg/model/model.go
@@ -91,6 +91,9 @@
 	// MeshAddress is where peers reach the instance over QUIC.
 	MeshAddress netip.AddrPort `json:"meshAddress" cbor:"3,keyasint"`
 	Leaving     bool           `json:"leaving" cbor:"4,keyasint,omitempty"`
+	// Ordinal numbers instances in the order in which they were first recorded,
+	// from 1. It never changes, so that shares of targets follow it.
+	Ordinal uint64 `json:"ordinal,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // LeafPart is one leaf's part of a snapshot.
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -53,6 +53,8 @@
 	Table *routing.Table `cbor:"11,keyasint,omitempty"`
 	// Evacuated are the availability zones whose targets get nothing new.
 	Evacuated map[model.AvailabilityZoneID]bool `cbor:"12,keyasint,omitempty"`
+	// Ordinals is the ordinal of the instance that was recorded last.
+	Ordinals uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // New returns the empty state.
@@ -175,6 +177,7 @@
 
 func (s *State) putInstance(index uint64, i model.Instance) *Result {
 	known, ok := s.data.Instances[i.ID]
+	i.Ordinal = known.Ordinal
 	if ok && known == i {
 		return &Result{}
 	}
@@ -182,6 +185,8 @@
 		return &Result{Refusal: refuse(failure.Overloaded, "%d instances are known already", MaxInstances)}
 	}
 	if !ok {
+		s.data.Ordinals++
+		i.Ordinal = s.data.Ordinals
 		s.data.Joined[i.ID] = s.data.Clock
 		s.data.Membership = index
 	}
@@ -240,5 +245,6 @@
 // Knows reports whether the instance is recorded as it is.
 func (s *State) Knows(i model.Instance) bool {
 	known, ok := s.data.Instances[i.ID]
+	i.Ordinal = known.Ordinal
 	return ok && known == i
 }
