Queries: retry budget with a reserve, longer part slack, requests encoded once

Change: a third of the constant budget is kept for requests without which a query fails; a target may work on for 0.75 of the objective; evidence on rarely used targets lasts longer; after a denial a shard waits 60 ms; what is the same for all targets is encoded once.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -84,6 +84,7 @@
 // prepare fills in what the call works with.
 func (e *Engine) prepare(c *Call) {
 	c.page = e.page()
+	e.opts.Codec.Prepare(c.Request)
 	key := c.Route.Host + c.Route.Prefix
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -117,12 +118,21 @@
 	}
 }
 
+// reserveShare is the part of the constant budget that only requests without
+// which a call fails may use.
+const reserveShare = 0.35
+
 // takeExtra reports whether a service may get an extra request, and counts it.
-func (e *Engine) takeExtra(s model.ServiceID) bool {
+// A needed one may use the reserve.
+func (e *Engine) takeExtra(s model.ServiceID, needed bool) bool {
 	bound, now := e.bound(), e.now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.budget(s).Take(now, bound)
+	b := e.budget(s)
+	if !needed && b.Left(now, bound) < 1+reserveShare*bound.Slack {
+		return false
+	}
+	return b.Take(now, bound)
 }
 
 // Run opens connections ahead of use until ctx is done, and follows the view
--- a/pkg/dispatch/fanout.go
+++ b/pkg/dispatch/fanout.go
@@ -18,9 +18,12 @@
 	answerShare  = 0.05
 	// deadlineMargin is the same for the end of the caller's patience.
 	deadlineMargin = 40 * time.Millisecond
-	// partSlack is how long after the end of the objective a target may still
-	// work on its part. It then gives up by itself, which spares the connection.
-	partSlack = 60 * time.Millisecond
+	// minPartSlack and partSlackShare are how long after the end of the objective
+	// a target may still work on its part, the latter as a share of the
+	// objective. It then gives up by itself, which spares the connection. Parts
+	// that come so late still count while coverage is too low.
+	minPartSlack   = 60 * time.Millisecond
+	partSlackShare = 0.75
 	// minPartShare is the least time that a target is given, as a share of the
 	// objective.
 	minPartShare = 0.12
@@ -164,9 +167,9 @@
 		q.run.Unsent(i, now, q.call.page.reachable(service, now))
 		return
 	}
-	if len(q.used[i]) > 0 && !q.engine.takeExtra(service) {
+	if len(q.used[i]) > 0 && !q.engine.takeExtra(service, q.run.Needs(i, now)) {
 		q.trace.Denied++
-		q.run.Unsent(i, now, true)
+		q.run.Denied(i, now)
 		return
 	}
 	sent := &sentPart{shard: i, target: t}
@@ -231,7 +234,8 @@
 		return left
 	}
 	least := time.Duration(minPartShare * float64(q.call.Route.Objective))
-	return min(left, max(q.plan.End-now+partSlack, least))
+	slack := max(minPartSlack, time.Duration(partSlackShare*float64(q.call.Route.Objective)))
+	return min(left, max(q.plan.End-now+slack, least))
 }
 
 func (q *query) take(r *sentPart) {
--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -11,9 +11,15 @@
 	slownessWeight = 0.15
 	// failureWeight is the weight of one reply in the failure rate.
 	failureWeight = 0.15
-	// memory is the time after which old evidence has lost most of its weight,
-	// so that a target that has recovered is tried again.
-	memory = 4 * time.Second
+	// minMemory and maxMemory bound the time after which old evidence has lost
+	// most of its weight, so that a target that has recovered is tried again. It
+	// is longer for targets that get few requests.
+	minMemory = 4 * time.Second
+	maxMemory = 10 * time.Second
+	// memoryGaps is the memory in mean times between two replies.
+	memoryGaps = 3
+	// gapWeight is the weight of one gap in their mean.
+	gapWeight = 0.2
 	// overdueFactor is how many times the usual latency an unanswered request
 	// may take before it counts against the target.
 	overdueFactor = 1.8
@@ -36,6 +42,8 @@
 	slowness float64
 	failures float64
 	seen     time.Duration
+	// gap is the mean time between replies.
+	gap, lastReply time.Duration
 	// pending are the times at which unanswered requests were sent, with the
 	// usual latency of their route.
 	pending []pendingRequest
@@ -64,6 +72,7 @@
 	if now <= h.seen {
 		return
 	}
+	memory := min(maxMemory, max(minMemory, memoryGaps*h.gap))
 	keep := math.Exp(-float64(now-h.seen) / float64(memory))
 	h.slowness = 1 + (h.slowness-1)*keep
 	h.failures *= keep
@@ -83,6 +92,8 @@
 // replied takes in a reply that came after latency.
 func (h *health) replied(now, latency, usual time.Duration, failed bool) {
 	h.age(now)
+	h.gap += time.Duration(gapWeight * float64(now-h.lastReply-h.gap))
+	h.lastReply = now
 	h.unreachable, h.ejectedUntil = 0, 0
 	outcome := 0.0
 	if failed {
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -157,7 +157,7 @@
 	if s.ran && !s.call.Route.Idempotent {
 		return false
 	}
-	if arrived && !s.engine.takeExtra(s.service) {
+	if arrived && !s.engine.takeExtra(s.service, len(s.inFlight) == 0) {
 		s.trace.Denied++
 		return false
 	}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -25,6 +25,8 @@
 	Body   []byte
 	// WantHeader asks for the header of the reply.
 	WantHeader bool
+	// Encoded is what Codec.Prepare worked out for all targets.
+	Encoded []byte
 }
 
 // Order is what one target is told beside the request.
@@ -79,6 +81,9 @@
 
 // Codec encodes requests and decodes replies. It holds no state.
 type Codec interface {
+	// Prepare encodes what is the same for all targets into r.Encoded. It comes
+	// before the first AppendRequest.
+	Prepare(r *Request)
 	AppendRequest(dst []byte, r *Request, o Order) []byte
 	// ReadReply reads one whole reply.
 	ReadReply(br *bufio.Reader, e Expect) (*Reply, error)
--- a/pkg/exchange/exchangetest/exchangetest.go
+++ b/pkg/exchange/exchangetest/exchangetest.go
@@ -19,6 +19,9 @@
 // a body for a reply.
 type Codec struct{}
 
+// Prepare does nothing.
+func (Codec) Prepare(*exchange.Request) {}
+
 // AppendRequest encodes a request; its body is not sent.
 func (Codec) AppendRequest(dst []byte, r *exchange.Request, o exchange.Order) []byte {
 	return fmt.Appendf(dst, "%s %s %d\n", r.ID, o.Target, o.Timeout.Milliseconds())
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -20,6 +20,9 @@
 	MaxSends = 4
 	// repeatPause is how long a shard without a usable target waits for one.
 	repeatPause = 8 * time.Millisecond
+	// deniedPause is how long a shard waits after the retry budget allowed it no
+	// request.
+	deniedPause = 60 * time.Millisecond
 )
 
 // Plan holds the times of a query, on the caller's clock.
@@ -81,6 +84,19 @@
 	s.hopeless = !reachable
 }
 
+// Denied notes that the retry budget allows a shard no further request now.
+func (r *Run) Denied(i int, now time.Duration) {
+	s := &r.shards[i]
+	s.retryAt = now + deniedPause
+	s.lastSent = max(s.lastSent, now+deniedPause-r.HedgeDelay())
+}
+
+// Needs reports whether a shard's part is needed for the required coverage: it
+// has no request in flight, or the objective has passed.
+func (r *Run) Needs(i int, now time.Duration) bool {
+	return r.parts < r.plan.Required && (now >= r.plan.End || r.shards[i].inFlight == 0)
+}
+
 // Part notes a good reply. It reports whether it is the shard's first.
 func (r *Run) Part(i int) bool {
 	s := &r.shards[i]
--- a/pkg/pool/conn.go
+++ b/pkg/pool/conn.go
@@ -16,6 +16,8 @@
 const (
 	// readBufferBytes holds a usual reply.
 	readBufferBytes = 2 << 10
+	// requestBytes holds a usual request.
+	requestBytes = 512
 	// maxReplyBytes bounds the body of one reply.
 	maxReplyBytes = 8 << 20
 	// maxForeignReplies is how many replies to earlier requests are passed over
@@ -107,7 +109,7 @@
 	c.attempt, c.writing = a, true
 	a.conn.Store(c)
 	c.mu.Unlock()
-	encoded := c.pool.codec.AppendRequest(nil, a.Request, a.Order)
+	encoded := c.pool.codec.AppendRequest(make([]byte, 0, requestBytes), a.Request, a.Order)
 	if len(encoded) > inlineWriteBytes {
 		go c.write(encoded)
 		return true
