Queries wait out resets after a power loss; half of the connections are kept free

Change: an instance takes half of its share of connections where each instance may have several; repeats after the first are spread over some 300 ms.

--- a/pkg/dispatch/fanout.go
+++ b/pkg/dispatch/fanout.go
@@ -248,9 +248,9 @@
 			q.top.Add(reply.Body)
 		}
 	case reply != nil:
-		q.run.Failed(r.shard, !reply.NotRun && !reply.WrongTarget)
+		q.run.Failed(r.shard, q.engine.now(), !reply.NotRun && !reply.WrongTarget)
 	default:
-		q.run.Failed(r.shard, !isNotSent(r.result.Err))
+		q.run.Failed(r.shard, q.engine.now(), !isNotSent(r.result.Err))
 	}
 }
 
--- a/pkg/dispatch/subset.go
+++ b/pkg/dispatch/subset.go
@@ -15,6 +15,11 @@
 	// connectionSafety leaves room for connections of processes that have ended
 	// and that their targets still count.
 	connectionSafety = 0.9
+	// restartShare is the part of what a target accepts that the instances use
+	// where each may have several connections. After a loss of power a target
+	// still counts the connections of the processes before; new ones beyond its
+	// bound are reset.
+	restartShare = 0.5
 )
 
 // crowd is what the division of targets among the instances follows from.
@@ -51,7 +56,7 @@
 		return targets, spareConnections
 	}
 	if accepted >= c.instances {
-		return targets, accepted / c.instances
+		return targets, max(1, int(restartShare*float64(accepted))/c.instances)
 	}
 	count := max(1, len(targets)*accepted/c.instances)
 	return c.rotate(service, targets, accepted)[:min(count, len(targets))], 1
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -17,7 +17,10 @@
 	// minHedgeDelay keeps the delays of the network out.
 	minHedgeDelay = 6 * time.Millisecond
 	// MaxSends bounds the requests to one shard.
-	MaxSends = 4
+	MaxSends = 6
+	// firstBackoff is the pause before the second repeat to a shard; it doubles
+	// with each further one. The first repeat goes out at once.
+	firstBackoff = 40 * time.Millisecond
 	// repeatPause is how long a shard without a usable target waits for one.
 	repeatPause = 8 * time.Millisecond
 	// deniedPause is how long a shard waits after the retry budget allowed it no
@@ -51,6 +54,7 @@
 	// inFlight and sends count requests; ran counts those that a target may
 	// have run.
 	inFlight, sends, ran int
+	failures             int
 	lastSent             time.Duration
 	// retryAt is when a shard without a request in flight is tried again; 0
 	// means at once.
@@ -111,15 +115,22 @@
 
 // Failed notes a request without a good reply. Ran is set if a target may have
 // run it.
-func (r *Run) Failed(i int, ran bool) {
+func (r *Run) Failed(i int, now time.Duration, ran bool) {
 	s := &r.shards[i]
 	s.inFlight--
+	s.failures++
 	if ran {
 		s.ran++
 	}
 	s.retryAt = 0
+	if s.failures > 1 {
+		s.retryAt = now + firstBackoff<<min(s.failures-2, maxDoublings)
+	}
 }
 
+// maxDoublings bounds the pause between repeats.
+const maxDoublings = 3
+
 // Parts returns the number of shards that are in.
 func (r *Run) Parts() int { return r.parts }
 
--- a/pkg/gather/gather_test.go
+++ b/pkg/gather/gather_test.go
@@ -76,7 +76,7 @@
 		for i := range 3 {
 			r.Part(i)
 		}
-		r.Failed(3, false)
+		r.Failed(3, 25*ms, false)
 		r.Unsent(3, 25*ms, false)
 		Expect(r.Verdict(25 * ms)).To(Equal(gather.Answer))
 	})
@@ -85,17 +85,31 @@
 		r.Part(0)
 		r.Part(1)
 		for _, i := range []int{2, 3} {
-			r.Failed(i, false)
+			r.Failed(i, 25*ms, false)
 			r.Unsent(i, 25*ms, false)
 		}
 		Expect(r.Verdict(25 * ms)).To(Equal(gather.Unreachable))
 	})
 
 	It("repeats a failed request at once", func() {
-		r.Failed(2, true)
+		r.Failed(2, 5*ms, true)
 		Expect(r.Due(5 * ms)).To(Equal([]int{2}))
 	})
 
+	// After a loss of power targets reset new connections for a moment.
+	It("spreads further repeats, so that resets for a moment do not end the query", func() {
+		now := 5 * ms
+		for range gather.MaxSends - 1 {
+			r.Failed(2, now, true)
+			for !slices.Contains(r.Due(now), 2) {
+				now += ms
+			}
+			Expect(r.Verdict(now)).To(Equal(gather.Wait))
+			r.Sent(2, now)
+		}
+		Expect(now).To(BeNumerically(">", 300*ms))
+	})
+
 	It("counts a part once although two requests bring it", func() {
 		r.Sent(0, r.HedgeDelay())
 		Expect(r.Part(0)).To(BeTrue())
