Targets that turn requests away count as failing

A rejection only led to a pause of 60 ms, so half of all first requests went there, the retry budget was spent on them and 260 queries timed out short of their coverage.

--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -339,6 +339,26 @@
 		Expect(h.cost(100 * ms)).To(BeNumerically("~", before, 0.1))
 	})
 
+	// One target of each shard turned 45% of its requests away, beside a sound one.
+	It("prefers a busy target to one that turns requests away", func() {
+		shedding, busy := health{slots: 2}, health{slots: 2}
+		now := time.Duration(0)
+		for i := range 40 {
+			now += 10 * ms
+			if i%2 == 0 {
+				shedding.shed(now)
+			} else {
+				shedding.replied(now, 10*ms, 10*ms, false)
+			}
+			busy.replied(now, 14*ms, 10*ms, false)
+		}
+		busy.begin(now, 10*ms)
+		busy.begin(now, 10*ms)
+		busy.end(now)
+		busy.end(now)
+		Expect(shedding.cost(now + 70*ms)).To(BeNumerically(">", busy.cost(now+70*ms)))
+	})
+
 	It("forgets that a target was slow, so that it is tried again", func() {
 		h := health{slots: 2}
 		for i := range 20 {
--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -121,7 +121,13 @@
 	h.ejectedUntil = now + pause
 }
 
-func (h *health) shed(now time.Duration) { h.shedUntil = now + shedPause }
+// shed takes in a request that the target turned away. A target that does so
+// often is as dear as one that fails: each repeat draws on the retry budget.
+func (h *health) shed(now time.Duration) {
+	h.age(now)
+	h.failures += failureWeight * (1 - h.failures)
+	h.shedUntil = now + shedPause
+}
 
 func (h *health) told(now time.Duration, running, waiting, slots int) {
 	h.slots = slots
