Metrics on their own address, explain from logs, answers in the log

Metrics of the roles entry and control are served on instance.metricsListen. radishturn explain REQUEST-ID LOG... finds a request in the logs of several processes with what its process came to believe in the five seconds before; clocks of different logs are never compared. Lines on partial and failed queries name the targets that were asked for each late shard. Answers that are whole and in time are logged too, 20 lines a second at most.

--- a/pkg/cli/requests.go
+++ b/pkg/cli/requests.go
@@ -11,6 +11,7 @@
 
 	"radishturn.example/radishturn/pkg/adminapi"
 	"radishturn.example/radishturn/pkg/fanout"
+	"radishturn.example/radishturn/pkg/logstory"
 	"radishturn.example/radishturn/pkg/rules"
 )
 
@@ -21,15 +22,18 @@
 
 func explainCommand(o *options) *cobra.Command {
 	return &cobra.Command{
-		Use:   "explain [REQUEST-ID]",
+		Use:   "explain [REQUEST-ID [LOG...]]",
 		Short: "Say why a request took this long and what it lacked; without an ID list the slowest",
 		Example: `  radishturn explain
-  radishturn explain e4.7af5fb06-917e-467d-9215-52c901a18b4d`,
-		Args: cobra.MaximumNArgs(1),
+  radishturn explain e4.7af5fb06-917e-467d-9215-52c901a18b4d
+  radishturn explain 9c41d07be2a35f68 entry-1.log entry-2.log`,
 		RunE: func(c *cobra.Command, args []string) error {
 			if len(args) == 0 {
 				return listSlowest(c.Context(), o)
 			}
+			if len(args) > 1 {
+				return explainFromLogs(o, args[0], args[1:])
+			}
 			e := new(fanout.Explanation)
 			if err := o.get(c.Context(), requestsPath+"/"+args[0], e); err != nil {
 				return err
@@ -39,6 +43,34 @@
 	}
 }
 
+// explainFromLogs tells a request's story from the logs of processes.
+func explainFromLogs(o *options, request string, files []string) error {
+	var logs [][]logstory.Line
+	for _, name := range files {
+		lines, err := readLog(name)
+		if err != nil {
+			return err
+		}
+		logs = append(logs, lines)
+	}
+	story := logstory.Tell(request, logs)
+	return o.print(story, func(w *tabwriter.Writer) {
+		printf(w, "%s: %s", story.Request, story.Conclusion())
+		for _, l := range append(story.Beliefs, story.Lines...) {
+			printf(w, "%s\t%s\t%s\t%s\t%v", l.Log, l.At.Format("15:04:05.000"), l.Event, l.Message, l.Fields)
+		}
+	})
+}
+
+func readLog(name string) ([]logstory.Line, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, exitWith(ExitNotFound, err)
+	}
+	lines, err := logstory.Read(name, file)
+	return lines, errors.Join(err, file.Close())
+}
+
 func listSlowest(ctx context.Context, o *options) error {
 	var list []fanout.Summary
 	if err := o.get(ctx, requestsPath, &list); err != nil {
--- a/pkg/dispatch/fanout.go
+++ b/pkg/dispatch/fanout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"radishturn.example/radishturn/pkg/failure"
@@ -67,10 +68,10 @@
 	e.prepare(c)
 	q := e.newQuery(c)
 	if err := q.checkReach(); err != nil {
-		return Outcome{Err: err, Trace: q.trace}
+		return observe(c, Outcome{Err: err, Trace: q.trace})
 	}
 	e.noteFirst(c.Route.Fanout.Shards...)
-	return q.loop(ctx)
+	return observe(c, q.loop(ctx))
 }
 
 func (e *Engine) newQuery(c *Call) *query {
@@ -276,11 +277,22 @@
 func (q *query) noteLate() {
 	for i, s := range q.call.Route.Fanout.Shards {
 		if !q.run.Done(i) && len(q.trace.Late) < maxLateNames {
-			q.trace.Late = append(q.trace.Late, string(s))
+			q.trace.Late = append(q.trace.Late, lateName(s, q.used[i]))
 		}
 	}
 }
 
+// lateName names a shard with the targets that were asked, as "shard=a+b".
+func lateName(shard model.ServiceID, asked []*target) string {
+	var name strings.Builder
+	name.WriteString(string(shard))
+	for i, t := range asked {
+		name.WriteString([]string{"=", "+"}[min(i, 1)])
+		name.WriteString(string(t.ID))
+	}
+	return name.String()
+}
+
 // abandon gives up what is still in flight.
 func (q *query) abandon(linger time.Duration) {
 	for _, s := range q.sent {
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -17,6 +17,9 @@
 	Trace  Trace
 }
 
+// NotRun reports whether no target ran the call.
+func (o Outcome) NotRun() bool { return o.Err != nil && o.Err.Ran == failure.NotRun }
+
 // Answer is merged from the parts of several shards.
 type Answer struct {
 	// Signatures are those of the parts, one for each shard that is in.
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -61,10 +61,10 @@
 		trace:    Trace{TableVersion: c.page.table().Table.Version, Usual: c.stats.usual()},
 	}
 	if !c.page.reachable(service, e.now()) {
-		return s.refuse("find target", "no target of %s can be reached", service)
+		return observe(c, s.refuse("find target", "no target of %s can be reached", service))
 	}
 	e.noteFirst(service)
-	return s.loop(ctx)
+	return observe(c, s.loop(ctx))
 }
 
 // pick chooses the service of a route that is split.
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -46,6 +46,7 @@
 		t.finished(now, sent, usual, timeout, r)
 		if r.Reply != nil && r.Reply.OK() {
 			call.stats.add(now - sent)
+			targetSeconds.Update((now - sent).Seconds())
 		}
 		done(r, now-sent)
 	}
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -22,6 +22,7 @@
 
 	PlatformEntryUnread Number = 1103
 	LinesDropped        Number = 1104
+	MetricsUnserved     Number = 1105
 
 	PeerConnected    Number = 2001
 	PeerDisconnected Number = 2002
@@ -131,6 +132,7 @@
 	{PlatformListFound, info, "platform list is read", []string{"sequence", "targets", "instances"}},
 	{PlatformEntryUnread, debug, "entry of the platform list cannot be read", []string{"error"}},
 	{LinesDropped, warn, "log lines dropped", []string{"lines"}},
+	{MetricsUnserved, warn, "metrics are not served", []string{"address", "error"}},
 
 	{PeerConnected, debug, "peer connected", []string{"peer", "address"}},
 	{PeerDisconnected, debug, "peer disconnected", []string{"peer", "error"}},
@@ -181,7 +183,7 @@
 	{SnapshotUnavailable, warn, "no whole snapshot of the collection", []string{"collection"}},
 	{TargetListed, info, "target is listed", []string{"target", "service", "address", "availabilityZone", "leaving"}},
 	{TargetUnreached, warn, "connection ahead of use failed", []string{"target", "error"}},
-	{CallAnswered, debug, "request answered", callFields},
+	{CallAnswered, info, "request answered", callFields},
 	{CallPartial, info, "request answered without some shards", callFields},
 	{CallFailed, warn, "request failed", callFields},
 	{CallRefused, warn, "request refused, not run", callFields},
--- /dev/null
+++ b/pkg/logstory/logstory_test.go
@@ -0,0 +1,48 @@
+package logstory_test
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/logstory"
+)
+
+func TestLogStory(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "log story")
+}
+
+const first = `  8.1 entry-1 {"fields":{"event":"RT5007","target":"i-9","reason":"listed as leaving"},"level":"info","timestamp":"2026-01-30T07:00:01Z","message":"target is leaving"}
+not a line of ours
+{"fields":{"event":"RT1005"},"level":"info","timestamp":"2026-01-30T06:00:00Z","message":"instance is ready for new work"}
+{"fields":{"event":"RT5017","request":"abc","milliseconds":1961,"status":504,"error":"gather parts: 84 of 90 parts came","late":"s1=i-9","denied":3},"level":"warn","timestamp":"2026-01-30T07:00:03Z","message":"request failed"}
+`
+
+// The clock of the second log is hours ahead.
+const second = `{"fields":{"event":"RT3002","leader":"x"},"level":"info","timestamp":"2026-01-30T12:00:00Z","message":"leader elected"}
+`
+
+var _ = Describe("Tell", func() {
+	read := func(name, text string) []logstory.Line {
+		lines, err := logstory.Read(name, strings.NewReader(text))
+		Expect(err).NotTo(HaveOccurred())
+		return lines
+	}
+
+	It("finds the request and what its process believed just before", func() {
+		s := logstory.Tell("abc", [][]logstory.Line{read("a", first), read("b", second)})
+		Expect(s.Lines).To(HaveLen(1))
+		Expect(s.Beliefs).To(HaveLen(1))
+		Expect(s.Beliefs[0].Event).To(Equal("RT5007"))
+		Expect(s.Conclusion()).To(ContainSubstring("84 of 90 parts came"))
+		Expect(s.Conclusion()).To(ContainSubstring("s1=i-9"))
+	})
+
+	It("says so when no log mentions the request", func() {
+		s := logstory.Tell("other", [][]logstory.Line{read("a", first)})
+		Expect(s.Conclusion()).To(ContainSubstring("no log mentions"))
+	})
+})
