--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets for people; CI calls the same ones.
-.PHONY: build test lint race model demo proofs capacity bench
+.PHONY: build test lint race model demo proofs capacity soak bench
 
 BIN := bin
 export CGO_ENABLED := 1
@@ -20,8 +20,8 @@
 
 lint:
 	test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
-	go vet -tags proofs ./...
-	go tool staticcheck -tags proofs ./...
+	go vet -tags proofs,soak ./...
+	go tool staticcheck -tags proofs,soak ./...
 
 model:
 	./spec/check.sh
@@ -35,5 +35,11 @@
 capacity: build
 	go test -tags proofs -count=1 -timeout 30m -v ./proofs -ginkgo.label-filter=capacity
 
+# SOAK_SEED, SOAK_SEEDS, SOAK_SECONDS and SOAK_LOGS set what is run; see docs/SOAK.md.
+soak: build
+	mkdir -p $(BIN)/keys
+	test -f $(BIN)/keys/authority.key || $(BIN)/radishturn keys init $(BIN)/keys
+	RADISHTURND=$(CURDIR)/$(BIN)/radishturnd go test -tags soak -count=1 -timeout 80m -v ./soak
+
 bench:
 	go test -run '^$$' -bench . ./pkg/...
