Retry budget over the fleet: instances draw freely until a service is tight

Change: entries report what they use with their renewals; the leader counts it and tells which services are tight and what is left for each entry. Elsewhere they draw freely, at a rate that the fleet can keep up until the leader hears of it.

Ruled out: larger shares for all, which pass the bound when all hedge at once.

--- a/pkg/control/server/session.go
+++ b/pkg/control/server/session.go
@@ -16,6 +16,7 @@
 	"radishturn.example/radishturn/pkg/lease/table"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/platform"
+	"radishturn.example/radishturn/pkg/retry"
 	"radishturn.example/radishturn/pkg/state"
 	"radishturn.example/radishturn/pkg/steward"
 )
@@ -43,6 +44,8 @@
 	changing atomic.Bool
 	// catalog is the list of targets that entries follow.
 	catalog *catalog.Catalog
+	// extra counts the fleet's requests for the retry budget.
+	extra *retry.Ledger
 }
 
 func newSession(s *Server, term uint64) *session {
@@ -58,6 +61,8 @@
 	})
 	n.granter = granter.New(s.mesh.Self(), term, n.started, s.settings.Lease.Duration.Std(), s.runOut(), known)
 	n.granter.OnSettled(n.settleWarmth)
+	b := s.settings.RetryBudget
+	n.extra = retry.NewLedger(retry.Bound{Window: b.Window.Std(), Ratio: b.Ratio, Slack: b.Slack}, n.started)
 	n.batches = newBatcher(n)
 	n.refreshLimits()
 	return n
@@ -112,6 +117,9 @@
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	reply.Catalog = n.catalog.Since(r.Catalog)
+	instances := 0
+	n.machine.Read(func(s *state.State) { instances = s.InstanceCount() })
+	reply.Extra = n.extra.Allowance(n.now(), instances)
 }
 
 func (n *session) voters() []model.InstanceID {
--- a/pkg/dispatch/book.go
+++ b/pkg/dispatch/book.go
@@ -43,6 +43,8 @@
 	view     *view.View
 	targets  map[model.TargetID]*target
 	services map[model.ServiceID]pair
+	// ordinal is this instance's.
+	ordinal uint64
 }
 
 // pair divides the targets of a service: this instance keeps connections to its
@@ -103,6 +105,7 @@
 		}
 	}
 	crowd := newCrowd(v, b.self, b.zone)
+	next.ordinal = crowd.ordinal
 	for service, targets := range usable {
 		slices.SortFunc(targets, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
 		next.services[service] = b.divide(crowd, service, targets)
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -22,6 +22,9 @@
 	AvailabilityZone model.AvailabilityZoneID
 	Views            view.Source
 	Codec            exchange.Codec
+	// Reporter takes what this instance uses of the fleet's retry budget; nil
+	// where instances keep budgets of their own.
+	Reporter view.Reporter
 	// Extra bounds hedges and repeats over the fleet, for each service.
 	Extra retry.Bound
 }
@@ -35,18 +38,18 @@
 	mu      sync.Mutex
 	stats   map[string]*routeStats
 	budgets map[model.ServiceID]*retry.Budget
-	turns   map[string]*turn
+	// usage counts requests since the last report to the leader.
+	usage map[model.ServiceID]retry.Usage
+	turns map[string]*turn
 }
 
-// budgetSafety is the part of the retry budget that the instances share out.
-const budgetSafety = 0.85
-
 // New returns an Engine.
 func New(o Options) *Engine {
 	return &Engine{
 		opts: o, origin: time.Now(), book: newBook(o.Codec, o.Instance, o.AvailabilityZone),
 		stats:   make(map[string]*routeStats),
 		budgets: make(map[model.ServiceID]*retry.Budget),
+		usage:   make(map[model.ServiceID]retry.Usage),
 		turns:   make(map[string]*turn),
 	}
 }
@@ -95,10 +98,6 @@
 	}
 }
 
-func (e *Engine) bound() retry.Bound {
-	return e.opts.Extra.Share(len(e.opts.Views.View().Instances), budgetSafety)
-}
-
 func (e *Engine) budget(s model.ServiceID) *retry.Budget {
 	b := e.budgets[s]
 	if b == nil {
@@ -110,29 +109,69 @@
 
 // noteFirst counts the first requests to services.
 func (e *Engine) noteFirst(services ...model.ServiceID) {
-	bound, now := e.bound(), e.now()
+	now := e.now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, s := range services {
-		e.budget(s).Note(now, bound)
+		e.budget(s).Note(now, e.opts.Extra)
+		u := e.usage[s]
+		u.First++
+		e.usage[s] = u
 	}
 }
 
-// reserveShare is the part of the constant budget that only requests without
-// which a call fails may use.
-const reserveShare = 0.35
+const (
+	// reserveShare is the part of this instance's own share that only requests
+	// without which a call fails may use.
+	reserveShare = 0.35
+	// allowanceLife is how long the leader's word on the fleet's budget holds.
+	allowanceLife = 1500 * time.Millisecond
+)
 
 // takeExtra reports whether a service may get an extra request, and counts it.
 // A needed one may use the reserve.
 func (e *Engine) takeExtra(s model.ServiceID, needed bool) bool {
-	bound, now := e.bound(), e.now()
+	v, now := e.opts.Views.View(), e.now()
+	allowance := v.Extra
+	if time.Since(v.ExtraAt) > allowanceLife {
+		allowance = nil
+	}
+	reserve := reserveShare
+	if needed {
+		reserve = 0
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	b := e.budget(s)
-	if !needed && b.Left(now, bound) < 1+reserveShare*bound.Slack {
+	if !e.budget(s).TakeShared(now, e.member(v), s, allowance, reserve) {
 		return false
 	}
-	return b.Take(now, bound)
+	u := e.usage[s]
+	u.Extra++
+	e.usage[s] = u
+	return true
+}
+
+// member is this instance's place in the fleet.
+func (e *Engine) member(v *view.View) retry.Member {
+	return retry.Member{Fleet: e.opts.Extra, Instances: len(v.Instances), Ordinal: e.book.at(v).ordinal}
+}
+
+// reportUsage tells the leader what was used since the last report.
+func (e *Engine) reportUsage() {
+	if e.opts.Reporter == nil {
+		return
+	}
+	e.mu.Lock()
+	var usage []retry.Usage
+	for s, u := range e.usage {
+		u.Service = s
+		usage = append(usage, u)
+	}
+	clear(e.usage)
+	e.mu.Unlock()
+	if len(usage) > 0 {
+		e.opts.Reporter.Report(view.Evidence{Usage: usage})
+	}
 }
 
 // Run opens connections ahead of use until ctx is done, and follows the view
@@ -155,6 +194,7 @@
 			return nil
 		case <-idle.C:
 			e.page()
+			e.reportUsage()
 		case <-ticker.C:
 			e.warmOne()
 		}
--- a/pkg/lease/evidence.go
+++ b/pkg/lease/evidence.go
@@ -6,6 +6,7 @@
 
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/retry"
 	"radishturn.example/radishturn/pkg/view"
 )
 
@@ -15,6 +16,7 @@
 	maxSigns    = 1024
 	maxOutcomes = 4096
 	maxStops    = 64
+	maxUsages   = 4096
 )
 
 // reporter collects evidence until a renewal takes it.
@@ -25,6 +27,7 @@
 	mu       sync.Mutex
 	evidence view.Evidence
 	outcomes map[outcomeKey]int
+	usage    map[model.ServiceID]int
 	dropped  map[string]bool
 }
 
@@ -36,7 +39,7 @@
 }
 
 func newReporter(urgent func()) *reporter {
-	return &reporter{urgent: urgent, outcomes: make(map[outcomeKey]int), dropped: make(map[string]bool)}
+	return &reporter{urgent: urgent, outcomes: make(map[outcomeKey]int), usage: make(map[model.ServiceID]int), dropped: make(map[string]bool)}
 }
 
 // Report adds evidence. Deaths, signs of cold and stopped versions are sent at
@@ -50,6 +53,9 @@
 	for _, o := range e.Outcomes {
 		r.addOutcome(o)
 	}
+	for _, u := range e.Usage {
+		r.addUsage(u)
+	}
 	r.mu.Unlock()
 	if len(e.Deaths)+len(e.Cold)+len(e.Stop) > 0 {
 		r.urgent()
@@ -91,6 +97,21 @@
 	r.evidence.Outcomes = append(r.evidence.Outcomes, o)
 }
 
+// addUsage adds counts to those of the same service.
+func (r *reporter) addUsage(u retry.Usage) {
+	if i, ok := r.usage[u.Service]; ok {
+		r.evidence.Usage[i].First += u.First
+		r.evidence.Usage[i].Extra += u.Extra
+		return
+	}
+	if len(r.evidence.Usage) >= maxUsages {
+		r.noteDropped("usage")
+		return
+	}
+	r.usage[u.Service] = len(r.evidence.Usage)
+	r.evidence.Usage = append(r.evidence.Usage, u)
+}
+
 func sum(total *view.Outcome, o view.Outcome) {
 	total.OK += o.OK
 	total.Failed += o.Failed
@@ -107,11 +128,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.evidence
-	if len(e.Deaths)+len(e.Cold)+len(e.Warm)+len(e.Stop)+len(e.Outcomes) == 0 {
+	if len(e.Deaths)+len(e.Cold)+len(e.Warm)+len(e.Stop)+len(e.Outcomes)+len(e.Usage) == 0 {
 		return nil
 	}
 	r.evidence = view.Evidence{}
 	clear(r.outcomes)
+	clear(r.usage)
 	clear(r.dropped)
 	return &e
 }
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -131,6 +131,11 @@
 		h.version, h.membership = d.To, d.Membership
 	}
 	h.takeCatalog(r.Catalog)
+	if r.Extra != nil {
+		next := *h.view
+		next.Extra, next.ExtraAt = r.Extra, time.Now()
+		h.view = &next
+	}
 	return h.view != before
 }
 
--- a/pkg/lease/merge.go
+++ b/pkg/lease/merge.go
@@ -17,7 +17,7 @@
 func merge(old *view.View, d *state.Delta) *view.View {
 	if d.Whole() {
 		// A table in use is kept until a newer one comes: its version only grows.
-		old = &view.View{Grants: old.Grants, Catalog: old.Catalog, Routing: old.Routing}
+		old = &view.View{Grants: old.Grants, Catalog: old.Catalog, Routing: old.Routing, Extra: old.Extra, ExtraAt: old.ExtraAt}
 	}
 	return &view.View{
 		Revision:     d.Revision,
@@ -30,6 +30,8 @@
 		Quarantined:  mergeSet(old.Quarantined, d.Quarantined, d.Lifted),
 		Routing:      mergeTable(old.Routing, d.Table),
 		Catalog:      old.Catalog,
+		Extra:        old.Extra,
+		ExtraAt:      old.ExtraAt,
 		Evacuated:    mergeEvacuated(old.Evacuated, d),
 	}
 }
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -6,7 +6,13 @@
 // has counted may lie in two windows, and each allows its share alone.
 package retry
 
-import "time"
+import (
+	"hash/fnv"
+	"math"
+	"time"
+
+	"radishturn.example/radishturn/pkg/model"
+)
 
 // buckets divide the window. One more is kept, so that a bucket that is partly
 // out of the window still counts.
@@ -63,6 +69,75 @@
 	return bound.Ratio*float64(first) + bound.Slack - float64(extra)
 }
 
+// extras returns the extra requests in the window; advance comes before.
+func (b *Budget) extras() int {
+	n := 0
+	for _, e := range b.extra {
+		n += e
+	}
+	return n
+}
+
+// Member is one instance's place in the fleet.
+type Member struct {
+	Fleet     Bound
+	Instances int
+	// Ordinal differs between instances. Where there are more of them than free
+	// extra requests in a bucket, it says whose turn it is.
+	Ordinal uint64
+}
+
+// TakeShared counts an extra request if the instance may use one. Without an
+// allowance it keeps to a part of its own share; with a limit, to that; and
+// where the service is free, to a rate that all instances together can keep up
+// until the leader hears of it. Reserve is a part of the own share that is not
+// to be used.
+func (b *Budget) TakeShared(now time.Duration, m Member, service model.ServiceID, a *Allowance, reserve float64) bool {
+	share := m.Fleet.Share(m.Instances, safety)
+	if a == nil || !a.Free {
+		share.Ratio, share.Slack = share.Ratio*aloneShare, share.Slack*aloneShare
+		return b.takeAbove(now, share, reserve*share.Slack)
+	}
+	if limit, tight := a.Limit(service); tight {
+		return b.takeAbove(now, Bound{Window: m.Fleet.Window, Slack: limit}, 0)
+	}
+	return b.takeFree(now, m, service)
+}
+
+func (b *Budget) takeFree(now time.Duration, m Member, service model.ServiceID) bool {
+	b.advance(now, m.Fleet)
+	bucket := &b.extra[b.newest%(buckets+1)]
+	perBucket := freeShare * m.Fleet.Slack / float64(max(1, m.Instances))
+	if perBucket < 1 {
+		// Instances take turns, each service with another order.
+		turns := uint64(math.Ceil(1 / max(perBucket, minPerBucket)))
+		if (uint64(b.newest)+m.Ordinal+serviceHash(service))%turns != 0 {
+			return false
+		}
+	}
+	if float64(*bucket)+1 > max(1, perBucket) {
+		return false
+	}
+	*bucket++
+	return true
+}
+
+// minPerBucket keeps the turns finite in very large fleets.
+const minPerBucket = 0.001
+
+func serviceHash(s model.ServiceID) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s))
+	return h.Sum64()
+}
+
+// safety leaves room for windows that do not align and for restarts.
+const safety = 0.85
+
+func (b *Budget) takeAbove(now time.Duration, bound Bound, reserve float64) bool {
+	return b.Left(now, bound) >= 1+reserve && b.Take(now, bound)
+}
+
 func (b *Budget) advance(now time.Duration, bound Bound) {
 	current := int64(now / (bound.Window / buckets))
 	for steps := 0; b.newest < current; steps++ {
--- a/pkg/view/view.go
+++ b/pkg/view/view.go
@@ -9,6 +9,7 @@
 
 	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/retry"
 	"radishturn.example/radishturn/pkg/routing"
 )
 
@@ -52,6 +53,10 @@
 	Catalog *catalog.Set
 	// Evacuated are availability zones whose targets get nothing new.
 	Evacuated map[model.AvailabilityZoneID]bool
+	// Extra is what the leader last told of the fleet's retry budget, and
+	// ExtraAt when; nil where instances keep budgets of their own.
+	Extra   *retry.Allowance
+	ExtraAt time.Time
 }
 
 // Move is the state of a move of traffic as entries need it.
@@ -97,6 +102,8 @@
 	Stop []VersionStop `cbor:"4,keyasint,omitempty"`
 	// Warm are targets that answered at full speed under their cold grant.
 	Warm []ColdSign `cbor:"5,keyasint,omitempty"`
+	// Usage counts requests for the fleet's retry budget.
+	Usage []retry.Usage `cbor:"6,keyasint,omitempty"`
 }
 
 // Death is a target that died while the named requests were in flight there.
