What targets cost is shared; the shared retry budget uses more of the bound

Cause: on the grown sites an entry sends a target one request in five seconds and learns too late which are slow or turn requests away. Entries now report what replies cost; the leader averages it over two seconds and tells all which targets are dear. A target that stands still for a moment stays below; 4% of the choices pass over the hints, so that recovery is noticed.

The limits of tight services counted what an instance had used before, so the fleet never used more than 44% of a bound. Instances now draw at a bounded rate until 60% are used, and those that have used much wait from there on.

--- a/pkg/control/server/session.go
+++ b/pkg/control/server/session.go
@@ -46,10 +46,12 @@
 	catalog *catalog.Catalog
 	// extra counts the fleet's requests for the retry budget.
 	extra *retry.Ledger
+	// costs are what targets cost, as the instances together see them.
+	costs *catalog.Costs
 }
 
 func newSession(s *Server, term uint64) *session {
-	n := &session{Server: s, term: term, started: s.now(), warmth: grant.NewWarmth(), catalog: catalog.New(term),
+	n := &session{Server: s, term: term, started: s.now(), warmth: grant.NewWarmth(), catalog: catalog.New(term), costs: catalog.NewCosts(),
 		offers: make(map[model.InstanceID]steward.Offer)}
 	var known []table.Known
 	s.machine.Read(func(st *state.State) {
@@ -120,6 +122,7 @@
 	instances := 0
 	n.machine.Read(func(s *state.State) { instances = s.InstanceCount() })
 	reply.Extra = n.extra.Allowance(n.now(), instances)
+	reply.Hints = n.costs.Hints(n.now())
 }
 
 func (n *session) voters() []model.InstanceID {
--- a/pkg/control/wire/wire.go
+++ b/pkg/control/wire/wire.go
@@ -125,6 +125,8 @@
 	Voters []model.InstanceID `cbor:"9,keyasint,omitempty"`
 	// Extra is what the holder may use of the fleet's retry budget.
 	Extra *retry.Allowance `cbor:"10,keyasint,omitempty"`
+	// Hints are the dear targets, all of them.
+	Hints []catalog.Hint `cbor:"11,keyasint,omitempty"`
 }
 
 // Return hands a lease back.
--- a/pkg/dispatch/book.go
+++ b/pkg/dispatch/book.go
@@ -184,13 +184,27 @@
 // choose returns the target of a service with the least expected cost, or nil.
 // Those in skip are left out.
 func (b *book) choose(p *page, service model.ServiceID, now time.Duration, skip func(*target) bool) *target {
-	if t := b.best(p.services[service].own, now, skip); t != nil {
+	hints := p.view.Hints
+	if rand.Float64() < exploreShare || time.Since(p.view.ExtraAt) > hintLife {
+		hints = nil
+	}
+	if t := b.best(p.services[service].own, hints, now, skip); t != nil {
 		return t
 	}
-	return b.best(p.services[service].spare, now, skip)
+	return b.best(p.services[service].spare, hints, now, skip)
 }
 
-func (b *book) best(targets []*target, now time.Duration, skip func(*target) bool) *target {
+const (
+	// exploreShare is the share of choices that pass over what others say of the
+	// targets, so that a target that has recovered is noticed.
+	exploreShare = 0.04
+	// hintLife is how long the leader's word on targets holds.
+	hintLife = 3 * time.Second
+)
+
+// best returns the target with the least expected cost, by what this instance
+// has seen and by what the others say.
+func (b *book) best(targets []*target, hints map[model.TargetID]float64, now time.Duration, skip func(*target) bool) *target {
 	var best *target
 	var least float64
 	for _, t := range targets {
@@ -201,6 +215,7 @@
 		if !ok || !t.pool.Available() {
 			continue
 		}
+		cost = max(cost, hints[t.ID])
 		if t.AvailabilityZone != b.zone {
 			cost += distance
 		}
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -5,9 +5,12 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/model"
@@ -40,6 +43,8 @@
 	budgets map[model.ServiceID]*retry.Budget
 	// usage counts requests since the last report to the leader.
 	usage map[model.ServiceID]retry.Usage
+	// costs are what replies cost since the last report.
+	costs map[model.TargetID]catalog.Sample
 	// reportedTerm is the term of the leader that the last report was for.
 	reportedTerm uint64
 	turns        map[string]*turn
@@ -52,6 +57,7 @@
 		stats:   make(map[string]*routeStats),
 		budgets: make(map[model.ServiceID]*retry.Budget),
 		usage:   make(map[model.ServiceID]retry.Usage),
+		costs:   make(map[model.TargetID]catalog.Sample),
 		turns:   make(map[string]*turn),
 	}
 }
@@ -163,12 +169,32 @@
 	if e.opts.Reporter == nil {
 		return
 	}
-	usage := e.takeUsage()
-	if len(usage) > 0 {
-		e.opts.Reporter.Report(view.Evidence{Usage: usage})
+	usage, costs := e.takeUsage(), e.takeCosts()
+	if len(usage)+len(costs) > 0 {
+		e.opts.Reporter.Report(view.Evidence{Usage: usage, Costs: costs})
 	}
 }
 
+// noteCost counts a reply for the fleet's picture of the targets.
+func (e *Engine) noteCost(id model.TargetID, cost float32) {
+	if cost == 0 || e.opts.Reporter == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.costs[id]
+	s.Target, s.Sum, s.Count = id, s.Sum+cost, s.Count+1
+	e.costs[id] = s
+}
+
+func (e *Engine) takeCosts() []catalog.Sample {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	costs := slices.Collect(maps.Values(e.costs))
+	clear(e.costs)
+	return costs
+}
+
 // takeUsage returns what was used since the last report, or in the whole window
 // for a leader that is new.
 func (e *Engine) takeUsage() []retry.Usage {
--- a/pkg/lease/merge.go
+++ b/pkg/lease/merge.go
@@ -17,7 +17,7 @@
 func merge(old *view.View, d *state.Delta) *view.View {
 	if d.Whole() {
 		// A table in use is kept until a newer one comes: its version only grows.
-		old = &view.View{Grants: old.Grants, Catalog: old.Catalog, Routing: old.Routing, Extra: old.Extra, ExtraAt: old.ExtraAt}
+		old = &view.View{Grants: old.Grants, Catalog: old.Catalog, Routing: old.Routing, Extra: old.Extra, ExtraAt: old.ExtraAt, Hints: old.Hints}
 	}
 	return &view.View{
 		Revision:     d.Revision,
@@ -32,6 +32,7 @@
 		Catalog:      old.Catalog,
 		Extra:        old.Extra,
 		ExtraAt:      old.ExtraAt,
+		Hints:        old.Hints,
 		Evacuated:    mergeEvacuated(old.Evacuated, d),
 	}
 }
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -107,15 +107,15 @@
 		share.Ratio, share.Slack = share.Ratio*aloneShare, share.Slack*aloneShare
 		return b.takeAbove(now, share, reserve*share.Slack)
 	}
-	if limit, tight := a.Limit(service); tight {
-		return b.takeAbove(now, Bound{Window: m.Fleet.Window, Slack: limit}, 0)
+	if limit, tight := a.Limit(service); tight && b.Left(now, Bound{Window: m.Fleet.Window, Slack: limit}) < 1 {
+		return false
 	}
 	return b.takeFree(now, m, service)
 }
 
 func (b *Budget) takeFree(now time.Duration, m Member, service model.ServiceID) bool {
 	b.advance(now, m.Fleet)
-	bucket := &b.extra[b.newest%(buckets+1)]
+	bucket, before := &b.extra[b.newest%(buckets+1)], b.extra[(b.newest+buckets)%(buckets+1)]
 	perBucket := freeShare * m.Fleet.Slack / float64(max(1, m.Instances))
 	if perBucket < 1 {
 		// Instances take turns, each service with another order.
@@ -124,7 +124,8 @@
 			return false
 		}
 	}
-	if float64(*bucket)+1 > max(1, perBucket) {
+	// What the bucket before left over may be used as well.
+	if float64(*bucket+min(before, int(perBucket)))+1 > max(1, 2*perBucket) {
 		return false
 	}
 	*bucket++
--- a/pkg/retry/ledger.go
+++ b/pkg/retry/ledger.go
@@ -9,18 +9,19 @@
 )
 
 const (
-	// tightShare is the part of a service's bound from which the leader divides
-	// what is left. Below it instances draw freely, at a bounded rate: what they
-	// can use until they hear of it stays below the rest of the bound.
-	tightShare = 0.4
-	// restShare is the part of what is left that the leader gives out.
-	restShare = 0.8
+	// tightShare is the part of a service's bound from which instances that have
+	// used much of it wait. Below it they draw freely, at a bounded rate: what
+	// they can use until they hear of it stays below the rest of the bound.
+	tightShare = 0.6
+	// restShare is the part of the bound of a tight service that is divided
+	// among the instances, so that each may still use a little.
+	restShare = 0.15
 	// aloneShare is the part of its share that an instance uses while it hears
 	// nothing of the others, which may have drawn freely before.
-	aloneShare = 0.7
+	aloneShare = 0.5
 	// freeShare is the part of the constant budget that the fleet can use in one
 	// bucket of the window while it draws freely.
-	freeShare = 0.4
+	freeShare = 0.3
 )
 
 // Usage counts requests to one service since the last report.
@@ -96,8 +97,9 @@
 	a := &Allowance{Free: now-l.since > settleTime}
 	for s, b := range l.services {
 		left := b.Left(now, l.bound)
-		if used := float64(b.extras()); used > tightShare*(used+left) {
-			a.Limits = append(a.Limits, Limit{Service: s, PerWindow: max(0, restShare*left/float64(max(1, instances)))})
+		used := float64(b.extras())
+		if bound := used + left; used > tightShare*bound {
+			a.Limits = append(a.Limits, Limit{Service: s, PerWindow: restShare * bound / float64(max(1, instances))})
 		}
 	}
 	slices.SortFunc(a.Limits, func(x, y Limit) int { return cmp.Compare(x.Service, y.Service) })
--- a/pkg/view/view.go
+++ b/pkg/view/view.go
@@ -57,6 +57,9 @@
 	// ExtraAt when; nil where instances keep budgets of their own.
 	Extra   *retry.Allowance
 	ExtraAt time.Time
+	// Hints are the costs of dear targets, in usual latencies, as the instances
+	// together see them. They come with Extra.
+	Hints map[model.TargetID]float64
 }
 
 // Move is the state of a move of traffic as entries need it.
@@ -104,6 +107,8 @@
 	Warm []ColdSign `cbor:"5,keyasint,omitempty"`
 	// Usage counts requests for the fleet's retry budget.
 	Usage []retry.Usage `cbor:"6,keyasint,omitempty"`
+	// Costs are what replies of targets cost.
+	Costs []catalog.Sample `cbor:"7,keyasint,omitempty"`
 }
 
 // Death is a target that died while the named requests were in flight there.
