--- a/pkg/control/server/session.go
+++ b/pkg/control/server/session.go
@@ -119,9 +119,7 @@
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	reply.Catalog = n.catalog.Since(r.Catalog)
-	instances := 0
-	n.machine.Read(func(s *state.State) { instances = s.InstanceCount() })
-	reply.Extra = n.extra.Allowance(n.now(), instances)
+	reply.Extra = n.extra.Allowance(n.now())
 	reply.Hints = n.costs.Hints(n.now())
 }
 
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -96,18 +96,17 @@
 	Ordinal uint64
 }
 
-// TakeShared counts an extra request if the instance may use one. Without an
-// allowance it keeps to a part of its own share; with a limit, to that; and
-// where the service is free, to a rate that all instances together can keep up
-// until the leader hears of it. Reserve is a part of the own share that is not
-// to be used.
+// TakeShared counts an extra request if the instance may use one. A part of its
+// own share it may use at once, whatever the others do. Beyond that it draws on
+// what they leave, at a rate that all instances together can keep up until the
+// leader hears of it, as long as the service is not tight. Reserve is a part of
+// the own share that is not to be used.
 func (b *Budget) TakeShared(now time.Duration, m Member, service model.ServiceID, a *Allowance, reserve float64) bool {
-	share := m.Fleet.Share(m.Instances, safety)
-	if a == nil || !a.Free {
-		share.Ratio, share.Slack = share.Ratio*aloneShare, share.Slack*aloneShare
-		return b.takeAbove(now, share, reserve*share.Slack)
+	own := m.Fleet.Share(m.Instances, safety*ownShare)
+	if b.takeAbove(now, own, reserve*own.Slack) {
+		return true
 	}
-	if limit, tight := a.Limit(service); tight && b.Left(now, Bound{Window: m.Fleet.Window, Slack: limit}) < 1 {
+	if a == nil || !a.Free || a.IsTight(service) {
 		return false
 	}
 	return b.takeFree(now, m, service)
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -242,9 +242,6 @@
 	return maps.Clone(s.data.Instances)
 }
 
-// InstanceCount returns the number of known instances.
-func (s *State) InstanceCount() int { return len(s.data.Instances) }
-
 // Knows reports whether the instance is recorded as it is.
 func (s *State) Knows(i model.Instance) bool {
 	known, ok := s.data.Instances[i.ID]
