Revert the shared retry budget and the shared costs of targets; keep the rest

Found: where the same trouble meets all entries, they are tight together, and a free rate with turns denies what a burst of an own share allows; averaged costs come too late for targets that turn away at random.

--- a/pkg/control/server/evidence.go
+++ b/pkg/control/server/evidence.go
@@ -21,10 +21,6 @@
 	}
 	n.lock.Lock()
 	first := n.granter.TakeEvidence(r)
-	if first {
-		n.extra.Note(n.now(), r.Evidence.Usage)
-		n.costs.Note(n.now(), r.Evidence.Costs)
-	}
 	n.lock.Unlock()
 	if !first {
 		return nil
--- a/pkg/control/server/session.go
+++ b/pkg/control/server/session.go
@@ -16,7 +16,6 @@
 	"radishturn.example/radishturn/pkg/lease/table"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/platform"
-	"radishturn.example/radishturn/pkg/retry"
 	"radishturn.example/radishturn/pkg/state"
 	"radishturn.example/radishturn/pkg/steward"
 )
@@ -44,14 +43,10 @@
 	changing atomic.Bool
 	// catalog is the list of targets that entries follow.
 	catalog *catalog.Catalog
-	// extra counts the fleet's requests for the retry budget.
-	extra *retry.Ledger
-	// costs are what targets cost, as the instances together see them.
-	costs *catalog.Costs
 }
 
 func newSession(s *Server, term uint64) *session {
-	n := &session{Server: s, term: term, started: s.now(), warmth: grant.NewWarmth(), catalog: catalog.New(term), costs: catalog.NewCosts(),
+	n := &session{Server: s, term: term, started: s.now(), warmth: grant.NewWarmth(), catalog: catalog.New(term),
 		offers: make(map[model.InstanceID]steward.Offer)}
 	var known []table.Known
 	s.machine.Read(func(st *state.State) {
@@ -63,8 +58,6 @@
 	})
 	n.granter = granter.New(s.mesh.Self(), term, n.started, s.settings.Lease.Duration.Std(), s.runOut(), known)
 	n.granter.OnSettled(n.settleWarmth)
-	b := s.settings.RetryBudget
-	n.extra = retry.NewLedger(retry.Bound{Window: b.Window.Std(), Ratio: b.Ratio, Slack: b.Slack}, n.started)
 	n.batches = newBatcher(n)
 	n.refreshLimits()
 	return n
@@ -119,8 +112,6 @@
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	reply.Catalog = n.catalog.Since(r.Catalog)
-	reply.Extra = n.extra.Allowance(n.now())
-	reply.Hints = n.costs.Hints(n.now())
 }
 
 func (n *session) voters() []model.InstanceID {
--- a/pkg/control/wire/wire.go
+++ b/pkg/control/wire/wire.go
@@ -12,7 +12,6 @@
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/move"
 	"radishturn.example/radishturn/pkg/replica"
-	"radishturn.example/radishturn/pkg/retry"
 	"radishturn.example/radishturn/pkg/routing"
 	"radishturn.example/radishturn/pkg/state"
 	"radishturn.example/radishturn/pkg/view"
@@ -123,10 +122,6 @@
 	Catalog *catalog.Delta `cbor:"8,keyasint,omitempty"`
 	// Voters are the control members, so that holders find a later leader.
 	Voters []model.InstanceID `cbor:"9,keyasint,omitempty"`
-	// Extra is what the holder may use of the fleet's retry budget.
-	Extra *retry.Allowance `cbor:"10,keyasint,omitempty"`
-	// Hints are the dear targets, all of them.
-	Hints []catalog.Hint `cbor:"11,keyasint,omitempty"`
 }
 
 // Return hands a lease back.
--- a/pkg/dispatch/book.go
+++ b/pkg/dispatch/book.go
@@ -43,8 +43,6 @@
 	view     *view.View
 	targets  map[model.TargetID]*target
 	services map[model.ServiceID]pair
-	// ordinal is this instance's.
-	ordinal uint64
 }
 
 // pair divides the targets of a service: this instance keeps connections to its
@@ -105,7 +103,6 @@
 		}
 	}
 	crowd := newCrowd(v, b.self, b.zone)
-	next.ordinal = crowd.ordinal
 	for service, targets := range usable {
 		slices.SortFunc(targets, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
 		next.services[service] = b.divide(crowd, service, targets)
@@ -184,27 +181,13 @@
 // choose returns the target of a service with the least expected cost, or nil.
 // Those in skip are left out.
 func (b *book) choose(p *page, service model.ServiceID, now time.Duration, skip func(*target) bool) *target {
-	hints := p.view.Hints
-	if rand.Float64() < exploreShare || time.Since(p.view.ExtraAt) > hintLife {
-		hints = nil
-	}
-	if t := b.best(p.services[service].own, hints, now, skip); t != nil {
+	if t := b.best(p.services[service].own, now, skip); t != nil {
 		return t
 	}
-	return b.best(p.services[service].spare, hints, now, skip)
+	return b.best(p.services[service].spare, now, skip)
 }
 
-const (
-	// exploreShare is the share of choices that pass over what others say of the
-	// targets, so that a target that has recovered is noticed.
-	exploreShare = 0.04
-	// hintLife is how long the leader's word on targets holds.
-	hintLife = 3 * time.Second
-)
-
-// best returns the target with the least expected cost, by what this instance
-// has seen and by what the others say.
-func (b *book) best(targets []*target, hints map[model.TargetID]float64, now time.Duration, skip func(*target) bool) *target {
+func (b *book) best(targets []*target, now time.Duration, skip func(*target) bool) *target {
 	var best *target
 	var least float64
 	for _, t := range targets {
@@ -215,7 +198,6 @@
 		if !ok || !t.pool.Available() {
 			continue
 		}
-		cost = max(cost, hints[t.ID])
 		if t.AvailabilityZone != b.zone {
 			cost += distance
 		}
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -5,12 +5,9 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
-	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/model"
@@ -25,9 +22,6 @@
 	AvailabilityZone model.AvailabilityZoneID
 	Views            view.Source
 	Codec            exchange.Codec
-	// Reporter takes what this instance uses of the fleet's retry budget; nil
-	// where instances keep budgets of their own.
-	Reporter view.Reporter
 	// Extra bounds hedges and repeats over the fleet, for each service.
 	Extra retry.Bound
 }
@@ -41,23 +35,18 @@
 	mu      sync.Mutex
 	stats   map[string]*routeStats
 	budgets map[model.ServiceID]*retry.Budget
-	// usage counts requests since the last report to the leader.
-	usage map[model.ServiceID]retry.Usage
-	// costs are what replies cost since the last report.
-	costs map[model.TargetID]catalog.Sample
-	// reportedTerm is the term of the leader that the last report was for.
-	reportedTerm uint64
-	turns        map[string]*turn
+	turns   map[string]*turn
 }
 
+// budgetSafety is the part of the retry budget that the instances share out.
+const budgetSafety = 0.85
+
 // New returns an Engine.
 func New(o Options) *Engine {
 	return &Engine{
 		opts: o, origin: time.Now(), book: newBook(o.Codec, o.Instance, o.AvailabilityZone),
 		stats:   make(map[string]*routeStats),
 		budgets: make(map[model.ServiceID]*retry.Budget),
-		usage:   make(map[model.ServiceID]retry.Usage),
-		costs:   make(map[model.TargetID]catalog.Sample),
 		turns:   make(map[string]*turn),
 	}
 }
@@ -106,6 +95,10 @@
 	}
 }
 
+func (e *Engine) bound() retry.Bound {
+	return e.opts.Extra.Share(len(e.opts.Views.View().Instances), budgetSafety)
+}
+
 func (e *Engine) budget(s model.ServiceID) *retry.Budget {
 	b := e.budgets[s]
 	if b == nil {
@@ -117,108 +110,29 @@
 
 // noteFirst counts the first requests to services.
 func (e *Engine) noteFirst(services ...model.ServiceID) {
-	now := e.now()
+	bound, now := e.bound(), e.now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, s := range services {
-		e.budget(s).Note(now, e.opts.Extra)
-		u := e.usage[s]
-		u.First++
-		e.usage[s] = u
+		e.budget(s).Note(now, bound)
 	}
 }
 
-const (
-	// reserveShare is the part of this instance's own share that only requests
-	// without which a call fails may use.
-	reserveShare = 0.35
-	// allowanceLife is how long the leader's word on the fleet's budget holds.
-	allowanceLife = 1500 * time.Millisecond
-)
+// reserveShare is the part of the constant budget that only requests without
+// which a call fails may use.
+const reserveShare = 0.35
 
 // takeExtra reports whether a service may get an extra request, and counts it.
 // A needed one may use the reserve.
 func (e *Engine) takeExtra(s model.ServiceID, needed bool) bool {
-	v, now := e.opts.Views.View(), e.now()
-	allowance := v.Extra
-	if time.Since(v.ExtraAt) > allowanceLife {
-		allowance = nil
-	}
-	reserve := reserveShare
-	if needed {
-		reserve = 0
-	}
+	bound, now := e.bound(), e.now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.budget(s).TakeShared(now, e.member(v), s, allowance, reserve) {
+	b := e.budget(s)
+	if !needed && b.Left(now, bound) < 1+reserveShare*bound.Slack {
 		return false
 	}
-	u := e.usage[s]
-	u.Extra++
-	e.usage[s] = u
-	return true
-}
-
-// member is this instance's place in the fleet.
-func (e *Engine) member(v *view.View) retry.Member {
-	return retry.Member{Fleet: e.opts.Extra, Instances: len(v.Instances), Ordinal: e.book.at(v).ordinal}
-}
-
-// reportUsage tells the leader what was used since the last report.
-func (e *Engine) reportUsage() {
-	if e.opts.Reporter == nil {
-		return
-	}
-	usage, costs := e.takeUsage(), e.takeCosts()
-	if len(usage)+len(costs) > 0 {
-		e.opts.Reporter.Report(view.Evidence{Usage: usage, Costs: costs})
-	}
-}
-
-// noteCost counts a reply for the fleet's picture of the targets.
-func (e *Engine) noteCost(id model.TargetID, cost float32) {
-	if cost == 0 || e.opts.Reporter == nil {
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	s := e.costs[id]
-	s.Target, s.Sum, s.Count = id, s.Sum+cost, s.Count+1
-	e.costs[id] = s
-}
-
-func (e *Engine) takeCosts() []catalog.Sample {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	costs := slices.Collect(maps.Values(e.costs))
-	clear(e.costs)
-	return costs
-}
-
-// takeUsage returns what was used since the last report, or in the whole window
-// for a leader that is new.
-func (e *Engine) takeUsage() []retry.Usage {
-	var term uint64
-	if c := e.opts.Views.View().Catalog; c != nil {
-		term = c.Position.Term
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var usage []retry.Usage
-	if term != e.reportedTerm {
-		e.reportedTerm = term
-		for s, b := range e.budgets {
-			first, extra := b.Window(e.now(), e.opts.Extra)
-			usage = append(usage, retry.Usage{Service: s, First: first, Extra: extra})
-		}
-	} else {
-		for s, u := range e.usage {
-			u.Service = s
-			usage = append(usage, u)
-		}
-	}
-	clear(e.usage)
-	return usage
+	return b.Take(now, bound)
 }
 
 // Run opens connections ahead of use until ctx is done, and follows the view
@@ -241,7 +155,6 @@
 			return nil
 		case <-idle.C:
 			e.page()
-			e.reportUsage()
 		case <-ticker.C:
 			e.warmOne()
 		}
--- a/pkg/lease/evidence.go
+++ b/pkg/lease/evidence.go
@@ -4,10 +4,8 @@
 	"slices"
 	"sync"
 
-	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/model"
-	"radishturn.example/radishturn/pkg/retry"
 	"radishturn.example/radishturn/pkg/view"
 )
 
@@ -17,8 +15,6 @@
 	maxSigns    = 1024
 	maxOutcomes = 4096
 	maxStops    = 64
-	maxUsages   = 4096
-	maxCosts    = 4096
 )
 
 // reporter collects evidence until a renewal takes it.
@@ -29,8 +25,6 @@
 	mu       sync.Mutex
 	evidence view.Evidence
 	outcomes map[outcomeKey]int
-	usage    map[model.ServiceID]int
-	costs    map[model.TargetID]int
 	dropped  map[string]bool
 }
 
@@ -42,7 +36,7 @@
 }
 
 func newReporter(urgent func()) *reporter {
-	return &reporter{urgent: urgent, outcomes: make(map[outcomeKey]int), usage: make(map[model.ServiceID]int), costs: make(map[model.TargetID]int), dropped: make(map[string]bool)}
+	return &reporter{urgent: urgent, outcomes: make(map[outcomeKey]int), dropped: make(map[string]bool)}
 }
 
 // Report adds evidence. Deaths, signs of cold and stopped versions are sent at
@@ -56,12 +50,6 @@
 	for _, o := range e.Outcomes {
 		r.addOutcome(o)
 	}
-	for _, u := range e.Usage {
-		r.addUsage(u)
-	}
-	for _, c := range e.Costs {
-		r.addCost(c)
-	}
 	r.mu.Unlock()
 	if len(e.Deaths)+len(e.Cold)+len(e.Stop) > 0 {
 		r.urgent()
@@ -103,36 +91,6 @@
 	r.evidence.Outcomes = append(r.evidence.Outcomes, o)
 }
 
-// addUsage adds counts to those of the same service.
-func (r *reporter) addUsage(u retry.Usage) {
-	if i, ok := r.usage[u.Service]; ok {
-		r.evidence.Usage[i].First += u.First
-		r.evidence.Usage[i].Extra += u.Extra
-		return
-	}
-	if len(r.evidence.Usage) >= maxUsages {
-		r.noteDropped("usage")
-		return
-	}
-	r.usage[u.Service] = len(r.evidence.Usage)
-	r.evidence.Usage = append(r.evidence.Usage, u)
-}
-
-// addCost adds replies to those of the same target.
-func (r *reporter) addCost(c catalog.Sample) {
-	if i, ok := r.costs[c.Target]; ok {
-		r.evidence.Costs[i].Sum += c.Sum
-		r.evidence.Costs[i].Count += c.Count
-		return
-	}
-	if len(r.evidence.Costs) >= maxCosts {
-		r.noteDropped("costs")
-		return
-	}
-	r.costs[c.Target] = len(r.evidence.Costs)
-	r.evidence.Costs = append(r.evidence.Costs, c)
-}
-
 func sum(total *view.Outcome, o view.Outcome) {
 	total.OK += o.OK
 	total.Failed += o.Failed
@@ -149,13 +107,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.evidence
-	if len(e.Deaths)+len(e.Cold)+len(e.Warm)+len(e.Stop)+len(e.Outcomes)+len(e.Usage)+len(e.Costs) == 0 {
+	if len(e.Deaths)+len(e.Cold)+len(e.Warm)+len(e.Stop)+len(e.Outcomes) == 0 {
 		return nil
 	}
 	r.evidence = view.Evidence{}
 	clear(r.outcomes)
-	clear(r.usage)
-	clear(r.costs)
 	clear(r.dropped)
 	return &e
 }
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -131,12 +131,6 @@
 		h.version, h.membership = d.To, d.Membership
 	}
 	h.takeCatalog(r.Catalog)
-	if r.Extra != nil {
-		next := *h.view
-		next.Extra, next.ExtraAt = r.Extra, time.Now()
-		next.Hints = hintsOf(r.Hints)
-		h.view = &next
-	}
 	return h.view != before
 }
 
@@ -167,17 +161,6 @@
 	h.setGrants(grants)
 }
 
-func hintsOf(list []catalog.Hint) map[model.TargetID]float64 {
-	if len(list) == 0 {
-		return nil
-	}
-	hints := make(map[model.TargetID]float64, len(list))
-	for _, hint := range list {
-		hints[hint.Target] = float64(hint.Cost)
-	}
-	return hints
-}
-
 func (h *holder) takeCatalog(d *catalog.Delta) {
 	if d == nil {
 		return
--- a/pkg/lease/merge.go
+++ b/pkg/lease/merge.go
@@ -17,7 +17,7 @@
 func merge(old *view.View, d *state.Delta) *view.View {
 	if d.Whole() {
 		// A table in use is kept until a newer one comes: its version only grows.
-		old = &view.View{Grants: old.Grants, Catalog: old.Catalog, Routing: old.Routing, Extra: old.Extra, ExtraAt: old.ExtraAt, Hints: old.Hints}
+		old = &view.View{Grants: old.Grants, Catalog: old.Catalog, Routing: old.Routing}
 	}
 	return &view.View{
 		Revision:     d.Revision,
@@ -30,9 +30,6 @@
 		Quarantined:  mergeSet(old.Quarantined, d.Quarantined, d.Lifted),
 		Routing:      mergeTable(old.Routing, d.Table),
 		Catalog:      old.Catalog,
-		Extra:        old.Extra,
-		ExtraAt:      old.ExtraAt,
-		Hints:        old.Hints,
 		Evacuated:    mergeEvacuated(old.Evacuated, d),
 	}
 }
--- a/pkg/view/view.go
+++ b/pkg/view/view.go
@@ -9,7 +9,6 @@
 
 	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/model"
-	"radishturn.example/radishturn/pkg/retry"
 	"radishturn.example/radishturn/pkg/routing"
 )
 
@@ -53,13 +52,6 @@
 	Catalog *catalog.Set
 	// Evacuated are availability zones whose targets get nothing new.
 	Evacuated map[model.AvailabilityZoneID]bool
-	// Extra is what the leader last told of the fleet's retry budget, and
-	// ExtraAt when; nil where instances keep budgets of their own.
-	Extra   *retry.Allowance
-	ExtraAt time.Time
-	// Hints are the costs of dear targets, in usual latencies, as the instances
-	// together see them. They come with Extra.
-	Hints map[model.TargetID]float64
 }
 
 // Move is the state of a move of traffic as entries need it.
@@ -105,10 +97,6 @@
 	Stop []VersionStop `cbor:"4,keyasint,omitempty"`
 	// Warm are targets that answered at full speed under their cold grant.
 	Warm []ColdSign `cbor:"5,keyasint,omitempty"`
-	// Usage counts requests for the fleet's retry budget.
-	Usage []retry.Usage `cbor:"6,keyasint,omitempty"`
-	// Costs are what replies of targets cost.
-	Costs []catalog.Sample `cbor:"7,keyasint,omitempty"`
 }
 
 // Death is a target that died while the named requests were in flight there.
