--- a/pkg/control/route/request.go
+++ b/pkg/control/route/request.go
@@ -75,7 +75,7 @@
 }
 
 // maxPauseDoublings bounds the growth of the pause between rounds.
-const maxPauseDoublings = 3
+const maxPauseDoublings = 1
 
 // gaveUp is the error of a request that no leader answered in time. It says
 // not-run only if no attempt can have reached a leader.
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -120,7 +120,7 @@
 
 // reserveShare is the part of the constant budget that only requests without
 // which a call fails may use.
-const reserveShare = 0.6
+const reserveShare = 0.35
 
 // takeExtra reports whether a service may get an extra request, and counts it.
 // A needed one may use the reserve.
