--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -90,6 +90,9 @@
 func (p *parser) checkInstance(s *Settings) {
 	i := s.Instance
 	p.required("instance.id", i.ID == "")
+	if !slices.Contains(AllRoles, i.Role) {
+		p.report("instance.role", fmt.Sprintf("unknown role %q", i.Role), `leave it out, or write "entry" or "control"`)
+	}
 	p.declaredZone(s, "instance.availabilityZone", i.AvailabilityZone)
 	p.required("instance.meshListen", !i.MeshListen.IsValid())
 	p.required("instance.callerListen", !i.CallerListen.IsValid())
