--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 
 # Packages in which many goroutines meet; the rest are pure.
 RACE := . ./pkg/burn/... ./pkg/control/... ./pkg/entryapi ./pkg/fanout ./pkg/lease/... \
-	./pkg/load ./pkg/mesh ./pkg/order/... ./pkg/replica ./pkg/standin
+	./pkg/load ./pkg/mesh ./pkg/order/... ./pkg/replica ./pkg/standin ./pkg/pool ./pkg/dispatch ./platform/...
 
 race:
 	go test -race $(RACE)
--- a/pkg/pool/conn.go
+++ b/pkg/pool/conn.go
@@ -92,7 +92,9 @@
 	// releaseAfterWrite is set if the reply came before the request was written
 	// to its end; no other request may follow until it is.
 	releaseAfterWrite bool
-	closed            bool
+	// foreign counts replies that were passed over since the last good one.
+	foreign int
+	closed  bool
 	// usableUntil is when the target may close the idle connection; zero means
 	// that it does not say.
 	usableUntil time.Time
@@ -169,8 +171,9 @@
 // passOver drops a reply that belongs to no request in progress.
 func (c *conn) passOver(reply *exchange.Reply) bool {
 	c.pool.foreign.Inc()
-	if reply.Close {
-		c.fail(fmt.Errorf("%s closes the connection after a surplus reply", c.pool.address))
+	c.foreign++
+	if reply.Close || c.foreign > maxForeignReplies {
+		c.fail(fmt.Errorf("connection to %s carries surplus replies", c.pool.address))
 		return false
 	}
 	return true
@@ -178,6 +181,7 @@
 
 // finish hands the reply over and frees the connection.
 func (c *conn) finish(a *Attempt, reply *exchange.Reply) bool {
+	c.foreign = 0
 	c.mu.Lock()
 	if c.attempt != a {
 		c.mu.Unlock()
--- a/soak/leafs_test.go
+++ b/soak/leafs_test.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
@@ -268,5 +267,3 @@
 	}
 	return true
 }
-
-func host(address string) string { return strings.Split(address, ":")[0] }
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -69,7 +69,6 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	wanted  bool
-	paused  bool
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
