--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -68,7 +68,7 @@
 [ -z "${RULES_DURING:-}" ] || start rules apply_rules_during
 for seed in $(seq "${REPEAT:-1}"); do run_load "$seed" "$@" || status=$?; done
 sleep 2
-[ -z "${RULES_DURING:-}" ] || cat "$FOLDER/rules.out"
+[ -z "${RULES_DURING:-}" ] || cat "$FOLDER/rules.log"
 goroutines
 [ -z "${RULES:-}" ] || bin/radishturn moves list
 trap - EXIT
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -60,7 +60,7 @@
 start() { # NAME COMMAND...
   local name=$1
   shift
-  "$@" >>"$FOLDER/$name.out" 2>>"$FOLDER/$name.log" &
+  "$@" >>"$FOLDER/$name.log" 2>&1 &
   PIDS[$name]=$!
 }
 
