Replica: a peer may ask as soon as the handlers are registered

Trace: founding.serveDisk read the status of a node whose Open had registered its handlers and not yet published a status; the fake mesh of the specs serves at once, the daemon's only when it runs. The status is published first now.

The new spec has a peer that asks in the moment of registration: nil pointer before, served after.

--- a/pkg/replica/node.go
+++ b/pkg/replica/node.go
@@ -124,9 +124,10 @@
 	if err := n.restore(restored, started); err != nil {
 		return nil, err
 	}
+	// The status comes first: peers may ask as soon as a handler is registered.
+	n.publish(n.opts.Clock())
 	n.transport = newTransport(n)
 	n.founding = newFounding(n)
-	n.publish(n.opts.Clock())
 	return n, nil
 }
 
