--- a/pkg/dispatch/fanout.go
+++ b/pkg/dispatch/fanout.go
@@ -174,7 +174,7 @@
 		return
 	}
 	sent := &sentPart{shard: i, target: t}
-	attempt, ok := t.send(q.engine, q.call, q.partTimeout(now), func(r pool.Result, _ time.Duration) {
+	attempt, ok := t.send(q.engine, q.call, q.partTimeout(now), func(r pool.Result) {
 		sent.result = r
 		q.results <- sent
 	})
--- a/pkg/dispatch/metrics.go
+++ b/pkg/dispatch/metrics.go
@@ -16,11 +16,26 @@
 	outcomeFailed  = "failed"
 )
 
-var (
-	callSeconds = map[string]*metrics.Histogram{
-		"one":    metrics.GetOrCreateHistogram(`radishturn_call_seconds{kind="one"}`),
-		"shards": metrics.GetOrCreateHistogram(`radishturn_call_seconds{kind="shards"}`),
+// callMetrics are the metrics of one kind of call.
+type callMetrics struct {
+	seconds  *metrics.Histogram
+	outcomes map[string]*metrics.Counter
+}
+
+func newCallMetrics(kind string) callMetrics {
+	m := callMetrics{
+		seconds:  metrics.GetOrCreateHistogram(fmt.Sprintf(`radishturn_call_seconds{kind=%q}`, kind)),
+		outcomes: make(map[string]*metrics.Counter),
+	}
+	for _, o := range []string{outcomeWhole, outcomePartial, outcomePassed, outcomeRefused, outcomeFailed} {
+		m.outcomes[o] = metrics.GetOrCreateCounter(fmt.Sprintf(`radishturn_calls_total{kind=%q,outcome=%q}`, kind, o))
 	}
+	return m
+}
+
+var (
+	callsToOne     = newCallMetrics("one")
+	callsToShards  = newCallMetrics("shards")
 	targetSeconds  = metrics.GetOrCreateHistogram("radishturn_target_seconds")
 	requestsSent   = metrics.GetOrCreateCounter("radishturn_target_requests_total")
 	requestsHedged = metrics.GetOrCreateCounter("radishturn_target_requests_extra_total")
@@ -30,15 +45,15 @@
 
 // observe counts a call that has ended.
 func observe(c *Call, out Outcome) Outcome {
-	kind := "one"
+	m := callsToOne
 	if c.Route.Fanout != nil {
-		kind = "shards"
+		m = callsToShards
 	}
-	callSeconds[kind].Update(time.Since(c.Arrived).Seconds())
+	m.seconds.Update(time.Since(c.Arrived).Seconds())
 	requestsSent.Add(out.Trace.Sent)
 	requestsHedged.Add(out.Trace.Hedged + out.Trace.Repeated)
 	extrasDenied.Add(out.Trace.Denied)
-	metrics.GetOrCreateCounter(fmt.Sprintf(`radishturn_calls_total{kind=%q,outcome=%q}`, kind, outcomeName(out))).Inc()
+	m.outcomes[outcomeName(out)].Inc()
 	return out
 }
 
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -134,7 +134,7 @@
 		return false
 	}
 	part := &sentPart{target: t}
-	attempt, ok := t.send(s.engine, s.call, s.deadline+deadlineMargin/2-now, func(r pool.Result, _ time.Duration) {
+	attempt, ok := t.send(s.engine, s.call, s.deadline+deadlineMargin/2-now, func(r pool.Result) {
 		part.result = r
 		s.results <- part
 	})
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -34,7 +34,7 @@
 
 // send starts an attempt. It returns false if no connection is to be had. Done
 // is called after the target's health took in the result.
-func (t *target) send(e *Engine, call *Call, timeout time.Duration, done func(pool.Result, time.Duration)) (*pool.Attempt, bool) {
+func (t *target) send(e *Engine, call *Call, timeout time.Duration, done func(pool.Result)) (*pool.Attempt, bool) {
 	sent := e.now()
 	usual := call.stats.usual()
 	a := &pool.Attempt{
@@ -48,7 +48,7 @@
 			call.stats.add(now - sent)
 			targetSeconds.Update((now - sent).Seconds())
 		}
-		done(r, now-sent)
+		done(r)
 	}
 	t.mu.Lock()
 	t.health.begin(sent, usual)
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -215,9 +215,7 @@
 // Next returns when the run needs a look even if no reply comes.
 func (r *Run) Next(now time.Duration) time.Duration {
 	next := r.plan.Deadline
-	if r.parts >= r.plan.Required {
-		next = min(next, r.plan.End)
-	} else if now < r.plan.End {
+	if r.parts >= r.plan.Required || now < r.plan.End {
 		next = min(next, r.plan.End)
 	}
 	for i := range r.shards {
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -199,13 +199,6 @@
 	return !p.closed && (len(p.idle) > 0 || len(p.open)+p.opening < p.limit)
 }
 
-// Open returns the number of connections.
-func (p *Pool) Open() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.open)
-}
-
 // Close takes no further attempts and closes idle connections; those in use
 // close after their reply.
 func (p *Pool) Close() {
