Say things once: who may lead, what is in flight, the required shards, the dial

Found on reading the change again; no behaviour changes. The union of members stood in route.mayLead and in server.members, and the list of voters in two places: server.members now returns both lists and mayLead makes them one. A query walked all its requests to learn what gather.Run counts already. The required number of shards was rounded up by a loop. A connection's timeout was set on the dialer and on a context beside it.

--- a/pkg/control/route/route.go
+++ b/pkg/control/route/route.go
@@ -44,7 +44,7 @@
 	learned []model.InstanceID
 }
 
-// New returns a Router. Members returns those who may lead.
+// New returns a Router. Members returns those who may lead, each once or more.
 func New(m mesh.Mesh, members func() []model.InstanceID) *Router {
 	return &Router{mesh: m, members: members}
 }
--- a/pkg/control/server/module.go
+++ b/pkg/control/server/module.go
@@ -181,18 +181,22 @@
 	return nil
 }
 
-// members returns who may lead: the group as this instance knows it, or else
-// the first members.
+// members returns who may lead, with repetitions: the instances that the
+// settings list, and the group as this instance knows it.
 func (s *Server) members() []model.InstanceID {
 	s.mu.Lock()
-	members := slices.Clone(s.listed)
+	listed := slices.Clone(s.listed)
 	s.mu.Unlock()
+	return append(listed, s.voters()...)
+}
+
+// voters returns the instances of the group as this instance knows it.
+func (s *Server) voters() []model.InstanceID {
+	var ids []model.InstanceID
 	for _, m := range s.proposer.Status().Voters {
-		if !slices.Contains(members, m.Instance) {
-			members = append(members, m.Instance)
-		}
+		ids = append(ids, m.Instance)
 	}
-	return members
+	return ids
 }
 
 // now returns the time on the monotonic clock.
--- a/pkg/control/server/session.go
+++ b/pkg/control/server/session.go
@@ -114,14 +114,6 @@
 	reply.Catalog = n.catalog.Since(r.Catalog)
 }
 
-func (n *session) voters() []model.InstanceID {
-	var ids []model.InstanceID
-	for _, m := range n.proposer.Status().Voters {
-		ids = append(ids, m.Instance)
-	}
-	return ids
-}
-
 // register records an instance in the replicated state before its first lease,
 // so that a later leader knows that the lease may exist.
 func (n *session) register(ctx context.Context, i model.Instance) error {
--- a/pkg/dispatch/fanout.go
+++ b/pkg/dispatch/fanout.go
@@ -213,21 +213,12 @@
 			return t
 		}
 	}
-	if distinct == 0 || q.inFlight(i) {
+	if distinct == 0 || q.run.InFlight(i) {
 		return nil
 	}
 	return q.engine.book.choose(q.call.page, service, now, func(t *target) bool { return !asked(t) })
 }
 
-func (q *query) inFlight(i int) bool {
-	for _, s := range q.sent {
-		if s.shard == i && !s.ended {
-			return true
-		}
-	}
-	return false
-}
-
 // partTimeout is how long a target may work on its part.
 func (q *query) partTimeout(now time.Duration) time.Duration {
 	left := q.plan.Deadline + deadlineMargin/2 - now
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -137,6 +137,9 @@
 // Done reports whether a shard is in.
 func (r *Run) Done(i int) bool { return r.shards[i].done }
 
+// InFlight reports whether a request to a shard is unanswered.
+func (r *Run) InFlight(i int) bool { return r.shards[i].inFlight > 0 }
+
 // HedgeDelay returns how long a request may take before the next one.
 func (r *Run) HedgeDelay() time.Duration {
 	return max(minHedgeDelay, time.Duration(hedgeFactor*float64(r.plan.Usual)))
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"context"
 	"net"
 	"slices"
 	"sync"
@@ -152,9 +151,7 @@
 // dial opens a connection; opening was counted before.
 func (p *Pool) dial() (*conn, error) {
 	p.opened.Inc()
-	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
-	defer cancel()
-	raw, err := dialer.DialContext(ctx, "tcp4", p.address)
+	raw, err := dialer.Dial("tcp4", p.address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.opening--
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -4,6 +4,7 @@
 package routing
 
 import (
+	"math"
 	"time"
 
 	"radishturn.example/radishturn/pkg/model"
@@ -85,11 +86,8 @@
 // ShardsRequired returns the least number of parts in an answer.
 func (f *Fanout) ShardsRequired() int {
 	n := len(f.Shards)
-	need := max(1, int(f.MinCoverage*float64(n)))
-	for need < n && float64(need) < f.MinCoverage*float64(n) {
-		need++
-	}
-	return need
+	need := int(math.Ceil(f.MinCoverage * float64(n)))
+	return max(1, min(need, n))
 }
 
 // ForEntries returns the table without what only control members need.
