Targets are divided anew when an instance takes another's place

Cause: the division of targets was kept while the number of instances stayed the same. If one instance went and another came between two looks at the view, or one registered again under another ordinal, the old division stayed and targets could get more connections than they accept. The instances themselves are compared now. The spec fails before and passes after.

--- a/pkg/dispatch/book.go
+++ b/pkg/dispatch/book.go
@@ -77,7 +77,7 @@
 // turn makes the page of a new view and keeps the targets that go on.
 func (b *book) turn(old *page, v *view.View) *page {
 	if v.Catalog == old.view.Catalog && v.Routing == old.view.Routing &&
-		len(v.Instances) == len(old.view.Instances) && maps.Equal(v.Evacuated, old.view.Evacuated) {
+		slices.Equal(v.Instances, old.view.Instances) && maps.Equal(v.Evacuated, old.view.Evacuated) {
 		next := *old
 		next.view = v
 		return &next
--- a/pkg/dispatch/subset_test.go
+++ b/pkg/dispatch/subset_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/routing"
 	"radishturn.example/radishturn/pkg/view"
@@ -48,6 +49,14 @@
 	return connections
 }
 
+func idsOf(targets []*target) []model.TargetID {
+	var ids []model.TargetID
+	for _, t := range targets {
+		ids = append(ids, t.ID)
+	}
+	return ids
+}
+
 var _ = Describe("subset", func() {
 	DescribeTable("keeps every target within its connections and gives every instance two where they allow",
 		func(perZone map[model.AvailabilityZoneID]int, connections int, zones ...model.AvailabilityZoneID) {
@@ -76,6 +85,21 @@
 		}
 	})
 
+	// One instance goes and another comes between two looks at the view.
+	It("follows the set of instances, not only their number", func() {
+		perZone := map[model.AvailabilityZoneID]int{"a": 26, "b": 30, "c": 22}
+		before, after := crowdOf(perZone, 61), crowdOf(perZone, 61)
+		set := &catalog.Set{Targets: make(map[model.TargetID]model.Target)}
+		for _, t := range targetsIn("a", "b", "c") {
+			set.Targets[t.ID] = t.Target
+		}
+		self := after.Instances[0].ID
+		after.Instances[0].Ordinal = 80
+		before.Catalog, after.Catalog, after.Routing = set, set, before.Routing
+		b := newBook(nil, self, "a")
+		Expect(idsOf(b.at(before).services["s"].own)).NotTo(Equal(idsOf(b.at(after).services["s"].own)))
+	})
+
 	It("does not move the targets of others when an instance comes", func() {
 		v, targets := crowdOf(map[model.AvailabilityZoneID]int{"a": 26, "b": 30, "c": 22}, 61), targetsIn("a", "b", "c")
 		more := *v
