A spare target gets requests while an instance's own ones are dear

Cause: on the grown sites a target accepts connections from two of three entries, so an entry keeps connections to two of a shard's three targets. It turned to the third only when neither could be reached, not when both were slow or hung.

Change: all targets of a service are compared; a request that needs a new connection costs the time for it, one to a spare target a little more. Such a borrowed connection closes after 0.3 s without use, so that targets stay within the connections that they accept.

Ruled out by an earlier trial: a retry budget over the fleet alone. The budget was spent on the two bad targets.

The spec of choose fails before.

--- a/pkg/dispatch/book.go
+++ b/pkg/dispatch/book.go
@@ -22,6 +22,11 @@
 	// distance is the cost of another availability zone, in usual latencies. It
 	// keeps traffic within the zone while its targets do about as well.
 	distance = 0.6
+	// connectTime is what a request waits for a new connection to its target.
+	connectTime = 9 * time.Millisecond
+	// borrowCost is the cost of a connection to a target that is not one of this
+	// instance's own, in usual latencies, beside the time that it takes.
+	borrowCost = 0.4
 	// warmPause is the time between connections that are opened ahead of use.
 	warmPause = 15 * time.Millisecond
 )
@@ -46,7 +51,7 @@
 }
 
 // pair divides the targets of a service: this instance keeps connections to its
-// own ones, and turns to the spare ones only when none of its own is usable.
+// own ones, and borrows one to a spare target while that is the better choice.
 type pair struct{ own, spare []*target }
 
 // maxWarm bounds the targets that wait for a connection ahead of use.
@@ -158,11 +163,11 @@
 	p := pair{own: own}
 	for _, t := range targets {
 		if !slices.Contains(own, t) {
-			t.pool.SetLimit(spareConnections)
+			t.pool.SetLimit(spareConnections, spareIdle)
 			p.spare = append(p.spare, t)
 			continue
 		}
-		t.pool.SetLimit(share)
+		t.pool.SetLimit(share, 0)
 		if !t.warmed.Swap(true) {
 			b.askWarm(t)
 		}
@@ -179,37 +184,46 @@
 }
 
 // choose returns the target of a service with the least expected cost, or nil.
-// Those in skip are left out.
-func (b *book) choose(p *page, service model.ServiceID, now time.Duration, skip func(*target) bool) *target {
-	if t := b.best(p.services[service].own, now, skip); t != nil {
-		return t
-	}
-	return b.best(p.services[service].spare, now, skip)
-}
-
-func (b *book) best(targets []*target, now time.Duration, skip func(*target) bool) *target {
+// Those in skip are left out. Usual is the usual latency of the route.
+func (b *book) choose(p *page, service model.ServiceID, now, usual time.Duration, skip func(*target) bool) *target {
 	var best *target
 	var least float64
-	for _, t := range targets {
-		if skip != nil && skip(t) {
-			continue
-		}
-		cost, ok := t.cost(now)
-		if !ok || !t.pool.Available() {
-			continue
-		}
-		if t.AvailabilityZone != b.zone {
-			cost += distance
-		}
-		// A small random part spreads targets of equal cost.
-		cost += 0.05 * rand.Float64()
-		if best == nil || cost < least {
-			best, least = t, cost
+	consider := func(targets []*target, extra float64) {
+		for _, t := range targets {
+			if skip != nil && skip(t) {
+				continue
+			}
+			cost, ok := b.costOf(t, now, usual)
+			if ok && (best == nil || cost+extra < least) {
+				best, least = t, cost+extra
+			}
 		}
 	}
+	consider(p.services[service].own, 0)
+	consider(p.services[service].spare, borrowCost)
 	return best
 }
 
+// costOf returns the expected cost of a request to a target, in usual
+// latencies, or false if the target gets none.
+func (b *book) costOf(t *target, now, usual time.Duration) (float64, bool) {
+	cost, ok := t.cost(now)
+	if !ok {
+		return 0, false
+	}
+	switch t.pool.Room() {
+	case pool.Full:
+		return 0, false
+	case pool.Openable:
+		cost += float64(connectTime) / float64(max(usual, time.Millisecond))
+	}
+	if t.AvailabilityZone != b.zone {
+		cost += distance
+	}
+	// A small random part spreads targets of equal cost.
+	return cost + 0.05*rand.Float64(), true
+}
+
 // reachable reports whether some target of the service may get requests.
 func (p *page) reachable(service model.ServiceID, now time.Duration) bool {
 	usable := func(t *target) bool {
--- a/pkg/dispatch/subset.go
+++ b/pkg/dispatch/subset.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"slices"
+	"time"
 
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/view"
@@ -12,6 +13,8 @@
 	// spareConnections is the share of connections to a target that is not one
 	// of this instance's own, and to targets of services that no table names.
 	spareConnections = 1
+	// spareIdle is how long a connection to such a target is kept without use.
+	spareIdle = 300 * time.Millisecond
 	// connectionSafety leaves room for connections of processes that have ended
 	// and that their targets still count.
 	connectionSafety = 0.9
--- a/pkg/dispatch/subset_test.go
+++ b/pkg/dispatch/subset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -57,6 +58,38 @@
 	return ids
 }
 
+var _ = Describe("choose", func() {
+	const usual = 20 * time.Millisecond
+
+	// An instance that keeps connections to two of three targets.
+	bookOf := func(slowness ...float64) (*book, *page) {
+		v := crowdOf(map[model.AvailabilityZoneID]int{"a": 26, "b": 30, "c": 22}, 61)
+		set := &catalog.Set{Targets: make(map[model.TargetID]model.Target)}
+		for _, t := range targetsIn("a", "b", "c") {
+			set.Targets[t.ID] = t.Target
+		}
+		v.Catalog = set
+		b := newBook(nil, v.Instances[0].ID, "a")
+		p := b.at(v)
+		for i, t := range p.services["s"].own {
+			t.health.slowness = slowness[i]
+		}
+		return b, p
+	}
+
+	It("keeps to its own targets while they do well", func() {
+		b, p := bookOf(1, 1)
+		Expect(b.choose(p, "s", 0, usual, nil)).To(Equal(p.services["s"].own[0]))
+	})
+
+	// 15% of the targets are slow: both of an instance's own ones for two shards
+	// of a hundred, which is more than a query may miss together with others.
+	It("borrows a connection to a spare target while its own ones are slow", func() {
+		b, p := bookOf(8, 8)
+		Expect(b.choose(p, "s", 0, usual, nil)).To(Equal(p.services["s"].spare[0]))
+	})
+})
+
 var _ = Describe("subset", func() {
 	DescribeTable("keeps every target within its connections and gives every instance two where they allow",
 		func(perZone map[model.AvailabilityZoneID]int, connections int, zones ...model.AvailabilityZoneID) {
--- a/pkg/pool/conn.go
+++ b/pkg/pool/conn.go
@@ -83,6 +83,8 @@
 	pool *Pool
 	net  net.Conn
 	br   *bufio.Reader
+	// uses counts the attempts that were started.
+	uses atomic.Int64
 
 	mu sync.Mutex
 	// attempt is in progress; nil while the connection is idle.
@@ -109,6 +111,7 @@
 		return false
 	}
 	c.attempt, c.writing = a, true
+	c.uses.Add(1)
 	a.conn.Store(c)
 	c.mu.Unlock()
 	encoded := c.pool.codec.AppendRequest(make([]byte, 0, requestBytes), a.Request, a.Order)
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -49,8 +49,10 @@
 	mu sync.Mutex
 	// limit bounds all connections, those being opened included.
 	limit int
-	idle  []*conn
-	open  map[*conn]bool
+	// maxIdle is how long a connection is kept without use; 0 means for good.
+	maxIdle time.Duration
+	idle    []*conn
+	open    map[*conn]bool
 	// opening counts connections being opened.
 	opening int
 	closed  bool
@@ -66,12 +68,12 @@
 	}
 }
 
-// SetLimit changes the share of connections. Surplus ones are closed as they
-// become idle.
-func (p *Pool) SetLimit(limit int) {
+// SetLimit changes the share of connections and how long one is kept without
+// use; 0 means for good. Surplus ones are closed as they become idle.
+func (p *Pool) SetLimit(limit int, maxIdle time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit = limit
+	p.limit, p.maxIdle = limit, maxIdle
 }
 
 // Start sends an attempt over an idle connection, or over a new one if the
@@ -173,6 +175,7 @@
 	surplus := p.closed || len(p.open) > p.limit
 	if !surplus && p.open[c] {
 		p.idle = append(p.idle, c)
+		p.expireIdle(c)
 	}
 	p.mu.Unlock()
 	if surplus {
@@ -180,6 +183,26 @@
 	}
 }
 
+// expireIdle closes a connection if it is not used for maxIdle; the lock is held.
+func (p *Pool) expireIdle(c *conn) {
+	if p.maxIdle <= 0 {
+		return
+	}
+	used := c.uses.Load()
+	time.AfterFunc(p.maxIdle, func() {
+		p.mu.Lock()
+		i := slices.Index(p.idle, c)
+		expired := i >= 0 && c.uses.Load() == used
+		if expired {
+			p.idle = slices.Delete(p.idle, i, i+1)
+		}
+		p.mu.Unlock()
+		if expired {
+			c.fail(ErrNotSent)
+		}
+	})
+}
+
 func (p *Pool) remove(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -189,11 +212,32 @@
 	}
 }
 
-// Available reports whether Start would find a connection.
-func (p *Pool) Available() bool {
+// Room says what Start would find.
+type Room uint8
+
+// What Start would find.
+const (
+	// Full: no connection is to be had.
+	Full Room = iota
+	// Openable: a new connection may be opened.
+	Openable
+	// Idle: an open connection is free.
+	Idle
+)
+
+// Room returns what Start would find.
+func (p *Pool) Room() Room {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.closed && (len(p.idle) > 0 || len(p.open)+p.opening < p.limit)
+	switch {
+	case p.closed:
+		return Full
+	case len(p.idle) > 0:
+		return Idle
+	case len(p.open)+p.opening < p.limit:
+		return Openable
+	}
+	return Full
 }
 
 // Close takes no further attempts and closes idle connections; those in use
--- a/pkg/pool/pool_test.go
+++ b/pkg/pool/pool_test.go
@@ -122,10 +122,10 @@
 		p := newPool(t, 1)
 		a, results, _ := send(p, "a")
 		Eventually(t.Requests).Should(HaveLen(1))
-		Expect(p.Available()).To(BeFalse())
+		Expect(p.Room()).To(Equal(pool.Full))
 		a.Abandon(50 * time.Millisecond)
 		Expect(errors.Is(await(results).Err, pool.ErrAbandoned)).To(BeTrue())
-		Eventually(p.Available).Should(BeTrue())
+		Eventually(p.Room).ShouldNot(Equal(pool.Full))
 	})
 
 	It("keeps the connection if the reply to an abandoned attempt comes in time", func() {
@@ -138,4 +138,15 @@
 		Expect(await(results).Err).NotTo(HaveOccurred())
 		Expect(t.Connected()).To(Equal(1))
 	})
+
+	It("closes a connection that is not used for longer than it is kept", func() {
+		target, err := exchangetest.Start("t", nil)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(target.Stop)
+		p := pool.New("t", target.Address().String(), exchangetest.Codec{}, 1)
+		p.SetLimit(1, 50*time.Millisecond)
+		Expect(p.Warm()).To(Succeed())
+		Expect(p.Room()).To(Equal(pool.Idle))
+		Eventually(p.Room).Should(Equal(pool.Openable))
+	})
 })
