Scarce connections: one own target each; few replies weigh more

Cause: on the grown sites an entry sends a target one request in some seconds. A reply moved the means of slowness and failures by 0.15, so that an entry went on asking a target that turned 60% away; and entries held 54 of the 61 connections that a target accepts, so that after a loss of power, when a target still counts the old ones, new ones were reset for seconds.

Change: the weight of a reply grows with the time since the last one, up to 0.7 for failures and 0.3 for slowness. Instances keep half of what a target accepts, the one near target each on the grown sites, and borrow the others for 2 s.

--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -331,6 +331,20 @@
 var _ = Describe("health", func() {
 	const ms = time.Millisecond
 
+	// On a large fleet an instance sends a target one request in some seconds; it
+	// turns away 60% of them for nine seconds.
+	It("judges a target that gets few requests by few", func() {
+		seldom, often := health{}, health{}
+		for now := 2 * time.Second; now <= 4*time.Second; now += 2 * time.Second {
+			seldom.shed(now)
+		}
+		for now := 10 * time.Millisecond; now <= 20*time.Millisecond; now += 10 * time.Millisecond {
+			often.shed(now)
+		}
+		Expect(seldom.failures).To(BeNumerically(">", 0.6))
+		Expect(often.failures).To(BeNumerically("<", 0.4))
+	})
+
 	It("makes a target dear as soon as a reply is overdue", func() {
 		h := health{slots: 2}
 		before := h.cost(0)
--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -7,10 +7,14 @@
 )
 
 const (
-	// slownessWeight is the weight of one reply in the mean slowness.
-	slownessWeight = 0.15
-	// failureWeight is the weight of one reply in the failure rate.
-	failureWeight = 0.15
+	// minWeight is the weight of one reply in the means of slowness and failures.
+	// It grows with the time since the last reply, in evidenceTime, up to the
+	// bound of either mean: a target that gets few requests is judged by few. A
+	// slow reply says less, since targets stand still for a moment at times.
+	minWeight         = 0.15
+	maxSlownessWeight = 0.3
+	maxFailureWeight  = 0.7
+	evidenceTime      = 1500 * time.Millisecond
 	// minMemory and maxMemory bound the time after which old evidence has lost
 	// most of its weight, so that a target that has recovered is tried again. It
 	// is longer for targets that get few requests.
@@ -89,28 +93,37 @@
 	}
 }
 
+// weigh returns the weight of a reply that comes now, before it is bounded.
+func (h *health) weigh(now time.Duration) float64 {
+	gap := now - h.lastReply
+	h.gap += time.Duration(gapWeight * float64(gap-h.gap))
+	h.lastReply = now
+	return max(minWeight, 1-math.Exp(-float64(gap)/float64(evidenceTime)))
+}
+
 // replied takes in a reply that came after latency.
 func (h *health) replied(now, latency, usual time.Duration, failed bool) {
 	h.age(now)
-	h.gap += time.Duration(gapWeight * float64(now-h.lastReply-h.gap))
-	h.lastReply = now
+	weight := h.weigh(now)
 	h.unreachable, h.ejectedUntil = 0, 0
 	outcome := 0.0
 	if failed {
 		outcome = 1
 	}
-	h.failures += failureWeight * (outcome - h.failures)
+	h.failures += min(weight, maxFailureWeight) * (outcome - h.failures)
 	if failed || usual <= 0 {
 		return
 	}
 	ratio := min(float64(latency)/float64(usual), maxSlowness)
-	h.slowness += slownessWeight * (ratio - h.slowness)
+	h.slowness += min(weight, maxSlownessWeight) * (ratio - h.slowness)
 }
 
 // broke takes in a connection that ended during a request.
-func (h *health) broke(now time.Duration) {
+func (h *health) broke(now time.Duration) { h.failed(now) }
+
+func (h *health) failed(now time.Duration) {
 	h.age(now)
-	h.failures += failureWeight * (1 - h.failures)
+	h.failures += min(h.weigh(now), maxFailureWeight) * (1 - h.failures)
 }
 
 // unreached takes in a failure to connect.
@@ -124,8 +137,7 @@
 // shed takes in a request that the target turned away. A target that does so
 // often is as dear as one that fails: each repeat draws on the retry budget.
 func (h *health) shed(now time.Duration) {
-	h.age(now)
-	h.failures += failureWeight * (1 - h.failures)
+	h.failed(now)
 	h.shedUntil = now + shedPause
 }
 
--- a/pkg/dispatch/subset.go
+++ b/pkg/dispatch/subset.go
@@ -14,14 +14,14 @@
 	// of this instance's own, and to targets of services that no table names.
 	spareConnections = 1
 	// spareIdle is how long a connection to such a target is kept without use.
-	spareIdle = 300 * time.Millisecond
+	spareIdle = 2 * time.Second
 	// connectionSafety leaves room for connections of processes that have ended
 	// and that their targets still count.
 	connectionSafety = 0.9
-	// restartShare is the part of what a target accepts that the instances use
-	// where each may have several connections. After a loss of power a target
-	// still counts the connections of the processes before; new ones beyond its
-	// bound are reset.
+	// restartShare is the part of what a target accepts that the instances keep.
+	// After a loss of power a target still counts the connections of the
+	// processes before; new ones beyond its bound are reset. Borrowed connections
+	// use the rest meanwhile.
 	restartShare = 0.5
 )
 
@@ -51,8 +51,9 @@
 // subset returns this instance's own targets of a service and its share of
 // connections to each. Where a target accepts a connection from every instance,
 // all targets are its own. Otherwise each instance gets as many targets as keep
-// every target within its bound: first those of its availability zone, the rest
-// in turns by ordinal, so that each target gets about the same number.
+// every target within that share of its bound, one at least: first those of its
+// availability zone, the rest in turns by ordinal, so that each target gets about
+// the same number.
 func (c crowd) subset(service model.ServiceID, targets []*target) (own []*target, share int) {
 	accepted := c.accepted(service)
 	if accepted == 0 {
@@ -61,7 +62,7 @@
 	if accepted >= c.instances {
 		return targets, max(1, int(restartShare*float64(accepted))/c.instances)
 	}
-	count := max(1, len(targets)*accepted/c.instances)
+	count := max(1, int(restartShare*float64(len(targets)*accepted))/c.instances)
 	return c.rotate(service, targets, accepted)[:min(count, len(targets))], 1
 }
 
