What targets cost is shared over the fleet

Cause: on the grown sites an entry learns of a slow target by a request of its own, one in some seconds, and spends a hedge on it. All 78 entries together send a target 15 requests a second.

Change: entries report with their renewals what replies cost, in usual latencies; the leader averages over two seconds and tells which targets are dear, only when that changes. While the lease is held, a choice takes the greater of what the entry saw and what the others say; 4% of the choices pass over the latter.

--- a/pkg/control/server/evidence.go
+++ b/pkg/control/server/evidence.go
@@ -21,6 +21,9 @@
 	}
 	n.lock.Lock()
 	first := n.granter.TakeEvidence(r)
+	if first {
+		n.costs.Note(n.now(), r.Evidence.Costs)
+	}
 	n.lock.Unlock()
 	if !first {
 		return nil
--- a/pkg/control/server/session.go
+++ b/pkg/control/server/session.go
@@ -43,10 +43,12 @@
 	changing atomic.Bool
 	// catalog is the list of targets that entries follow.
 	catalog *catalog.Catalog
+	// costs are what targets cost, as the instances together see them.
+	costs *catalog.Costs
 }
 
 func newSession(s *Server, term uint64) *session {
-	n := &session{Server: s, term: term, started: s.now(), warmth: grant.NewWarmth(), catalog: catalog.New(term),
+	n := &session{Server: s, term: term, started: s.now(), warmth: grant.NewWarmth(), catalog: catalog.New(term), costs: catalog.NewCosts(term),
 		offers: make(map[model.InstanceID]steward.Offer)}
 	var known []table.Known
 	s.machine.Read(func(st *state.State) {
@@ -112,6 +114,7 @@
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	reply.Catalog = n.catalog.Since(r.Catalog)
+	reply.Dear = n.costs.Since(n.now(), r.Dear)
 }
 
 // register records an instance in the replicated state before its first lease,
--- a/pkg/control/wire/wire.go
+++ b/pkg/control/wire/wire.go
@@ -100,6 +100,8 @@
 	Void bool `cbor:"13,keyasint,omitempty"`
 	// Catalog is how far the holder has followed the leader's list of targets.
 	Catalog catalog.Position `cbor:"14,keyasint"`
+	// Dear is how far the holder has followed the leader's picture of dear targets.
+	Dear catalog.Position `cbor:"15,keyasint"`
 }
 
 // RenewalReply grants the lease for the duration in the settings, counted from
@@ -122,6 +124,8 @@
 	Catalog *catalog.Delta `cbor:"8,keyasint,omitempty"`
 	// Voters are the control members, so that holders find a later leader.
 	Voters []model.InstanceID `cbor:"9,keyasint,omitempty"`
+	// Dear are the dear targets; nil if they are as the holder knows them.
+	Dear *catalog.Hints `cbor:"10,keyasint,omitempty"`
 }
 
 // Return hands a lease back.
--- a/pkg/dispatch/book.go
+++ b/pkg/dispatch/book.go
@@ -183,39 +183,51 @@
 	}
 }
 
-// choose returns the target of a service with the least expected cost, or nil.
-// Those in skip are left out. Usual is the usual latency of the route.
-func (b *book) choose(p *page, service model.ServiceID, now, usual time.Duration, skip func(*target) bool) *target {
+// choice is what a target is chosen for.
+type choice struct {
+	service model.ServiceID
+	now     time.Duration
+	// usual is the usual latency of the route.
+	usual time.Duration
+	// dear are targets that cost more than usual as others see them.
+	dear map[model.TargetID]float64
+	// skip names targets that are left out; nil for none.
+	skip func(*target) bool
+}
+
+// choose returns the target with the least expected cost, or nil.
+func (b *book) choose(p *page, c choice) *target {
 	var best *target
 	var least float64
 	consider := func(targets []*target, extra float64) {
 		for _, t := range targets {
-			if skip != nil && skip(t) {
+			if c.skip != nil && c.skip(t) {
 				continue
 			}
-			cost, ok := b.costOf(t, now, usual)
+			cost, ok := b.costOf(t, c)
 			if ok && (best == nil || cost+extra < least) {
 				best, least = t, cost+extra
 			}
 		}
 	}
-	consider(p.services[service].own, 0)
-	consider(p.services[service].spare, borrowCost)
+	consider(p.services[c.service].own, 0)
+	consider(p.services[c.service].spare, borrowCost)
 	return best
 }
 
 // costOf returns the expected cost of a request to a target, in usual
 // latencies, or false if the target gets none.
-func (b *book) costOf(t *target, now, usual time.Duration) (float64, bool) {
-	cost, ok := t.cost(now)
+func (b *book) costOf(t *target, c choice) (float64, bool) {
+	cost, ok := t.cost(c.now)
 	if !ok {
 		return 0, false
 	}
+	cost = max(cost, c.dear[t.ID])
 	switch t.pool.Room() {
 	case pool.Full:
 		return 0, false
 	case pool.Openable:
-		cost += float64(connectTime) / float64(max(usual, time.Millisecond))
+		cost += float64(connectTime) / float64(max(c.usual, time.Millisecond))
 	}
 	if t.AvailabilityZone != b.zone {
 		cost += distance
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -5,9 +5,13 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/model"
@@ -22,6 +26,8 @@
 	AvailabilityZone model.AvailabilityZoneID
 	Views            view.Source
 	Codec            exchange.Codec
+	// Reporter takes what targets cost this instance; nil for none.
+	Reporter view.Reporter
 	// Extra bounds hedges and repeats over the fleet, for each service.
 	Extra retry.Bound
 }
@@ -36,6 +42,8 @@
 	stats   map[string]*routeStats
 	budgets map[model.ServiceID]*retry.Budget
 	turns   map[string]*turn
+	// costs are what replies cost since the last report.
+	costs map[model.TargetID]catalog.Sample
 }
 
 // budgetSafety is the part of the retry budget that the instances share out.
@@ -48,6 +56,7 @@
 		stats:   make(map[string]*routeStats),
 		budgets: make(map[model.ServiceID]*retry.Budget),
 		turns:   make(map[string]*turn),
+		costs:   make(map[model.TargetID]catalog.Sample),
 	}
 }
 
@@ -95,6 +104,19 @@
 	}
 }
 
+// exploreShare is the share of choices that pass over what others say of the
+// targets, so that a target that has recovered is noticed.
+const exploreShare = 0.04
+
+// choose returns the target for the next request of a call, or nil.
+func (e *Engine) choose(c *Call, service model.ServiceID, now time.Duration, skip func(*target) bool) *target {
+	want := choice{service: service, now: now, usual: c.stats.usual(), skip: skip}
+	if e.opts.Views.Lease() == view.LeaseHeld && rand.Float64() >= exploreShare {
+		want.dear = c.page.view.Dear
+	}
+	return e.book.choose(c.page, want)
+}
+
 func (e *Engine) bound() retry.Bound {
 	return e.opts.Extra.Share(len(e.opts.Views.View().Instances), budgetSafety)
 }
@@ -155,16 +177,41 @@
 			return nil
 		case <-idle.C:
 			e.page()
+			e.reportCosts()
 		case <-ticker.C:
 			e.warmOne()
 		}
 	}
 }
 
+// noteCost counts a reply for the fleet's picture of the targets.
+func (e *Engine) noteCost(id model.TargetID, cost float32) {
+	if cost == 0 || e.opts.Reporter == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.costs[id]
+	s.Target, s.Sum, s.Count = id, s.Sum+cost, s.Count+1
+	e.costs[id] = s
+}
+
+// reportCosts hands over what replies cost since the last report.
+func (e *Engine) reportCosts() {
+	e.mu.Lock()
+	costs := slices.Collect(maps.Values(e.costs))
+	clear(e.costs)
+	e.mu.Unlock()
+	if len(costs) > 0 {
+		e.opts.Reporter.Report(view.Evidence{Costs: costs})
+	}
+}
+
 // warmDelay is the time from the start to the first connection ahead of use.
 const warmDelay = time.Second
 
-// followInterval is how often the view is looked at without a request.
+// followInterval is how often the view is looked at without a request, and what
+// targets cost is reported.
 const followInterval = 200 * time.Millisecond
 
 func (e *Engine) warmOne() {
--- a/pkg/dispatch/fanout.go
+++ b/pkg/dispatch/fanout.go
@@ -209,14 +209,14 @@
 	}
 	distinct := len(q.used[i])
 	if distinct < max(1, q.call.Route.MaxAttempts) {
-		if t := q.engine.book.choose(q.call.page, service, now, q.plan.Usual, asked); t != nil {
+		if t := q.engine.choose(q.call, service, now, asked); t != nil {
 			return t
 		}
 	}
 	if distinct == 0 || q.run.InFlight(i) {
 		return nil
 	}
-	return q.engine.book.choose(q.call.page, service, now, q.plan.Usual, func(t *target) bool { return !asked(t) })
+	return q.engine.choose(q.call, service, now, func(t *target) bool { return !asked(t) })
 }
 
 // partTimeout is how long a target may work on its part.
--- a/pkg/dispatch/module.go
+++ b/pkg/dispatch/module.go
@@ -33,16 +33,17 @@
 // Provision offers the Engine.
 func (m *Module) Provision(c *radishturn.Context) error {
 	var (
-		views view.Source
-		codec exchange.Codec
+		views    view.Source
+		reporter view.Reporter
+		codec    exchange.Codec
 	)
-	if err := errors.Join(radishturn.Fetch(c, &views), radishturn.Fetch(c, &codec)); err != nil {
+	if err := errors.Join(radishturn.Fetch(c, &views), radishturn.Fetch(c, &reporter), radishturn.Fetch(c, &codec)); err != nil {
 		return err
 	}
 	b := c.Settings.RetryBudget
 	m.engine = New(Options{
 		Instance:         c.Settings.Instance.ID,
-		AvailabilityZone: c.Settings.Instance.AvailabilityZone, Views: views, Codec: codec,
+		AvailabilityZone: c.Settings.Instance.AvailabilityZone, Views: views, Codec: codec, Reporter: reporter,
 		Extra: retry.Bound{Window: b.Window.Std(), Ratio: b.Ratio, Slack: b.Slack},
 	})
 	return radishturn.Provide(c, m.engine)
--- a/pkg/dispatch/subset_test.go
+++ b/pkg/dispatch/subset_test.go
@@ -79,14 +79,21 @@
 
 	It("keeps to its own targets while they do well", func() {
 		b, p := bookOf(1)
-		Expect(b.choose(p, "s", 0, usual, nil)).To(Equal(p.services["s"].own[0]))
+		Expect(b.choose(p, choice{service: "s", usual: usual})).To(Equal(p.services["s"].own[0]))
+	})
+
+	It("leaves a target that others see as dear", func() {
+		b, p := bookOf(1)
+		own := p.services["s"].own[0]
+		chosen := b.choose(p, choice{service: "s", usual: usual, dear: map[model.TargetID]float64{own.ID: 8}})
+		Expect(chosen).NotTo(Equal(own))
 	})
 
 	// 15% of the targets are slow: both of an instance's own ones for two shards
 	// of a hundred, which is more than a query may miss together with others.
 	It("borrows a connection to a spare target while its own ones are slow", func() {
 		b, p := bookOf(8)
-		Expect(p.services["s"].spare).To(ContainElement(b.choose(p, "s", 0, usual, nil)))
+		Expect(p.services["s"].spare).To(ContainElement(b.choose(p, choice{service: "s", usual: usual})))
 	})
 })
 
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -44,6 +44,7 @@
 	a.Done = func(r pool.Result) {
 		now := e.now()
 		t.finished(now, sent, usual, timeout, r)
+		e.noteCost(t.ID, sampleCost(r, now-sent, usual))
 		if r.Reply != nil && r.Reply.OK() {
 			call.stats.add(now - sent)
 			targetSeconds.Update((now - sent).Seconds())
@@ -62,6 +63,18 @@
 	return a, true
 }
 
+// sampleCost is what one request cost, in usual latencies; 0 if it tells
+// nothing of the target.
+func sampleCost(r pool.Result, latency, usual time.Duration) float32 {
+	switch {
+	case usual <= 0 || errors.Is(r.Err, pool.ErrNotSent):
+		return 0
+	case r.Err != nil && !errors.Is(r.Err, pool.ErrAbandoned), r.Reply != nil && !r.Reply.OK():
+		return 1 + failureCost
+	}
+	return float32(min(float64(latency)/float64(usual), maxSlowness))
+}
+
 func (t *target) finished(now, sent, usual, timeout time.Duration, r pool.Result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/lease/evidence.go
+++ b/pkg/lease/evidence.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sync"
 
+	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/view"
@@ -15,6 +16,7 @@
 	maxSigns    = 1024
 	maxOutcomes = 4096
 	maxStops    = 64
+	maxCosts    = 4096
 )
 
 // reporter collects evidence until a renewal takes it.
@@ -25,6 +27,7 @@
 	mu       sync.Mutex
 	evidence view.Evidence
 	outcomes map[outcomeKey]int
+	costs    map[model.TargetID]int
 	dropped  map[string]bool
 }
 
@@ -36,7 +39,10 @@
 }
 
 func newReporter(urgent func()) *reporter {
-	return &reporter{urgent: urgent, outcomes: make(map[outcomeKey]int), dropped: make(map[string]bool)}
+	return &reporter{
+		urgent: urgent, outcomes: make(map[outcomeKey]int), costs: make(map[model.TargetID]int),
+		dropped: make(map[string]bool),
+	}
 }
 
 // Report adds evidence. Deaths, signs of cold and stopped versions are sent at
@@ -50,6 +56,9 @@
 	for _, o := range e.Outcomes {
 		r.addOutcome(o)
 	}
+	for _, s := range e.Costs {
+		r.addCost(s)
+	}
 	r.mu.Unlock()
 	if len(e.Deaths)+len(e.Cold)+len(e.Stop) > 0 {
 		r.urgent()
@@ -91,6 +100,21 @@
 	r.evidence.Outcomes = append(r.evidence.Outcomes, o)
 }
 
+// addCost adds replies to those of the same target.
+func (r *reporter) addCost(s catalog.Sample) {
+	if i, ok := r.costs[s.Target]; ok {
+		r.evidence.Costs[i].Sum += s.Sum
+		r.evidence.Costs[i].Count += s.Count
+		return
+	}
+	if len(r.evidence.Costs) >= maxCosts {
+		r.noteDropped("costs")
+		return
+	}
+	r.costs[s.Target] = len(r.evidence.Costs)
+	r.evidence.Costs = append(r.evidence.Costs, s)
+}
+
 func sum(total *view.Outcome, o view.Outcome) {
 	total.OK += o.OK
 	total.Failed += o.Failed
@@ -107,11 +131,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.evidence
-	if len(e.Deaths)+len(e.Cold)+len(e.Warm)+len(e.Stop)+len(e.Outcomes) == 0 {
+	if len(e.Deaths)+len(e.Cold)+len(e.Warm)+len(e.Stop)+len(e.Outcomes)+len(e.Costs) == 0 {
 		return nil
 	}
 	r.evidence = view.Evidence{}
 	clear(r.outcomes)
+	clear(r.costs)
 	clear(r.dropped)
 	return &e
 }
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -81,6 +81,7 @@
 	if h.view.Catalog != nil {
 		r.Catalog = h.view.Catalog.Position
 	}
+	r.Dear = h.view.DearAt
 	if h.report {
 		r.Reported = true
 		r.Held = h.held()
@@ -131,6 +132,7 @@
 		h.version, h.membership = d.To, d.Membership
 	}
 	h.takeCatalog(r.Catalog)
+	h.takeDear(r.Dear)
 	return h.view != before
 }
 
@@ -170,6 +172,19 @@
 	h.view = &next
 }
 
+func (h *holder) takeDear(hints *catalog.Hints) {
+	if hints == nil {
+		return
+	}
+	next := *h.view
+	next.DearAt = hints.Position
+	next.Dear = make(map[model.TargetID]float64, len(hints.Targets))
+	for _, hint := range hints.Targets {
+		next.Dear[hint.Target] = float64(hint.Cost)
+	}
+	h.view = &next
+}
+
 func (h *holder) setGrants(grants map[model.TargetID]view.Grant) {
 	next := *h.view
 	next.Grants = grants
--- a/pkg/lease/merge.go
+++ b/pkg/lease/merge.go
@@ -17,7 +17,7 @@
 func merge(old *view.View, d *state.Delta) *view.View {
 	if d.Whole() {
 		// A table in use is kept until a newer one comes: its version only grows.
-		old = &view.View{Grants: old.Grants, Catalog: old.Catalog, Routing: old.Routing}
+		old = &view.View{Grants: old.Grants, Catalog: old.Catalog, Routing: old.Routing, Dear: old.Dear, DearAt: old.DearAt}
 	}
 	return &view.View{
 		Revision:     d.Revision,
@@ -31,6 +31,8 @@
 		Routing:      mergeTable(old.Routing, d.Table),
 		Catalog:      old.Catalog,
 		Evacuated:    mergeEvacuated(old.Evacuated, d),
+		Dear:         old.Dear,
+		DearAt:       old.DearAt,
 	}
 }
 
--- a/pkg/view/view.go
+++ b/pkg/view/view.go
@@ -52,6 +52,11 @@
 	Catalog *catalog.Set
 	// Evacuated are availability zones whose targets get nothing new.
 	Evacuated map[model.AvailabilityZoneID]bool
+	// Dear are targets that cost more than usual, in usual latencies, as all
+	// instances together see them, and DearAt how far that picture goes. It is
+	// old once the lease has run out.
+	Dear   map[model.TargetID]float64
+	DearAt catalog.Position
 }
 
 // Move is the state of a move of traffic as entries need it.
@@ -97,6 +102,8 @@
 	Stop []VersionStop `cbor:"4,keyasint,omitempty"`
 	// Warm are targets that answered at full speed under their cold grant.
 	Warm []ColdSign `cbor:"5,keyasint,omitempty"`
+	// Costs are what replies of targets cost, one sample for each target.
+	Costs []catalog.Sample `cbor:"6,keyasint,omitempty"`
 }
 
 // Death is a target that died while the named requests were in flight there.
