A request that did not arrive is no extra one, nor an attempt

Change: a shard's first request that may have arrived is free, and only targets that may have run a request count as attempts; the same for requests to one target. A target that cannot be reached counts as failing, for this instance and for the fleet.

--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -248,6 +248,27 @@
 		return b
 	}
 
+	// Targets of many shards crash: the first request to such a target is refused
+	// by its machine.
+	It("asks another target for free when one cannot be reached", func() {
+		f.engine.opts.Extra = retry.Bound{Window: 10 * time.Second}
+		f.add("x", "a", nil).Stop()
+		f.add("x", "b", always(exchangetest.Behaviour{Body: record(1)}))
+		f.publish(nil)
+		Expect(f.do(queryRoute("x"), "q1").Err).To(BeNil())
+	})
+
+	It("counts only targets that may have run a request against its attempts", func() {
+		f.add("x", "a", nil).Stop()
+		for range 2 {
+			f.add("x", "b", always(exchangetest.Behaviour{Status: 500}))
+		}
+		f.publish(nil)
+		f.do(queryRoute("x"), "q1")
+		Expect(f.fakes["i-1"].Requests()).NotTo(BeEmpty())
+		Expect(f.fakes["i-2"].Requests()).NotTo(BeEmpty())
+	})
+
 	It("merges one part of each shard", func() {
 		for i, s := range []model.ServiceID{"x", "y", "z"} {
 			f.add(s, "a", always(exchangetest.Behaviour{Body: record(byte(i + 1))}))
--- a/pkg/dispatch/fanout.go
+++ b/pkg/dispatch/fanout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -38,29 +39,31 @@
 	unreachableRetryAfter = 400 * time.Millisecond
 )
 
-// sentPart is one request in flight.
+// sentPart is one request to a target.
 type sentPart struct {
 	shard   int
 	target  *target
 	attempt *pool.Attempt
 	ended   bool
+	// arrived is false once it is known that the target did not get the request,
+	// and mayHaveRun once it is known that the target did not run it.
+	arrived, mayHaveRun bool
 	// result is set before the part is delivered.
 	result pool.Result
 }
 
 // query is one call over many shards in progress.
 type query struct {
-	engine  *Engine
-	call    *Call
-	run     *gather.Run
-	plan    gather.Plan
-	top     *gather.Top
-	answer  Answer
-	sent    []*sentPart
+	engine *Engine
+	call   *Call
+	run    *gather.Run
+	plan   gather.Plan
+	top    *gather.Top
+	answer Answer
+	// sent has the requests for each shard.
+	sent    [][]*sentPart
 	results chan *sentPart
 	trace   Trace
-	// used has the targets that a shard's request was sent to.
-	used [][]*target
 }
 
 // Query passes a call to one target of each shard and merges the parts.
@@ -93,7 +96,7 @@
 		run:     gather.New(plan, len(f.Shards)),
 		top:     gather.NewTop(f.Limit),
 		results: make(chan *sentPart, len(f.Shards)*gather.MaxSends),
-		used:    make([][]*target, len(f.Shards)),
+		sent:    make([][]*sentPart, len(f.Shards)),
 		trace:   Trace{TableVersion: c.page.table().Table.Version, Usual: plan.Usual},
 	}
 }
@@ -168,12 +171,12 @@
 		q.run.Unsent(i, now, q.call.page.reachable(service, now))
 		return
 	}
-	if len(q.used[i]) > 0 && !q.engine.takeExtra(service, q.run.Needs(i, now)) {
+	if q.hasArrived(i) && !q.engine.takeExtra(service, q.run.Needs(i, now)) {
 		q.trace.Denied++
 		q.run.Denied(i, now)
 		return
 	}
-	sent := &sentPart{shard: i, target: t}
+	sent := &sentPart{shard: i, target: t, arrived: true, mayHaveRun: true}
 	attempt, ok := t.send(q.engine, q.call, q.partTimeout(now), func(r pool.Result) {
 		sent.result = r
 		q.results <- sent
@@ -183,40 +186,55 @@
 		return
 	}
 	sent.attempt = attempt
-	q.note(i, t, sent)
+	q.note(i, sent)
 	q.run.Sent(i, now)
 }
 
-func (q *query) note(i int, t *target, sent *sentPart) {
+func (q *query) note(i int, sent *sentPart) {
 	q.trace.Sent++
-	if len(q.used[i]) > 0 {
+	if len(q.sent[i]) > 0 {
 		q.trace.Hedged++
 	}
-	q.used[i] = append(q.used[i], t)
-	q.sent = append(q.sent, sent)
+	q.sent[i] = append(q.sent[i], sent)
+}
+
+// hasArrived reports whether some target may have got a request for a shard. A
+// further one is an extra request then.
+func (q *query) hasArrived(i int) bool {
+	return slices.ContainsFunc(q.sent[i], func(s *sentPart) bool { return s.arrived })
 }
 
 // choose returns the target for the next request to a shard: one that was not
-// asked yet, or else one that no longer works on an earlier request.
+// asked yet, or else one that no longer works on an earlier request. Only so
+// many targets may run the request as the route allows.
 func (q *query) choose(i int, service model.ServiceID, now time.Duration) *target {
-	asked := func(t *target) bool {
-		for _, u := range q.used[i] {
-			if u.ID == t.ID {
-				return true
-			}
-		}
-		return false
+	if len(q.sent[i]) == 0 {
+		return q.engine.choose(q.call, service, now, nil)
 	}
-	distinct := len(q.used[i])
-	if distinct < max(1, q.call.Route.MaxAttempts) {
-		if t := q.engine.choose(q.call, service, now, asked); t != nil {
+	asked, ran := q.targetsOf(i)
+	full := len(ran) >= max(1, q.call.Route.MaxAttempts)
+	if !full {
+		if t := q.engine.choose(q.call, service, now, func(t *target) bool { return asked[t.ID] }); t != nil {
 			return t
 		}
 	}
-	if distinct == 0 || q.run.InFlight(i) {
+	if q.run.InFlight(i) {
 		return nil
 	}
-	return q.engine.choose(q.call, service, now, func(t *target) bool { return !asked(t) })
+	return q.engine.choose(q.call, service, now, func(t *target) bool { return full && !ran[t.ID] })
+}
+
+// targetsOf returns the targets that a shard's request was sent to, and those
+// of them that may have run it.
+func (q *query) targetsOf(i int) (asked, ran map[model.TargetID]bool) {
+	asked, ran = make(map[model.TargetID]bool), make(map[model.TargetID]bool)
+	for _, s := range q.sent[i] {
+		asked[s.target.ID] = true
+		if s.mayHaveRun {
+			ran[s.target.ID] = true
+		}
+	}
+	return asked, ran
 }
 
 // partTimeout is how long a target may work on its part.
@@ -239,10 +257,10 @@
 			q.answer.Signatures = append(q.answer.Signatures, reply.Signature)
 			q.top.Add(reply.Body)
 		}
-	case reply != nil:
-		q.run.Failed(r.shard, q.engine.now(), !reply.NotRun && !reply.WrongTarget)
 	default:
-		q.run.Failed(r.shard, q.engine.now(), !isNotSent(r.result.Err))
+		r.arrived = !isNotSent(r.result.Err)
+		r.mayHaveRun = r.arrived && (reply == nil || !reply.NotRun && !reply.WrongTarget)
+		q.run.Failed(r.shard, q.engine.now(), r.mayHaveRun)
 	}
 }
 
@@ -268,27 +286,29 @@
 func (q *query) noteLate() {
 	for i, s := range q.call.Route.Fanout.Shards {
 		if !q.run.Done(i) && len(q.trace.Late) < maxLateNames {
-			q.trace.Late = append(q.trace.Late, lateName(s, q.used[i]))
+			q.trace.Late = append(q.trace.Late, lateName(s, q.sent[i]))
 		}
 	}
 }
 
 // lateName names a shard with the targets that were asked, as "shard=a+b".
-func lateName(shard model.ServiceID, asked []*target) string {
+func lateName(shard model.ServiceID, sent []*sentPart) string {
 	var name strings.Builder
 	name.WriteString(string(shard))
-	for i, t := range asked {
+	for i, s := range sent {
 		name.WriteString([]string{"=", "+"}[min(i, 1)])
-		name.WriteString(string(t.ID))
+		name.WriteString(string(s.target.ID))
 	}
 	return name.String()
 }
 
 // abandon gives up what is still in flight.
 func (q *query) abandon(linger time.Duration) {
-	for _, s := range q.sent {
-		if !s.ended {
-			s.attempt.Abandon(linger)
+	for _, sent := range q.sent {
+		for _, s := range sent {
+			if !s.ended {
+				s.attempt.Abandon(linger)
+			}
 		}
 	}
 }
--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -128,7 +128,7 @@
 
 // unreached takes in a failure to connect.
 func (h *health) unreached(now time.Duration) {
-	h.age(now)
+	h.failed(now)
 	pause := min(firstEjection<<min(h.unreachable, 6), longestEjection)
 	h.unreachable++
 	h.ejectedUntil = now + pause
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -37,8 +37,8 @@
 	results  chan *sentPart
 	inFlight []*sentPart
 	used     map[model.TargetID]bool
-	// ran is set once a target may have run the request.
-	ran bool
+	// ran counts the targets that have ended and may have run the request.
+	ran int
 	// fallback is a target's failure, to be passed on if nothing better comes.
 	fallback *exchange.Reply
 	lastErr  error
@@ -151,10 +151,10 @@
 
 // mayRepeat reports whether another request may be sent now.
 func (s *single) mayRepeat(arrived bool) bool {
-	if s.trace.Sent >= maxSingleSends || len(s.used) >= max(1, s.call.Route.MaxAttempts) && s.ran {
+	if s.trace.Sent >= maxSingleSends || s.ran+len(s.inFlight) >= max(1, s.call.Route.MaxAttempts) {
 		return false
 	}
-	if s.ran && !s.call.Route.Idempotent {
+	if s.ran > 0 && !s.call.Route.Idempotent {
 		return false
 	}
 	if arrived && !s.engine.takeExtra(s.service, len(s.inFlight) == 0) {
@@ -185,7 +185,7 @@
 		return
 	}
 	s.hedged = true
-	if len(s.used) < s.call.Route.MaxAttempts && s.mayRepeat(true) && s.send() {
+	if s.mayRepeat(true) && s.send() {
 		s.trace.Hedged++
 	}
 }
@@ -200,7 +200,7 @@
 	case reply != nil && (reply.NotRun || reply.WrongTarget):
 		s.lastErr = failure.New(failure.TargetShed, failure.NotRun, "send", string(r.target.ID), "status %d, not run", reply.Status)
 	case reply != nil:
-		s.ran = true
+		s.ran++
 		if reply.Signature != "" && reply.ID == s.call.Request.ID {
 			s.fallback = reply
 		}
@@ -209,7 +209,9 @@
 			return s.pass(reply), true
 		}
 	default:
-		s.ran = s.ran || !isNotSent(err)
+		if !isNotSent(err) {
+			s.ran++
+		}
 		s.lastErr = err
 	}
 	if len(s.inFlight) > 0 {
@@ -239,7 +241,7 @@
 	switch {
 	case s.fallback != nil:
 		return s.pass(s.fallback)
-	case !s.ran:
+	case s.ran == 0:
 		return s.refuse("send", "no target took the request: %v", s.lastErr)
 	}
 	return Outcome{Err: failure.New(failure.TargetFailed, failure.Unknown, "send", string(s.service), "%w", s.lastErr), Trace: s.trace}
@@ -261,7 +263,7 @@
 }
 
 func (s *single) notRun() failure.Ran {
-	if s.ran || len(s.inFlight) > 0 {
+	if s.ran > 0 || len(s.inFlight) > 0 {
 		return failure.Unknown
 	}
 	return failure.NotRun
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -67,7 +67,7 @@
 // nothing of the target.
 func sampleCost(r pool.Result, latency, usual time.Duration) float32 {
 	switch {
-	case usual <= 0 || errors.Is(r.Err, pool.ErrNotSent):
+	case usual <= 0:
 		return 0
 	case r.Err != nil && !errors.Is(r.Err, pool.ErrAbandoned), r.Reply != nil && !r.Reply.OK():
 		return 1 + failureCost
