Consensus: a campaign gives votes time to come

Trace, with load average 15 on 6 cores: terms rise from 2 to 129 in ten seconds. Candidates won their pre-votes each time; a candidate asked anew after one or two heartbeats (30 to 60 ms), with another pre-vote, and voters, which sync their votes first, answered later than that. A vote for an earlier term counts no more, so every campaign was lost.

Change: each campaign waits twice as long as the one before, up to the election timeout; a leader that is heard starts it anew. The first waits as long as before, so elections after a crash are no slower.

Ruled out before: stale messages in the queues of the deposed leader.

The spec with votes that come after four heartbeats fails before. Still so: while the 4 MiB are on their way each heartbeat that overtakes them makes the leader send them again, and it may lose its majority meanwhile.

--- a/pkg/consensus/election.go
+++ b/pkg/consensus/election.go
@@ -27,6 +27,7 @@
 		r.becomeFollower(now, r.term, leader)
 	}
 	r.leaderContact = now
+	r.campaigns = 0
 	r.resetElectionDeadline(now)
 }
 
@@ -58,7 +59,9 @@
 	return r.membership.IsVoter(r.cfg.Self) || r.membershipAt(r.commit).IsVoter(r.cfg.Self)
 }
 
-// campaignForReal raises the term and asks for votes that count.
+// campaignForReal raises the term and asks for votes that count. It gives them
+// time to come, twice as long as the campaign before: they are synced first, and
+// a campaign that ends before its votes come is lost each time.
 func (r *Raft) campaignForReal(now time.Duration) {
 	r.role = Candidate
 	r.leader = Member{}
@@ -70,8 +73,15 @@
 		return
 	}
 	r.requestVotes(r.term, VoteRequest{Transfer: r.transferred})
+	patience := min(r.cfg.Heartbeat<<min(r.campaigns, maxDoublings), r.cfg.ElectionTimeout)
+	r.electionDeadline = now + patience + r.cfg.Jitter(patience)
+	r.campaigns++
 }
 
+// maxDoublings bounds the growth of a campaign's time; the election timeout
+// does so before.
+const maxDoublings = 10
+
 func (r *Raft) requestVotes(term uint64, v VoteRequest) {
 	v.LastIndex, v.LastTerm = r.log.lastIndex(), r.log.lastTerm()
 	for _, m := range r.membership.Voters {
--- a/pkg/consensus/raft.go
+++ b/pkg/consensus/raft.go
@@ -93,7 +93,9 @@
 	// a restarted member does not remember whom it heard.
 	leaderContact    time.Duration
 	electionDeadline time.Duration
-	nextHeartbeat    time.Duration
+	// campaigns counts the campaigns since a leader was last heard.
+	campaigns     int
+	nextHeartbeat time.Duration
 
 	votes map[Member]bool
 	// transferred marks a campaign that the leader asked for.
--- a/pkg/consensus/rules_test.go
+++ b/pkg/consensus/rules_test.go
@@ -130,6 +130,36 @@
 	})
 })
 
+var _ = ginkgo.Describe("A candidate", func() {
+	// Voters sync their votes; beside load or behind a large message that takes
+	// several heartbeats.
+	ginkgo.It("is elected although votes come late", func() {
+		const late = 4 * worldHeartbeat
+		r := restart(foundingState(), 0)
+		type reply struct {
+			at time.Duration
+			m  Message
+		}
+		var replies []reply
+		for now := time.Duration(0); now < 20*worldElectionTimeout && r.role != Leader; now += worldHeartbeat / 4 {
+			for len(replies) > 0 && replies[0].at <= now {
+				r.Step(now, replies[0].m)
+				replies = replies[1:]
+			}
+			if now >= r.Deadline() {
+				r.Tick(now)
+			}
+			for _, m := range r.TakeEffects().Messages {
+				if m.Vote != nil && m.To == memberOf("b") {
+					vote := &VoteReply{Granted: true, Pre: m.Vote.Pre}
+					replies = append(replies, reply{now + late, Message{From: m.To, To: m.From, Term: m.Term, VoteReply: vote}})
+				}
+			}
+		}
+		Expect(r.role).To(Equal(Leader))
+	})
+})
+
 var _ = ginkgo.Describe("A leader", func() {
 	ginkgo.It("sends nothing before its vote for itself is synced", func() {
 		s := foundingState()
