Roll-outs of the users' platform are served

Cause: orders to move a service's traffic to a new version were answered 404.

Change: an order becomes a move of the product. It is replicated, read behind a barrier, reaches entries with the lease, and the driver of moves, which now runs on control members too, decides its steps. Entries choose the version by request, send repeats to the version before, report answers by version and stop a failing version by themselves. Counting by version is one type now for both query paths (versions.Tally); the same order again changes nothing, also after a take-back.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -78,6 +78,17 @@
 	return changed
 }
 
+// Versions counts the targets of a service by version.
+func (c *Catalog) Versions(service model.ServiceID) map[model.VersionID]int {
+	counts := make(map[model.VersionID]int)
+	for _, e := range c.targets {
+		if e.target.Service == service {
+			counts[e.target.Version]++
+		}
+	}
+	return counts
+}
+
 // Since returns what changed after a position, or nil if nothing did or no
 // list has been read yet.
 func (c *Catalog) Since(p Position) *Delta {
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -59,6 +59,20 @@
 	Table(ctx context.Context) (*routing.Table, error)
 	// Evacuate begins or ends the evacuation of an availability zone.
 	Evacuate(ctx context.Context, zone model.AvailabilityZoneID, end bool) error
+	// StartMove begins to move the traffic of a service to a version. The same
+	// order again changes nothing.
+	StartMove(ctx context.Context, o MoveOrder) error
+	// Move returns the latest move of a service. It fails rather than answer with
+	// one that may be out of date.
+	Move(ctx context.Context, service model.ServiceID) (*move.State, error)
+}
+
+// MoveOrder asks to move the traffic of a service to a version.
+type MoveOrder struct {
+	Service model.ServiceID `cbor:"1,keyasint"`
+	To      model.VersionID `cbor:"2,keyasint"`
+	// Duration is the time within which the move is to be done.
+	Duration time.Duration `cbor:"3,keyasint"`
 }
 
 // ApplyRequest asks for a change of the rules.
--- a/pkg/control/server/module.go
+++ b/pkg/control/server/module.go
@@ -144,6 +144,8 @@
 	mesh.Handle(s.mesh, wire.KindTable, onLeader(s, (*session).table))
 	mesh.Handle(s.mesh, wire.KindEvacuate, onLeader(s, (*session).evacuate))
 	mesh.Handle(s.mesh, wire.KindOffer, onLeader(s, (*session).offered))
+	mesh.Handle(s.mesh, wire.KindStartMove, onLeader(s, (*session).startMove))
+	mesh.Handle(s.mesh, wire.KindMove, onLeader(s, (*session).move))
 	mesh.Handle(s.mesh, wire.KindRemove, onLeader(s, (*session).removeMember))
 }
 
--- /dev/null
+++ b/pkg/control/server/moves.go
@@ -0,0 +1,65 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"radishturn.example/radishturn/pkg/control"
+	"radishturn.example/radishturn/pkg/control/route"
+	"radishturn.example/radishturn/pkg/control/wire"
+	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/move"
+	"radishturn.example/radishturn/pkg/query/versions"
+	"radishturn.example/radishturn/pkg/rules"
+	"radishturn.example/radishturn/pkg/state"
+)
+
+// StartMove begins to move the traffic of a service to a version.
+func (s *Server) StartMove(ctx context.Context, o control.MoveOrder) error {
+	if o.Service == "" || o.To == "" || o.Duration <= 0 {
+		return failure.New(failure.BadRequest, failure.NotRun, "check order", "", "a service, a version and a duration are needed")
+	}
+	_, err := route.Call[control.MoveOrder, wire.Empty](ctx, s.router, wire.KindStartMove, &o)
+	return err
+}
+
+// Move returns the latest move of a service.
+func (s *Server) Move(ctx context.Context, service model.ServiceID) (*move.State, error) {
+	return route.Call[wire.MoveQuery, move.State](ctx, s.router, wire.KindMove, &wire.MoveQuery{Service: service})
+}
+
+// startMove records the move. The version before is the one that most targets of
+// the service run, the new one left out.
+func (n *session) startMove(ctx context.Context, o *control.MoveOrder) (*wire.Empty, error) {
+	n.lock.Lock()
+	running := n.catalog.Versions(o.Service)
+	n.lock.Unlock()
+	delete(running, o.To)
+	now := time.Now()
+	order := &state.StartMove{At: now, Move: rules.Move{
+		Collection: model.CollectionID(o.Service), From: versions.Established("", running), To: o.To, By: now.Add(o.Duration),
+	}}
+	if _, err := n.propose(ctx, "start move", &state.Command{StartMove: order}); err != nil {
+		return nil, err
+	}
+	events.Emit(events.MoveOrdered, o.Service, order.Move.From, o.To, o.Duration.Milliseconds())
+	return &wire.Empty{}, nil
+}
+
+// move reads the move behind a barrier.
+func (n *session) move(ctx context.Context, q *wire.MoveQuery) (*move.State, error) {
+	if _, err := n.propose(ctx, "confirm leadership", &state.Command{}); err != nil {
+		return nil, err
+	}
+	var (
+		m     move.State
+		known bool
+	)
+	n.machine.Read(func(s *state.State) { m, known = s.Move(model.CollectionID(q.Service)) })
+	if !known {
+		return nil, failure.New(failure.NotFound, failure.NotRun, "read move", string(q.Service), "no move of this service was ordered")
+	}
+	return &m, nil
+}
--- a/pkg/control/wire/wire.go
+++ b/pkg/control/wire/wire.go
@@ -42,6 +42,9 @@
 	KindTable    mesh.Kind = "table.get"
 	KindEvacuate mesh.Kind = "zone.evacuate"
 	KindOffer    mesh.Kind = "member.offer"
+	// KindStartMove and KindMove are about moves of one service.
+	KindStartMove mesh.Kind = "move.start"
+	KindMove      mesh.Kind = "move.get"
 )
 
 // Kinds that every instance serves.
@@ -60,6 +63,7 @@
 	KindHistory: true, KindInForce: true, KindMoves: true, KindQuarantined: true, KindLift: true,
 	KindInstances: true, KindMembers: true, KindAdd: true, KindReplace: true, KindRemove: true,
 	KindPutTable: true, KindTable: true, KindEvacuate: true, KindOffer: true,
+	KindStartMove: true, KindMove: true,
 }
 
 // Relay is a request to the leader that goes through another instance.
@@ -219,6 +223,11 @@
 	Table *routing.Table `cbor:"1,keyasint,omitempty"`
 }
 
+// MoveQuery asks for the latest move of a service.
+type MoveQuery struct {
+	Service model.ServiceID `cbor:"1,keyasint"`
+}
+
 // Offer tells the leader that an instance with a disk can be a member.
 type Offer struct {
 	Member replica.Member `cbor:"1,keyasint"`
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -15,6 +15,7 @@
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/query/versions"
 	"radishturn.example/radishturn/pkg/retry"
 	"radishturn.example/radishturn/pkg/routing"
 	"radishturn.example/radishturn/pkg/view"
@@ -44,6 +45,8 @@
 	turns   map[string]*turn
 	// costs are what replies cost since the last report.
 	costs map[model.TargetID]catalog.Sample
+	// moves are the services whose traffic moves between versions.
+	moves map[model.ServiceID]*moving
 }
 
 // budgetSafety is the part of the retry budget that the instances share out.
@@ -57,6 +60,7 @@
 		budgets: make(map[model.ServiceID]*retry.Budget),
 		turns:   make(map[string]*turn),
 		costs:   make(map[model.TargetID]catalog.Sample),
+		moves:   make(map[model.ServiceID]*moving),
 	}
 }
 
@@ -108,13 +112,27 @@
 // targets, so that a target that has recovered is noticed.
 const exploreShare = 0.04
 
-// choose returns the target for the next request of a call, or nil.
-func (e *Engine) choose(c *Call, service model.ServiceID, now time.Duration, skip func(*target) bool) *target {
+// choose returns the target for the next request of a call, or nil. Repeat is
+// set if there was a request before; skip names targets to leave out.
+func (e *Engine) choose(c *Call, service model.ServiceID, now time.Duration, repeat bool, skip func(*target) bool) *target {
 	want := choice{service: service, now: now, usual: c.stats.usual(), skip: skip}
 	if e.opts.Views.Lease() == view.LeaseHeld && rand.Float64() >= exploreShare {
 		want.dear = c.page.view.Dear
 	}
-	return e.book.choose(c.page, want)
+	allowed, moves := e.versionsFor(c, service, repeat)
+	if !moves {
+		return e.book.choose(c.page, want)
+	}
+	m := c.page.view.Moves[collectionOf(service)]
+	for _, worst := range []versions.Rank{versions.Primary, versions.Fallback} {
+		want.skip = func(t *target) bool {
+			return allowed.Rank(sideOf(m, t)) > worst || skip != nil && skip(t)
+		}
+		if t := e.book.choose(c.page, want); t != nil {
+			return t
+		}
+	}
+	return nil
 }
 
 func (e *Engine) bound() retry.Bound {
@@ -178,6 +196,7 @@
 		case <-idle.C:
 			e.page()
 			e.reportCosts()
+			e.followMoves()
 		case <-ticker.C:
 			e.warmOne()
 		}
@@ -203,7 +222,7 @@
 	clear(e.costs)
 	e.mu.Unlock()
 	if len(costs) > 0 {
-		e.opts.Reporter.Report(view.Evidence{Costs: costs})
+		e.report(view.Evidence{Costs: costs})
 	}
 }
 
--- a/pkg/dispatch/fanout.go
+++ b/pkg/dispatch/fanout.go
@@ -209,19 +209,19 @@
 // many targets may run the request as the route allows.
 func (q *query) choose(i int, service model.ServiceID, now time.Duration) *target {
 	if len(q.sent[i]) == 0 {
-		return q.engine.choose(q.call, service, now, nil)
+		return q.engine.choose(q.call, service, now, false, nil)
 	}
 	asked, ran := q.targetsOf(i)
 	full := len(ran) >= max(1, q.call.Route.MaxAttempts)
 	if !full {
-		if t := q.engine.choose(q.call, service, now, func(t *target) bool { return asked[t.ID] }); t != nil {
+		if t := q.engine.choose(q.call, service, now, true, func(t *target) bool { return asked[t.ID] }); t != nil {
 			return t
 		}
 	}
 	if q.run.InFlight(i) {
 		return nil
 	}
-	return q.engine.choose(q.call, service, now, func(t *target) bool { return full && !ran[t.ID] })
+	return q.engine.choose(q.call, service, now, true, func(t *target) bool { return full && !ran[t.ID] })
 }
 
 // targetsOf returns the targets that a shard's request was sent to, and those
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -129,7 +129,7 @@
 // send sends the request to the best target that was not asked yet.
 func (s *single) send() bool {
 	now := s.engine.now()
-	t := s.engine.choose(s.call, s.service, now, func(t *target) bool { return s.used[t.ID] })
+	t := s.engine.choose(s.call, s.service, now, s.trace.Sent > 0, func(t *target) bool { return s.used[t.ID] })
 	if t == nil {
 		return false
 	}
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -45,6 +45,7 @@
 		now := e.now()
 		t.finished(now, sent, usual, timeout, r)
 		e.noteCost(t.ID, sampleCost(r, now-sent, usual))
+		e.noteVersion(call, t, r, now-sent)
 		if r.Reply != nil && r.Reply.OK() {
 			call.stats.add(now - sent)
 			targetSeconds.Update((now - sent).Seconds())
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -92,6 +92,7 @@
 	MoveLate          Number = 7006
 	MoveSuspended     Number = 7007
 	MoveStepUncertain Number = 7008
+	MoveOrdered       Number = 7009
 
 	RulesAccepted Number = 8001
 	RulesRefused  Number = 8002
@@ -201,6 +202,7 @@
 	{MoveLate, warn, "move cannot finish by its deadline", []string{"collection", "by", "reason"}},
 	{MoveSuspended, info, "move waits", []string{"collection", "reason"}},
 	{MoveStepUncertain, warn, "outcome of a step is unknown; it is tried again", []string{"collection", "error"}},
+	{MoveOrdered, info, "move of a service ordered", []string{"service", "from", "to", "durationMilliseconds"}},
 
 	{RulesAccepted, info, "rules accepted", []string{"revision", "author", "hash"}},
 	{RulesRefused, warn, "rules refused", []string{"author", "error"}},
--- a/pkg/fanout/outcomes.go
+++ b/pkg/fanout/outcomes.go
@@ -1,7 +1,6 @@
 package fanout
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -15,30 +14,15 @@
 // versionChoice is short for the choice of versions of one query.
 type versionChoice = versions.Choice
 
-const (
-	// latencyBuckets is the number of buckets of view.Outcome.
-	latencyBuckets = 24
-	// bucketsPerDoubling matches view.Outcome: bucket i ends at 1 ms × 2^(i/2).
-	bucketsPerDoubling = 2
-	// outcomeWindow is the length of a window of view.Outcome.
-	outcomeWindow = time.Second
-	// maxRoutes bounds the routes that are told apart; others count as one.
-	maxRoutes  = 32
-	otherRoute = model.Route("other")
-)
-
-type outcomeKey struct {
-	version model.VersionID
-	route   model.Route
-}
+// outcomeWindow is the length of a window of view.Outcome.
+const outcomeWindow = time.Second
 
 // outcomes counts the answers of one collection by version and route while a
 // move of the collection is on.
 type outcomes struct {
-	mu     sync.Mutex
-	window uint64
-	counts map[outcomeKey]*view.Outcome
-	local  versions.Evidence
+	mu    sync.Mutex
+	tally versions.Tally
+	local versions.Evidence
 }
 
 func (o *outcomes) stopped(v model.VersionID) bool {
@@ -56,9 +40,8 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.turn(s, c, e.now)
-	entry := o.entry(c, t.target.Version, route)
-	o.count(entry, e.result.Kind == target.KindOK, e)
+	o.turn(s, e.now)
+	o.count(c, t.target.Version, route, e)
 	if reason := o.judge(move, t, e); reason != "" {
 		events.Emit(events.VersionStopped, c, t.target.Version, reason)
 		s.reporter.Report(view.Evidence{Stop: []view.VersionStop{{Collection: c, Version: t.target.Version, Reason: reason}}})
@@ -82,70 +65,33 @@
 	return false
 }
 
-func (o *outcomes) count(entry *view.Outcome, ok bool, e *ended) {
-	if !ok {
-		entry.Failed++
-		return
-	}
-	entry.OK++
-	if !e.cold {
-		entry.LatencyBuckets[latencyBucket(e.elapsed)]++
+func (o *outcomes) count(c model.CollectionID, v model.VersionID, route model.Route, e *ended) {
+	switch {
+	case e.result.Kind != target.KindOK:
+		o.tally.Failed(c, v, route)
+	case e.cold:
+		o.tally.OK(c, v, route, -1)
+	default:
+		o.tally.OK(c, v, route, e.elapsed)
 	}
 }
 
-func (o *outcomes) entry(c model.CollectionID, v model.VersionID, route model.Route) *view.Outcome {
-	if o.counts == nil {
-		o.counts = make(map[outcomeKey]*view.Outcome)
-	}
-	key := outcomeKey{v, route}
-	if o.counts[key] == nil && len(o.counts) >= 2*maxRoutes {
-		key.route = otherRoute
-	}
-	entry := o.counts[key]
-	if entry == nil {
-		entry = &view.Outcome{
-			Collection: c, Version: v, Route: key.route, Window: o.window,
-			LatencyBuckets: make([]uint64, latencyBuckets),
-		}
-		o.counts[key] = entry
-	}
-	return entry
-}
-
 // turn reports the counts of a window that has ended.
-func (o *outcomes) turn(s *Service, c model.CollectionID, now time.Duration) {
-	window := s.window(now)
-	if window == o.window {
-		return
-	}
-	if len(o.counts) > 0 {
-		report := view.Evidence{Outcomes: make([]view.Outcome, 0, len(o.counts))}
-		for _, entry := range o.counts {
-			report.Outcomes = append(report.Outcomes, *entry)
-		}
-		s.reporter.Report(report)
+func (o *outcomes) turn(s *Service, now time.Duration) {
+	if ended := o.tally.Turn(s.window(now)); len(ended) > 0 {
+		s.reporter.Report(view.Evidence{Outcomes: ended})
 	}
-	o.window, o.counts = window, nil
 }
 
 // flush reports a window that ended without further answers, and forgets a
 // stopped version once its move is gone.
-func (o *outcomes) flush(s *Service, now time.Duration, c model.CollectionID, move view.Move, moving bool) {
+func (o *outcomes) flush(s *Service, now time.Duration, move view.Move, moving bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.turn(s, c, now)
+	o.turn(s, now)
 	o.local.Follow(move, moving)
 }
 
-// latencyBucket returns the bucket of view.Outcome.
-func latencyBucket(d time.Duration) int {
-	if d < time.Millisecond {
-		return 0
-	}
-	doublings := math.Log2(float64(d) / float64(time.Millisecond))
-	return min(int(bucketsPerDoubling*doublings)+1, latencyBuckets-1)
-}
-
 // window numbers the seconds since this instance's lease was first held.
 func (s *Service) window(now time.Duration) uint64 {
 	s.windowMu.Lock()
--- a/pkg/fanout/service.go
+++ b/pkg/fanout/service.go
@@ -121,7 +121,7 @@
 	for _, c := range s.collections {
 		c.refresh(list, v, now)
 		move, moving := v.Moves[c.id]
-		c.outcomes.flush(s, now, c.id, move, moving)
+		c.outcomes.flush(s, now, move, moving)
 		s.reportStillWarm(c, now)
 	}
 	s.admissionMu.Lock()
--- a/pkg/move/controller.go
+++ b/pkg/move/controller.go
@@ -17,8 +17,6 @@
 	FalseAlarmRate = 0.001
 	// Window is how long evidence is gathered before it is weighed.
 	Window = time.Second
-	// minimumHorizon is the least number of windows that the rate is spread over.
-	minimumHorizon = 600
 	// maximumRoutes bounds the routes that are watched.
 	maximumRoutes = 64
 	// stopsNeeded is the least number of entries whose local stops decide.
@@ -30,9 +28,6 @@
 	stopsShare = 1.0 / 3
 	// suspicion is the part of a limit from which on the share does not grow.
 	suspicion = 0.5
-	// suspicionLasts bounds how long the share waits for evidence that no
-	// longer grows.
-	suspicionLasts = 30 * time.Second
 	// compareShare is the share at which both versions are compared again.
 	compareShare = 0.5
 	// compareFor is how long a second comparison lasts.
@@ -175,7 +170,7 @@
 	windows := float64(c.rule.Rule.By.Sub(c.rule.Started) / Window)
 	tests := float64(1 + len(watchedQuantiles))
 	alpha := FalseAlarmRate / float64(n*(n+1)) / tests
-	return math.Log(max(minimumHorizon, windows) / alpha)
+	return math.Log(max(planOf(&c.rule).minimumHorizon, windows) / alpha)
 }
 
 // Decide returns the step to propose at now, or the reason for none.
@@ -295,7 +290,7 @@
 	if strongest > c.peak {
 		c.peak, c.peakAt = strongest, now.Monotonic
 	}
-	return strongest >= suspicion && now.Monotonic-c.peakAt < suspicionLasts
+	return strongest >= suspicion && now.Monotonic-c.peakAt < planOf(&c.rule).suspicionLasts
 }
 
 // strongest returns the greatest evidence as a part of its limit.
@@ -314,7 +309,7 @@
 	if s.Share == 0 {
 		return true
 	}
-	if now.Monotonic-c.stepSince < minimumWatch {
+	if now.Monotonic-c.stepSince < planOf(&s).minimumWatch {
 		return false
 	}
 	if c.comparing {
@@ -325,7 +320,7 @@
 
 func (c *Controller) forward(s State, now Now) *Step {
 	c.comparing = false
-	if s.Share == 1 {
+	if planOf(&s).isLast(s.Share) {
 		return newStep(s, now, PhaseDone, 1, "the last step was watched and showed no fault")
 	}
 	share := nextShare(&s)
--- a/pkg/move/driver/driver_test.go
+++ b/pkg/move/driver/driver_test.go
@@ -222,4 +222,41 @@
 		Entry("and it was accepted", true),
 		Entry("and it was not", false),
 	)
+
+	Context("with a move that was ordered by itself, over 12 s", func() {
+		const short = 12 * time.Second
+		// played has the part of all requests that the new version got, at 90 a second.
+		play := func(failing float64) (exposed float64) {
+			g.state.Rule.By, g.state.Ordered = begin.Add(short), true
+			_, d := newMember()
+			perTick := 90 * tick.Seconds()
+			all, bad := 0.0, 0.0
+			run(d, short+time.Second, func() {
+				// An entry reports what it did in the tick before.
+				moved := perTick * g.state.Share
+				if g.state.Phase == move.PhaseUnderWay {
+					exposed += moved
+				}
+				all += perTick
+				fails := bad + moved*failing
+				whole := float64(int(fails))
+				bad = fails - whole
+				d.Evidence("entry-1", answers("1", uint64(perTick-moved), 0))
+				d.Evidence("entry-1", answers("2", uint64(max(0, moved-whole)), uint64(whole)))
+			})
+			return exposed / all
+		}
+
+		It("finishes in time, and the new version gets less than a tenth up to then", func() {
+			Expect(play(0)).To(BeNumerically("<", 0.1))
+			Expect(g.state.Phase).To(Equal(move.PhaseDone))
+			Expect(g.state.Share).To(Equal(1.0))
+			Expect(g.state.SteppedAt).To(BeTemporally("<", begin.Add(short)))
+		})
+
+		It("takes a version back of whose answers a third fails", func() {
+			Expect(play(0.33)).To(BeNumerically("<", 0.1))
+			Expect(g.state.Phase).To(Equal(move.PhaseTakenBack))
+		})
+	})
 })
--- a/pkg/move/driver/module.go
+++ b/pkg/move/driver/module.go
@@ -3,6 +3,7 @@
 import (
 	"radishturn.example/radishturn"
 	"radishturn.example/radishturn/pkg/control"
+	"radishturn.example/radishturn/pkg/settings"
 )
 
 // ModuleName is the ID of the moves module.
@@ -19,7 +20,8 @@
 func (*Module) ModuleInfo() radishturn.ModuleInfo {
 	return radishturn.ModuleInfo{
 		ID:    ModuleName,
-		After: []radishturn.ModuleID{"control"},
+		After: []radishturn.ModuleID{control.ModuleName},
+		Roles: []settings.Role{settings.RoleStandalone, settings.RoleControl},
 		New:   func() radishturn.Module { return &Module{} },
 	}
 }
--- a/pkg/move/move.go
+++ b/pkg/move/move.go
@@ -40,6 +40,9 @@
 	SteppedAt time.Time `json:"steppedAt" cbor:"8,keyasint"`
 	// Evidence says why the share is as it is, in words for operators.
 	Evidence string `json:"evidence" cbor:"9,keyasint"`
+	// Ordered is set on a move of one service that an operator ordered by
+	// itself. It is no part of the rules, and follows a plan for short moves.
+	Ordered bool `json:"ordered,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 // Step is a change that the controller proposes. It applies only to the move
--- /dev/null
+++ b/pkg/query/versions/tally.go
@@ -0,0 +1,73 @@
+package versions
+
+import (
+	"time"
+
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+const (
+	// maxRoutes bounds the routes that are told apart; others count as one.
+	maxRoutes  = 32
+	otherRoute = model.Route("other")
+)
+
+// Tally counts the answers of one collection by version and route, window by
+// window. It is not safe for concurrent use.
+type Tally struct {
+	window uint64
+	counts map[tallyKey]*view.Outcome
+}
+
+type tallyKey struct {
+	version model.VersionID
+	route   model.Route
+}
+
+// Turn goes on to a window and returns the counts of the one before; none while
+// the window is the same.
+func (t *Tally) Turn(window uint64) []view.Outcome {
+	if window == t.window {
+		return nil
+	}
+	ended := make([]view.Outcome, 0, len(t.counts))
+	for _, entry := range t.counts {
+		ended = append(ended, *entry)
+	}
+	t.window, t.counts = window, nil
+	return ended
+}
+
+// Failed counts a failure of a version.
+func (t *Tally) Failed(c model.CollectionID, v model.VersionID, route model.Route) {
+	t.entry(c, v, route).Failed++
+}
+
+// OK counts an answer of a version. A latency below 0 is not counted.
+func (t *Tally) OK(c model.CollectionID, v model.VersionID, route model.Route, latency time.Duration) {
+	entry := t.entry(c, v, route)
+	entry.OK++
+	if latency >= 0 {
+		entry.LatencyBuckets[view.LatencyBucket(latency)]++
+	}
+}
+
+func (t *Tally) entry(c model.CollectionID, v model.VersionID, route model.Route) *view.Outcome {
+	if t.counts == nil {
+		t.counts = make(map[tallyKey]*view.Outcome)
+	}
+	key := tallyKey{v, route}
+	if t.counts[key] == nil && len(t.counts) >= 2*maxRoutes {
+		key.route = otherRoute
+	}
+	entry := t.counts[key]
+	if entry == nil {
+		entry = &view.Outcome{
+			Collection: c, Version: v, Route: key.route, Window: t.window,
+			LatencyBuckets: make([]uint64, view.LatencyBuckets),
+		}
+		t.counts[key] = entry
+	}
+	return entry
+}
--- a/pkg/state/command.go
+++ b/pkg/state/command.go
@@ -32,6 +32,13 @@
 	Orders      *Orders       `cbor:"8,keyasint,omitempty"`
 	PutTable    *PutTable     `cbor:"9,keyasint,omitempty"`
 	Evacuate    *Evacuate     `cbor:"10,keyasint,omitempty"`
+	StartMove   *StartMove    `cbor:"11,keyasint,omitempty"`
+}
+
+// StartMove begins a move of one service that an operator ordered by itself.
+type StartMove struct {
+	Move rules.Move `cbor:"1,keyasint"`
+	At   time.Time  `cbor:"2,keyasint"`
 }
 
 // PutTable replaces the routing table if its version is higher.
--- a/pkg/state/moves.go
+++ b/pkg/state/moves.go
@@ -15,6 +15,11 @@
 // whatever its phase, and a new or changed rule starts one.
 func (s *State) startMoves(index uint64, change *control.Change) {
 	next := make(map[model.CollectionID]move.State)
+	for c, m := range s.data.Moves {
+		if m.Ordered {
+			next[c] = m
+		}
+	}
 	for _, r := range change.Rules.Rules {
 		if r.Move == nil {
 			continue
@@ -33,6 +38,27 @@
 	s.data.Moves = next
 }
 
+// startMove begins an ordered move. The order for the version that the latest
+// move of the service went to is the same order again, whatever became of it.
+func (s *State) startMove(index uint64, order *StartMove) *Result {
+	c := order.Move.Collection
+	if m, ok := s.data.Moves[c]; ok && m.Rule.To == order.Move.To {
+		return &Result{}
+	}
+	s.data.Moves[c] = move.State{
+		Rule: order.Move, Revision: model.Revision(index), Phase: move.PhaseUnderWay, Ordered: true,
+		Started: order.At, SteppedAt: order.At, Evidence: "accepted, not begun",
+	}
+	s.changed(index, itemKey{kind: itemMove, name: string(c)})
+	return &Result{}
+}
+
+// Move returns the move of a collection or service.
+func (s *State) Move(c model.CollectionID) (move.State, bool) {
+	m, ok := s.data.Moves[c]
+	return m, ok
+}
+
 func (s *State) logMoveChanges(index uint64, old, next map[model.CollectionID]move.State) {
 	for c := range old {
 		if _, ok := next[c]; !ok {
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -92,6 +92,8 @@
 		return s.putTable(index, &c.PutTable.Table)
 	case c.Evacuate != nil:
 		return s.evacuate(index, c.Evacuate)
+	case c.StartMove != nil:
+		return s.startMove(index, c.StartMove)
 	default:
 		return &Result{}
 	}
--- a/pkg/state/table_test.go
+++ b/pkg/state/table_test.go
@@ -5,7 +5,9 @@
 	. "github.com/onsi/gomega"
 
 	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/move"
 	"radishturn.example/radishturn/pkg/routing"
+	"radishturn.example/radishturn/pkg/rules"
 	"radishturn.example/radishturn/pkg/state"
 )
 
@@ -77,3 +79,40 @@
 		Expect(s.Knows(model.Instance{ID: "x", AvailabilityZone: "b"})).To(BeTrue())
 	})
 })
+
+var _ = Describe("An ordered move", func() {
+	start := func(s *state.State, index uint64, to model.VersionID) {
+		order := &state.StartMove{Move: rules.Move{Collection: "s1", From: "v1", To: to}}
+		s.Apply(index, &state.Command{StartMove: order})
+	}
+
+	It("begins once, however often the order comes, and also after it was taken back", func() {
+		s := state.New()
+		start(s, 2, "v2")
+		start(s, 3, "v2")
+		m, _ := s.Move("s1")
+		Expect(m.Revision).To(BeEquivalentTo(2))
+		step := &move.Step{Collection: "s1", Revision: 2, Phase: move.PhaseTakenBack}
+		Expect(s.Apply(4, &state.Command{StepMove: step}).Refusal).To(BeNil())
+		start(s, 5, "v2")
+		m, _ = s.Move("s1")
+		Expect(m.Phase).To(Equal(move.PhaseTakenBack))
+		start(s, 6, "v3")
+		m, _ = s.Move("s1")
+		Expect(m.Phase).To(Equal(move.PhaseUnderWay))
+	})
+
+	It("outlives a change of the rules, reaches entries, and survives a snapshot", func() {
+		s := state.New()
+		start(s, 2, "v2")
+		s.Apply(3, &state.Command{ApplyRules: &state.ApplyRules{}})
+		Expect(s.Delta(0).Moves).To(HaveLen(1))
+		snapshot, err := s.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		restored := state.New()
+		Expect(restored.Restore(snapshot)).To(Succeed())
+		m, known := restored.Move("s1")
+		Expect(known).To(BeTrue())
+		Expect(m.Ordered).To(BeTrue())
+	})
+})
--- a/pkg/view/view.go
+++ b/pkg/view/view.go
@@ -4,6 +4,7 @@
 package view
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -136,6 +137,22 @@
 	LatencyBuckets []uint64 `cbor:"7,keyasint,omitempty"`
 }
 
+const (
+	// LatencyBuckets is the number of buckets of Outcome.
+	LatencyBuckets = 24
+	// bucketsPerDoubling is how many buckets a doubling of the latency spans.
+	bucketsPerDoubling = 2
+)
+
+// LatencyBucket returns the bucket of Outcome that holds a latency.
+func LatencyBucket(d time.Duration) int {
+	if d < time.Millisecond {
+		return 0
+	}
+	doublings := math.Log2(float64(d) / float64(time.Millisecond))
+	return min(int(bucketsPerDoubling*doublings)+1, LatencyBuckets-1)
+}
+
 // VersionStop reports that an entry stopped sending to a version.
 type VersionStop struct {
 	Collection model.CollectionID `cbor:"1,keyasint"`
