--- a/pkg/dispatch/book.go
+++ b/pkg/dispatch/book.go
@@ -162,6 +162,7 @@
 	own, share := c.subset(service, targets)
 	p := pair{own: own}
 	for _, t := range targets {
+		t.limitCold(c.coldGap(t))
 		if !slices.Contains(own, t) {
 			t.pool.SetLimit(spareConnections, spareIdle)
 			p.spare = append(p.spare, t)
--- a/pkg/dispatch/subset.go
+++ b/pkg/dispatch/subset.go
@@ -33,6 +33,8 @@
 	local   int
 	zone    model.AvailabilityZoneID
 	ordinal uint64
+	// rank is the number of instances with smaller ordinals.
+	rank int
 }
 
 func newCrowd(v *view.View, self model.InstanceID, zone model.AvailabilityZoneID) crowd {
@@ -45,9 +47,27 @@
 			c.ordinal = i.Ordinal
 		}
 	}
+	for _, i := range v.Instances {
+		if i.Ordinal < c.ordinal {
+			c.rank++
+		}
+	}
 	return c
 }
 
+// coldGap returns the least time between this instance's requests to a target;
+// 0 unless the target is cold.
+func (c crowd) coldGap(t *target) time.Duration {
+	if !t.Cold || c.view.Routing == nil {
+		return 0
+	}
+	s := c.view.Routing.Service(t.Service)
+	if s == nil {
+		return 0
+	}
+	return coldGap(s.ColdRate, t.ID, c.rank, c.instances)
+}
+
 // subset returns this instance's own targets of a service and its share of
 // connections to each. Where a target accepts a connection from every instance,
 // all targets are its own. Otherwise each instance gets as many targets as keep
--- a/pkg/dispatch/subset_test.go
+++ b/pkg/dispatch/subset_test.go
@@ -97,6 +97,53 @@
 	})
 })
 
+var _ = Describe("a cold target", func() {
+	// A zone's targets come back cold and every instance turns to them at once.
+	DescribeTable("gets no more requests from the fleet than it bears in any second", func(instances int, rate float64) {
+		var sent []time.Duration
+		fleet := make([]*process, instances)
+		for rank := range fleet {
+			fleet[rank] = &process{}
+			fleet[rank].limitCold(coldGap(rate, "i-1", rank, instances))
+		}
+		for now := time.Duration(0); now < 5*time.Second; now += 10 * time.Millisecond {
+			for _, p := range fleet {
+				if t := (&target{process: p}); t.begin(now, time.Millisecond) {
+					sent = append(sent, now)
+				}
+			}
+		}
+		Expect(sent).NotTo(BeEmpty())
+		for i, from := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at < from+time.Second {
+					n++
+				}
+			}
+			Expect(float64(n)).To(BeNumerically("<=", max(1, rate)))
+		}
+	},
+		Entry("6 instances, 20 a second", 6, 20.0),
+		Entry("6 instances, 3 a second", 6, 3.0),
+		Entry("78 instances, 10 a second", 78, 10.0),
+		Entry("78 instances, 0.5 a second", 78, 0.5),
+		Entry("one instance, 4 a second", 1, 4.0),
+	)
+
+	It("is not limited once it is warm, nor where no rate is stated", func() {
+		v := crowdOf(map[model.AvailabilityZoneID]int{"a": 3}, 61)
+		v.Routing = routing.NewIndex(&routing.Table{Services: []routing.Service{{Name: "s", Connections: 20, ColdRate: 2}, {Name: "t"}}})
+		c := newCrowd(v, "1", "a")
+		targetOf := func(s model.ServiceID, cold bool) *target {
+			return &target{Target: model.Target{ID: "i", Service: s, Cold: cold}}
+		}
+		Expect(c.coldGap(targetOf("s", true))).NotTo(BeZero())
+		Expect(c.coldGap(targetOf("s", false))).To(BeZero())
+		Expect(c.coldGap(targetOf("t", true))).To(BeZero())
+	})
+})
+
 var _ = Describe("subset", func() {
 	// After a loss of power each target still counts the connections of before.
 	DescribeTable("uses half of what a target accepts and gives every instance a target",
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -30,6 +30,10 @@
 	// mistaken is set once the process at the address denied to be the target;
 	// only a listing at another address clears it.
 	mistaken bool
+	// coldGap is the least time between requests while the target is cold; 0
+	// means no limit. coldSentAt is when the last one was sent, if coldSent is set.
+	coldGap, coldSentAt time.Duration
+	coldSent            bool
 }
 
 // send starts an attempt. It returns false if no connection is to be had. Done
@@ -52,9 +56,9 @@
 		}
 		done(r)
 	}
-	t.mu.Lock()
-	t.health.begin(sent, usual)
-	t.mu.Unlock()
+	if !t.begin(sent, usual) {
+		return nil, false
+	}
 	if !t.pool.Start(a) {
 		t.mu.Lock()
 		t.health.end(sent)
@@ -64,6 +68,20 @@
 	return a, true
 }
 
+// begin notes a request, or returns false if the target bears none now.
+func (t *target) begin(now, usual time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.bearsCold(now) {
+		return false
+	}
+	if t.coldGap > 0 {
+		t.coldSent, t.coldSentAt = true, now
+	}
+	t.health.begin(now, usual)
+	return true
+}
+
 // sampleCost is what one request cost, in usual latencies; 0 if it tells
 // nothing of the target.
 func sampleCost(r pool.Result, latency, usual time.Duration) float32 {
@@ -110,7 +128,7 @@
 func (t *target) cost(now time.Duration) (float64, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.mistaken || t.Leaving || t.health.ejected(now) {
+	if t.mistaken || t.Leaving || t.health.ejected(now) || !t.bearsCold(now) {
 		return 0, false
 	}
 	return t.health.cost(now), true
--- a/pkg/model/model.go
+++ b/pkg/model/model.go
@@ -82,6 +82,8 @@
 	// Service is the target's service, for targets that are not listed by
 	// collection and leaf.
 	Service ServiceID `json:"service,omitempty"`
+	// Cold is set while the target has just started and bears little load.
+	Cold bool `json:"cold,omitempty"`
 }
 
 // Instance is a machine of the query tier as its peers know it.
