Dear targets are told by deltas

Change: instances get what changed since their position; a cost is told again only when it changes by a factor of 1.6, and a target stays dear down to 2.0.

--- a/pkg/catalog/costs.go
+++ b/pkg/catalog/costs.go
@@ -1,9 +1,7 @@
 package catalog
 
 import (
-	"cmp"
-	"math"
-	"slices"
+	"maps"
 	"time"
 
 	"radishturn.example/radishturn/pkg/model"
@@ -18,17 +16,17 @@
 	costBucket  = 500 * time.Millisecond
 	costBuckets = 4
 	// dearFrom is the mean cost, in usual latencies, from which a target is told
-	// to all. A target that stands still for an eighth of the window stays below.
-	dearFrom = 2.7
+	// to all, and dearUntil the one down to which it stays so. A target that stands
+	// still for an eighth of the window stays below.
+	dearFrom, dearUntil = 2.7, 2.0
 	// minSamples is the least number of replies for that.
 	minSamples = 3
 	// hintLife is how long a hint holds without new replies.
 	hintLife = 5 * time.Second
 	// hintPace is the least time between two looks at all targets.
 	hintPace = 100 * time.Millisecond
-	// costStep is the ratio of neighbouring costs in hints, so that small changes
-	// need not be told.
-	costStep = math.Sqrt2
+	// costStep is the ratio by which a cost has to change before it is told again.
+	costStep = 1.6
 )
 
 // Sample is what one instance saw of a target since its last report.
@@ -45,21 +43,49 @@
 	Cost   float32        `cbor:"2,keyasint"`
 }
 
-// Hints are all dear targets at a position.
+// Hints lead from one position to a later one.
 type Hints struct {
-	Position Position `cbor:"1,keyasint"`
-	Targets  []Hint   `cbor:"2,keyasint,omitempty"`
+	// Whole means that the hints replace all that the follower knows.
+	Whole bool     `cbor:"1,keyasint,omitempty"`
+	To    Position `cbor:"2,keyasint"`
+	// Dear are targets that are dear now or cost something else.
+	Dear []Hint `cbor:"3,keyasint,omitempty"`
+	// Usual are targets that are dear no more.
+	Usual []model.TargetID `cbor:"4,keyasint,omitempty"`
+}
+
+// Apply returns the costs of dear targets after the hints; old stays as it is.
+func (h *Hints) Apply(old map[model.TargetID]float64) map[model.TargetID]float64 {
+	next := make(map[model.TargetID]float64, len(old)+len(h.Dear))
+	if !h.Whole {
+		maps.Copy(next, old)
+	}
+	for _, hint := range h.Dear {
+		next[hint.Target] = float64(hint.Cost)
+	}
+	for _, id := range h.Usual {
+		delete(next, id)
+	}
+	return next
 }
 
 // Costs is the leader's picture of what targets cost in one term. It is pure
 // and not safe for concurrent use.
 type Costs struct {
-	targets map[model.TargetID]*costWindow
-	hints   Hints
-	// lookedAt is when the hints were last worked out.
+	targets  map[model.TargetID]*costWindow
+	position Position
+	// told has what was last told of each target: its cost, 0 if it is dear no
+	// more, and the sequence of that.
+	told map[model.TargetID]toldCost
+	// lookedAt is when all targets were last looked at.
 	lookedAt time.Duration
 }
 
+type toldCost struct {
+	cost      float64
+	changedAt uint64
+}
+
 type costWindow struct {
 	sum    [costBuckets]float64
 	count  [costBuckets]int
@@ -71,7 +97,10 @@
 
 // NewCosts returns the picture of a term without evidence.
 func NewCosts(term uint64) *Costs {
-	return &Costs{targets: make(map[model.TargetID]*costWindow), hints: Hints{Position: Position{Term: term}}}
+	return &Costs{
+		targets: make(map[model.TargetID]*costWindow), told: make(map[model.TargetID]toldCost),
+		position: Position{Term: term},
+	}
 }
 
 // Note adds the report of one instance.
@@ -111,38 +140,54 @@
 	if count < minSamples {
 		return
 	}
-	w.hint, w.at = 0, now
-	if mean := sum / float64(count); mean >= dearFrom {
-		w.hint = math.Pow(costStep, math.Round(math.Log(mean)/math.Log(costStep)))
+	w.at = now
+	mean := sum / float64(count)
+	switch {
+	case mean < dearUntil, w.hint == 0 && mean < dearFrom:
+		w.hint = 0
+	case mean > w.hint*costStep, mean < w.hint/costStep:
+		w.hint = mean
 	}
 }
 
-// Since returns all dear targets, or nil if they are as they were at a position.
+// Since returns what changed after a position, or nil if nothing did.
 func (c *Costs) Since(now time.Duration, p Position) *Hints {
 	if now-c.lookedAt >= hintPace {
 		c.lookedAt = now
 		c.look(now)
 	}
-	if p == c.hints.Position {
+	if p == c.position {
 		return nil
 	}
-	return &c.hints
+	h := &Hints{To: c.position, Whole: p.Term != c.position.Term || p.Sequence > c.position.Sequence}
+	for id, t := range c.told {
+		switch {
+		case t.cost > 0 && (h.Whole || t.changedAt > p.Sequence):
+			h.Dear = append(h.Dear, Hint{Target: id, Cost: float32(t.cost)})
+		case t.cost == 0 && !h.Whole && t.changedAt > p.Sequence:
+			h.Usual = append(h.Usual, id)
+		}
+	}
+	return h
 }
 
-// look works out the hints, and forgets targets that nobody reports on.
+// look notes what there is to tell, and forgets targets that nobody reports on.
 func (c *Costs) look(now time.Duration) {
-	var dear []Hint
+	next := c.position.Sequence + 1
+	tell := func(id model.TargetID, cost float64) {
+		if c.told[id].cost != cost {
+			c.told[id] = toldCost{cost: cost, changedAt: next}
+			c.position.Sequence = next
+		}
+	}
 	for id, w := range c.targets {
-		switch {
-		case now-w.at > hintLife && now/costBucket-time.Duration(w.newest) > costBuckets:
+		if now-w.at <= hintLife {
+			tell(id, w.hint)
+			continue
+		}
+		tell(id, 0)
+		if now/costBucket-time.Duration(w.newest) > costBuckets {
 			delete(c.targets, id)
-		case w.hint > 0 && now-w.at <= hintLife:
-			dear = append(dear, Hint{Target: id, Cost: float32(w.hint)})
 		}
 	}
-	slices.SortFunc(dear, func(a, b Hint) int { return cmp.Compare(a.Target, b.Target) })
-	if slices.Equal(dear, c.hints.Targets) {
-		return
-	}
-	c.hints = Hints{Position: Position{Term: c.hints.Position.Term, Sequence: c.hints.Position.Sequence + 1}, Targets: dear}
 }
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -177,11 +177,8 @@
 		return
 	}
 	next := *h.view
-	next.DearAt = hints.Position
-	next.Dear = make(map[model.TargetID]float64, len(hints.Targets))
-	for _, hint := range hints.Targets {
-		next.Dear[hint.Target] = float64(hint.Cost)
-	}
+	next.DearAt = hints.To
+	next.Dear = hints.Apply(h.view.Dear)
 	h.view = &next
 }
 
