--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -332,6 +332,18 @@
 		return b
 	}
 
+	// Right after the start there may be no time left to ask anybody.
+	It("says not-run when it ends before any target was asked", func() {
+		f.add("x", "a", nil)
+		f.publish(nil)
+		call := &Call{
+			Request: &exchange.Request{ID: "q1", Method: "GET"}, Route: queryRoute("x"),
+			Arrived: time.Now().Add(-time.Second), Timeout: time.Second,
+		}
+		f.engine.book.at(f.views.View()).services["x"].own[0].pool.Close()
+		Expect(f.engine.Query(context.Background(), call).Err.Ran).To(Equal(failure.NotRun))
+	})
+
 	// Targets of many shards crash: the first request to such a target is refused
 	// by its machine.
 	It("asks another target for free when one cannot be reached", func() {
--- a/pkg/dispatch/fanout.go
+++ b/pkg/dispatch/fanout.go
@@ -275,11 +275,21 @@
 func (q *query) fail(linger time.Duration, code failure.Code, step string) Outcome {
 	q.abandon(linger)
 	q.noteLate()
-	err := failure.New(code, failure.Unknown, step, "", "%d of %d parts came, %d are needed",
+	err := failure.New(code, q.ran(), step, "", "%d of %d parts came, %d are needed",
 		q.run.Parts(), len(q.call.Route.Fanout.Shards), q.plan.Required)
 	return Outcome{Err: err, Trace: q.trace}
 }
 
+// ran says whether some target may have run the query.
+func (q *query) ran() failure.Ran {
+	for _, sent := range q.sent {
+		if slices.ContainsFunc(sent, func(s *sentPart) bool { return s.mayHaveRun }) {
+			return failure.Unknown
+		}
+	}
+	return failure.NotRun
+}
+
 // maxLateNames bounds the names in a trace.
 const maxLateNames = 4
 
--- a/pkg/logstory/logstory.go
+++ b/pkg/logstory/logstory.go
@@ -99,7 +99,7 @@
 // Conclusion says in a sentence why the request ended as it did.
 func (s *Story) Conclusion() string {
 	if len(s.Lines) == 0 {
-		return "no log mentions the request: it never reached these processes, or its line was dropped (event RT1104)"
+		return "no log mentions the request: it never reached these processes, a process ended while it worked on it (RT1001 shows the next start), or its line was dropped (RT1104)"
 	}
 	last := s.Lines[len(s.Lines)-1]
 	text := func(name string) string {
