--- a/pkg/control/server/moves.go
+++ b/pkg/control/server/moves.go
@@ -50,7 +50,7 @@
 
 // move reads the move behind a barrier.
 func (n *session) move(ctx context.Context, q *wire.MoveQuery) (*move.State, error) {
-	if _, err := n.propose(ctx, "confirm leadership", &state.Command{}); err != nil {
+	if err := n.confirm(ctx); err != nil {
 		return nil, err
 	}
 	var (
--- a/pkg/control/server/table.go
+++ b/pkg/control/server/table.go
@@ -54,10 +54,16 @@
 	return &wire.TableVersion{Version: result.TableVersion}, nil
 }
 
-// table reads the table behind a barrier: the answer is no older than any
-// change that was acknowledged before the question, whoever leads by now.
+// confirm is a barrier: what is read after it is no older than any change that
+// was acknowledged before, whoever leads by now.
+func (n *session) confirm(ctx context.Context) error {
+	_, err := n.propose(ctx, "confirm leadership", &state.Command{})
+	return err
+}
+
+// table reads the table behind a barrier.
 func (n *session) table(ctx context.Context, _ *wire.Empty) (*wire.TableReply, error) {
-	if _, err := n.propose(ctx, "confirm leadership", &state.Command{}); err != nil {
+	if err := n.confirm(ctx); err != nil {
 		return nil, err
 	}
 	reply := &wire.TableReply{}
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -5,9 +5,7 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -203,29 +201,6 @@
 	}
 }
 
-// noteCost counts a reply for the fleet's picture of the targets.
-func (e *Engine) noteCost(id model.TargetID, cost float32) {
-	if cost == 0 || e.opts.Reporter == nil {
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	s := e.costs[id]
-	s.Target, s.Sum, s.Count = id, s.Sum+cost, s.Count+1
-	e.costs[id] = s
-}
-
-// reportCosts hands over what replies cost since the last report.
-func (e *Engine) reportCosts() {
-	e.mu.Lock()
-	costs := slices.Collect(maps.Values(e.costs))
-	clear(e.costs)
-	e.mu.Unlock()
-	if len(costs) > 0 {
-		e.report(view.Evidence{Costs: costs})
-	}
-}
-
 // warmDelay is the time from the start to the first connection ahead of use.
 const warmDelay = time.Second
 
--- a/pkg/dispatch/fanout.go
+++ b/pkg/dispatch/fanout.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"time"
 
 	"radishturn.example/radishturn/pkg/failure"
@@ -39,19 +37,6 @@
 	unreachableRetryAfter = 400 * time.Millisecond
 )
 
-// sentPart is one request to a target.
-type sentPart struct {
-	shard   int
-	target  *target
-	attempt *pool.Attempt
-	ended   bool
-	// arrived is false once it is known that the target did not get the request,
-	// and mayHaveRun once it is known that the target did not run it.
-	arrived, mayHaveRun bool
-	// result is set before the part is delivered.
-	result pool.Result
-}
-
 // query is one call over many shards in progress.
 type query struct {
 	engine *Engine
@@ -198,12 +183,6 @@
 	q.sent[i] = append(q.sent[i], sent)
 }
 
-// hasArrived reports whether some target may have got a request for a shard. A
-// further one is an extra request then.
-func (q *query) hasArrived(i int) bool {
-	return slices.ContainsFunc(q.sent[i], func(s *sentPart) bool { return s.arrived })
-}
-
 // choose returns the target for the next request to a shard: one that was not
 // asked yet, or else one that no longer works on an earlier request. Only so
 // many targets may run the request as the route allows.
@@ -224,19 +203,6 @@
 	return q.engine.choose(q.call, service, now, true, func(t *target) bool { return full && !ran[t.ID] })
 }
 
-// targetsOf returns the targets that a shard's request was sent to, and those
-// of them that may have run it.
-func (q *query) targetsOf(i int) (asked, ran map[model.TargetID]bool) {
-	asked, ran = make(map[model.TargetID]bool), make(map[model.TargetID]bool)
-	for _, s := range q.sent[i] {
-		asked[s.target.ID] = true
-		if s.mayHaveRun {
-			ran[s.target.ID] = true
-		}
-	}
-	return asked, ran
-}
-
 // partTimeout is how long a target may work on its part.
 func (q *query) partTimeout(now time.Duration) time.Duration {
 	left := q.plan.Deadline + deadlineMargin/2 - now
@@ -280,16 +246,6 @@
 	return Outcome{Err: err, Trace: q.trace}
 }
 
-// ran says whether some target may have run the query.
-func (q *query) ran() failure.Ran {
-	for _, sent := range q.sent {
-		if slices.ContainsFunc(sent, func(s *sentPart) bool { return s.mayHaveRun }) {
-			return failure.Unknown
-		}
-	}
-	return failure.NotRun
-}
-
 // maxLateNames bounds the names in a trace.
 const maxLateNames = 4
 
@@ -301,17 +257,6 @@
 	}
 }
 
-// lateName names a shard with the targets that were asked, as "shard=a+b".
-func lateName(shard model.ServiceID, sent []*sentPart) string {
-	var name strings.Builder
-	name.WriteString(string(shard))
-	for i, s := range sent {
-		name.WriteString([]string{"=", "+"}[min(i, 1)])
-		name.WriteString(string(s.target.ID))
-	}
-	return name.String()
-}
-
 // abandon gives up what is still in flight.
 func (q *query) abandon(linger time.Duration) {
 	for _, sent := range q.sent {
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -82,18 +82,6 @@
 	return true
 }
 
-// sampleCost is what one request cost, in usual latencies; 0 if it tells
-// nothing of the target.
-func sampleCost(r pool.Result, latency, usual time.Duration) float32 {
-	switch {
-	case usual <= 0:
-		return 0
-	case r.Err != nil && !errors.Is(r.Err, pool.ErrAbandoned), r.Reply != nil && !r.Reply.OK():
-		return 1 + failureCost
-	}
-	return float32(min(float64(latency)/float64(usual), maxSlowness))
-}
-
 func (t *target) finished(now, sent, usual, timeout time.Duration, r pool.Result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
