Log: what became of each request to a target, age of beliefs, dear targets

A line on a partial, failed or refused request named the targets that were asked for a late shard. It tells now when each was asked and what became of it, for requests to one target too, and how long the lease held on when the call came, which bounds the age of what the instance believed. The leader writes a line when other targets than before are dear by what all instances report, a second apart at least.

--- a/pkg/catalog/costs.go
+++ b/pkg/catalog/costs.go
@@ -79,6 +79,9 @@
 	told map[model.TargetID]toldCost
 	// lookedAt is when all targets were last looked at.
 	lookedAt time.Duration
+	// reported is the position up to which Report has told.
+	reported   Position
+	reportedAt time.Duration
 }
 
 type toldCost struct {
@@ -156,6 +159,10 @@
 		c.lookedAt = now
 		c.look(now)
 	}
+	return c.since(p)
+}
+
+func (c *Costs) since(p Position) *Hints {
 	if p == c.position {
 		return nil
 	}
@@ -171,6 +178,26 @@
 	return h
 }
 
+// reportPace is the least time between two reports.
+const reportPace = time.Second
+
+// Report returns what changed since the last report, for the log; nil if nothing
+// did or the last report is not a second old. Dear counts all dear targets.
+func (c *Costs) Report(now time.Duration) (changed *Hints, dear int) {
+	if c.position == c.reported || now-c.reportedAt < reportPace {
+		return nil, 0
+	}
+	from := c.reported
+	from.Term = c.position.Term
+	c.reported, c.reportedAt = c.position, now
+	for _, t := range c.told {
+		if t.cost > 0 {
+			dear++
+		}
+	}
+	return c.since(from), dear
+}
+
 // look notes what there is to tell, and forgets targets that nobody reports on.
 func (c *Costs) look(now time.Duration) {
 	next := c.position.Sequence + 1
--- a/pkg/control/server/session.go
+++ b/pkg/control/server/session.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -115,6 +117,23 @@
 	defer n.lock.Unlock()
 	reply.Catalog = n.catalog.Since(r.Catalog)
 	reply.Dear = n.costs.Since(n.now(), r.Dear)
+	n.announceDear()
+}
+
+// maxNamedTargets bounds the targets that a line names.
+const maxNamedTargets = 8
+
+// announceDear writes a line on targets that became dear or are so no more.
+func (n *session) announceDear() {
+	changed, dear := n.costs.Report(n.now())
+	if changed == nil {
+		return
+	}
+	var added []string
+	for _, h := range changed.Dear[:min(len(changed.Dear), maxNamedTargets)] {
+		added = append(added, fmt.Sprintf("%s:%.1f", h.Target, h.Cost))
+	}
+	events.Emit(events.TargetsDear, dear, strings.Join(added, ","), changed.Usual[:min(len(changed.Usual), maxNamedTargets)])
 }
 
 // register records an instance in the replicated state before its first lease,
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -175,6 +175,17 @@
 		Expect(out.Err.RetryAfter).To(BeNumerically(">", 0))
 	})
 
+	It("tells in its trace what became of each request to a target", func() {
+		f.add("s", "a", always(exchangetest.Behaviour{NotRun: true}))
+		f.add("s", "b", always(exchangetest.Behaviour{Cut: true}))
+		f.publish(nil)
+		out := f.do(orderRoute(false), "r1")
+		Expect(out.Err).NotTo(BeNil())
+		Expect(out.Trace.Late).To(HaveLen(1))
+		Expect(out.Trace.Late[0]).To(MatchRegexp(`^s=i-0@\d+:shed\+i-1@\d+:broken$`))
+		Expect(out.Trace.LeaseLeft).To(Equal(time.Second))
+	})
+
 	It("refuses at once when no target is known", func() {
 		f.publish(nil)
 		began := time.Now()
--- a/pkg/dispatch/fanout.go
+++ b/pkg/dispatch/fanout.go
@@ -82,7 +82,7 @@
 		top:     gather.NewTop(f.Limit),
 		results: make(chan *sentPart, len(f.Shards)*gather.MaxSends),
 		sent:    make([][]*sentPart, len(f.Shards)),
-		trace:   Trace{TableVersion: c.page.table().Table.Version, Usual: plan.Usual},
+		trace:   e.newTrace(c),
 	}
 }
 
@@ -161,7 +161,7 @@
 		q.run.Denied(i, now)
 		return
 	}
-	sent := &sentPart{shard: i, target: t, arrived: true, mayHaveRun: true}
+	sent := &sentPart{shard: i, target: t, sentAt: time.Since(q.call.Arrived), arrived: true, mayHaveRun: true}
 	attempt, ok := t.send(q.engine, q.call, q.partTimeout(now), func(r pool.Result) {
 		sent.result = r
 		q.results <- sent
@@ -252,7 +252,7 @@
 func (q *query) noteLate() {
 	for i, s := range q.call.Route.Fanout.Shards {
 		if !q.run.Done(i) && len(q.trace.Late) < maxLateNames {
-			q.trace.Late = append(q.trace.Late, lateName(s, q.sent[i]))
+			q.trace.Late = append(q.trace.Late, story(s, q.sent[i]))
 		}
 	}
 }
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -39,12 +39,20 @@
 	Denied int
 	// TableVersion is the version of the routing table that was used.
 	TableVersion uint64
-	// Late names shards or targets that did not answer in time.
+	// Late tells of shards that did not answer in time, or of the service of a
+	// call that failed, what became of the requests to targets.
 	Late []string
+	// LeaseLeft is how long the lease held on when the call came; 0 if control is
+	// lost. What the instance knows is no older than the lease.
+	LeaseLeft time.Duration
 	// Usual is the usual latency of the route's requests to targets.
 	Usual time.Duration
 }
 
+func (e *Engine) newTrace(c *Call) Trace {
+	return Trace{TableVersion: c.page.table().Table.Version, Usual: c.stats.usual(), LeaseLeft: e.opts.Views.LeaseLeft()}
+}
+
 func refuse(code failure.Code, ran failure.Ran, step, peer string, retryAfter time.Duration, format string, args ...any) *failure.Error {
 	e := failure.New(code, ran, step, peer, format, args...)
 	e.RetryAfter = retryAfter
--- a/pkg/dispatch/sent.go
+++ b/pkg/dispatch/sent.go
@@ -1,8 +1,12 @@
 package dispatch
 
 import (
+	"errors"
+	"fmt"
 	"slices"
+	"strconv"
 	"strings"
+	"time"
 
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/model"
@@ -14,7 +18,9 @@
 	shard   int
 	target  *target
 	attempt *pool.Attempt
-	ended   bool
+	// sentAt is the time since the call arrived.
+	sentAt time.Duration
+	ended  bool
 	// arrived is false once it is known that the target did not get the request,
 	// and mayHaveRun once it is known that the target did not run it.
 	arrived, mayHaveRun bool
@@ -51,13 +57,46 @@
 	return failure.NotRun
 }
 
-// lateName names a shard with the targets that were asked, as "shard=a+b".
-func lateName(shard model.ServiceID, sent []*sentPart) string {
-	var name strings.Builder
-	name.WriteString(string(shard))
-	for i, s := range sent {
-		name.WriteString([]string{"=", "+"}[min(i, 1)])
-		name.WriteString(string(s.target.ID))
+// Words for what became of a request to a target.
+const (
+	fatePending   = "pending"
+	fateUnreached = "unreached"
+	fateAbandoned = "abandoned"
+	fateBroken    = "broken"
+	fateShed      = "shed"
+	fateDenied    = "wrong-target"
+)
+
+// fate says what became of the request.
+func (s *sentPart) fate() string {
+	reply, err := s.result.Reply, s.result.Err
+	switch {
+	case !s.ended:
+		return fatePending
+	case isNotSent(err):
+		return fateUnreached
+	case errors.Is(err, pool.ErrAbandoned):
+		return fateAbandoned
+	case reply == nil:
+		return fateBroken
+	case reply.WrongTarget:
+		return fateDenied
+	case reply.NotRun:
+		return fateShed
+	}
+	return strconv.Itoa(reply.Status)
+}
+
+// String tells the request as "target@milliseconds:fate".
+func (s *sentPart) String() string {
+	return fmt.Sprintf("%s@%d:%s", s.target.ID, s.sentAt.Milliseconds(), s.fate())
+}
+
+// story tells the requests for a shard or service, as "name=a@0:shed+b@70:pending".
+func story(name model.ServiceID, sent []*sentPart) string {
+	parts := make([]string, 0, len(sent))
+	for _, s := range sent {
+		parts = append(parts, s.String())
 	}
-	return name.String()
+	return strings.TrimSuffix(string(name)+"="+strings.Join(parts, "+"), "=")
 }
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -35,8 +35,9 @@
 	service  model.ServiceID
 	deadline time.Duration
 	results  chan *sentPart
-	inFlight []*sentPart
-	used     map[model.TargetID]bool
+	// sent has all requests, inFlight those without an end.
+	sent, inFlight []*sentPart
+	used           map[model.TargetID]bool
 	// ran counts the targets that have ended and may have run the request.
 	ran int
 	// fallback is a target's failure, to be passed on if nothing better comes.
@@ -58,7 +59,7 @@
 		deadline: e.now() - time.Since(c.Arrived) + timeout - deadlineMargin,
 		results:  make(chan *sentPart, maxSingleSends),
 		used:     make(map[model.TargetID]bool),
-		trace:    Trace{TableVersion: c.page.table().Table.Version, Usual: c.stats.usual()},
+		trace:    e.newTrace(c),
 	}
 	if !c.page.reachable(service, e.now()) {
 		return observe(c, s.refuse("find target", "no target of %s can be reached", service))
@@ -133,7 +134,7 @@
 	if t == nil {
 		return false
 	}
-	part := &sentPart{target: t}
+	part := &sentPart{target: t, sentAt: time.Since(s.call.Arrived)}
 	attempt, ok := t.send(s.engine, s.call, s.deadline+deadlineMargin/2-now, func(r pool.Result) {
 		part.result = r
 		s.results <- part
@@ -143,6 +144,7 @@
 	}
 	part.attempt = attempt
 	s.used[t.ID] = true
+	s.sent = append(s.sent, part)
 	s.inFlight = append(s.inFlight, part)
 	s.lastSent = now
 	s.trace.Sent++
@@ -244,22 +246,26 @@
 	case s.ran == 0:
 		return s.refuse("send", "no target took the request: %v", s.lastErr)
 	}
-	return Outcome{Err: failure.New(failure.TargetFailed, failure.Unknown, "send", string(s.service), "%w", s.lastErr), Trace: s.trace}
+	return s.fail(failure.New(failure.TargetFailed, failure.Unknown, "send", string(s.service), "%w", s.lastErr))
 }
 
 func (s *single) timedOut() Outcome {
+	out := s.fail(failure.New(failure.DeadlineExceeded, failure.Unknown, "wait for target", string(s.service), "no reply in time"))
 	s.abandon(0)
-	for _, p := range s.inFlight {
-		s.trace.Late = append(s.trace.Late, string(p.target.ID))
-	}
 	if s.fallback != nil {
 		return s.pass(s.fallback)
 	}
-	return Outcome{Err: failure.New(failure.DeadlineExceeded, failure.Unknown, "wait for target", string(s.service), "no reply in time"), Trace: s.trace}
+	return out
 }
 
 func (s *single) refuse(step, format string, args ...any) Outcome {
-	return Outcome{Err: refuse(failure.NoTarget, failure.NotRun, step, string(s.service), refusedRetryAfter, format, args...), Trace: s.trace}
+	return s.fail(refuse(failure.NoTarget, failure.NotRun, step, string(s.service), refusedRetryAfter, format, args...))
+}
+
+// fail ends the call with an error and tells what became of its requests.
+func (s *single) fail(err *failure.Error) Outcome {
+	s.trace.Late = append(s.trace.Late, story(s.service, s.sent))
+	return Outcome{Err: err, Trace: s.trace}
 }
 
 func (s *single) notRun() failure.Ran {
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -79,6 +79,7 @@
 	CallFailed          Number = 5017
 	CallRefused         Number = 5018
 	TargetsListed       Number = 5019
+	TargetsDear         Number = 5020
 
 	OrderOutcomeUnknown   Number = 6001
 	OrderClaimUnconfirmed Number = 6002
@@ -113,7 +114,7 @@
 // callFields are what every line on the end of a request tells.
 var callFields = []string{
 	"request", "route", "milliseconds", "status", "missing", "sent", "hedged", "repeated", "denied",
-	"tableVersion", "usualMicroseconds", "late", "error",
+	"tableVersion", "leaseMilliseconds", "usualMicroseconds", "late", "error",
 }
 
 // Catalogue lists every event in order of number.
@@ -189,6 +190,7 @@
 	{CallFailed, warn, "request failed", callFields},
 	{CallRefused, warn, "request refused, not run", callFields},
 	{TargetsListed, info, "many targets are listed anew", []string{"changed", "targets"}},
+	{TargetsDear, info, "other targets cost more than usual", []string{"dear", "added", "cleared"}},
 
 	{OrderOutcomeUnknown, warn, "outcome of an order is unknown", []string{"request", "error"}},
 	{OrderClaimUnconfirmed, warn, "claim of an order could not be confirmed", []string{"request", "error"}},
