Requests to one target: an arrival before makes the next one extra

Found on reading again: after a request that was turned away and one that could not be sent, the third was free, though the first had arrived. The budget asks whether any arrived now, as the query path does. The spec fails before.

--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -175,6 +175,22 @@
 		Expect(out.Err.RetryAfter).To(BeNumerically(">", 0))
 	})
 
+	It("counts a request as extra once any before it arrived", func() {
+		f.engine.opts.Extra = retry.Bound{Window: 10 * time.Second, Slack: 1.2}
+		f.add("s", "a", always(exchangetest.Behaviour{NotRun: true}))
+		unreachable := f.add("s", "b", nil)
+		last := f.add("s", "c", nil)
+		f.publish(nil)
+		unreachable.Stop()
+		for _, t := range f.engine.book.at(f.views.View()).services["s"].own {
+			if t.ID == "i-2" {
+				t.health.slowness = 20
+			}
+		}
+		f.do(orderRoute(true), "r1")
+		Expect(last.Requests()).To(BeEmpty())
+	})
+
 	It("tells in its trace what became of each request to a target", func() {
 		f.add("s", "a", always(exchangetest.Behaviour{NotRun: true}))
 		f.add("s", "b", always(exchangetest.Behaviour{Cut: true}))
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -38,8 +38,10 @@
 	// sent has all requests, inFlight those without an end.
 	sent, inFlight []*sentPart
 	used           map[model.TargetID]bool
-	// ran counts the targets that have ended and may have run the request.
-	ran int
+	// ran counts the targets that have ended and may have run the request, and
+	// arrived is set once a target may have got it.
+	ran     int
+	arrived bool
 	// fallback is a target's failure, to be passed on if nothing better comes.
 	fallback *exchange.Reply
 	lastErr  error
@@ -151,15 +153,16 @@
 	return true
 }
 
-// mayRepeat reports whether another request may be sent now.
-func (s *single) mayRepeat(arrived bool) bool {
+// mayRepeat reports whether another request may be sent now. It is an extra one
+// unless none before it arrived.
+func (s *single) mayRepeat() bool {
 	if s.trace.Sent >= maxSingleSends || s.ran+len(s.inFlight) >= max(1, s.call.Route.MaxAttempts) {
 		return false
 	}
 	if s.ran > 0 && !s.call.Route.Idempotent {
 		return false
 	}
-	if arrived && !s.engine.takeExtra(s.service, len(s.inFlight) == 0) {
+	if (s.arrived || len(s.inFlight) > 0) && !s.engine.takeExtra(s.service, len(s.inFlight) == 0) {
 		s.trace.Denied++
 		return false
 	}
@@ -187,7 +190,7 @@
 		return
 	}
 	s.hedged = true
-	if s.mayRepeat(true) && s.send() {
+	if s.mayRepeat() && s.send() {
 		s.trace.Hedged++
 	}
 }
@@ -196,6 +199,7 @@
 func (s *single) take(r *sentPart) (Outcome, bool) {
 	s.drop(r)
 	reply, err := r.result.Reply, r.result.Err
+	s.arrived = s.arrived || !isNotSent(err)
 	switch {
 	case reply != nil && reply.OK() && reply.ID == s.call.Request.ID:
 		return s.pass(reply), true
@@ -220,7 +224,7 @@
 		return Outcome{}, false
 	}
 	s.trace.Repeated++
-	if s.mayRepeat(!isNotSent(err)) && s.send() {
+	if s.mayRepeat() && s.send() {
 		return Outcome{}, false
 	}
 	return s.giveUp(), true
