Fan-out: the hedge of a probing request waits for the check of its target

Beside ten busy loops 2 of 40 runs of the spec fail. A request that no target has run yet is hedged after four usual delays, some milliseconds here; on a busy machine the death of its first target is noticed later, the hedge ends a second one, and the trial that decides a third.

Change: that hedge waits at least the time of the check whether a target died (250 ms). 0 of 80 runs fail beside the same load; the whole suite of the package passes.

--- a/pkg/fanout/late.go
+++ b/pkg/fanout/late.go
@@ -6,8 +6,9 @@
 	"radishturn.example/radishturn/pkg/query/hedge"
 )
 
-// probeHedgeFactor delays the hedge of a request that no target has run yet. A
-// target that it ends says so sooner, and a hedge would end a second one.
+// probeHedgeFactor delays the hedge of a request that no target has run yet, and
+// probeTimeout is the least delay: within that it shows whether the request ended
+// its target, and a hedge would end a second one.
 const probeHedgeFactor = 4
 
 // planHedge sets when the leg is hedged unless it is answered before.
@@ -17,7 +18,7 @@
 	delay, ok := l.leaf.delay, l.leaf.hedged
 	l.leaf.mu.Unlock()
 	if r.probe.on {
-		delay *= probeHedgeFactor
+		delay = max(delay*probeHedgeFactor, probeTimeout)
 	}
 	if ok && l.count < maxAttempts && !r.trial.on {
 		l.hedgeAt, l.hedgeDelay = now+delay, delay
