Dispatch: the fate of a request is read only once it has ended

The line on a late shard reads what became of its requests; it read the result of one still in flight, which the connection's goroutine writes. The result is read only after the part was delivered now.

--- a/pkg/dispatch/sent.go
+++ b/pkg/dispatch/sent.go
@@ -24,7 +24,8 @@
 	// arrived is false once it is known that the target did not get the request,
 	// and mayHaveRun once it is known that the target did not run it.
 	arrived, mayHaveRun bool
-	// result is set before the part is delivered.
+	// result is set by another goroutine before the part is delivered; it may be
+	// read once ended is set.
 	result pool.Result
 }
 
@@ -69,10 +70,11 @@
 
 // fate says what became of the request.
 func (s *sentPart) fate() string {
+	if !s.ended {
+		return fatePending
+	}
 	reply, err := s.result.Reply, s.result.Err
 	switch {
-	case !s.ended:
-		return fatePending
 	case isNotSent(err):
 		return fateUnreached
 	case errors.Is(err, pool.ErrAbandoned):
