Dispatch: one place says what became of a request

A query kept for each request whether it arrived and may have run; a call to one target kept the same as counters and a set beside its list of requests, with the same classification of results written again. Both derive it from their requests now (sends), and a result is classified once, when it is delivered. The move of a service is looked up once for a choice.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -117,14 +117,13 @@
 	if e.opts.Views.Lease() == view.LeaseHeld && rand.Float64() >= exploreShare {
 		want.dear = c.page.view.Dear
 	}
-	allowed, moves := e.versionsFor(c, service, repeat)
-	if !moves {
+	rank := e.rankFor(c, service, repeat)
+	if rank == nil {
 		return e.book.choose(c.page, want)
 	}
-	m := c.page.view.Moves[collectionOf(service)]
 	for _, worst := range []versions.Rank{versions.Primary, versions.Fallback} {
 		want.skip = func(t *target) bool {
-			return allowed.Rank(sideOf(m, t)) > worst || skip != nil && skip(t)
+			return rank(t) > worst || skip != nil && skip(t)
 		}
 		if t := e.book.choose(c.page, want); t != nil {
 			return t
--- a/pkg/dispatch/fanout.go
+++ b/pkg/dispatch/fanout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"radishturn.example/radishturn/pkg/failure"
@@ -46,7 +47,7 @@
 	top    *gather.Top
 	answer Answer
 	// sent has the requests for each shard.
-	sent    [][]*sentPart
+	sent    []sends
 	results chan *sentPart
 	trace   Trace
 }
@@ -81,7 +82,7 @@
 		run:     gather.New(plan, len(f.Shards)),
 		top:     gather.NewTop(f.Limit),
 		results: make(chan *sentPart, len(f.Shards)*gather.MaxSends),
-		sent:    make([][]*sentPart, len(f.Shards)),
+		sent:    make([]sends, len(f.Shards)),
 		trace:   e.newTrace(c),
 	}
 }
@@ -156,12 +157,12 @@
 		q.run.Unsent(i, now, q.call.page.reachable(service, now))
 		return
 	}
-	if q.hasArrived(i) && !q.engine.takeExtra(service, q.run.Needs(i, now)) {
+	if q.sent[i].haveArrived() && !q.engine.takeExtra(service, q.run.Needs(i, now)) {
 		q.trace.Denied++
 		q.run.Denied(i, now)
 		return
 	}
-	sent := &sentPart{shard: i, target: t, sentAt: time.Since(q.call.Arrived), arrived: true, mayHaveRun: true}
+	sent := newSent(q.call, i, t)
 	attempt, ok := t.send(q.engine, q.call, q.partTimeout(now), func(r pool.Result) {
 		sent.result = r
 		q.results <- sent
@@ -190,7 +191,7 @@
 	if len(q.sent[i]) == 0 {
 		return q.engine.choose(q.call, service, now, false, nil)
 	}
-	asked, ran := q.targetsOf(i)
+	asked, ran := q.sent[i].targets()
 	full := len(ran) >= max(1, q.call.Route.MaxAttempts)
 	if !full {
 		if t := q.engine.choose(q.call, service, now, true, func(t *target) bool { return asked[t.ID] }); t != nil {
@@ -215,7 +216,7 @@
 }
 
 func (q *query) take(r *sentPart) {
-	r.ended = true
+	r.end()
 	reply := r.result.Reply
 	switch {
 	case reply != nil && reply.OK() && reply.ID == q.call.Request.ID:
@@ -224,8 +225,6 @@
 			q.top.Add(reply.Body)
 		}
 	default:
-		r.arrived = !isNotSent(r.result.Err)
-		r.mayHaveRun = r.arrived && (reply == nil || !reply.NotRun && !reply.WrongTarget)
 		q.run.Failed(r.shard, q.engine.now(), r.mayHaveRun)
 	}
 }
@@ -241,7 +240,11 @@
 func (q *query) fail(linger time.Duration, code failure.Code, step string) Outcome {
 	q.abandon(linger)
 	q.noteLate()
-	err := failure.New(code, q.ran(), step, "", "%d of %d parts came, %d are needed",
+	ran := failure.NotRun
+	if slices.ContainsFunc(q.sent, sends.mayHaveRun) {
+		ran = failure.Unknown
+	}
+	err := failure.New(code, ran, step, "", "%d of %d parts came, %d are needed",
 		q.run.Parts(), len(q.call.Route.Fanout.Shards), q.plan.Required)
 	return Outcome{Err: err, Trace: q.trace}
 }
--- a/pkg/dispatch/moving.go
+++ b/pkg/dispatch/moving.go
@@ -44,19 +44,20 @@
 	return m
 }
 
-// versionsFor returns the versions that a request may use, or false if no move
-// of the service is on. A repeat keeps to the version before while that runs, so
+// rankFor returns the rank of targets for a request, or nil if no move of their
+// service is on. A repeat keeps to the version before while that runs, so
 // that a bad version harms a request once.
-func (e *Engine) versionsFor(c *Call, s model.ServiceID, repeat bool) (versions.Choice, bool) {
+func (e *Engine) rankFor(c *Call, s model.ServiceID, repeat bool) func(*target) versions.Rank {
 	m, ok := c.page.view.Moves[collectionOf(s)]
 	if !ok {
-		return versions.Choice{}, false
+		return nil
 	}
 	fraction := versions.Fraction(m, collectionOf(s), model.CallerID(c.Request.ID), c.Request.ID)
 	if repeat && m.Share < 1 {
 		fraction = 1
 	}
-	return versions.ForMove(m, fraction, e.movingOf(s).stopped), true
+	allowed := versions.ForMove(m, fraction, e.movingOf(s).stopped)
+	return func(t *target) versions.Rank { return allowed.Rank(sideOf(m, t)) }
 }
 
 // sideOf returns the version of the move that a target counts for: all others
--- a/pkg/dispatch/sent.go
+++ b/pkg/dispatch/sent.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/pool"
 )
@@ -29,33 +28,44 @@
 	result pool.Result
 }
 
-// hasArrived reports whether some target may have got a request for a shard. A
-// further one is an extra request then.
-func (q *query) hasArrived(i int) bool {
-	return slices.ContainsFunc(q.sent[i], func(s *sentPart) bool { return s.arrived })
+// newSent returns a request that is about to be sent.
+func newSent(c *Call, shard int, t *target) *sentPart {
+	return &sentPart{shard: shard, target: t, sentAt: time.Since(c.Arrived), arrived: true, mayHaveRun: true}
 }
 
-// targetsOf returns the targets that a shard's request was sent to, and those
-// of them that may have run it.
-func (q *query) targetsOf(i int) (asked, ran map[model.TargetID]bool) {
-	asked, ran = make(map[model.TargetID]bool), make(map[model.TargetID]bool)
-	for _, s := range q.sent[i] {
-		asked[s.target.ID] = true
-		if s.mayHaveRun {
-			ran[s.target.ID] = true
-		}
-	}
-	return asked, ran
+// end notes that the result is there, and what it says of the request.
+func (s *sentPart) end() {
+	reply := s.result.Reply
+	s.ended = true
+	s.arrived = !isNotSent(s.result.Err)
+	s.mayHaveRun = s.arrived && (reply == nil || !reply.NotRun && !reply.WrongTarget)
 }
 
-// ran says whether some target may have run the query.
-func (q *query) ran() failure.Ran {
-	for _, sent := range q.sent {
-		if slices.ContainsFunc(sent, func(s *sentPart) bool { return s.mayHaveRun }) {
-			return failure.Unknown
+// sends are the requests for one shard, or of a call to one service.
+type sends []*sentPart
+
+// haveArrived reports whether some target may have got a request. A further one
+// is an extra request then.
+func (s sends) haveArrived() bool {
+	return slices.ContainsFunc(s, func(p *sentPart) bool { return p.arrived })
+}
+
+// mayHaveRun reports whether some target may have run a request.
+func (s sends) mayHaveRun() bool {
+	return slices.ContainsFunc(s, func(p *sentPart) bool { return p.mayHaveRun })
+}
+
+// targets returns the targets that requests were sent to, and those of them that
+// may have run one.
+func (s sends) targets() (asked, ran map[model.TargetID]bool) {
+	asked, ran = make(map[model.TargetID]bool), make(map[model.TargetID]bool)
+	for _, p := range s {
+		asked[p.target.ID] = true
+		if p.mayHaveRun {
+			ran[p.target.ID] = true
 		}
 	}
-	return failure.NotRun
+	return asked, ran
 }
 
 // Words for what became of a request to a target.
@@ -95,7 +105,7 @@
 }
 
 // story tells the requests for a shard or service, as "name=a@0:shed+b@70:pending".
-func story(name model.ServiceID, sent []*sentPart) string {
+func story(name model.ServiceID, sent sends) string {
 	parts := make([]string, 0, len(sent))
 	for _, s := range sent {
 		parts = append(parts, s.String())
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -36,12 +36,7 @@
 	deadline time.Duration
 	results  chan *sentPart
 	// sent has all requests, inFlight those without an end.
-	sent, inFlight []*sentPart
-	used           map[model.TargetID]bool
-	// ran counts the targets that have ended and may have run the request, and
-	// arrived is set once a target may have got it.
-	ran     int
-	arrived bool
+	sent, inFlight sends
 	// fallback is a target's failure, to be passed on if nothing better comes.
 	fallback *exchange.Reply
 	lastErr  error
@@ -60,7 +55,6 @@
 		engine: e, call: c, service: service,
 		deadline: e.now() - time.Since(c.Arrived) + timeout - deadlineMargin,
 		results:  make(chan *sentPart, maxSingleSends),
-		used:     make(map[model.TargetID]bool),
 		trace:    e.newTrace(c),
 	}
 	if !c.page.reachable(service, e.now()) {
@@ -132,11 +126,12 @@
 // send sends the request to the best target that was not asked yet.
 func (s *single) send() bool {
 	now := s.engine.now()
-	t := s.engine.choose(s.call, s.service, now, s.trace.Sent > 0, func(t *target) bool { return s.used[t.ID] })
+	asked, _ := s.sent.targets()
+	t := s.engine.choose(s.call, s.service, now, len(asked) > 0, func(t *target) bool { return asked[t.ID] })
 	if t == nil {
 		return false
 	}
-	part := &sentPart{target: t, sentAt: time.Since(s.call.Arrived)}
+	part := newSent(s.call, 0, t)
 	attempt, ok := t.send(s.engine, s.call, s.deadline+deadlineMargin/2-now, func(r pool.Result) {
 		part.result = r
 		s.results <- part
@@ -145,7 +140,6 @@
 		return false
 	}
 	part.attempt = attempt
-	s.used[t.ID] = true
 	s.sent = append(s.sent, part)
 	s.inFlight = append(s.inFlight, part)
 	s.lastSent = now
@@ -156,13 +150,14 @@
 // mayRepeat reports whether another request may be sent now. It is an extra one
 // unless none before it arrived.
 func (s *single) mayRepeat() bool {
-	if s.trace.Sent >= maxSingleSends || s.ran+len(s.inFlight) >= max(1, s.call.Route.MaxAttempts) {
+	_, ran := s.sent.targets()
+	if s.trace.Sent >= maxSingleSends || len(ran) >= max(1, s.call.Route.MaxAttempts) {
 		return false
 	}
-	if s.ran > 0 && !s.call.Route.Idempotent {
+	if len(ran) > 0 && !s.call.Route.Idempotent {
 		return false
 	}
-	if (s.arrived || len(s.inFlight) > 0) && !s.engine.takeExtra(s.service, len(s.inFlight) == 0) {
+	if s.sent.haveArrived() && !s.engine.takeExtra(s.service, len(s.inFlight) == 0) {
 		s.trace.Denied++
 		return false
 	}
@@ -199,14 +194,12 @@
 func (s *single) take(r *sentPart) (Outcome, bool) {
 	s.drop(r)
 	reply, err := r.result.Reply, r.result.Err
-	s.arrived = s.arrived || !isNotSent(err)
 	switch {
 	case reply != nil && reply.OK() && reply.ID == s.call.Request.ID:
 		return s.pass(reply), true
 	case reply != nil && (reply.NotRun || reply.WrongTarget):
 		s.lastErr = failure.New(failure.TargetShed, failure.NotRun, "send", string(r.target.ID), "status %d, not run", reply.Status)
 	case reply != nil:
-		s.ran++
 		if reply.Signature != "" && reply.ID == s.call.Request.ID {
 			s.fallback = reply
 		}
@@ -215,9 +208,6 @@
 			return s.pass(reply), true
 		}
 	default:
-		if !isNotSent(err) {
-			s.ran++
-		}
 		s.lastErr = err
 	}
 	if len(s.inFlight) > 0 {
@@ -231,7 +221,7 @@
 }
 
 func (s *single) drop(part *sentPart) {
-	part.ended = true
+	part.end()
 	for i, p := range s.inFlight {
 		if p == part {
 			s.inFlight = append(s.inFlight[:i], s.inFlight[i+1:]...)
@@ -247,7 +237,7 @@
 	switch {
 	case s.fallback != nil:
 		return s.pass(s.fallback)
-	case s.ran == 0:
+	case !s.sent.mayHaveRun():
 		return s.refuse("send", "no target took the request: %v", s.lastErr)
 	}
 	return s.fail(failure.New(failure.TargetFailed, failure.Unknown, "send", string(s.service), "%w", s.lastErr))
@@ -273,7 +263,7 @@
 }
 
 func (s *single) notRun() failure.Ran {
-	if s.ran > 0 || len(s.inFlight) > 0 {
+	if s.sent.mayHaveRun() {
 		return failure.Unknown
 	}
 	return failure.NotRun
