Mesh: a connection that was just reset takes no call with it

The call now connects anew, once. Ruled out: a second reset of the new connection (the error comes from opening the stream), the data race that was printed (in the spec's own closure, after its failure). Before: 32 callers beside 20 restarts of a peer, every run fails ("connect for test.greet b: received a stateless reset").

--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -82,9 +83,15 @@
 		Expect(failure.RanOf(err)).To(Equal(failure.NotRun))
 	})
 
-	It("reaches a peer that restarted at the same address with the next call but one", func() {
-		a := start(ctx, issue(folder, folder, "a", keys.RoleInstance))
-		credentials := issue(folder, folder, "b", keys.RoleInstance)
+	Context("with a peer that restarts at the same address", func() {
+		var a *mesh.QUIC
+		var credentials *keys.Credentials
+
+		BeforeEach(func() {
+			a = start(ctx, issue(folder, folder, "a", keys.RoleInstance))
+			credentials = issue(folder, folder, "b", keys.RoleInstance)
+		})
+
 		// listen starts b as a process that may be killed.
 		listen := func(address netip.AddrPort) *mesh.QUIC {
 			m, err := mesh.Listen(address, credentials, false)
@@ -95,21 +102,45 @@
 			go func() { _ = m.Run(ctx) }()
 			return m
 		}
-		first := listen(loopback)
-		address := first.Address()
-		a.SetPeer("b", address)
 		greetB := func() error {
 			ctx, cancel := context.WithTimeout(ctx, time.Second)
 			defer cancel()
 			_, err := mesh.Call[greeting, greeting](ctx, a, "b", greet, &greeting{Text: "hello"})
 			return err
 		}
-		Expect(greetB()).To(Succeed())
-		first.Abandon()
-		DeferCleanup(listen(address).Close)
-		// The first call learns by a reset that the old connection is gone.
-		_ = greetB()
-		Expect(greetB()).To(Succeed())
+
+		It("reaches it with the next call but one", func() {
+			first := listen(loopback)
+			address := first.Address()
+			a.SetPeer("b", address)
+			Expect(greetB()).To(Succeed())
+			first.Abandon()
+			DeferCleanup(listen(address).Close)
+			// The first call learns by a reset that the old connection is gone.
+			_ = greetB()
+			Expect(greetB()).To(Succeed())
+		})
+
+		It("opens no stream on the connection that was reset", func() {
+			b := listen(loopback)
+			address := b.Address()
+			a.SetPeer("b", address)
+			for range 20 {
+				Expect(greetB()).To(Succeed())
+				b.Abandon()
+				b = listen(address)
+				var callers sync.WaitGroup
+				for range 32 {
+					callers.Go(func() {
+						defer GinkgoRecover()
+						_ = greetB()
+						Expect(greetB()).To(Succeed())
+					})
+				}
+				callers.Wait()
+			}
+			Expect(b.Close()).To(Succeed())
+		})
 	})
 
 	It("proves that a request to an unknown peer was not run", func() {
--- a/pkg/mesh/quic.go
+++ b/pkg/mesh/quic.go
@@ -44,6 +44,10 @@
 	cancelAbandoned quic.StreamErrorCode = 1
 )
 
+// errConnectionLost tells that a connection that still counted as open took no
+// stream, as one does for a moment after the peer has reset it.
+var errConnectionLost = errors.New("connection lost")
+
 // QUIC is the Mesh over QUIC.
 type QUIC struct {
 	self        model.InstanceID
@@ -193,6 +197,15 @@
 	if p == nil {
 		return nil, errors.New("no address known")
 	}
+	stream, err := m.openStreamTo(ctx, p)
+	if errors.Is(err, errConnectionLost) {
+		// The connection was dropped, and nothing was sent on it.
+		return m.openStreamTo(ctx, p)
+	}
+	return stream, err
+}
+
+func (m *QUIC) openStreamTo(ctx context.Context, p *peer) (*quic.Stream, error) {
 	conn, err := m.connect(ctx, p)
 	if err != nil {
 		return nil, err
@@ -200,10 +213,11 @@
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
 		// A caller that gave up waiting for a stream says nothing of the connection.
-		if ctx.Err() == nil {
-			p.drop(conn)
+		if ctx.Err() != nil {
+			return nil, err
 		}
-		return nil, err
+		p.drop(conn)
+		return nil, fmt.Errorf("%w: %w", errConnectionLost, err)
 	}
 	return stream, nil
 }
