--- a/pkg/fanout/attempt.go
+++ b/pkg/fanout/attempt.go
@@ -70,7 +70,10 @@
 	result := t.client.Query(ctx, q)
 	var death verdict
 	if result.Kind == target.KindReset {
+		r.deathChecks.Add(1)
 		death = r.service.confirmDeath(t, r.fingerprint, a.alone)
+		// The run learns of the verdict before it hedges again.
+		defer r.deathChecks.Add(-1)
 	}
 	now := r.service.now()
 	e := ended{
--- a/pkg/fanout/fleet_test.go
+++ b/pkg/fanout/fleet_test.go
@@ -56,6 +56,8 @@
 	crash string
 	// hold delays answers until it is closed or the request is cancelled.
 	hold chan struct{}
+	// healthDelay delays health hints.
+	healthDelay time.Duration
 	// edit changes a reply before it is sent.
 	edit     func(*targetproto.QueryReply)
 	inFlight int
@@ -142,6 +144,7 @@
 }
 
 func (t *fakeTarget) serveHealth(w http.ResponseWriter) {
+	time.Sleep(see(t, func(t *fakeTarget) time.Duration { return t.healthDelay }))
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	writeJSON(w, targetproto.Health{Healthy: true, State: t.state, Boot: t.boot, Snapshots: t.snapshots})
@@ -256,6 +259,13 @@
 	}
 }
 
+// runsOf returns how many queries the targets of a leaf have run.
+func (f *fleet) runsOf(leaf int) int {
+	n := 0
+	f.each(leaf, func(t *fakeTarget) { n += t.queries })
+	return n
+}
+
 func (f *fleet) orders() int {
 	n := 0
 	for _, t := range f.targets {
--- a/pkg/fanout/late.go
+++ b/pkg/fanout/late.go
@@ -47,12 +47,17 @@
 	}
 }
 
-// hedge sends a second attempt at a leg that is late.
+// hedge sends a second attempt at a leg that is late. None is sent while a target
+// of the request is checked for a death, which the request may have caused.
 func (r *run) hedge(i int, now time.Duration) {
 	l := &r.legs[i]
 	if l.open == 0 || l.count >= maxAttempts || r.trial.on {
 		return
 	}
+	if r.deathChecks.Load() > 0 {
+		l.hedgeAt = now + capacityPoll
+		return
+	}
 	age := now - l.attempts[l.count-1].started
 	if wait := hedge.Postpone(r.pending, len(r.legs), age, l.hedgeDelay); wait > 0 {
 		l.hedgeAt = now + wait
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"radishturn.example/radishturn/pkg/failure"
@@ -81,6 +82,8 @@
 	lostSnapshot bool
 	trial        trial
 	probe        probe
+	// deathChecks counts the attempts whose target is being checked for a death.
+	deathChecks atomic.Int32
 }
 
 func (s *Service) newRun(ctx context.Context, c *collection, p *plan, r *query.Request, choice versions.Choice, f model.Fingerprint) *run {
