Routing: tables reach the entries as changes, not as wholes

Cause of the leader's bytes growing with power 1.5 of the fleet (CAPACITY.md): each change of the configuration sent the whole table to every instance, and the table grows with the shards. The state now logs the routes and services that a new table changes, and a delta carries just these. A holder that kept a table which the group does not have asks for the whole.

Tests: followers at any distance, over restarts of the state, end with the leader's table (property); one changed route of 1,000 is one route on the wire, which the code before fails with 1,000; a holder with another table asks for the whole.

--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -8,6 +8,7 @@
 	"radishturn.example/radishturn/pkg/control/wire"
 	"radishturn.example/radishturn/pkg/grant"
 	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/state"
 	"radishturn.example/radishturn/pkg/view"
 )
 
@@ -127,15 +128,26 @@
 		h.void = false
 	}
 	h.takeGrants(r)
-	if d := r.Delta; d != nil && (d.Whole() || d.From == h.version) && d.To >= h.version {
-		h.view = merge(h.view, d)
-		h.version, h.membership = d.To, d.Membership
-	}
+	h.takeDelta(r.Delta)
 	h.takeCatalog(r.Catalog)
 	h.takeDear(r.Dear)
 	return h.view != before
 }
 
+// takeDelta follows the configuration. A holder that kept a table which the
+// group does not have asks for the whole.
+func (h *holder) takeDelta(d *state.Delta) {
+	if d == nil || !d.Whole() && d.From != h.version || d.To < h.version {
+		return
+	}
+	next, ok := merge(h.view, d)
+	if !ok {
+		h.version = 0
+		return
+	}
+	h.view, h.version, h.membership = next, d.To, d.Membership
+}
+
 // takeGrants follows the leader's record of what this instance holds.
 func (h *holder) takeGrants(r *wire.RenewalReply) {
 	if r.Session != h.session {
--- a/pkg/lease/holder_test.go
+++ b/pkg/lease/holder_test.go
@@ -9,6 +9,7 @@
 	"radishturn.example/radishturn/pkg/control/wire"
 	"radishturn.example/radishturn/pkg/grant"
 	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/routing"
 	"radishturn.example/radishturn/pkg/state"
 	"radishturn.example/radishturn/pkg/view"
 )
@@ -119,16 +120,40 @@
 	g := NewWithT(t)
 	h := held(g)
 	old := h.view
-	next := merge(old, &state.Delta{From: 5, To: 6, Revision: 2, Drained: []model.TargetID{target}, Gone: []model.InstanceID{"e2"}})
+	next, _ := merge(old, &state.Delta{From: 5, To: 6, Revision: 2, Drained: []model.TargetID{target}, Gone: []model.InstanceID{"e2"}})
 	g.Expect(next.Drained).To(HaveKey(target))
 	g.Expect(old.Drained).To(BeEmpty())
 	g.Expect(next.Instances).To(HaveLen(2))
 	g.Expect(old.Instances).To(HaveLen(3))
-	next = merge(next, &state.Delta{From: 6, To: 7, Revision: 3, Undrained: []model.TargetID{target}})
+	next, _ = merge(next, &state.Delta{From: 6, To: 7, Revision: 3, Undrained: []model.TargetID{target}})
 	g.Expect(next.Drained).To(BeEmpty())
 	g.Expect(next.Grants).To(HaveKey(target))
 }
 
+func TestHolderFollowsTablesByChangesAndAsksForTheWholeAfterAnotherTable(t *testing.T) {
+	g := NewWithT(t)
+	h := held(g)
+	take := func(d *state.Delta) {
+		h.next(started)
+		h.take(started, started, &wire.RenewalReply{Sequence: h.sequence, Delta: d, Session: h.session})
+	}
+	whole := &routing.Change{To: 7, Routes: []routing.Route{{Host: "a", Prefix: "/"}, {Host: "b", Prefix: "/"}}}
+	take(&state.Delta{To: 6, Table: whole})
+	take(&state.Delta{From: 6, To: 8, Table: &routing.Change{From: 7, To: 9, RoutesGone: []routing.Place{{Host: "b", Prefix: "/"}}}})
+	g.Expect(h.view.Routing.Table.Version).To(BeEquivalentTo(9))
+	g.Expect(h.view.Routing.Table.Routes).To(Equal(whole.Routes[:1]))
+
+	// A group that lost its state names an older table; this one stays in use.
+	take(&state.Delta{To: 10, Table: &routing.Change{To: 8}})
+	g.Expect(h.view.Routing.Table.Version).To(BeEquivalentTo(9))
+	take(&state.Delta{From: 10, To: 11, Table: &routing.Change{From: 8, To: 12}})
+	g.Expect(h.view.Routing.Table.Version).To(BeEquivalentTo(9))
+	g.Expect(h.next(started).Version).To(BeZero())
+	take(&state.Delta{To: 11, Table: &routing.Change{To: 12, Routes: whole.Routes[1:]}})
+	g.Expect(h.view.Routing.Table.Routes).To(Equal(whole.Routes[1:]))
+	g.Expect(h.next(started).Version).To(BeEquivalentTo(11))
+}
+
 func TestReporterBoundsAndSumsEvidence(t *testing.T) {
 	g := NewWithT(t)
 	urgent := 0
--- a/pkg/lease/merge.go
+++ b/pkg/lease/merge.go
@@ -13,8 +13,13 @@
 )
 
 // merge returns the view after a delta; old stays as it is. Parts that did not
-// change are shared. Grants are not part of deltas of the configuration.
-func merge(old *view.View, d *state.Delta) *view.View {
+// change are shared. Grants are not part of deltas of the configuration. It
+// reports false, and returns old, if the delta does not build on old.
+func merge(old *view.View, d *state.Delta) (*view.View, bool) {
+	table, ok := mergeTable(old.Routing, d.Table)
+	if !ok {
+		return old, false
+	}
 	if d.Whole() {
 		// A table in use is kept until a newer one comes: its version only grows.
 		old = &view.View{Grants: old.Grants, Catalog: old.Catalog, Routing: old.Routing, Dear: old.Dear, DearAt: old.DearAt}
@@ -28,20 +33,34 @@
 		Moves:        mergeMoves(old.Moves, d.Moves, d.MovesEnded),
 		Grants:       old.Grants,
 		Quarantined:  mergeSet(old.Quarantined, d.Quarantined, d.Lifted),
-		Routing:      mergeTable(old.Routing, d.Table),
+		Routing:      table,
 		Catalog:      old.Catalog,
 		Evacuated:    mergeEvacuated(old.Evacuated, d),
 		Dear:         old.Dear,
 		DearAt:       old.DearAt,
-	}
+	}, true
 }
 
-// mergeTable takes up a table only if its version is higher.
-func mergeTable(old *routing.Index, t *routing.Table) *routing.Index {
-	if t == nil || old != nil && old.Table.Version >= t.Version {
-		return old
+// mergeTable takes up a table only if its version is higher. It reports false if
+// the change builds on another table than the one that is held.
+func mergeTable(old *routing.Index, c *routing.Change) (*routing.Index, bool) {
+	switch {
+	case c == nil:
+		return old, true
+	case old == nil:
+		t, ok := (*routing.Table)(nil).Apply(c)
+		if !ok {
+			return nil, false
+		}
+		return routing.NewIndex(t), true
+	case c.From == 0 && c.To <= old.Table.Version:
+		return old, true
+	}
+	t, ok := old.Table.Apply(c)
+	if !ok {
+		return old, false
 	}
-	return routing.NewIndex(t)
+	return routing.NewIndex(t), true
 }
 
 func mergeEvacuated(old map[model.AvailabilityZoneID]bool, d *state.Delta) map[model.AvailabilityZoneID]bool {
--- /dev/null
+++ b/pkg/routing/change.go
@@ -0,0 +1,130 @@
+package routing
+
+import (
+	"reflect"
+
+	"radishturn.example/radishturn/pkg/model"
+)
+
+// Place is where a route applies; no two routes of a table share one.
+type Place struct {
+	Host   string `cbor:"1,keyasint"`
+	Prefix string `cbor:"2,keyasint"`
+}
+
+// Place returns where the route applies.
+func (r *Route) Place() Place { return Place{r.Host, r.Prefix} }
+
+// Change leads from one version of a table to a later one.
+type Change struct {
+	// From is the version that the change builds on; 0 if it holds the whole table.
+	From uint64 `cbor:"1,keyasint,omitempty"`
+	// To is the version that it leads to.
+	To     uint64 `cbor:"2,keyasint"`
+	Limits Limits `cbor:"3,keyasint"`
+	// Routes and Services were added or changed; the others are gone.
+	Routes       []Route           `cbor:"4,keyasint,omitempty"`
+	RoutesGone   []Place           `cbor:"5,keyasint,omitempty"`
+	Services     []Service         `cbor:"6,keyasint,omitempty"`
+	ServicesGone []model.ServiceID `cbor:"7,keyasint,omitempty"`
+}
+
+// Items names routes and services of a table.
+type Items struct {
+	Routes   map[Place]bool
+	Services map[model.ServiceID]bool
+}
+
+// Whole returns the change that holds the whole table, but for its source.
+func (t *Table) Whole() *Change {
+	return &Change{To: t.Version, Limits: t.Limits, Routes: t.Routes, Services: t.Services}
+}
+
+// Differs returns the routes and services that are not the same in both tables.
+func (t *Table) Differs(old *Table) Items {
+	return Items{
+		Routes:   differing(old.Routes, t.Routes, (*Route).Place),
+		Services: differing(old.Services, t.Services, (*Service).name),
+	}
+}
+
+func (s *Service) name() model.ServiceID { return s.Name }
+
+func differing[K comparable, V any](old, next []V, key func(*V) K) map[K]bool {
+	before := make(map[K]*V, len(old))
+	for i := range old {
+		before[key(&old[i])] = &old[i]
+	}
+	differ := make(map[K]bool)
+	for i := range next {
+		k := key(&next[i])
+		if o, had := before[k]; !had || !reflect.DeepEqual(o, &next[i]) {
+			differ[k] = true
+		}
+		delete(before, k)
+	}
+	for k := range before {
+		differ[k] = true
+	}
+	return differ
+}
+
+// Since returns the change that leads to the table from a version that has the
+// same content but for the items.
+func (t *Table) Since(version uint64, items Items) *Change {
+	c := &Change{From: version, To: t.Version, Limits: t.Limits}
+	c.Routes, c.RoutesGone = pickNamed(t.Routes, items.Routes, (*Route).Place)
+	c.Services, c.ServicesGone = pickNamed(t.Services, items.Services, (*Service).name)
+	return c
+}
+
+// pickNamed returns the values that are named, and the names without a value.
+func pickNamed[K comparable, V any](all []V, named map[K]bool, key func(*V) K) (found []V, gone []K) {
+	present := make(map[K]bool, len(named))
+	for i := range all {
+		if k := key(&all[i]); named[k] {
+			found = append(found, all[i])
+			present[k] = true
+		}
+	}
+	for k := range named {
+		if !present[k] {
+			gone = append(gone, k)
+		}
+	}
+	return found, gone
+}
+
+// Apply returns the table after a change, and false if the change does not
+// build on the table. The table stays as it is; it may be nil.
+func (t *Table) Apply(c *Change) (*Table, bool) {
+	if c.From == 0 {
+		return &Table{Version: c.To, Routes: c.Routes, Services: c.Services, Limits: c.Limits}, true
+	}
+	if t == nil || t.Version != c.From {
+		return nil, false
+	}
+	return &Table{
+		Version:  c.To,
+		Routes:   merge(t.Routes, c.Routes, c.RoutesGone, (*Route).Place),
+		Services: merge(t.Services, c.Services, c.ServicesGone, (*Service).name),
+		Limits:   c.Limits,
+	}, true
+}
+
+func merge[K comparable, V any](old, changed []V, gone []K, key func(*V) K) []V {
+	replaced := make(map[K]bool, len(changed)+len(gone))
+	for i := range changed {
+		replaced[key(&changed[i])] = true
+	}
+	for _, k := range gone {
+		replaced[k] = true
+	}
+	next := make([]V, 0, len(old)+len(changed))
+	for i := range old {
+		if !replaced[key(&old[i])] {
+			next = append(next, old[i])
+		}
+	}
+	return append(next, changed...)
+}
--- a/pkg/routing/check.go
+++ b/pkg/routing/check.go
@@ -12,17 +12,16 @@
 	for _, s := range t.Services {
 		known[s.Name] = true
 	}
-	places := make(map[place]string, len(t.Routes))
+	places := make(map[Place]string, len(t.Routes))
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		if err := r.check(known); err != nil {
 			return fmt.Errorf("route %q: %w", r.Name, err)
 		}
-		at := place{r.Host, r.Prefix}
-		if other, taken := places[at]; taken {
+		if other, taken := places[r.Place()]; taken {
 			return fmt.Errorf("route %q: route %q has the same host and prefix", r.Name, other)
 		}
-		places[at] = r.Name
+		places[r.Place()] = r.Name
 	}
 	return nil
 }
@@ -66,6 +65,3 @@
 	}
 	return nil
 }
-
-// place is where a route applies; no two routes share one.
-type place struct{ host, prefix string }
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -89,10 +89,3 @@
 	need := int(math.Ceil(f.MinCoverage * float64(n)))
 	return max(1, min(need, n))
 }
-
-// ForEntries returns the table without what only control members need.
-func (t *Table) ForEntries() *Table {
-	c := *t
-	c.Source = nil
-	return &c
-}
--- a/pkg/state/delta.go
+++ b/pkg/state/delta.go
@@ -38,7 +38,7 @@
 	// Membership is the version of the set of instances.
 	Membership uint64 `cbor:"16,keyasint"`
 	// Table is set if the routing table changed.
-	Table *routing.Table `cbor:"17,keyasint,omitempty"`
+	Table *routing.Change `cbor:"20,keyasint,omitempty"`
 	// Evacuated lists all evacuated availability zones if EvacuationChanged.
 	Evacuated         []model.AvailabilityZoneID `cbor:"18,keyasint,omitempty"`
 	EvacuationChanged bool                       `cbor:"19,keyasint,omitempty"`
@@ -63,6 +63,8 @@
 	itemQuarantine
 	itemInstance
 	itemTable
+	itemRoute
+	itemService
 	itemEvacuation
 )
 
@@ -71,6 +73,8 @@
 	kind        itemKind
 	name        string
 	fingerprint model.Fingerprint
+	// prefix is that of a route, whose name here is its host.
+	prefix string
 }
 
 // changeLog remembers which items changed at which index. It is not part of
@@ -84,10 +88,12 @@
 type changeEntry struct {
 	index uint64
 	key   itemKey
+	// oldTable is the version of the routing table before it changed.
+	oldTable uint64
 }
 
-func (l *changeLog) add(index uint64, k itemKey) {
-	l.entries = append(l.entries, changeEntry{index: index, key: k})
+func (l *changeLog) add(e changeEntry) {
+	l.entries = append(l.entries, e)
 	if len(l.entries) < 2*maxChangeLog {
 		return
 	}
@@ -113,6 +119,20 @@
 	return keys, true
 }
 
+// oldTable returns the version of the routing table that was in force at a
+// version of the state, or 0 if the log does not tell.
+func (l *changeLog) oldTable(version uint64) uint64 {
+	if version == 0 || version < l.floor {
+		return 0
+	}
+	for _, e := range l.entries {
+		if e.index > version && e.key.kind == itemTable {
+			return e.oldTable
+		}
+	}
+	return 0
+}
+
 // Version returns the version of what entries see.
 func (s *State) Version() uint64 { return s.data.Version }
 
@@ -131,6 +151,9 @@
 	for _, k := range keys {
 		s.addItem(d, k)
 	}
+	if slices.Contains(keys, itemKey{kind: itemTable}) {
+		d.Table = s.tableSince(d.From, keys)
+	}
 	return d
 }
 
@@ -214,10 +237,6 @@
 	case itemQuarantine:
 		_, condemned := s.data.Quarantined[k.fingerprint]
 		put(condemned, &d.Quarantined, &d.Lifted, k.fingerprint)
-	case itemTable:
-		if s.data.Table != nil {
-			d.Table = s.data.Table.ForEntries()
-		}
 	case itemEvacuation:
 		d.EvacuationChanged = true
 		d.Evacuated = slices.Sorted(maps.Keys(s.data.Evacuated))
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -102,7 +102,7 @@
 // changed notes that entries have to hear of an item.
 func (s *State) changed(index uint64, k itemKey) {
 	s.data.Version = index
-	s.log.add(index, k)
+	s.log.add(changeEntry{index: index, key: k})
 }
 
 // Newest returns the newest accepted change; its Revision is 0 at first.
--- a/pkg/state/table.go
+++ b/pkg/state/table.go
@@ -13,11 +13,54 @@
 	if s.data.Table != nil && t.Version <= s.data.Table.Version {
 		return &Result{TableVersion: s.data.Table.Version}
 	}
+	s.logTableChanges(index, s.data.Table, t)
 	s.data.Table = t
-	s.changed(index, itemKey{kind: itemTable})
 	return &Result{TableVersion: t.Version}
 }
 
+// logTableChanges notes each route and service that was added, changed or removed.
+func (s *State) logTableChanges(index uint64, old, next *routing.Table) {
+	entry := changeEntry{index: index, key: itemKey{kind: itemTable}}
+	if old != nil {
+		entry.oldTable = old.Version
+	}
+	s.data.Version = index
+	s.log.add(entry)
+	if old == nil {
+		return
+	}
+	differ := next.Differs(old)
+	for p := range differ.Routes {
+		s.changed(index, itemKey{kind: itemRoute, name: p.Host, prefix: p.Prefix})
+	}
+	for id := range differ.Services {
+		s.changed(index, itemKey{kind: itemService, name: string(id)})
+	}
+}
+
+// tableSince returns how the table has changed after a version of the state,
+// given what has changed by then; nil before the first table.
+func (s *State) tableSince(version uint64, keys []itemKey) *routing.Change {
+	t := s.data.Table
+	if t == nil {
+		return nil
+	}
+	from := s.log.oldTable(version)
+	if from == 0 {
+		return t.Whole()
+	}
+	items := routing.Items{Routes: make(map[routing.Place]bool), Services: make(map[model.ServiceID]bool)}
+	for _, k := range keys {
+		switch k.kind {
+		case itemRoute:
+			items.Routes[routing.Place{Host: k.name, Prefix: k.prefix}] = true
+		case itemService:
+			items.Services[model.ServiceID(k.name)] = true
+		}
+	}
+	return t.Since(from, items)
+}
+
 // Table returns the routing table in force, or nil before the first one.
 func (s *State) Table() *routing.Table { return s.data.Table }
 
--- a/pkg/state/table_test.go
+++ b/pkg/state/table_test.go
@@ -1,8 +1,15 @@
 package state_test
 
 import (
+	"bytes"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/move"
@@ -11,8 +18,69 @@
 	"radishturn.example/radishturn/pkg/state"
 )
 
+// document is what an operator sent.
+func document(index uint64) []byte { return fmt.Appendf(nil, "document %d", index) }
+
+func copyOf(s *state.State) *state.State {
+	snapshot, err := s.Snapshot()
+	Expect(err).NotTo(HaveOccurred())
+	restored := state.New()
+	Expect(restored.Restore(snapshot)).To(Succeed())
+	return restored
+}
+
+// follower is an entry as far as its routing table is concerned.
+type follower struct {
+	version uint64
+	table   *routing.Table
+}
+
+func (f *follower) follow(t *rapid.T, s *state.State) {
+	d := s.Delta(f.version)
+	if d == nil {
+		return
+	}
+	f.version = d.To
+	if d.Table == nil {
+		return
+	}
+	next, ok := f.table.Apply(d.Table)
+	if !ok {
+		t.Fatalf("a follower with %v cannot apply %v", f.table, d.Table)
+	}
+	f.table = next
+}
+
+func drawTable(t *rapid.T, version uint64) routing.Table {
+	table := routing.Table{Version: version, Limits: routing.Limits{HeaderBytes: rapid.IntRange(0, 2).Draw(t, "limit")}}
+	for i := range 4 {
+		if rapid.Bool().Draw(t, "route") {
+			table.Routes = append(table.Routes, routing.Route{
+				Host: "h", Prefix: fmt.Sprint(i), MaxAttempts: rapid.IntRange(1, 2).Draw(t, "attempts"),
+			})
+		}
+		if rapid.Bool().Draw(t, "service") {
+			table.Services = append(table.Services, routing.Service{
+				Name: model.ServiceID(fmt.Sprint(i)), Connections: rapid.IntRange(1, 2).Draw(t, "connections"),
+			})
+		}
+	}
+	return table
+}
+
+// expectSame compares tables apart from the order of their items.
+func expectSame(t *rapid.T, want, got *routing.Table) {
+	if got == nil || got.Version != want.Version || got.Limits != want.Limits ||
+		len(got.Routes) != len(want.Routes) || len(got.Services) != len(want.Services) {
+		t.Fatalf("the table is %v, not %v", got, want)
+	}
+	if d := want.Differs(got); len(d.Routes)+len(d.Services) > 0 {
+		t.Fatalf("%v differ", d)
+	}
+}
+
 func put(s *state.State, index, version uint64) *state.Result {
-	return s.Apply(index, &state.Command{PutTable: &state.PutTable{Table: routing.Table{Version: version, Source: []byte{byte(index)}}}})
+	return s.Apply(index, &state.Command{PutTable: &state.PutTable{Table: routing.Table{Version: version, Source: document(index)}}})
 }
 
 var _ = Describe("Routing table", func() {
@@ -21,7 +89,7 @@
 		Expect(put(s, 5, 7).TableVersion).To(BeEquivalentTo(7))
 		Expect(put(s, 6, 3).TableVersion).To(BeEquivalentTo(7))
 		Expect(put(s, 7, 7).TableVersion).To(BeEquivalentTo(7))
-		Expect(s.Table().Source).To(Equal([]byte{5}))
+		Expect(s.Table().Source).To(Equal(document(5)))
 		Expect(put(s, 8, 9).TableVersion).To(BeEquivalentTo(9))
 	})
 
@@ -29,11 +97,59 @@
 		s := state.New()
 		put(s, 5, 7)
 		d := s.Delta(0)
-		Expect(d.Table.Version).To(BeEquivalentTo(7))
-		Expect(d.Table.Source).To(BeNil())
+		Expect(d.Table.To).To(BeEquivalentTo(7))
+		encoded, err := cbor.Marshal(d)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bytes.Contains(encoded, []byte("document"))).To(BeFalse())
 		Expect(s.Delta(5)).To(BeNil())
 		put(s, 6, 8)
-		Expect(s.Delta(5).Table.Version).To(BeEquivalentTo(8))
+		Expect(s.Delta(5).Table.To).To(BeEquivalentTo(8))
+	})
+
+	It("leads entries to the newest table, however far behind they are", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			s := state.New()
+			followers := make([]follower, 3)
+			var index, version uint64
+			for range rapid.IntRange(1, 12).Draw(t, "steps") {
+				index++
+				if rapid.IntRange(0, 4).Draw(t, "restart") == 0 {
+					s = copyOf(s)
+				}
+				if rapid.Bool().Draw(t, "another change") {
+					s.Apply(index, &state.Command{Evacuate: &state.Evacuate{AvailabilityZone: "a", End: rapid.Bool().Draw(t, "end")}})
+				} else {
+					version += rapid.Uint64Range(1, 3).Draw(t, "version")
+					s.Apply(index, &state.Command{PutTable: &state.PutTable{Table: drawTable(t, version)}})
+				}
+				followers[rapid.IntRange(0, 2).Draw(t, "follower")].follow(t, s)
+			}
+			for i := range followers {
+				followers[i].follow(t, s)
+				if want := s.Table(); want != nil {
+					expectSame(t, want, followers[i].table)
+				}
+			}
+		})
+	})
+
+	It("sends what changed of a large table, not all of it", func() {
+		s := state.New()
+		large := routing.Table{Version: 1}
+		for i := range 1000 {
+			large.Services = append(large.Services, routing.Service{Name: model.ServiceID(fmt.Sprint("s", i))})
+			large.Routes = append(large.Routes, routing.Route{Host: "h", Prefix: fmt.Sprintf("/%d/", i)})
+		}
+		s.Apply(1, &state.Command{PutTable: &state.PutTable{Table: large}})
+		next := large
+		next.Version = 2
+		next.Routes = slices.Clone(large.Routes)
+		next.Routes[3].Timeout = time.Second
+		s.Apply(2, &state.Command{PutTable: &state.PutTable{Table: next}})
+		d := s.Delta(1).Table
+		Expect(d.Routes).To(HaveLen(1))
+		Expect(d.RoutesGone).To(BeEmpty())
+		Expect(d.Services).To(BeEmpty())
 	})
 
 	It("survives a snapshot, with evacuations and ordinals", func() {
