--- a/pkg/fanout/fleet_test.go
+++ b/pkg/fanout/fleet_test.go
@@ -56,8 +56,8 @@
 	crash string
 	// hold delays answers until it is closed or the request is cancelled.
 	hold chan struct{}
-	// healthDelay delays health hints.
-	healthDelay time.Duration
+	// healthDelay delays health hints, and latency answers.
+	healthDelay, latency time.Duration
 	// edit changes a reply before it is sent.
 	edit     func(*targetproto.QueryReply)
 	inFlight int
@@ -168,6 +168,7 @@
 	}
 	t.set(func(t *fakeTarget) { t.queries++; t.inFlight++; t.peak = max(t.peak, t.inFlight) })
 	defer t.set(func(t *fakeTarget) { t.inFlight-- })
+	time.Sleep(see(t, func(t *fakeTarget) time.Duration { return t.latency }))
 	if hold != nil {
 		select {
 		case <-hold:
--- a/pkg/fanout/poison_test.go
+++ b/pkg/fanout/poison_test.go
@@ -61,6 +61,8 @@
 
 	It("is not hedged while a target is checked for a death", func() {
 		f := newFleet(2, 3)
+		// Leaf 1 is hedged after 20 ms at the earliest, and leaf 0 breaks off at once.
+		f.each(1, func(t *fakeTarget) { t.latency = 20 * time.Millisecond })
 		f.warmUp()
 		f.each(0, func(t *fakeTarget) { t.crash, t.healthDelay = "poison", 100*time.Millisecond })
 		hold := make(chan struct{})
