Dispatch: an instance owns a target only while the target has room

Two targets for three zones overloaded one as well. Own targets are now given in turns by ordinal until half of what a target accepts is taken; later instances only borrow, and borrowed connections rest the shorter, the more instances share them. Ruled out: the leader (its changes were in force at once), lists that came late (the returning targets were known after 0.5 s).

--- a/pkg/dispatch/book.go
+++ b/pkg/dispatch/book.go
@@ -161,10 +161,11 @@
 func (b *book) divide(c crowd, service model.ServiceID, targets []*target) pair {
 	own, share := c.subset(service, targets)
 	p := pair{own: own}
+	borrowTime := c.borrowTime(service, len(targets))
 	for _, t := range targets {
 		t.limitCold(c.coldGap(t))
 		if !slices.Contains(own, t) {
-			t.pool.SetLimit(spareConnections, spareIdle)
+			t.pool.SetLimit(spareConnections, borrowTime)
 			p.spare = append(p.spare, t)
 			continue
 		}
--- a/pkg/dispatch/subset.go
+++ b/pkg/dispatch/subset.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
 	"time"
@@ -13,7 +14,7 @@
 	// spareConnections is the share of connections to a target that is not one
 	// of this instance's own, and to targets of services that no table names.
 	spareConnections = 1
-	// spareIdle is how long a connection to such a target is kept without use.
+	// spareIdle is how long a connection to such a target is kept without use at most.
 	spareIdle = 2 * time.Second
 	// connectionSafety leaves room for connections of processes that have ended
 	// and that their targets still count.
@@ -29,29 +30,24 @@
 type crowd struct {
 	view      *view.View
 	instances int
-	// local counts the instances in this availability zone.
-	local   int
-	zone    model.AvailabilityZoneID
-	ordinal uint64
-	// rank is the number of instances with smaller ordinals.
-	rank int
+	self      model.Instance
+	// before are the instances with smaller ordinals, in their order.
+	before []model.Instance
 }
 
 func newCrowd(v *view.View, self model.InstanceID, zone model.AvailabilityZoneID) crowd {
-	c := crowd{view: v, zone: zone, instances: max(1, len(v.Instances))}
+	c := crowd{view: v, instances: max(1, len(v.Instances)), self: model.Instance{AvailabilityZone: zone}}
 	for _, i := range v.Instances {
-		if i.AvailabilityZone == zone {
-			c.local++
-		}
 		if i.ID == self {
-			c.ordinal = i.Ordinal
+			c.self.Ordinal = i.Ordinal
 		}
 	}
 	for _, i := range v.Instances {
-		if i.Ordinal < c.ordinal {
-			c.rank++
+		if i.Ordinal < c.self.Ordinal {
+			c.before = append(c.before, i)
 		}
 	}
+	slices.SortFunc(c.before, func(a, b model.Instance) int { return cmp.Compare(a.Ordinal, b.Ordinal) })
 	return c
 }
 
@@ -65,25 +61,71 @@
 	if s == nil {
 		return 0
 	}
-	return coldGap(s.ColdRate, t.ID, c.rank, c.instances)
+	return coldGap(s.ColdRate, t.ID, len(c.before), c.instances)
 }
 
 // subset returns this instance's own targets of a service and its share of
 // connections to each. Where a target accepts a connection from every instance,
-// all targets are its own. Otherwise each instance gets as many targets as keep
-// every target within that share of its bound, one at least: first those of its
-// availability zone, the rest in turns by ordinal, so that each target gets about
-// the same number.
+// all targets are its own. Otherwise the instances take turns by ordinal: each
+// gets as many targets as the fleet has connections for, one at least, while
+// there is room. Instances that come later own none and only borrow.
 func (c crowd) subset(service model.ServiceID, targets []*target) (own []*target, share int) {
 	accepted := c.accepted(service)
 	if accepted == 0 {
 		return targets, spareConnections
 	}
-	if accepted >= c.instances {
-		return targets, max(1, int(restartShare*float64(accepted))/c.instances)
+	kept := int(restartShare * float64(accepted))
+	if int(connectionSafety*float64(accepted)) >= c.instances {
+		return targets, max(1, kept/c.instances)
+	}
+	count := max(1, kept*len(targets)/c.instances)
+	room := make([]int, len(targets))
+	for i := range room {
+		room[i] = kept
+	}
+	for _, i := range c.before {
+		takeTurn(service, i, targets, room, count)
+	}
+	for _, i := range takeTurn(service, c.self, targets, room, count) {
+		own = append(own, targets[i])
+	}
+	return own, 1
+}
+
+// takeTurn gives an instance targets that have room, at most count: first those
+// of its availability zone, then the others from a place that its ordinal names.
+// It returns their indexes.
+func takeTurn(service model.ServiceID, i model.Instance, targets []*target, room []int, count int) []int {
+	var taken []int
+	start := firstFar(service, i.Ordinal, len(targets))
+	for _, near := range []bool{true, false} {
+		for k := range targets {
+			at := (start + k) % len(targets)
+			if len(taken) < count && room[at] > 0 && near == (targets[at].AvailabilityZone == i.AvailabilityZone) {
+				room[at]--
+				taken = append(taken, at)
+			}
+		}
+	}
+	return taken
+}
+
+// firstFar spreads the instances over the targets, for each service from another one.
+func firstFar(service model.ServiceID, ordinal uint64, targets int) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(service))
+	return int((uint64(h.Sum32()) + ordinal) % uint64(targets))
+}
+
+// borrowTime is how long a borrowed connection is kept without use: the shorter,
+// the more instances share the connections that the targets accept.
+func (c crowd) borrowTime(service model.ServiceID, targets int) time.Duration {
+	accepted := c.accepted(service)
+	if accepted == 0 {
+		return spareIdle
 	}
-	count := max(1, int(restartShare*float64(len(targets)*accepted))/c.instances)
-	return c.rotate(service, targets, accepted)[:min(count, len(targets))], 1
+	share := connectionSafety * float64(accepted*targets) / float64(c.instances)
+	return time.Duration(min(1, share) * float64(spareIdle))
 }
 
 // accepted is the number of connections that a target of the service accepts
@@ -96,25 +138,5 @@
 	if s == nil {
 		return 0
 	}
-	return int(connectionSafety * float64(s.Connections))
-}
-
-// rotate orders the targets by this instance's preference.
-func (c crowd) rotate(service model.ServiceID, targets []*target, accepted int) []*target {
-	near := func(t *target) bool { return t.AvailabilityZone == c.zone && c.local <= accepted }
-	var ordered, far []*target
-	for _, t := range targets {
-		if near(t) {
-			ordered = append(ordered, t)
-		} else {
-			far = append(far, t)
-		}
-	}
-	if len(far) == 0 {
-		return ordered
-	}
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(service))
-	start := int((uint64(h.Sum32()) + c.ordinal) % uint64(len(far)))
-	return slices.Concat(ordered, far[start:], far[:start])
+	return s.Connections
 }
