Lease: renewals of large fleets are paced by the fleet's size

An instance now renews at its share of 800 renewals a second, but three times in a lease at least: 1,600 a second at the size of the aim. Leader and holders work it out from the same view, so nothing is negotiated. Fleets up to 300 instances renew as before; the quarantine of a request waits for the pace in force.

--- a/pkg/fanout/death.go
+++ b/pkg/fanout/death.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/lease/clock"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/query/poison"
 	"radishturn.example/radishturn/pkg/target"
@@ -188,7 +189,7 @@
 	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(s.settings.Lease.Renew.Std() + renewalTime):
+	case <-time.After(clock.Pace(s.settings.Lease, len(s.view.View().Instances)) + renewalTime):
 	}
 }
 
--- /dev/null
+++ b/pkg/lease/clock/clock_test.go
@@ -0,0 +1,22 @@
+package clock_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/lease/clock"
+	"radishturn.example/radishturn/pkg/settings"
+)
+
+// A leader at the size of the aim hears 1,600 instances.
+func TestPaceBoundsTheLeadersRenewals(t *testing.T) {
+	g := NewWithT(t)
+	l := settings.Lease{Renew: settings.Duration(400 * time.Millisecond), Duration: settings.Duration(3 * time.Second)}
+	for _, instances := range []int{0, 1, 78, 300} {
+		g.Expect(clock.Pace(l, instances)).To(Equal(l.Renew.Std()))
+	}
+	g.Expect(600 / clock.Pace(l, 600).Seconds()).To(BeNumerically("~", 800, 1))
+	g.Expect(clock.Pace(l, 1600)).To(Equal(time.Second), "three renewals fit into a lease")
+}
--- a/pkg/lease/renew.go
+++ b/pkg/lease/renew.go
@@ -8,6 +8,7 @@
 	"radishturn.example/radishturn/pkg/control/route"
 	"radishturn.example/radishturn/pkg/control/wire"
 	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/lease/clock"
 	"radishturn.example/radishturn/pkg/mesh"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/state"
@@ -97,7 +98,7 @@
 	if m.follows && (v.Routing == nil || v.Catalog == nil) {
 		return min(eagerRenew, m.settings.Renew.Std())
 	}
-	return m.settings.Renew.Std()
+	return clock.Pace(m.settings, len(v.Instances))
 }
 
 // sleep waits and reports whether ctx is still not done.
@@ -189,7 +190,7 @@
 // acknowledgePace spreads the acknowledgements of grants, so that a change that
 // moves the shares of many instances does not make all renew at once.
 func (m *Module) acknowledgePace() time.Duration {
-	pace := acknowledgePace * float64(m.settings.Renew.Std())
+	pace := acknowledgePace * float64(m.interval())
 	return minRenewGap + time.Duration(rand.Float64()*pace)
 }
 
