--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/pool"
@@ -47,7 +48,7 @@
 	}
 	a.Done = func(r pool.Result) {
 		now := e.now()
-		t.finished(now, sent, usual, timeout, r)
+		t.finished(now, sent, usual, timeout, r).announce(t.ID, r.Err)
 		e.noteCost(t.ID, sampleCost(r, now-sent, usual))
 		e.noteVersion(call, t, r, now-sent)
 		if r.Reply != nil && r.Reply.OK() {
@@ -82,10 +83,13 @@
 	return true
 }
 
-func (t *target) finished(now, sent, usual, timeout time.Duration, r pool.Result) {
+// finished takes in the end of a request. It returns what is believed anew of
+// the target.
+func (t *target) finished(now, sent, usual, timeout time.Duration, r pool.Result) belief {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := &t.health
+	unreached, mistaken := h.unreachable, t.mistaken
 	h.end(sent)
 	switch {
 	case errors.Is(r.Err, pool.ErrNotSent):
@@ -109,6 +113,40 @@
 		l := r.Reply.Load
 		h.told(now, l.Running, l.Waiting, l.Slots)
 	}
+	switch {
+	case t.mistaken && !mistaken:
+		return beliefMistaken
+	case h.unreachable > 0 && unreached == 0:
+		return beliefUnreached
+	case h.unreachable == 0 && unreached > 0:
+		return beliefReached
+	}
+	return beliefSame
+}
+
+// belief is how the picture of a target has changed.
+type belief uint8
+
+const (
+	beliefSame belief = iota
+	// beliefMistaken: the process at the address is another target.
+	beliefMistaken
+	// beliefUnreached: it could not be reached, for the first time in a row.
+	beliefUnreached
+	// beliefReached: it answers again.
+	beliefReached
+)
+
+// announce writes a line on a change of belief.
+func (b belief) announce(id model.TargetID, err error) {
+	switch b {
+	case beliefMistaken:
+		events.Emit(events.TargetEjected, id, "another target has its address")
+	case beliefUnreached:
+		events.Emit(events.TargetEjected, id, err)
+	case beliefReached:
+		events.Emit(events.TargetReadmitted, id)
+	}
 }
 
 // cost returns the expected cost of another request, or false if the target
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -26,6 +26,7 @@
 
 	PeerConnected    Number = 2001
 	PeerDisconnected Number = 2002
+	SmallUDPBuffer   Number = 2003
 
 	GroupFormed        Number = 3001
 	LeaderElected      Number = 3002
@@ -59,6 +60,9 @@
 	EvidenceDropped  Number = 4007
 	LeaseRanOut      Number = 4008
 	RenewalFailed    Number = 4009
+	TableInForce     Number = 4010
+	ZonesEvacuated   Number = 4011
+	ControlUnreached Number = 4012
 
 	SnapshotPinned      Number = 5001
 	TargetEjected       Number = 5002
@@ -80,6 +84,11 @@
 	CallRefused         Number = 5018
 	TargetsListed       Number = 5019
 	TargetsDear         Number = 5020
+	CallAdmitted        Number = 5021
+	ExtraSent           Number = 5022
+	ExtraDenied         Number = 5023
+	RequestSent         Number = 5024
+	CallLate            Number = 5025
 
 	OrderOutcomeUnknown   Number = 6001
 	OrderClaimUnconfirmed Number = 6002
@@ -138,6 +147,7 @@
 
 	{PeerConnected, debug, "peer connected", []string{"peer", "address"}},
 	{PeerDisconnected, debug, "peer disconnected", []string{"peer", "error"}},
+	{SmallUDPBuffer, warn, "receive buffer of the mesh is small", []string{"kiB", "wantedKiB"}},
 
 	{GroupFormed, info, "control group formed", []string{"members"}},
 	{LeaderElected, info, "leader elected", []string{"leader", "term"}},
@@ -170,6 +180,9 @@
 	{EvidenceDropped, warn, "evidence dropped because its bound is reached", []string{"kind"}},
 	{LeaseRanOut, warn, "lease of an instance ran out", []string{"instance"}},
 	{RenewalFailed, debug, "renewal of the lease failed", []string{"error"}},
+	{TableInForce, info, "routing table is in force here", []string{"version", "old", "routes", "services"}},
+	{ZonesEvacuated, warn, "evacuated availability zones changed here", []string{"availabilityZones"}},
+	{ControlUnreached, warn, "control cannot be reached; serving goes on with what is known", []string{"milliseconds", "tableVersion", "error"}},
 
 	{SnapshotPinned, info, "newest whole snapshot changed", []string{"collection", "snapshot"}},
 	{TargetEjected, warn, "target ejected", []string{"target", "reason"}},
@@ -191,6 +204,11 @@
 	{CallRefused, warn, "request refused, not run", callFields},
 	{TargetsListed, info, "many targets are listed anew", []string{"changed", "targets"}},
 	{TargetsDear, info, "other targets cost more than usual", []string{"dear", "added", "cleared"}},
+	{CallAdmitted, info, "request admitted", []string{"request", "route", "timeoutMilliseconds", "tableVersion", "leaseMilliseconds"}},
+	{ExtraSent, info, "extra request sent", []string{"request", "service", "target", "reason", "milliseconds", "cost", "usualMicroseconds", "budget", "earlier"}},
+	{ExtraDenied, info, "retry budget allows no extra request", []string{"request", "service", "reason", "milliseconds", "budget", "earlier"}},
+	{RequestSent, info, "request to a target", []string{"request", "service", "target", "milliseconds", "cost", "dear", "replyMilliseconds", "result"}},
+	{CallLate, info, "objective passed with the request in progress", []string{"request", "route", "milliseconds", "waiting", "late"}},
 
 	{OrderOutcomeUnknown, warn, "outcome of an order is unknown", []string{"request", "error"}},
 	{OrderClaimUnconfirmed, warn, "claim of an order could not be confirmed", []string{"request", "error"}},
--- a/pkg/lease/module.go
+++ b/pkg/lease/module.go
@@ -46,6 +46,8 @@
 	stop     chan struct{}
 	stopped  bool
 	renewals sync.WaitGroup
+	// contact belongs to the loop of renewals.
+	contact contact
 
 	evidence         *view.Evidence
 	evidenceSequence uint64
--- a/pkg/lease/renew.go
+++ b/pkg/lease/renew.go
@@ -68,6 +68,7 @@
 
 // renewLoop renews in time, and sooner when there is something to tell.
 func (m *Module) renewLoop(ctx context.Context) {
+	m.contact.succeeded(m.now())
 	for {
 		m.renew(ctx)
 		interval := m.interval()
@@ -120,8 +121,12 @@
 	if err != nil {
 		renewalsFailed.Inc()
 		events.Emit(events.RenewalFailed, err)
+		if silence, lost := m.contact.failed(m.now(), m.settings.Duration.Std()); lost && m.follows {
+			events.Emit(events.ControlUnreached, silence.Milliseconds(), tableVersion(m.views.View().Routing), err)
+		}
 		return
 	}
+	m.contact.succeeded(m.now())
 	renewalsOK.Inc()
 	renewalTime.Update((m.now() - sent).Seconds())
 	m.router.LearnMembers(reply.Voters)
@@ -160,7 +165,7 @@
 	defer m.mu.Unlock()
 	m.evidence = nil
 	held := m.times.Load().state(m.now()) == view.LeaseHeld
-	revision := m.holder.view.Revision
+	old := m.holder.view
 	changed := m.holder.take(m.now(), sent, reply)
 	if changed {
 		m.learnPeers(reply.Delta)
@@ -170,9 +175,12 @@
 	if !held && !reply.Challenge {
 		events.Emit(events.LeaseGranted, reply.Leader, m.holder.view.Revision)
 	}
-	if m.holder.view.Revision != revision {
+	if m.holder.view.Revision != old.Revision {
 		events.Emit(events.RulesInForce, m.holder.view.Revision)
 	}
+	if m.follows {
+		announceChanges(old, m.holder.view)
+	}
 	switch {
 	case m.holder.report, m.holder.compare, reply.Challenge:
 		notify(m.wake)
--- a/pkg/mesh/quic.go
+++ b/pkg/mesh/quic.go
@@ -13,6 +13,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
+	"golang.org/x/sys/unix"
 
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/failure"
@@ -76,8 +77,15 @@
 	conn    *quic.Conn
 }
 
-// disableOffloadVariable is read by quic-go when a socket is set up.
-const disableOffloadVariable = "QUIC_GO_DISABLE_GSO"
+// Variables that quic-go reads when a socket is set up. Its warning on small
+// buffers would not be a line of the log.
+const (
+	disableOffloadVariable       = "QUIC_GO_DISABLE_GSO"
+	disableBufferWarningVariable = "QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING"
+)
+
+// wantedBufferBytes is the receive buffer that quic-go asks for.
+const wantedBufferBytes = 7 << 20
 
 // Listen opens the socket of the mesh. It serves nothing until Run.
 func Listen(address netip.AddrPort, credentials *keys.Credentials, disableOffload bool) (*QUIC, error) {
@@ -86,6 +94,9 @@
 			return nil, fmt.Errorf("disable UDP offload: %w", err)
 		}
 	}
+	if err := os.Setenv(disableBufferWarningVariable, "true"); err != nil {
+		return nil, fmt.Errorf("disable warnings of QUIC: %w", err)
+	}
 	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
@@ -107,9 +118,32 @@
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("listen on %s: %w", address, err), socket.Close())
 	}
+	if err := warnOfSmallBuffer(socket); err != nil {
+		return nil, errors.Join(err, m.Close())
+	}
 	return m, nil
 }
 
+// warnOfSmallBuffer writes a line if the socket got less than QUIC wants.
+func warnOfSmallBuffer(socket *net.UDPConn) error {
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("receive buffer: %w", err)
+	}
+	var size int
+	var option error
+	err = raw.Control(func(fd uintptr) {
+		size, option = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF)
+	})
+	if err = errors.Join(err, option); err != nil {
+		return fmt.Errorf("receive buffer: %w", err)
+	}
+	if size < wantedBufferBytes {
+		events.Emit(events.SmallUDPBuffer, size>>10, wantedBufferBytes>>10)
+	}
+	return nil
+}
+
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout: handshakeTimeout,
