Log: a line for each decision on a request, with what decided it

New lines tell when work on a request begins (RT5021), each hedge and repeat with expected cost, budget left and the fate of the earlier requests (RT5022), each denial (RT5023), each request of one that ended oddly (RT5024) and that the objective has passed (RT5025). Each kind is bounded by itself, so that the lines on the ends keep their room. `radishturn explain` tells that a request was in progress when its log ends, and what was outstanding.

--- /dev/null
+++ b/pkg/dispatch/decisions.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/model"
+)
+
+// Bounds of the lines on decisions, in lines a second. Ends of requests that are
+// odd are not among them.
+const (
+	admittedLinesPerSecond = 20
+	extraLinesPerSecond    = 40
+	sentLinesPerSecond     = 60
+	// maxSentLines bounds the lines on the requests of one call.
+	maxSentLines = 8
+)
+
+// lineBounds bound the lines of an Engine, by their kind.
+type lineBounds struct{ admitted, extra, sent *rate.Limiter }
+
+func newLineBounds() lineBounds {
+	perSecond := func(n int) *rate.Limiter { return rate.NewLimiter(rate.Limit(n), n) }
+	return lineBounds{
+		admitted: perSecond(admittedLinesPerSecond), extra: perSecond(extraLinesPerSecond), sent: perSecond(sentLinesPerSecond),
+	}
+}
+
+// reason says why an extra request is sent.
+type reason string
+
+const (
+	// reasonHedge: an earlier request is late.
+	reasonHedge reason = "hedge"
+	// reasonRepeat: the earlier requests have failed.
+	reasonRepeat reason = "repeat"
+)
+
+// reasonOf returns why another request is sent after the others.
+func (s sends) reasonOf() reason {
+	for _, p := range s {
+		if !p.ended {
+			return reasonHedge
+		}
+	}
+	return reasonRepeat
+}
+
+func (e *Engine) logAdmitted(c *Call, t *Trace) {
+	if e.lines.admitted.Allow() {
+		events.Emit(events.CallAdmitted, c.Request.ID, c.Route.Name, c.Timeout.Milliseconds(), t.TableVersion, t.LeaseLeft.Milliseconds())
+	}
+}
+
+// logExtra tells of a hedge or repeat; earlier are the requests before it.
+func (e *Engine) logExtra(c *Call, service model.ServiceID, sent *sentPart, earlier sends, why reason) {
+	if e.lines.extra.Allow() {
+		events.Emit(events.ExtraSent, c.Request.ID, service, sent.target.ID, why, sent.sentAt.Milliseconds(),
+			sent.cost, c.stats.usual().Microseconds(), e.extraLeft(service), story(service, earlier))
+	}
+}
+
+func (e *Engine) logDenied(c *Call, service model.ServiceID, earlier sends) {
+	if e.lines.extra.Allow() {
+		events.Emit(events.ExtraDenied, c.Request.ID, service, earlier.reasonOf(), time.Since(c.Arrived).Milliseconds(),
+			e.extraLeft(service), story(service, earlier))
+	}
+}
+
+// logLate tells of a call that goes on after its objective.
+func (e *Engine) logLate(c *Call, waiting int, late []string) {
+	if e.lines.extra.Allow() {
+		events.Emit(events.CallLate, c.Request.ID, c.Route.Name, time.Since(c.Arrived).Milliseconds(), waiting, late)
+	}
+}
+
+// logSent tells of the requests of a call that ended oddly, those without a good
+// reply first.
+func (e *Engine) logSent(c *Call, service model.ServiceID, sent sends, lines *int) {
+	for _, p := range sent {
+		if *lines >= maxSentLines || !e.lines.sent.Allow() {
+			return
+		}
+		*lines++
+		events.Emit(events.RequestSent, c.Request.ID, service, p.target.ID, p.sentAt.Milliseconds(), p.cost,
+			c.page.view.Dear[p.target.ID], p.replyAt.Milliseconds(), p.fate())
+	}
+}
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -36,6 +36,7 @@
 	opts   Options
 	origin time.Time
 	book   *book
+	lines  lineBounds
 
 	mu      sync.Mutex
 	stats   map[string]*routeStats
@@ -53,7 +54,7 @@
 // New returns an Engine.
 func New(o Options) *Engine {
 	return &Engine{
-		opts: o, origin: time.Now(), book: newBook(o.Codec, o.Instance, o.AvailabilityZone),
+		opts: o, origin: time.Now(), book: newBook(o.Codec, o.Instance, o.AvailabilityZone), lines: newLineBounds(),
 		stats:   make(map[string]*routeStats),
 		budgets: make(map[model.ServiceID]*retry.Budget),
 		turns:   make(map[string]*turn),
@@ -172,6 +173,14 @@
 	return b.Take(now, bound)
 }
 
+// extraLeft returns how many extra requests a service may get from this instance.
+func (e *Engine) extraLeft(s model.ServiceID) float64 {
+	bound, now := e.bound(), e.now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.budget(s).Left(now, bound)
+}
+
 // Run opens connections ahead of use until ctx is done, and follows the view
 // while no requests come.
 func (e *Engine) Run(ctx context.Context) error {
--- a/pkg/dispatch/fanout.go
+++ b/pkg/dispatch/fanout.go
@@ -50,6 +50,8 @@
 	sent    []sends
 	results chan *sentPart
 	trace   Trace
+	// endNoticed is set once the log tells that the objective has passed.
+	endNoticed bool
 }
 
 // Query passes a call to one target of each shard and merges the parts.
@@ -60,6 +62,7 @@
 		return observe(c, Outcome{Err: err, Trace: q.trace})
 	}
 	e.noteFirst(c.Route.Fanout.Shards...)
+	e.logAdmitted(c, &q.trace)
 	return observe(c, q.loop(ctx))
 }
 
@@ -111,6 +114,7 @@
 	for {
 		now := q.engine.now()
 		q.sendDue(now)
+		q.noticeEnd(now)
 		switch q.run.Verdict(now) {
 		case gather.Answer:
 			return q.finish()
@@ -131,6 +135,15 @@
 	}
 }
 
+// noticeEnd tells once that the objective has passed while coverage is too low.
+func (q *query) noticeEnd(now time.Duration) {
+	if q.endNoticed || now < q.plan.End || q.run.Parts() >= q.plan.Required {
+		return
+	}
+	q.endNoticed = true
+	q.engine.logLate(q.call, len(q.sent)-q.run.Parts(), q.late())
+}
+
 // takeWaiting takes in all results that are there, so that one look serves all.
 func (q *query) takeWaiting() {
 	for {
@@ -159,10 +172,11 @@
 	}
 	if q.sent[i].haveArrived() && !q.engine.takeExtra(service, q.run.Needs(i, now)) {
 		q.trace.Denied++
+		q.engine.logDenied(q.call, service, q.sent[i])
 		q.run.Denied(i, now)
 		return
 	}
-	sent := newSent(q.call, i, t)
+	sent := newSent(q.call, i, t, now)
 	attempt, ok := t.send(q.engine, q.call, q.partTimeout(now), func(r pool.Result) {
 		sent.result = r
 		q.results <- sent
@@ -178,8 +192,9 @@
 
 func (q *query) note(i int, sent *sentPart) {
 	q.trace.Sent++
-	if len(q.sent[i]) > 0 {
+	if earlier := q.sent[i]; len(earlier) > 0 {
 		q.trace.Hedged++
+		q.engine.logExtra(q.call, q.call.Route.Fanout.Shards[i], sent, earlier, earlier.reasonOf())
 	}
 	q.sent[i] = append(q.sent[i], sent)
 }
@@ -216,7 +231,7 @@
 }
 
 func (q *query) take(r *sentPart) {
-	r.end()
+	r.end(q.call)
 	reply := r.result.Reply
 	switch {
 	case reply != nil && reply.OK() && reply.ID == q.call.Request.ID:
@@ -252,12 +267,26 @@
 // maxLateNames bounds the names in a trace.
 const maxLateNames = 4
 
+// noteLate tells of the shards without a part, and of their requests.
 func (q *query) noteLate() {
+	q.trace.Late = append(q.trace.Late, q.late()...)
+	lines := 0
+	for i, s := range q.call.Route.Fanout.Shards {
+		if !q.run.Done(i) {
+			q.engine.logSent(q.call, s, q.sent[i], &lines)
+		}
+	}
+}
+
+// late tells of some shards that have not answered.
+func (q *query) late() []string {
+	var late []string
 	for i, s := range q.call.Route.Fanout.Shards {
-		if !q.run.Done(i) && len(q.trace.Late) < maxLateNames {
-			q.trace.Late = append(q.trace.Late, story(s, q.sent[i]))
+		if !q.run.Done(i) && len(late) < maxLateNames {
+			late = append(late, story(s, q.sent[i]))
 		}
 	}
+	return late
 }
 
 // abandon gives up what is still in flight.
--- a/pkg/dispatch/sent.go
+++ b/pkg/dispatch/sent.go
@@ -17,9 +17,12 @@
 	shard   int
 	target  *target
 	attempt *pool.Attempt
-	// sentAt is the time since the call arrived.
-	sentAt time.Duration
-	ended  bool
+	// sentAt and replyAt are times since the call arrived; replyAt is 0 without a
+	// result.
+	sentAt, replyAt time.Duration
+	// cost is what the target was expected to cost, in usual latencies.
+	cost  float64
+	ended bool
 	// arrived is false once it is known that the target did not get the request,
 	// and mayHaveRun once it is known that the target did not run it.
 	arrived, mayHaveRun bool
@@ -28,15 +31,16 @@
 	result pool.Result
 }
 
-// newSent returns a request that is about to be sent.
-func newSent(c *Call, shard int, t *target) *sentPart {
-	return &sentPart{shard: shard, target: t, sentAt: time.Since(c.Arrived), arrived: true, mayHaveRun: true}
+// newSent returns a request that is about to be sent at now.
+func newSent(c *Call, shard int, t *target, now time.Duration) *sentPart {
+	cost, _ := t.cost(now)
+	return &sentPart{shard: shard, target: t, sentAt: time.Since(c.Arrived), cost: cost, arrived: true, mayHaveRun: true}
 }
 
 // end notes that the result is there, and what it says of the request.
-func (s *sentPart) end() {
+func (s *sentPart) end(c *Call) {
 	reply := s.result.Reply
-	s.ended = true
+	s.ended, s.replyAt = true, time.Since(c.Arrived)
 	s.arrived = !isNotSent(s.result.Err)
 	s.mayHaveRun = s.arrived && (reply == nil || !reply.NotRun && !reply.WrongTarget)
 }
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -30,11 +30,12 @@
 
 // single is one call to one service in progress.
 type single struct {
-	engine   *Engine
-	call     *Call
-	service  model.ServiceID
-	deadline time.Duration
-	results  chan *sentPart
+	engine  *Engine
+	call    *Call
+	service model.ServiceID
+	// began is when the call arrived.
+	began, deadline time.Duration
+	results         chan *sentPart
 	// sent has all requests, inFlight those without an end.
 	sent, inFlight sends
 	// fallback is a target's failure, to be passed on if nothing better comes.
@@ -43,7 +44,9 @@
 	// hedged is set once a second request was due, sent or not.
 	hedged   bool
 	lastSent time.Duration
-	trace    Trace
+	// lateNoticed is set once the log tells that the objective has passed.
+	lateNoticed bool
+	trace       Trace
 }
 
 // Do passes a call to one target of the route's service.
@@ -51,9 +54,10 @@
 	e.prepare(c)
 	service := e.pick(c)
 	timeout := min(c.Timeout, c.Route.Timeout)
+	began := e.now() - time.Since(c.Arrived)
 	s := &single{
-		engine: e, call: c, service: service,
-		deadline: e.now() - time.Since(c.Arrived) + timeout - deadlineMargin,
+		engine: e, call: c, service: service, began: began,
+		deadline: began + timeout - deadlineMargin,
 		results:  make(chan *sentPart, maxSingleSends),
 		trace:    e.newTrace(c),
 	}
@@ -61,6 +65,7 @@
 		return observe(c, s.refuse("find target", "no target of %s can be reached", service))
 	}
 	e.noteFirst(service)
+	e.logAdmitted(c, &s.trace)
 	return observe(c, s.loop(ctx))
 }
 
@@ -102,6 +107,7 @@
 				return out
 			}
 		case <-timer.C:
+			s.noticeLate()
 			s.hedge()
 		}
 	}
@@ -131,7 +137,7 @@
 	if t == nil {
 		return false
 	}
-	part := newSent(s.call, 0, t)
+	part := newSent(s.call, 0, t, now)
 	attempt, ok := t.send(s.engine, s.call, s.deadline+deadlineMargin/2-now, func(r pool.Result) {
 		part.result = r
 		s.results <- part
@@ -140,6 +146,9 @@
 		return false
 	}
 	part.attempt = attempt
+	if len(s.sent) > 0 {
+		s.engine.logExtra(s.call, s.service, part, s.sent, s.sent.reasonOf())
+	}
 	s.sent = append(s.sent, part)
 	s.inFlight = append(s.inFlight, part)
 	s.lastSent = now
@@ -159,6 +168,7 @@
 	}
 	if s.sent.haveArrived() && !s.engine.takeExtra(s.service, len(s.inFlight) == 0) {
 		s.trace.Denied++
+		s.engine.logDenied(s.call, s.service, s.sent)
 		return false
 	}
 	return true
@@ -166,12 +176,32 @@
 
 // next returns when the loop needs a look even if no reply comes.
 func (s *single) next(now time.Duration) time.Duration {
-	if !s.call.Route.Idempotent || len(s.inFlight) != 1 || s.hedged {
-		return s.deadline
+	look := s.deadline
+	if s.call.Route.Objective > 0 && !s.lateNoticed {
+		look = min(look, max(now, s.objectiveEnds()))
+	}
+	if s.call.Route.Idempotent && len(s.inFlight) == 1 && !s.hedged {
+		look = min(look, max(now, s.hedgeAt()))
 	}
-	return min(s.deadline, max(now, s.lastSent+s.hedgeDelay()))
+	return look
 }
 
+// objectiveEnds is when an answer comes too late for the objective.
+func (s *single) objectiveEnds() time.Duration {
+	return s.began + s.call.Route.Objective - s.call.Elapsed
+}
+
+// noticeLate tells once that the objective has passed.
+func (s *single) noticeLate() {
+	if s.lateNoticed || s.call.Route.Objective == 0 || s.engine.now() < s.objectiveEnds() {
+		return
+	}
+	s.lateNoticed = true
+	s.engine.logLate(s.call, 1, []string{story(s.service, s.sent)})
+}
+
+func (s *single) hedgeAt() time.Duration { return s.lastSent + s.hedgeDelay() }
+
 func (s *single) hedgeDelay() time.Duration {
 	delay := time.Duration(singleHedgeFactor * float64(s.trace.Usual))
 	if half := s.call.Route.Objective / 2; half > 0 {
@@ -181,7 +211,7 @@
 }
 
 func (s *single) hedge() {
-	if !s.call.Route.Idempotent || s.hedged || len(s.inFlight) == 0 {
+	if !s.call.Route.Idempotent || s.hedged || len(s.inFlight) == 0 || s.engine.now() < s.hedgeAt() {
 		return
 	}
 	s.hedged = true
@@ -221,7 +251,7 @@
 }
 
 func (s *single) drop(part *sentPart) {
-	part.end()
+	part.end(s.call)
 	for i, p := range s.inFlight {
 		if p == part {
 			s.inFlight = append(s.inFlight[:i], s.inFlight[i+1:]...)
@@ -259,6 +289,8 @@
 // fail ends the call with an error and tells what became of its requests.
 func (s *single) fail(err *failure.Error) Outcome {
 	s.trace.Late = append(s.trace.Late, story(s.service, s.sent))
+	lines := 0
+	s.engine.logSent(s.call, s.service, s.sent, &lines)
 	return Outcome{Err: err, Trace: s.trace}
 }
 
--- a/pkg/logstory/logstory.go
+++ b/pkg/logstory/logstory.go
@@ -96,18 +96,38 @@
 	return s
 }
 
+// ends are the events with which a request ends.
+var ends = []string{"RT5015", "RT5016", "RT5017", "RT5018"}
+
+// end returns the last line on the end of the request, or else its last line and false.
+func (s *Story) end() (Line, bool) {
+	for _, l := range slices.Backward(s.Lines) {
+		if slices.Contains(ends, l.Event) {
+			return l, true
+		}
+	}
+	return s.Lines[len(s.Lines)-1], false
+}
+
 // Conclusion says in a sentence why the request ended as it did.
 func (s *Story) Conclusion() string {
 	if len(s.Lines) == 0 {
 		return "no log mentions the request: it never reached these processes, a process ended while it worked on it (RT1001 shows the next start), or its line was dropped (RT1104)"
 	}
-	last := s.Lines[len(s.Lines)-1]
+	last, ended := s.end()
 	text := func(name string) string {
 		if last.Fields[name] == nil {
 			return ""
 		}
 		return fmt.Sprint(last.Fields[name])
 	}
+	switch {
+	case !ended && last.Event == "RT5025":
+		return fmt.Sprintf("in progress when its log ends, %s ms after it came, with %s shards outstanding (%s): the process ended or still works on it (RT1001 shows the next start)",
+			text("milliseconds"), text("waiting"), text("late"))
+	case !ended:
+		return "admitted, and in progress when its log ends: the process ended or still works on it (RT1001 shows the next start), or the line on its end was dropped (RT1104, or 20 lines a second on requests that were answered in time)"
+	}
 	switch last.Event {
 	case "RT5015":
 		return fmt.Sprintf("answered in full after %s ms; overdue on the way: %s", text("milliseconds"), cmp.Or(text("late"), "none"))
--- a/pkg/logstory/logstory_test.go
+++ b/pkg/logstory/logstory_test.go
@@ -41,6 +41,22 @@
 		Expect(s.Conclusion()).To(ContainSubstring("s1=i-9"))
 	})
 
+	It("takes the line on the end for the conclusion, whatever lines come with it", func() {
+		sent := `{"fields":{"event":"RT5024","request":"abc","target":"i-9","result":"pending"},"level":"info","timestamp":"2026-01-30T07:00:03.1Z","message":"request to a target"}`
+		s := logstory.Tell("abc", [][]logstory.Line{read("a", first+sent)})
+		Expect(s.Lines).To(HaveLen(2))
+		Expect(s.Conclusion()).To(ContainSubstring("84 of 90 parts came"))
+	})
+
+	It("tells that a request was in progress when its process ended", func() {
+		admitted := `{"fields":{"event":"RT5021","request":"abc","route":"r"},"level":"info","timestamp":"2026-01-30T07:00:01Z","message":"request admitted"}` + "\n"
+		late := `{"fields":{"event":"RT5025","request":"abc","milliseconds":201,"waiting":2,"late":["s1=i-9@0:pending"]},"level":"info","timestamp":"2026-01-30T07:00:02Z","message":"late"}`
+		s := logstory.Tell("abc", [][]logstory.Line{read("a", admitted)})
+		Expect(s.Conclusion()).To(ContainSubstring("in progress when its log ends"))
+		s = logstory.Tell("abc", [][]logstory.Line{read("a", admitted+late)})
+		Expect(s.Conclusion()).To(ContainSubstring("s1=i-9@0:pending"))
+	})
+
 	It("says so when no log mentions the request", func() {
 		s := logstory.Tell("other", [][]logstory.Line{read("a", first)})
 		Expect(s.Conclusion()).To(ContainSubstring("no log mentions"))
