--- a/pkg/dispatch/decisions.go
+++ b/pkg/dispatch/decisions.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -59,14 +60,14 @@
 func (e *Engine) logExtra(c *Call, service model.ServiceID, sent *sentPart, earlier sends, why reason) {
 	if e.lines.extra.Allow() {
 		events.Emit(events.ExtraSent, c.Request.ID, service, sent.target.ID, why, sent.sentAt.Milliseconds(),
-			sent.cost, c.stats.usual().Microseconds(), e.extraLeft(service), story(service, earlier))
+			rounded(sent.cost), c.stats.usual().Microseconds(), rounded(e.extraLeft(service)), story(service, earlier))
 	}
 }
 
 func (e *Engine) logDenied(c *Call, service model.ServiceID, earlier sends) {
 	if e.lines.extra.Allow() {
 		events.Emit(events.ExtraDenied, c.Request.ID, service, earlier.reasonOf(), time.Since(c.Arrived).Milliseconds(),
-			e.extraLeft(service), story(service, earlier))
+			rounded(e.extraLeft(service)), story(service, earlier))
 	}
 }
 
@@ -85,7 +86,10 @@
 			return
 		}
 		*lines++
-		events.Emit(events.RequestSent, c.Request.ID, service, p.target.ID, p.sentAt.Milliseconds(), p.cost,
-			c.page.view.Dear[p.target.ID], p.replyAt.Milliseconds(), p.fate())
+		events.Emit(events.RequestSent, c.Request.ID, service, p.target.ID, p.sentAt.Milliseconds(), rounded(p.cost),
+			rounded(c.page.view.Dear[p.target.ID]), p.replyAt.Milliseconds(), p.fate())
 	}
 }
+
+// rounded keeps two digits after the point.
+func rounded(v float64) float64 { return math.Round(v*100) / 100 }
