Status: what a process of the users' platform believes, live

Metrics by route (bounded labels), by code and step of a failure, and gauges of targets, connections, table and retry budget. Specs: sections, each reason why a target is unused, the command with each role, bounded labels.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -92,6 +92,12 @@
 	return changed
 }
 
+// Len returns the number of targets.
+func (c *Catalog) Len() int { return len(c.targets) }
+
+// Position returns how far the list has changed.
+func (c *Catalog) Position() Position { return c.position }
+
 // Versions counts the targets of a service by version.
 func (c *Catalog) Versions(service model.ServiceID) map[model.VersionID]int {
 	counts := make(map[model.VersionID]int)
--- a/pkg/catalog/costs.go
+++ b/pkg/catalog/costs.go
@@ -190,12 +190,18 @@
 	from := c.reported
 	from.Term = c.position.Term
 	c.reported, c.reportedAt = c.position, now
+	return c.since(from), c.Dear()
+}
+
+// Dear counts the dear targets.
+func (c *Costs) Dear() int {
+	n := 0
 	for _, t := range c.told {
 		if t.cost > 0 {
-			dear++
+			n++
 		}
 	}
-	return c.since(from), dear
+	return n
 }
 
 // look notes what there is to tell, and forgets targets that nobody reports on.
--- /dev/null
+++ b/pkg/cli/live.go
@@ -0,0 +1,94 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+
+	"radishturn.example/radishturn/pkg/control/server"
+	"radishturn.example/radishturn/pkg/dispatch"
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/lease"
+	"radishturn.example/radishturn/pkg/metricsapi"
+)
+
+// liveStatus is what a process tells on its address for metrics. Sections that
+// its role lacks are nil.
+type liveStatus struct {
+	Lease    *lease.Status    `json:"lease,omitempty"`
+	Dispatch *dispatch.Status `json:"dispatch,omitempty"`
+	Control  *server.Status   `json:"control,omitempty"`
+}
+
+// showLive prints the status of one process in the roles entry and control.
+func showLive(ctx context.Context, o *options, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, o.timeout)
+	defer cancel()
+	s, err := readLive(ctx, address)
+	if err != nil {
+		return err
+	}
+	return o.print(s, func(w *tabwriter.Writer) { s.render(w) })
+}
+
+func readLive(ctx context.Context, address string) (*liveStatus, error) {
+	url := "http://" + address + metricsapi.StatusPath
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, exitWith(ExitUnreachable, failure.New(failure.PeerUnreachable, ranOf(err), "read status", address, "%w", err))
+	}
+	defer func() { _ = response.Body.Close() }() // only read from
+	if response.StatusCode != http.StatusOK {
+		return nil, failure.New(failure.Internal, failure.Unknown, "read status", address, "status %d", response.StatusCode)
+	}
+	s := new(liveStatus)
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(s); err != nil {
+		return nil, failure.New(failure.MismatchedReply, failure.Unknown, "read status", address, "%w", err)
+	}
+	return s, nil
+}
+
+func (s *liveStatus) render(w *tabwriter.Writer) {
+	if l := s.Lease; l != nil {
+		printf(w, "lease %s, %d ms left, revision %d, %d instances known", l.Lease, l.LeftMilliseconds, l.Revision, l.Instances)
+		printf(w, "evacuated: %s; out by rule: %s", joinNames(l.Evacuated), joinNames(l.ZonesOut))
+	}
+	if c := s.Control; c != nil {
+		printf(w, "leader %s, term %d, commit %d, %d voters, %d learners, %d instances", c.Member.Leader.Instance,
+			c.Member.Term, c.Member.Commit, len(c.Member.Voters), len(c.Member.Learners), c.Instances)
+		printf(w, "routing table %d", c.TableVersion)
+		if l := c.Leader; l != nil {
+			printf(w, "leads: %d leases, %d targets listed (change %d), %d dear", l.Leases, l.CatalogTargets, l.CatalogSequence, l.DearTargets)
+		}
+	}
+	if d := s.Dispatch; d != nil {
+		renderDispatch(w, d)
+	}
+}
+
+// renderDispatch lists the targets that get no requests, or cost more than usual.
+func renderDispatch(w *tabwriter.Writer, d *dispatch.Status) {
+	printf(w, "routing table %d, %d targets, %d budgets", d.TableVersion, len(d.Targets), len(d.Budgets))
+	printf(w, "TARGET\tSERVICE\tZONE\tCOST\tDEAR\tCONNECTIONS\tIN FLIGHT\tSTATE")
+	for _, t := range d.Targets {
+		if t.Unused == "" && t.Dear == 0 && t.Cost < noticedCost && !t.Cold {
+			continue
+		}
+		state := t.Unused
+		if state == "" && t.Cold {
+			state = "cold"
+		}
+		printf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s", t.ID, t.Service, t.AvailabilityZone,
+			fmt.Sprintf("%.1f", t.Cost), fmt.Sprintf("%.1f", t.Dear), t.Connections, t.InFlight, state)
+	}
+}
+
+// noticedCost is the cost from which a target is listed, in usual latencies.
+const noticedCost = 2
--- /dev/null
+++ b/pkg/cli/live_test.go
@@ -0,0 +1,74 @@
+package cli_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/cli"
+	"radishturn.example/radishturn/pkg/control/server"
+	"radishturn.example/radishturn/pkg/dispatch"
+	"radishturn.example/radishturn/pkg/lease"
+	"radishturn.example/radishturn/pkg/metricsapi"
+	"radishturn.example/radishturn/pkg/view"
+)
+
+var _ = Describe("status --metrics", func() {
+	// show serves a status and returns what the command prints of it.
+	show := func(sections map[string]any, args ...string) (string, error) {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			Expect(r.URL.Path).To(Equal(metricsapi.StatusPath))
+			Expect(json.NewEncoder(w).Encode(sections)).To(Succeed())
+		}))
+		DeferCleanup(s.Close)
+		var out bytes.Buffer
+		command := cli.Command()
+		command.SetOut(&out)
+		command.SetArgs(append([]string{"status", "--metrics", strings.TrimPrefix(s.URL, "http://")}, args...))
+		err := command.Execute()
+		return out.String(), err
+	}
+	entry := map[string]any{
+		"lease": lease.Status{Lease: view.LeaseHeld, LeftMilliseconds: 2100, Instances: 6},
+		"dispatch": dispatch.Status{TableVersion: 7, Targets: []dispatch.TargetStatus{
+			{ID: "i-usual", Service: "s1", Cost: 1},
+			{ID: "i-gone", Service: "s1", Cost: 4, Unused: "unreachable"},
+			{ID: "i-dear", Service: "s2", Cost: 1.2, Dear: 3.5},
+		}},
+	}
+
+	It("names the targets of an entry that are not as usual", func() {
+		out, err := show(entry)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(out).To(And(ContainSubstring("lease held, 2100 ms left"), ContainSubstring("routing table 7, 3 targets")))
+		Expect(out).To(And(ContainSubstring("i-gone"), ContainSubstring("unreachable"), ContainSubstring("i-dear")))
+		Expect(out).NotTo(ContainSubstring("i-usual"))
+	})
+
+	It("prints all of it as JSON", func() {
+		out, err := show(entry, "--json")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(out).To(ContainSubstring(`"id": "i-usual"`))
+	})
+
+	It("tells what a leader knows", func() {
+		out, err := show(map[string]any{"control": server.Status{Leader: &server.LeaderStatus{Leases: 78, DearTargets: 3}}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(out).To(And(ContainSubstring("leads: 78 leases"), ContainSubstring("3 dear")))
+	})
+
+	It("says that nobody listens", func() {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.Close()).To(Succeed())
+		command := cli.Command()
+		command.SetArgs([]string{"status", "--metrics", l.Addr().String()})
+		Expect(cli.CodeOf(command.Execute())).To(Equal(cli.ExitUnreachable))
+	})
+})
--- a/pkg/cli/root.go
+++ b/pkg/cli/root.go
@@ -94,7 +94,7 @@
 
 // Command returns the command line.
 func Command() *cobra.Command {
-	o := &options{out: os.Stdout}
+	o := &options{}
 	root := &cobra.Command{
 		Use:           "radishturn",
 		Short:         "Operate a radishturn query tier",
@@ -108,6 +108,7 @@
 everywhere, 6 move taken back, 7 no instance answered, 8 a check of answers
 found a violation.`,
 	}
+	root.PersistentPreRun = func(c *cobra.Command, _ []string) { o.out = c.OutOrStdout() }
 	flags := root.PersistentFlags()
 	flags.BoolVar(&o.json, "json", false, "print JSON")
 	flags.StringSliceVar(&o.admin, "admin", envList(adminVariable), "admin addresses, tried in order ($"+adminVariable+")")
--- a/pkg/cli/status.go
+++ b/pkg/cli/status.go
@@ -32,11 +32,18 @@
 }
 
 func statusCommand(o *options) *cobra.Command {
-	return &cobra.Command{
+	var live string
+	command := &cobra.Command{
 		Use:   "status",
 		Short: "Show an instance, the holders of leases and the control group",
-		Args:  cobra.NoArgs,
+		Example: `  radishturn status
+  # What a process in the role entry or control believes now:
+  radishturn status --metrics 10.0.0.4:9464`,
+		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			if live != "" {
+				return showLive(c.Context(), o, live)
+			}
 			s, err := readStatus(c.Context(), o)
 			if err != nil {
 				return err
@@ -44,6 +51,8 @@
 			return o.print(s, func(w *tabwriter.Writer) { renderStatus(w, s) })
 		},
 	}
+	command.Flags().StringVar(&live, "metrics", "", "address for metrics of a process in the role entry or control")
+	return command
 }
 
 // readStatus asks one instance; while control is lost the rest stays empty.
--- a/pkg/control/server/module.go
+++ b/pkg/control/server/module.go
@@ -18,6 +18,7 @@
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/lease/clock"
 	"radishturn.example/radishturn/pkg/mesh"
+	"radishturn.example/radishturn/pkg/metricsapi"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/platform"
 	"radishturn.example/radishturn/pkg/replica"
@@ -65,7 +66,7 @@
 func (*Server) ModuleInfo() radishturn.ModuleInfo {
 	return radishturn.ModuleInfo{
 		ID:    control.ModuleName,
-		After: []radishturn.ModuleID{mesh.ModuleName, platform.ModuleName, state.ModuleName, "control.replica"},
+		After: []radishturn.ModuleID{mesh.ModuleName, platform.ModuleName, state.ModuleName, "control.replica", metricsapi.ModuleName},
 		Roles: settings.AllRoles,
 		New:   func() radishturn.Module { return &Server{} },
 	}
@@ -89,6 +90,9 @@
 		return err
 	}
 	s.setup(c.Settings, m, list, machine, proposer)
+	if c.Settings.Instance.Role == settings.RoleControl {
+		metricsapi.Report(c, "control", func() any { return s.Status() })
+	}
 	return s.provide(c)
 }
 
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -244,6 +244,22 @@
 		Expect(evacuated.Requests()).To(BeEmpty())
 	})
 
+	It("tells in its status why targets get no requests", func() {
+		f.add("s", "a", nil)
+		f.add("s", "b", nil)
+		f.add("s", "c", nil).Stop()
+		leaving := f.targets["i-0"]
+		leaving.Leaving = true
+		f.targets["i-0"] = leaving
+		f.publish(func(v *view.View) { v.Evacuated = map[model.AvailabilityZoneID]bool{"b": true} })
+		Expect(f.do(orderRoute(true), "r1").Err).NotTo(BeNil())
+		s := f.engine.Status()
+		Expect(s.TableVersion).To(BeEquivalentTo(1))
+		Expect(s.Targets).To(HaveExactElements(
+			HaveField("Unused", "leaving"), HaveField("Unused", "evacuated"), HaveField("Unused", "unreachable")))
+		Expect(s.Budgets).To(HaveKey(model.ServiceID("s")))
+	})
+
 	It("divides requests by weight", func() {
 		f.add("s", "a", nil)
 		f.add("t", "a", nil)
--- a/pkg/dispatch/metrics.go
+++ b/pkg/dispatch/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -53,10 +54,45 @@
 	requestsSent.Add(out.Trace.Sent)
 	requestsHedged.Add(out.Trace.Hedged + out.Trace.Repeated)
 	extrasDenied.Add(out.Trace.Denied)
-	m.outcomes[outcomeName(out)].Inc()
+	outcome := outcomeName(out)
+	m.outcomes[outcome].Inc()
+	route := routeLabels.bound(c.Route.Name)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`radishturn_route_calls_total{route=%q,outcome=%q}`, route, outcome)).Inc()
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`radishturn_route_seconds{route=%q}`, route)).Update(time.Since(c.Arrived).Seconds())
+	if out.Err != nil {
+		metrics.GetOrCreateCounter(fmt.Sprintf(`radishturn_call_failures_total{code=%q,step=%q}`, out.Err.Code, out.Err.Step)).Inc()
+	}
 	return out
 }
 
+// maxRouteLabels bounds the routes with series of their own, and otherRoutes is
+// the label of the rest. Routes come and go with the table.
+const (
+	maxRouteLabels = 64
+	otherRoutes    = "other"
+)
+
+// labelSet gives the first names that come labels of their own.
+type labelSet struct {
+	mu    sync.Mutex
+	names map[string]bool
+}
+
+var routeLabels = labelSet{names: make(map[string]bool)}
+
+func (l *labelSet) bound(name string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.names[name]:
+		return name
+	case len(l.names) >= maxRouteLabels:
+		return otherRoutes
+	}
+	l.names[name] = true
+	return name
+}
+
 func outcomeName(out Outcome) string {
 	switch {
 	case out.Answer != nil && out.Answer.Missing == 0:
--- a/pkg/dispatch/module.go
+++ b/pkg/dispatch/module.go
@@ -7,6 +7,7 @@
 	"radishturn.example/radishturn"
 	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/lease"
+	"radishturn.example/radishturn/pkg/metricsapi"
 	"radishturn.example/radishturn/pkg/retry"
 	"radishturn.example/radishturn/pkg/settings"
 	"radishturn.example/radishturn/pkg/view"
@@ -24,7 +25,7 @@
 func (*Module) ModuleInfo() radishturn.ModuleInfo {
 	return radishturn.ModuleInfo{
 		ID:    ModuleName,
-		After: []radishturn.ModuleID{lease.ModuleName},
+		After: []radishturn.ModuleID{lease.ModuleName, metricsapi.ModuleName},
 		Roles: []settings.Role{settings.RoleEntry},
 		New:   func() radishturn.Module { return &Module{} },
 	}
@@ -46,6 +47,8 @@
 		AvailabilityZone: c.Settings.Instance.AvailabilityZone, Views: views, Codec: codec, Reporter: reporter,
 		Extra: retry.Bound{Window: b.Window.Std(), Ratio: b.Ratio, Slack: b.Slack},
 	})
+	m.engine.serveGauges()
+	metricsapi.Report(c, "dispatch", func() any { return m.engine.Status() })
 	return radishturn.Provide(c, m.engine)
 }
 
--- a/pkg/lease/module.go
+++ b/pkg/lease/module.go
@@ -18,6 +18,7 @@
 	"radishturn.example/radishturn/pkg/control/wire"
 	"radishturn.example/radishturn/pkg/lease/clock"
 	"radishturn.example/radishturn/pkg/mesh"
+	"radishturn.example/radishturn/pkg/metricsapi"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/settings"
 	"radishturn.example/radishturn/pkg/view"
@@ -64,7 +65,7 @@
 func (*Module) ModuleInfo() radishturn.ModuleInfo {
 	return radishturn.ModuleInfo{
 		ID:    ModuleName,
-		After: []radishturn.ModuleID{mesh.ModuleName, control.ModuleName},
+		After: []radishturn.ModuleID{mesh.ModuleName, control.ModuleName, metricsapi.ModuleName},
 		Roles: []settings.Role{settings.RoleStandalone, settings.RoleEntry},
 		New:   func() radishturn.Module { return &Module{} },
 	}
@@ -84,6 +85,7 @@
 		return err
 	}
 	m.setup(c.Settings, peers, router)
+	metricsapi.Report(c, "lease", func() any { return m.Status() })
 	if err := radishturn.Provide[view.Source](c, m); err != nil {
 		return err
 	}
--- a/pkg/metricsapi/metricsapi.go
+++ b/pkg/metricsapi/metricsapi.go
@@ -1,4 +1,4 @@
-// Package metricsapi serves the metrics of the process on an address of its own,
+// Package metricsapi serves the metrics and the status of the process on an address of its own,
 // where the settings name one.
 package metricsapi
 
@@ -19,7 +19,10 @@
 // Path is where the metrics are.
 const Path = "/metrics"
 
-// Module serves metrics.
+// ModuleName is the ID of the module.
+const ModuleName radishturn.ModuleID = "metrics"
+
+// Module serves metrics and the status.
 type Module struct{ server *httpserver.Server }
 
 func init() { radishturn.RegisterModule(&Module{}) }
@@ -27,7 +30,7 @@
 // ModuleInfo returns the module's description.
 func (*Module) ModuleInfo() radishturn.ModuleInfo {
 	return radishturn.ModuleInfo{
-		ID:    "metrics",
+		ID:    ModuleName,
 		Roles: []settings.Role{settings.RoleEntry, settings.RoleControl},
 		New:   func() radishturn.Module { return &Module{} },
 	}
@@ -36,6 +39,10 @@
 // Provision opens the listener. An address that cannot be had costs the
 // metrics, not the service.
 func (m *Module) Provision(c *radishturn.Context) error {
+	sections := &Sections{reports: make(map[string]func() any)}
+	if err := radishturn.Provide(c, sections); err != nil {
+		return err
+	}
 	address := c.Settings.Instance.MetricsListen
 	if !address.IsValid() {
 		return nil
@@ -47,6 +54,7 @@
 	}
 	e := echo.New()
 	e.GET(Path, serve)
+	e.GET(StatusPath, sections.serve)
 	m.server = httpserver.New("metrics", l, e, httpserver.DefaultLimits)
 	return nil
 }
--- /dev/null
+++ b/pkg/metricsapi/status.go
@@ -0,0 +1,46 @@
+package metricsapi
+
+import (
+	"net/http"
+	"sync"
+
+	"github.com/labstack/echo/v4"
+
+	"radishturn.example/radishturn"
+)
+
+// StatusPath is where the process tells what it believes, as JSON: an object
+// with a section for each module that reports.
+const StatusPath = "/status"
+
+// Sections are the parts of the status. Each is read when it is asked for.
+type Sections struct {
+	mu      sync.Mutex
+	reports map[string]func() any
+}
+
+// Report adds a section in the roles that have a status. The function is called
+// by several goroutines.
+func Report(c *radishturn.Context, section string, read func() any) {
+	s, err := radishturn.Require[*Sections](c)
+	if err != nil {
+		// The role has no address for metrics.
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reports[section] = read
+}
+
+// read returns all sections.
+func (s *Sections) read() map[string]any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make(map[string]any, len(s.reports))
+	for name, read := range s.reports {
+		all[name] = read()
+	}
+	return all
+}
+
+func (s *Sections) serve(c echo.Context) error { return c.JSON(http.StatusOK, s.read()) }
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -240,6 +240,13 @@
 	return Full
 }
 
+// Connections returns how many connections are open.
+func (p *Pool) Connections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.open)
+}
+
 // Close takes no further attempts and closes idle connections; those in use
 // close after their reply.
 func (p *Pool) Close() {
