Dispatch: a request that crashes the targets which run it is refused

The product has a quarantine, but it asks for a trial alone on a target, which the engine of the platform does not have.

A call that no target has answered gets no further requests after three targets have broken off. When it ends, the targets that broke off are probed; those that refuse connections died and are reported, unless this instance knows of an answer to the same method, host, path and body. Control condemns after three such deaths that span a second, for ten minutes; view, quarantine and refusal as "not run" are those of the product. Ruled out: counting broken connections (answers lost by living targets repeat the same few paths), deaths alone (a zone's loss takes popular requests along), quarantine for good (nobody has seen the request alone).

--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -107,6 +107,9 @@
 	Fingerprint model.Fingerprint `json:"fingerprint" cbor:"1,keyasint"`
 	Deaths      []model.TargetID  `json:"deaths" cbor:"2,keyasint"`
 	At          time.Time         `json:"at" cbor:"3,keyasint"`
+	// Until is when the quarantine ends, on the clock of the group; 0 means that
+	// an operator has to lift it.
+	Until time.Duration `json:"until,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
 // Holder is an instance that holds a lease.
--- a/pkg/control/server/evidence.go
+++ b/pkg/control/server/evidence.go
@@ -56,6 +56,20 @@
 	return nil
 }
 
+// endQuarantines ends those whose time is over.
+func (n *session) endQuarantines(ctx context.Context) {
+	due := false
+	n.machine.Read(func(s *state.State) { due = s.QuarantineOverdue(n.clock + n.now() - n.started) })
+	if !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, takeOfficeTimeout)
+	defer cancel()
+	if _, err := n.propose(ctx, "end quarantines", &state.Command{Deaths: &state.Deaths{At: time.Now()}}); err != nil {
+		events.Emit(events.QuarantineNotEnded, err)
+	}
+}
+
 // noteWarmth adjusts the cold load of targets.
 func (n *session) noteWarmth(e *view.Evidence) {
 	if len(e.Cold) == 0 && len(e.Warm) == 0 {
--- a/pkg/control/server/session.go
+++ b/pkg/control/server/session.go
@@ -174,6 +174,7 @@
 	gone := n.unlisted(n.granter.Released())
 	n.lock.Unlock()
 	n.refreshLimits()
+	n.endQuarantines(ctx)
 	n.keepMembers(ctx)
 	if len(gone) > 0 {
 		n.forget(ctx, gone)
--- a/pkg/dispatch/decisions_test.go
+++ b/pkg/dispatch/decisions_test.go
@@ -17,43 +17,39 @@
 	"radishturn.example/radishturn/pkg/routing"
 )
 
-// logBuffer takes the log of a spec.
+// logBuffer takes the log of all specs and shows it with those that fail.
 type logBuffer struct {
 	mu   sync.Mutex
 	text bytes.Buffer
 }
 
+// specLog is set up once: targets and calls of earlier specs may still write.
+var specLog logBuffer
+
 func (b *logBuffer) Write(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.text.Write(p)
+	b.text.Write(p)
+	return GinkgoWriter.Write(p)
 }
 
-// fieldsOf returns the fields of the lines with an event, in order.
-func (b *logBuffer) fieldsOf(event events.Number) []map[string]any {
+// linesOf returns the fields of a request's lines with an event, in order.
+func (b *logBuffer) linesOf(id string, event events.Number) []map[string]any {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var found []map[string]any
 	for line := range strings.Lines(b.text.String()) {
 		var l struct{ Fields map[string]any }
 		Expect(json.Unmarshal([]byte(line), &l)).To(Succeed(), line)
-		if l.Fields["event"] == event.String() {
+		if l.Fields["event"] == event.String() && l.Fields["request"] == id {
 			found = append(found, l.Fields)
 		}
 	}
 	return found
 }
 
-func captureLog() *logBuffer {
-	b := &logBuffer{}
-	Expect(events.Setup(b, "json", "info")).To(Succeed())
-	DeferCleanup(func() { Expect(events.Setup(GinkgoWriter, "text", "info")).To(Succeed()) })
-	return b
-}
-
 var _ = Describe("The log of decisions", func() {
 	var f *fleet
-	var log *logBuffer
 	shards := func() *routing.Route {
 		return &routing.Route{
 			Name: "query", Host: "h", Prefix: "/", Timeout: time.Second, Objective: 150 * time.Millisecond,
@@ -62,26 +58,23 @@
 		}
 	}
 
-	BeforeEach(func() {
-		f = newFleet()
-		log = captureLog()
-	})
+	BeforeEach(func() { f = newFleet() })
 
 	It("tells of a request when work on it begins", func() {
 		f.add("s", "a", always(exchangetest.Behaviour{Silent: true}))
 		f.publish(nil)
-		go f.do(orderRoute(false), "r1")
-		Eventually(func() []map[string]any { return log.fieldsOf(events.CallAdmitted) }).Should(ContainElement(And(
-			HaveKeyWithValue("request", "r1"), HaveKeyWithValue("tableVersion", 1.0), HaveKeyWithValue("leaseMilliseconds", 1000.0))))
-		Eventually(func() []map[string]any { return log.fieldsOf(events.CallFailed) }).Should(BeEmpty())
+		go f.do(orderRoute(false), "admitted")
+		Eventually(func() []map[string]any { return specLog.linesOf("admitted", events.CallAdmitted) }).Should(ContainElement(And(
+			HaveKeyWithValue("request", "admitted"), HaveKeyWithValue("tableVersion", 1.0), HaveKeyWithValue("leaseMilliseconds", 1000.0))))
+		Eventually(func() []map[string]any { return specLog.linesOf("admitted", events.CallFailed) }).Should(BeEmpty())
 	})
 
 	It("tells of a hedge with what decided it", func() {
 		f.add("s", "a", always(exchangetest.Behaviour{Silent: true}))
 		f.add("s", "b", nil)
 		f.publish(nil)
-		f.do(orderRoute(true), "r1")
-		Expect(log.fieldsOf(events.ExtraSent)).To(ContainElement(And(
+		f.do(orderRoute(true), "hedged")
+		Expect(specLog.linesOf("hedged", events.ExtraSent)).To(ContainElement(And(
 			HaveKeyWithValue("reason", "hedge"), HaveKeyWithValue("target", "i-1"),
 			HaveKeyWithValue("earlier", MatchRegexp(`^s=i-0@\d+:pending$`)), HaveKey("budget"), HaveKey("cost"))))
 	})
@@ -91,8 +84,8 @@
 		f.add("s", "a", always(exchangetest.Behaviour{Status: 500}))
 		f.add("s", "b", always(exchangetest.Behaviour{Status: 500}))
 		f.publish(nil)
-		f.do(orderRoute(true), "r1")
-		Expect(log.fieldsOf(events.ExtraDenied)).To(ContainElement(And(
+		f.do(orderRoute(true), "denied")
+		Expect(specLog.linesOf("denied", events.ExtraDenied)).To(ContainElement(And(
 			HaveKeyWithValue("reason", "repeat"), HaveKeyWithValue("budget", BeNumerically("<", 1)))))
 	})
 
@@ -100,9 +93,9 @@
 		f.add("x", "a", nil)
 		f.add("y", "a", always(exchangetest.Behaviour{Silent: true}))
 		f.publish(nil)
-		out := f.do(shards(), "r1")
+		out := f.do(shards(), "partial")
 		Expect(out.Answer.Missing).To(Equal(1))
-		Expect(log.fieldsOf(events.RequestSent)).To(ContainElement(And(
+		Expect(specLog.linesOf("partial", events.RequestSent)).To(ContainElement(And(
 			HaveKeyWithValue("service", "y"), HaveKeyWithValue("target", "i-1"), HaveKeyWithValue("result", fatePending))))
 	})
 
@@ -110,8 +103,8 @@
 		f.add("x", "a", always(exchangetest.Behaviour{Silent: true}))
 		f.add("y", "a", always(exchangetest.Behaviour{Silent: true}))
 		f.publish(nil)
-		f.do(shards(), "r1")
-		Expect(log.fieldsOf(events.CallLate)).To(HaveLen(1))
-		Expect(log.fieldsOf(events.CallLate)[0]).To(HaveKeyWithValue("waiting", 2.0))
+		f.do(shards(), "late")
+		Expect(specLog.linesOf("late", events.CallLate)).To(HaveLen(1))
+		Expect(specLog.linesOf("late", events.CallLate)[0]).To(HaveKeyWithValue("waiting", 2.0))
 	})
 })
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -24,7 +24,7 @@
 
 func TestDispatch(t *testing.T) {
 	RegisterFailHandler(Fail)
-	if err := events.Setup(GinkgoWriter, "text", "info"); err != nil {
+	if err := events.Setup(&specLog, "json", "info"); err != nil {
 		t.Fatal(err)
 	}
 	RunSpecs(t, "dispatch")
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -13,6 +13,7 @@
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/query/poison"
 	"radishturn.example/radishturn/pkg/query/versions"
 	"radishturn.example/radishturn/pkg/retry"
 	"radishturn.example/radishturn/pkg/routing"
@@ -44,6 +45,8 @@
 	turns   map[string]*turn
 	// costs are what replies cost since the last report.
 	costs map[model.TargetID]catalog.Sample
+	// proven are requests that some target has answered.
+	proven *poison.Proven
 	// moves are the services whose traffic moves between versions.
 	moves map[model.ServiceID]*moving
 }
@@ -60,6 +63,7 @@
 		turns:   make(map[string]*turn),
 		costs:   make(map[model.TargetID]catalog.Sample),
 		moves:   make(map[model.ServiceID]*moving),
+		proven:  poison.NewProven(),
 	}
 }
 
--- a/pkg/dispatch/fanout.go
+++ b/pkg/dispatch/fanout.go
@@ -52,18 +52,25 @@
 	trace   Trace
 	// endNoticed is set once the log tells that the objective has passed.
 	endNoticed bool
+	// broken counts the targets that broke off.
+	broken int
 }
 
 // Query passes a call to one target of each shard and merges the parts.
 func (e *Engine) Query(ctx context.Context, c *Call) Outcome {
 	e.prepare(c)
 	q := e.newQuery(c)
+	if err := refuseCondemned(c); err != nil {
+		return observe(c, Outcome{Err: err, Trace: q.trace})
+	}
 	if err := q.checkReach(); err != nil {
 		return observe(c, Outcome{Err: err, Trace: q.trace})
 	}
 	e.noteFirst(c.Route.Fanout.Shards...)
 	e.logAdmitted(c, &q.trace)
-	return observe(c, q.loop(ctx))
+	out := q.loop(ctx)
+	e.judgeHarm(c, q.sent...)
+	return observe(c, out)
 }
 
 func (e *Engine) newQuery(c *Call) *query {
@@ -170,6 +177,10 @@
 		q.run.Unsent(i, now, q.call.page.reachable(service, now))
 		return
 	}
+	if q.mayHarm() {
+		q.run.Denied(i, now)
+		return
+	}
 	if q.sent[i].haveArrived() && !q.engine.takeExtra(service, q.run.Needs(i, now)) {
 		q.trace.Denied++
 		q.engine.logDenied(q.call, service, q.sent[i])
@@ -199,6 +210,9 @@
 	q.sent[i] = append(q.sent[i], sent)
 }
 
+// mayHarm reports whether the query seems to end the targets that run it.
+func (q *query) mayHarm() bool { return q.broken >= brokenBeforeHold && q.run.Parts() == 0 }
+
 // choose returns the target for the next request to a shard: one that was not
 // asked yet, or else one that no longer works on an earlier request. Only so
 // many targets may run the request as the route allows.
@@ -240,6 +254,7 @@
 			q.top.Add(reply.Body)
 		}
 	default:
+		q.broken += len(sends{r}.broken())
 		q.run.Failed(r.shard, q.engine.now(), r.mayHaveRun)
 	}
 }
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -61,12 +61,17 @@
 		results:  make(chan *sentPart, maxSingleSends),
 		trace:    e.newTrace(c),
 	}
+	if err := refuseCondemned(c); err != nil {
+		return observe(c, s.fail(err))
+	}
 	if !c.page.reachable(service, e.now()) {
 		return observe(c, s.refuse("find target", "no target of %s can be reached", service))
 	}
 	e.noteFirst(service)
 	e.logAdmitted(c, &s.trace)
-	return observe(c, s.loop(ctx))
+	out := s.loop(ctx)
+	e.judgeHarm(c, s.sent)
+	return observe(c, out)
 }
 
 // pick chooses the service of a route that is split.
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -50,6 +50,7 @@
 	MembershipChangeFailed Number = 3104
 	OfferFailed            Number = 3105
 	TableAccepted          Number = 3106
+	QuarantineNotEnded     Number = 3108
 	ZoneEvacuation         Number = 3107
 
 	LeaseGranted     Number = 4001
@@ -171,6 +172,7 @@
 	{OfferFailed, debug, "leader could not be told that this instance is there", []string{"error"}},
 	{TableAccepted, info, "routing table accepted", []string{"version", "inForce", "routes", "milliseconds"}},
 	{ZoneEvacuation, warn, "evacuation of an availability zone changed", []string{"availabilityZone", "evacuated"}},
+	{QuarantineNotEnded, warn, "quarantines whose time is over could not be ended; tried again", []string{"error"}},
 
 	{LeaseGranted, info, "lease granted", []string{"leader", "revision"}},
 	{LeaseControlLost, warn, "control is lost; queries go on, orders are refused", []string{"reached", "known"}},
--- a/pkg/exchange/exchangetest/exchangetest.go
+++ b/pkg/exchange/exchangetest/exchangetest.go
@@ -60,6 +60,8 @@
 	Silent bool
 	// Cut ends the connection in the middle of the reply.
 	Cut bool
+	// Crash ends the target when it gets the request.
+	Crash bool
 	// Extra sends a second reply, to an earlier request, before the right one.
 	Extra bool
 	// Close closes the connection after the reply.
@@ -165,6 +167,10 @@
 // reply answers one request and reports whether the connection goes on.
 func (t *Target) reply(c net.Conn, id string, b Behaviour) bool {
 	time.Sleep(b.Delay)
+	if b.Crash {
+		t.Stop()
+		return false
+	}
 	if b.Silent {
 		return true
 	}
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"slices"
 	"sync"
@@ -247,6 +248,22 @@
 	return len(p.open)
 }
 
+// probeTimeout bounds a probe.
+const probeTimeout = 300 * time.Millisecond
+
+// Refused reports whether the target's machine refuses connections: it runs, and
+// the target does not. The probe is no connection of the pool.
+func (p *Pool) Refused() bool {
+	probe := dialer
+	probe.Timeout = probeTimeout
+	c, err := probe.Dial("tcp4", p.address)
+	if err == nil {
+		_ = c.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Close takes no further attempts and closes idle connections; those in use
 // close after their reply.
 func (p *Pool) Close() {
--- a/pkg/state/command.go
+++ b/pkg/state/command.go
@@ -76,6 +76,9 @@
 	Suspects []model.Fingerprint `cbor:"3,keyasint"`
 	// Trial is set if the target had been given a suspect request alone.
 	Trial bool `cbor:"4,keyasint,omitempty"`
+	// NeverAnswered is set if the reporting instance knows of no target that has
+	// answered the suspects.
+	NeverAnswered bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Lift ends a quarantine.
--- a/pkg/state/quarantine.go
+++ b/pkg/state/quarantine.go
@@ -13,8 +13,17 @@
 )
 
 const (
-	// condemnAfter is the number of distinct deaths that condemn a fingerprint.
+	// condemnAfter is the number of distinct deaths that condemn a fingerprint
+	// which had the target alone at one of them.
 	condemnAfter = 2
+	// condemnUnanswered is that number for a fingerprint without a trial that no
+	// target has answered, and unansweredSpread the least time between the first
+	// and the last: targets that fail together take requests with them.
+	condemnUnanswered = 3
+	unansweredSpread  = time.Second
+	// unansweredQuarantine is how long such a fingerprint is refused. Nobody has
+	// seen it alone, so it gets another chance.
+	unansweredQuarantine = 10 * time.Minute
 	// suspicionWindow is how long one death counts, on the clock of the group.
 	suspicionWindow = 10 * time.Minute
 	// MaxSuspects bounds the fingerprints with a single death.
@@ -35,6 +44,10 @@
 	Tried bool `cbor:"2,keyasint"`
 	// Expires is on the clock of the group.
 	Expires time.Duration `cbor:"3,keyasint"`
+	// Unanswered are those of the deaths whose reporters know of no target that
+	// has answered the fingerprint, and Since is when the first was recorded.
+	Unanswered int           `cbor:"4,keyasint,omitempty"`
+	Since      time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 type incarnation struct {
@@ -46,9 +59,11 @@
 // distinct deaths, in one of which it had the target alone on trial. When a
 // rack or an availability zone fails, the requests in flight see many deaths
 // together, and a popular request is the only suspect of many of them; the trial
-// is what tells a harmful request from those.
+// is what tells a harmful request from those. Without trials, one that no target
+// has answered is condemned by three deaths that did not come together.
 func (s *State) recordDeaths(index uint64, d *Deaths) *Result {
 	s.expireSuspects()
+	s.expireQuarantines(index)
 	result := &Result{}
 	for _, death := range d.Deaths {
 		for _, f := range death.Suspects[:min(len(death.Suspects), maxSuspectsOfDeath)] {
@@ -69,20 +84,64 @@
 	entry := s.data.Suspects[f]
 	died := incarnation{Target: d.Target, Boot: d.Boot}
 	if !slices.Contains(entry.Deaths, died) && len(entry.Deaths) < maxDeathsOfSuspect {
+		if len(entry.Deaths) == 0 {
+			entry.Since = s.data.Clock
+		}
 		entry.Deaths = append(slices.Clone(entry.Deaths), died)
+		if d.NeverAnswered {
+			entry.Unanswered++
+		}
 	}
 	entry.Tried = entry.Tried || d.Trial
 	entry.Expires = s.data.Clock + suspicionWindow
-	if len(entry.Deaths) < condemnAfter || !entry.Tried || len(s.data.Quarantined) >= MaxQuarantined {
+	until, condemned := entry.sentence(s.data.Clock)
+	if !condemned || len(s.data.Quarantined) >= MaxQuarantined {
 		s.data.Suspects[f] = entry
 		s.boundSuspects()
 		return false
 	}
 	delete(s.data.Suspects, f)
-	s.data.Quarantined[f] = control.Quarantine{Fingerprint: f, Deaths: targetsOf(entry.Deaths), At: at}
+	s.data.Quarantined[f] = control.Quarantine{Fingerprint: f, Deaths: targetsOf(entry.Deaths), At: at, Until: until}
 	return true
 }
 
+// sentence reports whether the deaths condemn the fingerprint, and until when on
+// the clock of the group; 0 means until an operator lifts it.
+func (s suspect) sentence(now time.Duration) (until time.Duration, condemned bool) {
+	switch {
+	case len(s.Deaths) >= condemnAfter && s.Tried:
+		return 0, true
+	case s.Unanswered >= condemnUnanswered && now-s.Since >= unansweredSpread:
+		return now + unansweredQuarantine, true
+	}
+	return 0, false
+}
+
+// expireQuarantines ends those whose time is over.
+func (s *State) expireQuarantines(index uint64) {
+	for _, f := range slices.Sorted(maps.Keys(s.data.Quarantined)) {
+		if overdue(s.data.Quarantined[f], s.data.Clock) {
+			delete(s.data.Quarantined, f)
+			s.changed(index, fingerprintKey(f))
+		}
+	}
+}
+
+func overdue(q control.Quarantine, now time.Duration) bool {
+	return q.Until > 0 && q.Until <= now
+}
+
+// QuarantineOverdue reports whether a quarantine should have ended at now on the
+// clock of the group. The next command on deaths ends it, an empty one as well.
+func (s *State) QuarantineOverdue(now time.Duration) bool {
+	for _, q := range s.data.Quarantined {
+		if overdue(q, now) {
+			return true
+		}
+	}
+	return false
+}
+
 func targetsOf(deaths []incarnation) []model.TargetID {
 	targets := make([]model.TargetID, len(deaths))
 	for i, d := range deaths {
--- a/pkg/state/state_test.go
+++ b/pkg/state/state_test.go
@@ -149,6 +149,33 @@
 		Expect(l.do(state.Command{Lift: &state.Lift{Fingerprint: 7}}).Refusal.Code).To(Equal(failure.NotFound))
 	})
 
+	It("condemns a request that nobody has answered after three deaths that came one after the other", func() {
+		unanswered := func(target string) state.Death {
+			d := death(target, "b", 7)
+			d.NeverAnswered = true
+			return d
+		}
+		l := newLog()
+		Expect(report(l, 0, unanswered("t1"), unanswered("t2"))).To(BeEmpty())
+		Expect(report(l, 5*time.Second, unanswered("t2"))).To(BeEmpty(), "the same death again")
+		Expect(report(l.copied(), 5*time.Second, unanswered("t3"))).To(ConsistOf(model.Fingerprint(7)))
+		Expect(report(l, 5*time.Second, death("t4", "b", 7))).To(BeEmpty(), "answered before, as its reporter knows")
+		Expect(report(l, 5*time.Second, unanswered("t3"))).To(ConsistOf(model.Fingerprint(7)))
+		Expect(l.QuarantineOverdue(5 * time.Minute)).To(BeFalse())
+		Expect(l.QuarantineOverdue(11 * time.Minute)).To(BeTrue())
+		Expect(report(l, 11*time.Minute)).To(BeEmpty())
+		Expect(l.Quarantined()).To(BeEmpty())
+	})
+
+	It("condemns no request for deaths that came together", func() {
+		l := newLog()
+		for i := range 60 {
+			d := death(fmt.Sprint("t", i), "b", 1)
+			d.NeverAnswered = true
+			Expect(report(l, 10*time.Millisecond*time.Duration(i), d)).To(BeEmpty())
+		}
+	})
+
 	It("condemns nothing when many targets die with the same requests in flight", func() {
 		l := newLog()
 		for i := range 60 {
--- a/pkg/view/view.go
+++ b/pkg/view/view.go
@@ -115,6 +115,9 @@
 	// Trial is set if the target had been given a suspect request alone. It is
 	// then the cause of the death.
 	Trial bool `cbor:"4,keyasint,omitempty"`
+	// NeverAnswered is set if the reporting instance knows of no target that has
+	// answered the suspects.
+	NeverAnswered bool `cbor:"5,keyasint,omitempty"`
 }
 
 // ColdSign is a sign that a target's incarnation is cold, or that it is warm.
