Dispatch: queries start in order while connections are few

Load: after a loss of power of the whole platform a hundred queries start in the same moment and want the same four connections to each shard. Cause, from the new lines on decisions: all were started, each got some shards ("2 of 20 parts came" after 200 ms), and 47 ended in 504 within a second. A queue per set of shards (pkg/query/queue, pure) lets as many queries be starting as there are connections to every shard, until half of their parts are in. Those that wait are ordered by rank, then what can still be in time before what is late anyway, then by the end of their time; what cannot be served in time is refused at once, as not run, with the expected wait as Retry-After.

Replay of one entry's recorded arrivals in the spec: more in time, none fewer answered, fewer parts worked on for nobody.

--- a/pkg/dispatch/book.go
+++ b/pkg/dispatch/book.go
@@ -52,7 +52,11 @@
 
 // pair divides the targets of a service: this instance keeps connections to its
 // own ones, and borrows one to a spare target while that is the better choice.
-type pair struct{ own, spare []*target }
+type pair struct {
+	own, spare []*target
+	// connections is how many it may have to all of them.
+	connections int
+}
 
 // maxWarm bounds the targets that wait for a connection ahead of use.
 const maxWarm = 4096
@@ -160,7 +164,7 @@
 // connections and asks for a first one.
 func (b *book) divide(c crowd, service model.ServiceID, targets []*target) pair {
 	own, share := c.subset(service, targets)
-	p := pair{own: own}
+	p := pair{own: own, connections: len(own)*share + (len(targets)-len(own))*spareConnections}
 	borrowTime := c.borrowTime(service, len(targets))
 	for _, t := range targets {
 		t.limitCold(c.coldGap(t))
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -45,6 +45,8 @@
 	turns   map[string]*turn
 	// costs are what replies cost since the last report.
 	costs map[model.TargetID]catalog.Sample
+	// gates are by the first shard of the queries.
+	gates map[model.ServiceID]*gate
 	// proven are requests that some target has answered.
 	proven *poison.Proven
 	// moves are the services whose traffic moves between versions.
@@ -63,6 +65,7 @@
 		turns:   make(map[string]*turn),
 		costs:   make(map[model.TargetID]catalog.Sample),
 		moves:   make(map[model.ServiceID]*moving),
+		gates:   make(map[model.ServiceID]*gate),
 		proven:  poison.NewProven(),
 	}
 }
--- a/pkg/dispatch/fanout.go
+++ b/pkg/dispatch/fanout.go
@@ -54,6 +54,10 @@
 	endNoticed bool
 	// broken counts the targets that broke off.
 	broken int
+	// gate is set while the query is starting, since startedAt, as one of limit.
+	gate      *gate
+	startedAt time.Duration
+	limit     int
 }
 
 // Query passes a call to one target of each shard and merges the parts.
@@ -66,9 +70,13 @@
 	if err := q.checkReach(); err != nil {
 		return observe(c, Outcome{Err: err, Trace: q.trace})
 	}
+	if err := q.start(ctx); err != nil {
+		return observe(c, Outcome{Err: err, Trace: q.trace})
+	}
 	e.noteFirst(c.Route.Fanout.Shards...)
 	e.logAdmitted(c, &q.trace)
 	out := q.loop(ctx)
+	q.started(true)
 	e.judgeHarm(c, q.sent...)
 	return observe(c, out)
 }
@@ -122,6 +130,7 @@
 		now := q.engine.now()
 		q.sendDue(now)
 		q.noticeEnd(now)
+		q.started(false)
 		switch q.run.Verdict(now) {
 		case gather.Answer:
 			return q.finish()
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -90,6 +90,7 @@
 	ExtraDenied         Number = 5023
 	RequestSent         Number = 5024
 	CallLate            Number = 5025
+	CallQueued          Number = 5026
 
 	OrderOutcomeUnknown   Number = 6001
 	OrderClaimUnconfirmed Number = 6002
@@ -211,6 +212,7 @@
 	{ExtraDenied, info, "retry budget allows no extra request", []string{"request", "service", "reason", "milliseconds", "budget", "earlier"}},
 	{RequestSent, info, "request to a target", []string{"request", "service", "target", "milliseconds", "cost", "dear", "replyMilliseconds", "result"}},
 	{CallLate, info, "objective passed with the request in progress", []string{"request", "route", "milliseconds", "waiting", "late"}},
+	{CallQueued, info, "query waited to start", []string{"request", "route", "milliseconds", "ahead", "limit"}},
 
 	{OrderOutcomeUnknown, warn, "outcome of an order is unknown", []string{"request", "error"}},
 	{OrderClaimUnconfirmed, warn, "claim of an order could not be confirmed", []string{"request", "error"}},
--- /dev/null
+++ b/pkg/query/queue/queue_test.go
@@ -0,0 +1,288 @@
+package queue_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"radishturn.example/radishturn/pkg/query/queue"
+)
+
+func TestQueue(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "queue")
+}
+
+const ms = time.Millisecond
+
+func started(t *queue.Ticket) bool { return decided(t) && !t.Refused }
+
+func decided(t *queue.Ticket) bool {
+	select {
+	case <-t.Decided:
+		return true
+	default:
+		return false
+	}
+}
+
+var _ = Describe("Queue", func() {
+	patient := func(arrived time.Duration) queue.Query {
+		return queue.Query{Arrived: arrived, InTime: arrived + 100*ms, Latest: arrived + 2*time.Second}
+	}
+
+	It("starts queries at once while there is room, and the rest in order", func() {
+		var q queue.Queue
+		first, _ := q.Enter(0, 1, patient(0))
+		second, _ := q.Enter(1*ms, 1, patient(1*ms))
+		third, _ := q.Enter(2*ms, 1, patient(2*ms))
+		Expect(started(first)).To(BeTrue())
+		Expect(decided(second)).To(BeFalse())
+		q.Left(30*ms, 30*ms, 1)
+		Expect(started(second)).To(BeTrue())
+		Expect(decided(third)).To(BeFalse())
+	})
+
+	It("prefers the higher rank, and then those that can still be in time", func() {
+		var q queue.Queue
+		q.Enter(0, 1, patient(0))
+		late, _ := q.Enter(1*ms, 1, patient(1*ms))
+		inTime, _ := q.Enter(150*ms, 1, patient(150*ms))
+		low := patient(150 * ms)
+		low.Priority = 1
+		lowest, _ := q.Enter(150*ms, 1, low)
+		q.Left(160*ms, 160*ms, 1)
+		Expect(started(inTime)).To(BeTrue())
+		q.Left(170*ms, 10*ms, 1)
+		Expect(started(late)).To(BeTrue())
+		Expect(decided(lowest)).To(BeFalse())
+	})
+
+	It("refuses at once what would wait too long, and says for how long", func() {
+		var q queue.Queue
+		q.Enter(0, 1, patient(0))
+		q.Left(100*ms, 100*ms, 1)
+		q.Enter(100*ms, 1, patient(100*ms))
+		for range 3 {
+			q.Enter(100*ms, 1, patient(100*ms))
+		}
+		short := patient(100 * ms)
+		short.Latest = 300 * ms
+		t, wait := q.Enter(100*ms, 1, short)
+		Expect(t.Refused).To(BeTrue())
+		Expect(wait).To(Equal(400 * ms))
+		Expect(q.Waiting()).To(Equal(3))
+	})
+
+	It("refuses those for which it has become too late", func() {
+		var q queue.Queue
+		q.Enter(0, 1, patient(0))
+		t, _ := q.Enter(0, 1, patient(0))
+		q.Left(3*time.Second, 3*time.Second, 1)
+		Expect(t.Refused).To(BeTrue())
+		Expect(q.Starting()).To(BeZero())
+	})
+
+	It("never starts more than its limit, and decides about every query once", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			var q queue.Queue
+			var tickets []*queue.Ticket
+			now, limit, left := time.Duration(0), rapid.IntRange(1, 4).Draw(t, "limit"), 0
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				now += time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * ms
+				switch {
+				case rapid.Bool().Draw(t, "enter"):
+					query := queue.Query{
+						Arrived: now, InTime: now + 50*ms, Priority: rapid.IntRange(0, 1).Draw(t, "priority"),
+						Latest: now + time.Duration(rapid.IntRange(0, 200).Draw(t, "latest"))*ms,
+					}
+					ticket, _ := q.Enter(now, limit, query)
+					tickets = append(tickets, ticket)
+				case q.Starting() > 0:
+					left++
+					q.Left(now, 20*ms, limit)
+				case len(tickets) > 0:
+					q.Abandon(tickets[len(tickets)-1])
+				}
+				if q.Starting() > limit {
+					t.Fatalf("%d are starting, the limit is %d", q.Starting(), limit)
+				}
+				if q.Waiting() > 0 && q.Starting() == 0 {
+					t.Fatal("queries wait and none is starting")
+				}
+			}
+			begun, refused := 0, 0
+			for _, ticket := range tickets {
+				switch {
+				case started(ticket):
+					begun++
+				case decided(ticket):
+					refused++
+				}
+			}
+			if begun != q.Starting()+left || begun+refused+q.Waiting() != len(tickets) {
+				t.Fatalf("%d started, %d refused, %d wait of %d", begun, refused, q.Waiting(), len(tickets))
+			}
+		})
+	})
+})
+
+// arrival is a recorded query: when its work began after the restart, and how
+// long its caller still waited.
+type arrival struct{ at, patience time.Duration }
+
+// afterPowerLoss are the queries of one entry after the loss of power of a whole
+// platform, as its log tells (RT5021): what had come meanwhile starts together.
+var afterPowerLoss = []arrival{
+	{0, 251 * ms}, {0, 1986 * ms}, {0, 1367 * ms}, {0, 1993 * ms}, {0, 228 * ms}, {0, 1993 * ms}, {0, 297 * ms},
+	{0, 1985 * ms}, {0, 1364 * ms}, {0, 1986 * ms}, {0, 1986 * ms}, {0, 790 * ms}, {0, 793 * ms}, {0, 255 * ms}, {0, 792 * ms},
+	{100 * ms, 1983 * ms}, {100 * ms, 233 * ms}, {200 * ms, 1989 * ms}, {200 * ms, 290 * ms}, {300 * ms, 245 * ms},
+	{400 * ms, 1989 * ms}, {500 * ms, 800 * ms}, {500 * ms, 783 * ms}, {600 * ms, 2000 * ms}, {700 * ms, 1984 * ms},
+	{800 * ms, 800 * ms}, {1000 * ms, 2000 * ms},
+}
+
+// replay plays arrivals against shards that work on four requests of the entry
+// at a time, 100 ms each, as they do while every entry presses. It returns how
+// many queries were answered at all and within 200 ms of work, and how many parts
+// were worked on for callers that had left. ordered uses the queue.
+type replay struct {
+	ordered bool
+	random  *rand.Rand
+
+	queue   queue.Queue
+	running []*played
+	slots   [shards][]slot
+
+	answered, inTime, wasted int
+}
+
+const (
+	shards      = 20
+	connections = 4
+	work        = 100 * ms
+	required    = 18
+	step        = 5 * ms
+)
+
+type played struct {
+	arrival
+	ticket  *queue.Ticket
+	began   time.Duration
+	parts   int
+	sent    [shards]bool
+	left    bool
+	leaving bool
+}
+
+type slot struct {
+	query *played
+	until time.Duration
+}
+
+func (r *replay) run(arrivals []arrival) {
+	var all []*played
+	for now := time.Duration(0); now < 4*time.Second; now += step {
+		for len(arrivals) > 0 && arrivals[0].at <= now {
+			all = append(all, r.arrive(now, arrivals[0]))
+			arrivals = arrivals[1:]
+		}
+		r.finish(now)
+		for _, p := range all {
+			r.follow(now, p)
+		}
+		r.send(now)
+	}
+}
+
+func (r *replay) arrive(now time.Duration, a arrival) *played {
+	p := &played{arrival: a}
+	if r.ordered {
+		p.ticket, _ = r.queue.Enter(now, connections, queue.Query{
+			Arrived: a.at, InTime: a.at + work, Latest: a.at + a.patience - work,
+		})
+	}
+	return p
+}
+
+// follow starts a query that may start, and ends one that has its parts or whose
+// caller has left.
+func (r *replay) follow(now time.Duration, p *played) {
+	running := p.began > 0
+	switch {
+	case !running && !p.left && (p.ticket == nil || started(p.ticket)):
+		p.began = max(now, 1)
+		r.running = append(r.running, p)
+	case running && !p.left && p.parts >= required:
+		r.answered++
+		if now-p.at <= 200*ms {
+			r.inTime++
+		}
+		r.end(now, p)
+	case running && !p.left && now >= p.at+p.patience:
+		r.end(now, p)
+	}
+	if running && r.ordered && !p.leaving && (p.left || p.parts >= shards/2) {
+		p.leaving = true
+		r.queue.Left(now, now-p.began, connections)
+	}
+}
+
+func (r *replay) end(_ time.Duration, p *played) {
+	p.left = true
+	for i, q := range r.running {
+		if q == p {
+			r.running = append(r.running[:i], r.running[i+1:]...)
+			return
+		}
+	}
+}
+
+func (r *replay) finish(now time.Duration) {
+	for i := range r.slots {
+		var busy []slot
+		for _, s := range r.slots[i] {
+			if s.until > now {
+				busy = append(busy, s)
+				continue
+			}
+			s.query.parts++
+			if s.query.left {
+				r.wasted++
+			}
+		}
+		r.slots[i] = busy
+	}
+}
+
+// send gives free connections to queries that want them, in no order.
+func (r *replay) send(now time.Duration) {
+	for i := range r.slots {
+		for _, k := range r.random.Perm(len(r.running)) {
+			if p := r.running[k]; len(r.slots[i]) < connections && !p.sent[i] {
+				p.sent[i] = true
+				r.slots[i] = append(r.slots[i], slot{p, now + work})
+			}
+		}
+	}
+}
+
+var _ = Describe("The queries after a loss of power", func() {
+	play := func(ordered bool) *replay {
+		r := &replay{ordered: ordered, random: rand.New(rand.NewPCG(1, 2))}
+		r.run(afterPowerLoss)
+		return r
+	}
+
+	It("are answered sooner, and targets work less for nothing, when they start in order", func() {
+		together, ordered := play(false), play(true)
+		GinkgoWriter.Println("together", together.answered, together.inTime, together.wasted)
+		GinkgoWriter.Println("ordered", ordered.answered, ordered.inTime, ordered.wasted)
+		Expect(ordered.answered).To(BeNumerically(">=", together.answered))
+		Expect(ordered.inTime).To(BeNumerically(">", together.inTime))
+		Expect(ordered.wasted).To(BeNumerically("<", together.wasted))
+	})
+})
