--- a/pkg/events/events.go
+++ b/pkg/events/events.go
@@ -37,14 +37,21 @@
 	}
 	log.SetLevel(l)
 	lowest.Store(int64(l))
-	if format == "text" {
-		log.SetHandler(text.New(w))
-		return nil
+	handler := newHandler(w, format)
+	if sink, ok := w.(*Sink); ok {
+		handler = sink.encodeLater(handler)
 	}
-	log.SetHandler(json.New(w))
+	log.SetHandler(handler)
 	return nil
 }
 
+func newHandler(w io.Writer, format string) log.Handler {
+	if format == "text" {
+		return text.New(w)
+	}
+	return json.New(w)
+}
+
 // lowest is the level below which events are passed over.
 var lowest atomic.Int64
 
--- a/pkg/events/sink.go
+++ b/pkg/events/sink.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
 )
 
 const (
@@ -18,17 +19,23 @@
 	sinkRate = 64 << 10
 	// sinkInterval is how long lines wait for others to be written with.
 	sinkInterval = 100 * time.Millisecond
+	// maxEntries bounds the events that wait to be encoded.
+	maxEntries = 2048
 )
 
 var linesDropped = metrics.GetOrCreateCounter("radishturn_log_lines_dropped_total")
 
 // Sink is a writer that never blocks: lines wait in a bounded buffer, and those
-// over the bound are dropped and counted.
+// over the bound are dropped and counted. It takes events as they are and encodes
+// them when it writes, so that a request does not wait for the lines about it.
 type Sink struct {
 	w     io.Writer
 	write sync.Mutex
+	// encoder writes events to the sink as lines; nil until events come.
+	encoder log.Handler
 
 	mu      sync.Mutex
+	entries []*log.Entry
 	waiting bytes.Buffer
 	// allowance is how many bytes may be taken in now; it grows by sinkRate.
 	allowance int
@@ -44,6 +51,51 @@
 	return s
 }
 
+// encodeLater returns a handler that keeps events until the sink writes.
+func (s *Sink) encodeLater(encoder log.Handler) log.Handler {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.encoder = encoder
+	return log.HandlerFunc(s.keep)
+}
+
+// keep takes in one event, or drops it.
+func (s *Sink) keep(e *log.Entry) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.entries) >= maxEntries {
+		s.dropped++
+		linesDropped.Inc()
+		return nil
+	}
+	s.entries = append(s.entries, e)
+	s.signal()
+	return nil
+}
+
+func (s *Sink) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// encode turns the events that wait into lines.
+func (s *Sink) encode() {
+	s.mu.Lock()
+	entries, encoder := s.entries, s.encoder
+	s.entries = nil
+	s.mu.Unlock()
+	for _, e := range entries {
+		if err := encoder.HandleLog(e); err != nil {
+			s.mu.Lock()
+			s.dropped++
+			s.mu.Unlock()
+			linesDropped.Inc()
+		}
+	}
+}
+
 // Write takes in one line, or drops it.
 func (s *Sink) Write(line []byte) (int, error) {
 	s.mu.Lock()
@@ -56,10 +108,7 @@
 	}
 	s.allowance -= len(line)
 	s.waiting.Write(line)
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
+	s.signal()
 	return len(line), nil
 }
 
@@ -82,6 +131,7 @@
 func (s *Sink) Flush() {
 	s.write.Lock()
 	defer s.write.Unlock()
+	s.encode()
 	text := s.take()
 	if len(text) == 0 {
 		return
