Log: the lines on a call are written after its answer is on its way

Hedges, denials and sends are kept with the call now, and written once the answer has been handed to the caller's connection; net/http would otherwise hold a small answer until the handler returns, its lines included. Lines on the beginning of a call and on its objective stay where they happen, for a process that ends meanwhile.

--- a/pkg/dispatch/decisions.go
+++ b/pkg/dispatch/decisions.go
@@ -56,17 +56,36 @@
 	}
 }
 
-// logExtra tells of a hedge or repeat; earlier are the requests before it.
-func (e *Engine) logExtra(c *Call, service model.ServiceID, sent *sentPart, earlier sends, why reason) {
+// decision is a line on a call that is written after its answer, since a call
+// with a short objective does not wait for lines about it.
+type decision struct {
+	event  events.Number
+	values []any
+}
+
+// Log writes the lines on the decisions of a call that was answered.
+func (t *Trace) Log() {
+	for _, d := range t.decisions {
+		events.Emit(d.event, d.values...)
+	}
+}
+
+func (t *Trace) note(event events.Number, values ...any) {
+	t.decisions = append(t.decisions, decision{event, values})
+}
+
+// noteExtra keeps the line on a hedge or repeat; earlier are the requests before it.
+func (e *Engine) noteExtra(c *Call, t *Trace, service model.ServiceID, sent *sentPart, earlier sends) {
 	if e.lines.extra.Allow() {
-		events.Emit(events.ExtraSent, c.Request.ID, service, sent.target.ID, why, sent.sentAt.Milliseconds(),
+		t.note(events.ExtraSent, c.Request.ID, service, sent.target.ID, earlier.reasonOf(), sent.sentAt.Milliseconds(),
 			rounded(sent.cost), c.stats.usual().Microseconds(), rounded(e.extraLeft(service)), story(service, earlier))
 	}
 }
 
-func (e *Engine) logDenied(c *Call, service model.ServiceID, earlier sends) {
+// noteDenied keeps the line on one that the retry budget does not allow.
+func (e *Engine) noteDenied(c *Call, t *Trace, service model.ServiceID, earlier sends) {
 	if e.lines.extra.Allow() {
-		events.Emit(events.ExtraDenied, c.Request.ID, service, earlier.reasonOf(), time.Since(c.Arrived).Milliseconds(),
+		t.note(events.ExtraDenied, c.Request.ID, service, earlier.reasonOf(), time.Since(c.Arrived).Milliseconds(),
 			rounded(e.extraLeft(service)), story(service, earlier))
 	}
 }
@@ -78,15 +97,14 @@
 	}
 }
 
-// logSent tells of the requests of a call that ended oddly, those without a good
-// reply first.
-func (e *Engine) logSent(c *Call, service model.ServiceID, sent sends, lines *int) {
+// noteSent keeps the lines on the requests of a call that ended oddly.
+func (e *Engine) noteSent(c *Call, t *Trace, service model.ServiceID, sent sends, lines *int) {
 	for _, p := range sent {
 		if *lines >= maxSentLines || !e.lines.sent.Allow() {
 			return
 		}
 		*lines++
-		events.Emit(events.RequestSent, c.Request.ID, service, p.target.ID, p.sentAt.Milliseconds(), rounded(p.cost),
+		t.note(events.RequestSent, c.Request.ID, service, p.target.ID, p.sentAt.Milliseconds(), rounded(p.cost),
 			rounded(c.page.view.Dear[p.target.ID]), p.replyAt.Milliseconds(), p.fate())
 	}
 }
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -100,10 +100,13 @@
 
 func (f *fleet) do(route *routing.Route, id string) Outcome {
 	c := &Call{Request: &exchange.Request{ID: model.RequestID(id), Method: "GET"}, Route: route, Arrived: time.Now(), Timeout: time.Second}
+	serve := f.engine.Do
 	if route.Fanout != nil {
-		return f.engine.Query(context.Background(), c)
+		serve = f.engine.Query
 	}
-	return f.engine.Do(context.Background(), c)
+	out := serve(context.Background(), c)
+	out.Trace.Log()
+	return out
 }
 
 // requests counts the requests that all targets got.
--- a/pkg/dispatch/fanout.go
+++ b/pkg/dispatch/fanout.go
@@ -192,7 +192,7 @@
 	}
 	if q.sent[i].haveArrived() && !q.engine.takeExtra(service, q.run.Needs(i, now)) {
 		q.trace.Denied++
-		q.engine.logDenied(q.call, service, q.sent[i])
+		q.engine.noteDenied(q.call, &q.trace, service, q.sent[i])
 		q.run.Denied(i, now)
 		return
 	}
@@ -214,7 +214,7 @@
 	q.trace.Sent++
 	if earlier := q.sent[i]; len(earlier) > 0 {
 		q.trace.Hedged++
-		q.engine.logExtra(q.call, q.call.Route.Fanout.Shards[i], sent, earlier, earlier.reasonOf())
+		q.engine.noteExtra(q.call, &q.trace, q.call.Route.Fanout.Shards[i], sent, earlier)
 	}
 	q.sent[i] = append(q.sent[i], sent)
 }
@@ -297,7 +297,7 @@
 	lines := 0
 	for i, s := range q.call.Route.Fanout.Shards {
 		if !q.run.Done(i) {
-			q.engine.logSent(q.call, s, q.sent[i], &lines)
+			q.engine.noteSent(q.call, &q.trace, s, q.sent[i], &lines)
 		}
 	}
 }
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -47,6 +47,8 @@
 	LeaseLeft time.Duration
 	// Usual is the usual latency of the route's requests to targets.
 	Usual time.Duration
+
+	decisions []decision
 }
 
 func (e *Engine) newTrace(c *Call) Trace {
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -152,7 +152,7 @@
 	}
 	part.attempt = attempt
 	if len(s.sent) > 0 {
-		s.engine.logExtra(s.call, s.service, part, s.sent, s.sent.reasonOf())
+		s.engine.noteExtra(s.call, &s.trace, s.service, part, s.sent)
 	}
 	s.sent = append(s.sent, part)
 	s.inFlight = append(s.inFlight, part)
@@ -173,7 +173,7 @@
 	}
 	if s.sent.haveArrived() && !s.engine.takeExtra(s.service, len(s.inFlight) == 0) {
 		s.trace.Denied++
-		s.engine.logDenied(s.call, s.service, s.sent)
+		s.engine.noteDenied(s.call, &s.trace, s.service, s.sent)
 		return false
 	}
 	return true
@@ -295,7 +295,7 @@
 func (s *single) fail(err *failure.Error) Outcome {
 	s.trace.Late = append(s.trace.Late, story(s.service, s.sent))
 	lines := 0
-	s.engine.logSent(s.call, s.service, s.sent, &lines)
+	s.engine.noteSent(s.call, &s.trace, s.service, s.sent, &lines)
 	return Outcome{Err: err, Trace: s.trace}
 }
 
