--- a/pkg/dispatch/book.go
+++ b/pkg/dispatch/book.go
@@ -40,7 +40,8 @@
 	current atomic.Pointer[page]
 	mu      sync.Mutex
 	// warmed are targets waiting for their first connection.
-	warm chan *target
+	warm    chan *target
+	caution *pool.Caution
 }
 
 // page is an immutable picture of the book.
@@ -62,7 +63,7 @@
 const maxWarm = 4096
 
 func newBook(codec exchange.Codec, self model.InstanceID, zone model.AvailabilityZoneID) *book {
-	b := &book{codec: codec, self: self, zone: zone, warm: make(chan *target, maxWarm)}
+	b := &book{codec: codec, self: self, zone: zone, warm: make(chan *target, maxWarm), caution: pool.NewCaution()}
 	b.current.Store(&page{view: &view.View{}})
 	return b
 }
@@ -154,7 +155,7 @@
 		old.pool.Close()
 	}
 	t := &target{Target: listed, process: &process{
-		pool:   pool.New(listed.ID, listed.Address.String(), b.codec, spareConnections),
+		pool:   pool.New(listed.ID, listed.Address.String(), b.codec, b.caution, spareConnections),
 		health: health{slots: listed.Concurrency},
 	}}
 	return t
--- a/pkg/pool/conn.go
+++ b/pkg/pool/conn.go
@@ -85,6 +85,8 @@
 	br   *bufio.Reader
 	// uses counts the attempts that were started.
 	uses atomic.Int64
+	// replied is set with the first reply.
+	replied atomic.Bool
 
 	mu sync.Mutex
 	// attempt is in progress; nil while the connection is idle.
@@ -185,6 +187,7 @@
 // finish hands the reply over and frees the connection.
 func (c *conn) finish(a *Attempt, reply *exchange.Reply) bool {
 	c.foreign = 0
+	c.replied.Store(true)
 	c.mu.Lock()
 	if c.attempt != a {
 		c.mu.Unlock()
@@ -228,6 +231,9 @@
 		_ = c.net.Close()
 	}
 	c.pool.remove(c)
+	if !c.replied.Load() {
+		c.pool.caution.note(err)
+	}
 	if a != nil {
 		a.Done(Result{Err: err})
 	}
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -44,6 +44,7 @@
 	target  model.TargetID
 	address string
 	codec   exchange.Codec
+	caution *Caution
 	opened  *metrics.Counter
 	foreign *metrics.Counter
 
@@ -59,10 +60,10 @@
 	closed  bool
 }
 
-// New returns an empty pool.
-func New(target model.TargetID, address string, codec exchange.Codec, limit int) *Pool {
+// New returns an empty pool. Pools of one instance share a caution; it may be nil.
+func New(target model.TargetID, address string, codec exchange.Codec, caution *Caution, limit int) *Pool {
 	return &Pool{
-		target: target, address: address, codec: codec, limit: limit,
+		target: target, address: address, codec: codec, caution: caution, limit: limit,
 		open:    make(map[*conn]bool),
 		opened:  metrics.GetOrCreateCounter("radishturn_target_connections_opened_total"),
 		foreign: metrics.GetOrCreateCounter("radishturn_target_replies_foreign_total"),
@@ -121,9 +122,11 @@
 func (p *Pool) startFresh(a *Attempt) {
 	c, err := p.dial()
 	if err != nil {
+		p.caution.note(err)
 		a.Done(Result{Err: errDial(p.target, p.address, err)})
 		return
 	}
+	p.caution.settle()
 	if a.abandoned.Load() {
 		p.release(c)
 		a.Done(Result{Err: errDial(p.target, p.address, ErrNotSent)})
--- a/pkg/pool/pool_test.go
+++ b/pkg/pool/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -28,7 +29,7 @@
 }
 
 func newPool(t *exchangetest.Target, limit int) *pool.Pool {
-	p := pool.New(t.ID, t.Address().String(), exchangetest.Codec{}, limit)
+	p := pool.New(t.ID, t.Address().String(), exchangetest.Codec{}, nil, limit)
 	DeferCleanup(p.Close)
 	return p
 }
@@ -139,11 +140,39 @@
 		Expect(t.Connected()).To(Equal(1))
 	})
 
+	// A target over its bound accepts a connection and resets it a moment later.
+	It("sends nothing on a new connection that is reset, once others were", func() {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				time.Sleep(time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+			}
+		}()
+		p := pool.New("i-1", l.Addr().String(), exchangetest.Codec{}, pool.NewCaution(), 1)
+		DeferCleanup(p.Close)
+		_, first, _ := send(p, "first")
+		Expect(errors.Is(await(first).Err, pool.ErrNotSent)).To(BeFalse(), "nobody knows of resets yet")
+		for i := range 5 {
+			Eventually(func() bool {
+				_, results, ok := send(p, fmt.Sprint(i))
+				return ok && errors.Is(await(results).Err, pool.ErrNotSent)
+			}).Should(BeTrue())
+		}
+	})
+
 	It("closes a connection that is not used for longer than it is kept", func() {
 		target, err := exchangetest.Start("t", nil)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(target.Stop)
-		p := pool.New("t", target.Address().String(), exchangetest.Codec{}, 1)
+		p := pool.New("t", target.Address().String(), exchangetest.Codec{}, nil, 1)
 		p.SetLimit(1, 50*time.Millisecond)
 		Expect(p.Warm()).To(Succeed())
 		Expect(p.Room()).To(Equal(pool.Idle))
