Pool, dispatch: what a reset new connection, or an attempt not needed, says

Ruled out: fewer own connections (half of the bound is kept free already, and resets of dials were counted as not sent before).

An attempt that was given up before its connection was open counted as a failure to reach the target and put it aside for 150 ms.

--- a/pkg/dispatch/costs.go
+++ b/pkg/dispatch/costs.go
@@ -38,7 +38,7 @@
 // nothing of the target.
 func sampleCost(r pool.Result, latency, usual time.Duration) float32 {
 	switch {
-	case usual <= 0:
+	case usual <= 0, wasNotNeeded(r.Err):
 		return 0
 	case r.Err != nil && !errors.Is(r.Err, pool.ErrAbandoned), r.Reply != nil && !r.Reply.OK():
 		return 1 + failureCost
--- a/pkg/dispatch/harm.go
+++ b/pkg/dispatch/harm.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -49,20 +50,19 @@
 
 // answered reports whether some target has answered a request in full.
 func (s sends) answered(id model.RequestID) bool {
-	for _, p := range s {
-		if reply := p.result.Reply; p.ended && reply != nil && reply.OK() && reply.ID == id {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s, func(p *sentPart) bool {
+		return p.ended && p.result.Reply != nil && p.result.Reply.OK() && p.result.Reply.ID == id
+	})
 }
 
 // broken returns the targets that broke off during a request.
 func (s sends) broken() []*target {
 	var broken []*target
 	for _, p := range s {
-		err := p.result.Err
-		if p.ended && err != nil && !isNotSent(err) && !errors.Is(err, pool.ErrAbandoned) {
+		if !p.ended {
+			continue
+		}
+		if err := p.result.Err; err != nil && !isNotSent(err) && !errors.Is(err, pool.ErrAbandoned) {
 			broken = append(broken, p.target)
 		}
 	}
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -92,6 +92,7 @@
 	unreached, mistaken := h.unreachable, t.mistaken
 	h.end(sent)
 	switch {
+	case wasNotNeeded(r.Err):
 	case errors.Is(r.Err, pool.ErrNotSent):
 		h.unreached(now)
 	case errors.Is(r.Err, pool.ErrAbandoned):
@@ -124,6 +125,12 @@
 	return beliefSame
 }
 
+// wasNotNeeded reports whether an attempt was given up before anything was sent,
+// which says nothing of the target.
+func wasNotNeeded(err error) bool {
+	return errors.Is(err, pool.ErrNotSent) && errors.Is(err, pool.ErrAbandoned)
+}
+
 // belief is how the picture of a target has changed.
 type belief uint8
 
--- a/pkg/dispatch/target_test.go
+++ b/pkg/dispatch/target_test.go
@@ -39,6 +39,13 @@
 		Expect(end(t, 2*time.Second, mistaken)).To(Equal(beliefSame))
 	})
 
+	It("does not change with a request that was given up before it was sent", func() {
+		t := newTarget()
+		Expect(end(t, time.Second, pool.Result{Err: errors.Join(pool.ErrNotSent, pool.ErrAbandoned)})).To(Equal(beliefSame))
+		_, used := t.cost(time.Second)
+		Expect(used).To(BeTrue())
+	})
+
 	It("does not change with a connection that breaks off", func() {
 		Expect(end(newTarget(), time.Second, pool.Result{Err: errors.New("reset")})).To(Equal(beliefSame))
 	})
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -26,6 +26,9 @@
 	userTimeout = 2 * time.Second
 )
 
+// errReset means that the target ended a new connection before it was used.
+var errReset = errors.New("the new connection was reset")
+
 var dialer = net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: setUserTimeout}
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
@@ -129,11 +132,11 @@
 	p.caution.settle()
 	if a.abandoned.Load() {
 		p.release(c)
-		a.Done(Result{Err: errDial(p.target, p.address, ErrNotSent)})
+		a.Done(Result{Err: errDial(p.target, p.address, ErrAbandoned)})
 		return
 	}
 	if !c.start(a) {
-		a.Done(Result{Err: errDial(p.target, p.address, ErrNotSent)})
+		a.Done(Result{Err: errDial(p.target, p.address, errReset)})
 	}
 }
 
