--- a/pkg/catalog/costs.go
+++ b/pkg/catalog/costs.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/ring"
 )
 
 // A fleet of many instances sends each of them few requests to any one target.
@@ -122,15 +123,7 @@
 }
 
 func (w *costWindow) advance(now time.Duration) {
-	current := int64(now / costBucket)
-	for steps := 0; w.newest < current; steps++ {
-		if steps > costBuckets {
-			w.newest = current
-			return
-		}
-		w.newest++
-		w.sum[w.newest%costBuckets], w.count[w.newest%costBuckets] = 0, 0
-	}
+	ring.Advance(&w.newest, int64(now/costBucket), costBuckets, func(slot int64) { w.sum[slot], w.count[slot] = 0, 0 })
 }
 
 // judge sets the hint if the window has enough replies to tell.
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -6,7 +6,11 @@
 // has counted may lie in two windows, and each allows its share alone.
 package retry
 
-import "time"
+import (
+	"time"
+
+	"radishturn.example/radishturn/pkg/ring"
+)
 
 // buckets divide the window. One more is kept, so that a bucket that is partly
 // out of the window still counts.
@@ -65,12 +69,5 @@
 
 func (b *Budget) advance(now time.Duration, bound Bound) {
 	current := int64(now / (bound.Window / buckets))
-	for steps := 0; b.newest < current; steps++ {
-		if steps > buckets {
-			b.newest = current
-			return
-		}
-		b.newest++
-		b.first[b.newest%(buckets+1)], b.extra[b.newest%(buckets+1)] = 0, 0
-	}
+	ring.Advance(&b.newest, current, buckets+1, func(slot int64) { b.first[slot], b.extra[slot] = 0, 0 })
 }
