Poison: one fingerprint for both engines

dispatch hashed a request's parts with a copy of fan-out's loop. FingerprintOf serves both. Also: a request says itself whether its target broke off, where a list of one was made to ask.

--- a/pkg/dispatch/harm.go
+++ b/pkg/dispatch/harm.go
@@ -5,13 +5,12 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/pool"
+	"radishturn.example/radishturn/pkg/query/poison"
 	"radishturn.example/radishturn/pkg/view"
 )
 
@@ -27,14 +26,7 @@
 
 // fingerprintOf identifies requests that run the same at every target.
 func fingerprintOf(r *exchange.Request) model.Fingerprint {
-	var d xxhash.Digest
-	d.Reset()
-	for _, part := range []string{r.Method, r.Host, r.URI} {
-		_, _ = d.WriteString(part)
-		_, _ = d.Write([]byte{0})
-	}
-	_, _ = d.Write(r.Body)
-	return model.Fingerprint(d.Sum64())
+	return poison.FingerprintOf(r.Method, r.Host, r.URI, string(r.Body))
 }
 
 // refuseCondemned refuses a request that has ended targets, before it is sent to
@@ -55,14 +47,16 @@
 	})
 }
 
+// brokeOff reports whether the target broke off during the request.
+func (s *sentPart) brokeOff() bool {
+	return s.ended && s.result.Err != nil && !isNotSent(s.result.Err) && !errors.Is(s.result.Err, pool.ErrAbandoned)
+}
+
 // broken returns the targets that broke off during a request.
 func (s sends) broken() []*target {
 	var broken []*target
 	for _, p := range s {
-		if !p.ended {
-			continue
-		}
-		if err := p.result.Err; err != nil && !isNotSent(err) && !errors.Is(err, pool.ErrAbandoned) {
+		if p.brokeOff() {
 			broken = append(broken, p.target)
 		}
 	}
--- a/pkg/fanout/service.go
+++ b/pkg/fanout/service.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/model"
@@ -314,14 +313,7 @@
 
 // fingerprintOf identifies requests that run the same at every target.
 func fingerprintOf(r *query.Request) model.Fingerprint {
-	var d xxhash.Digest
-	d.Reset()
-	for _, part := range []string{string(r.Collection), string(r.Route), r.Query} {
-		_, _ = d.WriteString(part)
-		_, _ = d.Write([]byte{0})
-	}
-	_, _ = fmt.Fprint(&d, r.Limit)
-	return model.Fingerprint(d.Sum64())
+	return poison.FingerprintOf(string(r.Collection), string(r.Route), r.Query, strconv.Itoa(r.Limit))
 }
 
 // Readiness says whether queries can be answered.
