Reading the change again: less done twice

- A change of the page hashed a service's name once for every instance before this one; it is hashed once.
- "Renewals in a lease" was a constant in settings and in lease/clock.
- mergeTable had two branches that applied a change; the version of a table that may be missing was worked out in three places (Index.Version).

--- a/pkg/cli/live.go
+++ b/pkg/cli/live.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"text/tabwriter"
 
 	"radishturn.example/radishturn/pkg/control/server"
 	"radishturn.example/radishturn/pkg/dispatch"
-	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/lease"
 	"radishturn.example/radishturn/pkg/metricsapi"
 )
@@ -27,34 +24,13 @@
 func showLive(ctx context.Context, o *options, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, o.timeout)
 	defer cancel()
-	s, err := readLive(ctx, address)
-	if err != nil {
+	client, s := &adminClient{http: http.DefaultClient}, new(liveStatus)
+	if err := client.send(ctx, http.MethodGet, "http://"+address+metricsapi.StatusPath, nil, s); err != nil {
 		return err
 	}
 	return o.print(s, func(w *tabwriter.Writer) { s.render(w) })
 }
 
-func readLive(ctx context.Context, address string) (*liveStatus, error) {
-	url := "http://" + address + metricsapi.StatusPath
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil, err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil, exitWith(ExitUnreachable, failure.New(failure.PeerUnreachable, ranOf(err), "read status", address, "%w", err))
-	}
-	defer func() { _ = response.Body.Close() }() // only read from
-	if response.StatusCode != http.StatusOK {
-		return nil, failure.New(failure.Internal, failure.Unknown, "read status", address, "status %d", response.StatusCode)
-	}
-	s := new(liveStatus)
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(s); err != nil {
-		return nil, failure.New(failure.MismatchedReply, failure.Unknown, "read status", address, "%w", err)
-	}
-	return s, nil
-}
-
 func (s *liveStatus) render(w *tabwriter.Writer) {
 	if l := s.Lease; l != nil {
 		printf(w, "lease %s, %d ms left, revision %d, %d instances known", l.Lease, l.LeftMilliseconds, l.Revision, l.Instances)
--- a/pkg/dispatch/decisions.go
+++ b/pkg/dispatch/decisions.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -42,10 +43,8 @@
 
 // reasonOf returns why another request is sent after the others.
 func (s sends) reasonOf() reason {
-	for _, p := range s {
-		if !p.ended {
-			return reasonHedge
-		}
+	if slices.ContainsFunc(s, func(p *sentPart) bool { return !p.ended }) {
+		return reasonHedge
 	}
 	return reasonRepeat
 }
--- a/pkg/dispatch/fanout.go
+++ b/pkg/dispatch/fanout.go
@@ -263,7 +263,9 @@
 			q.top.Add(reply.Body)
 		}
 	default:
-		q.broken += len(sends{r}.broken())
+		if r.brokeOff() {
+			q.broken++
+		}
 		q.run.Failed(r.shard, q.engine.now(), r.mayHaveRun)
 	}
 }
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -52,7 +52,7 @@
 }
 
 func (e *Engine) newTrace(c *Call) Trace {
-	return Trace{TableVersion: c.page.table().Table.Version, Usual: c.stats.usual(), LeaseLeft: e.opts.Views.LeaseLeft()}
+	return Trace{TableVersion: c.page.table().Version(), Usual: c.stats.usual(), LeaseLeft: e.opts.Views.LeaseLeft()}
 }
 
 func refuse(code failure.Code, ran failure.Ran, step, peer string, retryAfter time.Duration, format string, args ...any) *failure.Error {
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -87,7 +87,7 @@
 		t = &turn{}
 		e.turns[key] = t
 	}
-	return c.Route.Split[t.pick(c.page.table().Table.Version, c.Route.Split)].Service
+	return c.Route.Split[t.pick(c.page.table().Version(), c.Route.Split)].Service
 }
 
 func (s *single) loop(ctx context.Context) Outcome {
--- a/pkg/dispatch/status.go
+++ b/pkg/dispatch/status.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"fmt"
+	"io"
+	"maps"
 	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -41,10 +43,7 @@
 // Status returns what the engine believes now.
 func (e *Engine) Status() Status {
 	p, now := e.page(), e.now()
-	s := Status{Budgets: make(map[model.ServiceID]float64)}
-	if p.view.Routing != nil {
-		s.TableVersion = p.view.Routing.Table.Version
-	}
+	s := Status{TableVersion: p.view.Routing.Version(), Budgets: make(map[model.ServiceID]float64)}
 	for id, t := range p.targets {
 		status := TargetStatus{
 			ID: id, Service: t.Service, AvailabilityZone: t.AvailabilityZone, Cold: t.Cold,
@@ -88,38 +87,33 @@
 	"cold":        func(t *TargetStatus) bool { return t.Cold },
 }
 
-// serveGauges makes gauges of the status.
+// serveGauges adds gauges of the status to the metrics of the process.
 func (e *Engine) serveGauges() {
-	for state, is := range targetStates {
-		metrics.GetOrCreateGauge(fmt.Sprintf("radishturn_targets{state=%q}", state), func() float64 {
-			return float64(countTargets(e.Status().Targets, is))
-		})
-	}
-	metrics.GetOrCreateGauge("radishturn_target_connections", func() float64 {
-		n := 0
-		for _, t := range e.Status().Targets {
-			n += t.Connections
-		}
-		return float64(n)
-	})
-	metrics.GetOrCreateGauge("radishturn_table_version", func() float64 { return float64(e.Status().TableVersion) })
-	metrics.GetOrCreateGauge("radishturn_retry_budget_least", func() float64 {
-		least, first := 0.0, true
-		for _, left := range e.Status().Budgets {
-			if first || left < least {
-				least, first = left, false
-			}
-		}
-		return least
+	metrics.RegisterMetricsWriter(func(w io.Writer) {
+		s := e.Status()
+		s.writeGauges(w)
 	})
 }
 
-func countTargets(targets []TargetStatus, is func(*TargetStatus) bool) int {
-	n := 0
-	for i := range targets {
-		if is(&targets[i]) {
-			n++
+func (s *Status) writeGauges(w io.Writer) {
+	connections := 0
+	counts := make(map[string]uint64, len(targetStates))
+	for i := range s.Targets {
+		connections += s.Targets[i].Connections
+		for state, is := range targetStates {
+			if is(&s.Targets[i]) {
+				counts[state]++
+			}
 		}
 	}
-	return n
+	for _, state := range slices.Sorted(maps.Keys(targetStates)) {
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("radishturn_targets{state=%q}", state), counts[state])
+	}
+	metrics.WriteGaugeUint64(w, "radishturn_target_connections", uint64(connections))
+	metrics.WriteGaugeUint64(w, "radishturn_table_version", s.TableVersion)
+	least := 0.0
+	if len(s.Budgets) > 0 {
+		least = slices.Min(slices.Collect(maps.Values(s.Budgets)))
+	}
+	metrics.WriteGaugeFloat64(w, "radishturn_retry_budget_least", least)
 }
--- a/pkg/dispatch/subset.go
+++ b/pkg/dispatch/subset.go
@@ -83,21 +83,22 @@
 	for i := range room {
 		room[i] = kept
 	}
+	first := firstPlace(service)
 	for _, i := range c.before {
-		takeTurn(service, i, targets, room, count)
+		takeTurn(first, i, targets, room, count)
 	}
-	for _, i := range takeTurn(service, c.self, targets, room, count) {
+	for _, i := range takeTurn(first, c.self, targets, room, count) {
 		own = append(own, targets[i])
 	}
 	return own, 1
 }
 
 // takeTurn gives an instance targets that have room, at most count: first those
-// of its availability zone, then the others from a place that its ordinal names.
-// It returns their indexes.
-func takeTurn(service model.ServiceID, i model.Instance, targets []*target, room []int, count int) []int {
+// of its availability zone, then the others, from the place that its ordinal
+// names, counted from first. It returns their indexes.
+func takeTurn(first uint64, i model.Instance, targets []*target, room []int, count int) []int {
 	var taken []int
-	start := firstFar(service, i.Ordinal, len(targets))
+	start := int((first + i.Ordinal) % uint64(len(targets)))
 	for _, near := range []bool{true, false} {
 		for k := range targets {
 			at := (start + k) % len(targets)
@@ -110,11 +111,12 @@
 	return taken
 }
 
-// firstFar spreads the instances over the targets, for each service from another one.
-func firstFar(service model.ServiceID, ordinal uint64, targets int) int {
+// firstPlace spreads the instances over the targets, for each service from
+// another one.
+func firstPlace(service model.ServiceID) uint64 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(service))
-	return int((uint64(h.Sum32()) + ordinal) % uint64(targets))
+	return uint64(h.Sum32())
 }
 
 // borrowTime is how long a borrowed connection is kept without use: the shorter,
--- a/pkg/lease/announce.go
+++ b/pkg/lease/announce.go
@@ -6,29 +6,20 @@
 	"time"
 
 	"radishturn.example/radishturn/pkg/events"
-	"radishturn.example/radishturn/pkg/routing"
 	"radishturn.example/radishturn/pkg/view"
 )
 
 // announceChanges writes what an instance that follows the leader believes anew.
 func announceChanges(old, next *view.View) {
-	if version := tableVersion(next.Routing); version != tableVersion(old.Routing) {
+	if version := next.Routing.Version(); version != old.Routing.Version() {
 		table := next.Routing.Table
-		events.Emit(events.TableInForce, version, tableVersion(old.Routing), len(table.Routes), len(table.Services))
+		events.Emit(events.TableInForce, version, old.Routing.Version(), len(table.Routes), len(table.Services))
 	}
 	if !maps.Equal(old.Evacuated, next.Evacuated) {
 		events.Emit(events.ZonesEvacuated, slices.Sorted(maps.Keys(next.Evacuated)))
 	}
 }
 
-// tableVersion returns 0 if there is no table yet.
-func tableVersion(x *routing.Index) uint64 {
-	if x == nil {
-		return 0
-	}
-	return x.Table.Version
-}
-
 // contact notices when control cannot be reached for longer than a lease.
 type contact struct {
 	// renewed is when a renewal last succeeded, or when the instance started.
--- a/pkg/lease/clock/clock.go
+++ b/pkg/lease/clock/clock.go
@@ -14,16 +14,13 @@
 	// leaderRenewals is how many renewals a second the leader of a large fleet
 	// is asked for, as long as its leases allow that.
 	leaderRenewals = 800
-	// minRenewals is how many renewals fit into a lease, so that one lost
-	// message does not end it.
-	minRenewals = 3
 )
 
 // Pace is the time between two renewals of one instance. It grows with the
 // fleet, so that the leader's load does not.
 func Pace(l settings.Lease, instances int) time.Duration {
 	fleet := time.Duration(instances) * time.Second / leaderRenewals
-	return max(l.Renew.Std(), min(fleet, l.Duration.Std()/minRenewals))
+	return max(l.Renew.Std(), min(fleet, l.Duration.Std()/settings.MinLeaseRenewals))
 }
 
 // Grace is how long after its lease an instance goes on with queries while it
--- a/pkg/lease/merge.go
+++ b/pkg/lease/merge.go
@@ -44,19 +44,14 @@
 // mergeTable takes up a table only if its version is higher. It reports false if
 // the change builds on another table than the one that is held.
 func mergeTable(old *routing.Index, c *routing.Change) (*routing.Index, bool) {
-	switch {
-	case c == nil:
-		return old, true
-	case old == nil:
-		t, ok := (*routing.Table)(nil).Apply(c)
-		if !ok {
-			return nil, false
-		}
-		return routing.NewIndex(t), true
-	case c.From == 0 && c.To <= old.Table.Version:
+	if c == nil || old != nil && c.From == 0 && c.To <= old.Version() {
 		return old, true
 	}
-	t, ok := old.Table.Apply(c)
+	var held *routing.Table
+	if old != nil {
+		held = old.Table
+	}
+	t, ok := held.Apply(c)
 	if !ok {
 		return old, false
 	}
--- a/pkg/lease/renew.go
+++ b/pkg/lease/renew.go
@@ -122,7 +122,7 @@
 		renewalsFailed.Inc()
 		events.Emit(events.RenewalFailed, err)
 		if silence, lost := m.contact.failed(m.now(), m.settings.Duration.Std()); lost && m.follows {
-			events.Emit(events.ControlUnreached, silence.Milliseconds(), tableVersion(m.views.View().Routing), err)
+			events.Emit(events.ControlUnreached, silence.Milliseconds(), m.views.View().Routing.Version(), err)
 		}
 		return
 	}
--- a/pkg/lease/status.go
+++ b/pkg/lease/status.go
@@ -27,7 +27,7 @@
 	v := m.views.View()
 	s := Status{
 		Lease: m.Lease(), LeftMilliseconds: m.LeaseLeft().Milliseconds(), Revision: v.Revision,
-		TableVersion: tableVersion(v.Routing), Instances: len(v.Instances),
+		TableVersion: v.Routing.Version(), Instances: len(v.Instances),
 		Evacuated: slices.Sorted(maps.Keys(v.Evacuated)), ZonesOut: slices.Sorted(maps.Keys(v.ZonesOut)),
 	}
 	if v.Catalog != nil {
--- a/pkg/routing/index.go
+++ b/pkg/routing/index.go
@@ -33,6 +33,14 @@
 	return x
 }
 
+// Version returns the version of the table; 0 if there is none.
+func (x *Index) Version() uint64 {
+	if x == nil {
+		return 0
+	}
+	return x.Table.Version
+}
+
 // Route returns the route of a host with the longest prefix of path, or nil.
 func (x *Index) Route(host, path string) *Route {
 	prefixes := x.hosts[host]
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -12,9 +12,9 @@
 const (
 	// maxControlMembers is the bound of the long-term aim.
 	maxControlMembers = 7
-	// minLeaseRenewals is how many renewals fit into a lease, so that one lost
+	// MinLeaseRenewals is how many renewals fit into a lease, so that one lost
 	// message does not end it.
-	minLeaseRenewals = 3
+	MinLeaseRenewals = 3
 	// minElectionHeartbeats likewise for elections.
 	minElectionHeartbeats = 3
 )
@@ -166,7 +166,7 @@
 	p.positive("platform.poll", s.Platform.Poll > 0, mend)
 	p.positive("stop.finish", s.Stop.Finish > 0, mend)
 	p.required("platform.address", !s.Platform.Address.IsValid())
-	p.atLeast("lease.duration", s.Lease.Duration, minLeaseRenewals, s.Lease.Renew, "lease.renew")
+	p.atLeast("lease.duration", s.Lease.Duration, MinLeaseRenewals, s.Lease.Renew, "lease.renew")
 	p.atLeast("control.electionTimeout", s.Control.ElectionTimeout, minElectionHeartbeats, s.Control.Heartbeat, "control.heartbeat")
 }
 
