Target list: one odd entry costs itself only

A page was decoded as one document: an entry nested deeper than the decoder allows, or with bytes that are no JSON, made all entries unreadable; an entry with slots or -5, port 0, an ID of 2 MB or one with CR LF was taken as a target, and its ID went into the header of each request to it.

A page whose end is missing still fails the read, since missing entries would look like targets that have ended. model.Target.Check states what a target must say; it is applied where lists are read, at the leader and where instances take targets from a lease. Of two entries with one ID the process that started later holds, or else the first one; it is leaving if one entry of it says so. Entries without zone, version or slots are no longer used: the pages say that an entry with missing fields names no target, so the spec of cold entries states them now. Log lines of refused entries are bounded.

--- a/pkg/control/server/limits.go
+++ b/pkg/control/server/limits.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/grant"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/settings"
@@ -20,7 +21,7 @@
 		return
 	}
 	n.list = list
-	n.catalog.Update(list.Targets)
+	n.catalog.Update(catalog.ValidTargets(list.Targets, n.refusedTargets.Add))
 	n.setLimits()
 }
 
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -144,7 +144,7 @@
 	{SettingsRefused, warnLevel, "new settings are invalid; the old ones stay in force", []string{"error"}},
 	{PlatformListUnavailable, warnLevel, "platform list cannot be read", []string{"error"}},
 	{PlatformListRead, infoLevel, "platform list read", []string{"sequence", "targets", "instances"}},
-	{PlatformEntryInvalid, debugLevel, "entry of the platform list is malformed", []string{"error"}},
+	{PlatformEntryInvalid, warnLevel, "entry of the platform list is malformed", []string{"error"}},
 	{LogLinesDropped, warnLevel, "log lines dropped", []string{"lines"}},
 	{MetricsUnavailable, warnLevel, "metrics are not served", []string{"address", "error"}},
 
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -72,10 +72,15 @@
 	// after it was cut off, when its grants may have been given to others. Renewals
 	// then set Reset, which asks for a new session.
 	noGrants bool
+	// refusedTargets logs targets from the leader that cannot be used.
+	refusedTargets *catalog.RefusalLog
 }
 
 func newHolder(self model.Instance, boot string, duration, grace time.Duration) *holder {
-	return &holder{self: self, boot: boot, duration: duration, grace: grace, view: &view.View{}, noGrants: true}
+	return &holder{
+		self: self, boot: boot, duration: duration, grace: grace, view: &view.View{}, noGrants: true,
+		refusedTargets: catalog.NewRefusalLog(),
+	}
 }
 
 // nextRenewal returns the next renewal.
@@ -195,8 +200,10 @@
 	if d == nil || d.NeedBuckets {
 		return
 	}
+	checked := *d
+	checked.Changed = catalog.ValidTargets(d.Changed, h.refusedTargets.Add)
 	next := *h.view
-	next.Catalog = h.view.Catalog.Apply(d)
+	next.Catalog = h.view.Catalog.Apply(&checked)
 	h.view = &next
 }
 
--- a/pkg/model/model.go
+++ b/pkg/model/model.go
@@ -88,6 +88,9 @@
 	Service ServiceID `json:"service,omitempty" cbor:"10,keyasint,omitempty"`
 	// Cold is set while the target has recently started and can take little load.
 	Cold bool `json:"cold,omitempty" cbor:"11,keyasint,omitempty"`
+	// Born is when the target's process started, in Unix milliseconds; 0 means not
+	// stated. A process that starts again under the same ID has another one.
+	Born int64 `json:"born,omitempty" cbor:"12,keyasint,omitempty"`
 }
 
 // Instance is a machine of the query tier as its peers know it.
