--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -20,6 +20,7 @@
 	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/exchange"
+	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/pool"
 	"radishturn.example/radishturn/pkg/query/poison"
@@ -35,6 +36,9 @@
 	AvailabilityZone model.AvailabilityZoneID
 	Views            view.Source
 	Codec            exchange.Codec
+	// BodyMemory bounds the replies of targets that are held at a time; nil means
+	// without limit.
+	BodyMemory *membudget.Budget
 	// Dial opens connections to targets; pool.DialTCP if it is nil.
 	Dial pool.DialFunc
 	// Reporter receives what this instance observes of targets: request costs,
@@ -73,7 +77,7 @@
 
 // New returns an Engine.
 func New(o Options) *Engine {
-	shared := pool.Shared{Codec: o.Codec, Dial: o.Dial, ResetGuard: pool.NewResetGuard()}
+	shared := pool.Shared{Codec: o.Codec, Dial: o.Dial, ResetGuard: pool.NewResetGuard(), Memory: o.BodyMemory}
 	return &Engine{
 		opts: o, origin: time.Now(), registry: newRegistry(o.Instance, o.AvailabilityZone, shared), logLimiters: newLogLimiters(),
 		stats:           make(map[string]*routeStats),
@@ -86,6 +90,9 @@
 	}
 }
 
+// BodyMemory returns the budget for message bodies; nil means without limit.
+func (e *Engine) BodyMemory() *membudget.Budget { return e.opts.BodyMemory }
+
 // Call is a caller's request with its route and timing.
 type Call struct {
 	Request *exchange.Request
--- a/pkg/dispatch/module.go
+++ b/pkg/dispatch/module.go
@@ -7,6 +7,7 @@
 	"radishturn.example/radishturn"
 	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/lease"
+	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/metricsapi"
 	"radishturn.example/radishturn/pkg/retry"
 	"radishturn.example/radishturn/pkg/settings"
@@ -42,9 +43,10 @@
 		return err
 	}
 	b := c.Settings.RetryBudget
+	memory := bodyMemory(c.Settings.Instance.MemoryMB)
 	m.engine = New(Options{
 		Instance:         c.Settings.Instance.ID,
-		AvailabilityZone: c.Settings.Instance.AvailabilityZone, Views: views, Codec: codec, Reporter: reporter,
+		AvailabilityZone: c.Settings.Instance.AvailabilityZone, Views: views, Codec: codec, Reporter: reporter, BodyMemory: memory,
 		RetryBudget: retry.Bound{Window: b.Window.Std(), Ratio: b.Ratio, Slack: b.Slack},
 	})
 	m.engine.registerGauges()
@@ -52,5 +54,21 @@
 	return radishturn.Provide(c, m.engine)
 }
 
+const (
+	bytesPerMB = 1 << 20
+	// bodyMemoryDivisor is the part of the process's memory that is for the bodies of
+	// requests and replies.
+	bodyMemoryDivisor = 4
+)
+
+// bodyMemory returns the budget for message bodies of a process, or nil if its memory
+// is not stated.
+func bodyMemory(memoryMB int) *membudget.Budget {
+	if memoryMB <= 0 {
+		return nil
+	}
+	return membudget.New(int64(memoryMB) * bytesPerMB / bodyMemoryDivisor)
+}
+
 // Run runs the Engine until ctx is done.
 func (m *Module) Run(ctx context.Context) error { return m.engine.Run(ctx) }
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -5,6 +5,7 @@
 
 	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/pool"
 )
 
 // Outcome is the result of a call. Exactly one of Reply, Answer and Err is set.
@@ -15,6 +16,17 @@
 	Answer *Answer
 	Err    *failure.Error
 	Trace  Trace
+
+	// attempt is the one whose reply is Reply.
+	attempt *pool.Attempt
+}
+
+// Release returns the memory that the reply takes. It is called once the outcome is
+// delivered.
+func (o Outcome) Release() {
+	if o.attempt != nil {
+		o.attempt.Release()
+	}
 }
 
 // NotRun reports whether no target ran the call.
--- a/pkg/dispatch/query.go
+++ b/pkg/dispatch/query.go
@@ -35,6 +35,11 @@
 	lingerTime = 400 * time.Millisecond
 	// callerGoneLinger is the linger time after the caller has disconnected.
 	callerGoneLinger = 250 * time.Millisecond
+	// minPartBound and partBoundFactor bound the part of one shard, the latter as a
+	// multiple of the records in an answer. maxAnswerRecords bounds these.
+	minPartBound     = 16 << 10
+	partBoundFactor  = 8
+	maxAnswerRecords = 1 << 16
 	// noTargetRetryAfter is the Retry-After time while too few shards have a usable
 	// target. A target takes about that long to restart.
 	noTargetRetryAfter = 400 * time.Millisecond
@@ -80,12 +85,16 @@
 	e.logAdmitted(c, &q.trace)
 	out := q.loop(ctx)
 	q.releaseStart(true)
+	for _, sent := range q.sentByShard {
+		sent.release(nil)
+	}
 	e.checkCrashes(c, q.sentByShard...)
 	return observe(c, out)
 }
 
 func (e *Engine) newQuery(c *Call) *query {
 	f := c.Route.Fanout
+	c.Request.MaxReplyBytes = maxPartBytes(f.MaxRecords)
 	began := e.now() - time.Since(c.Arrived)
 	timeout := min(c.Timeout, c.Route.Timeout)
 	plan := gather.Plan{
@@ -108,6 +117,13 @@
 	}
 }
 
+// maxPartBytes bounds the part of one shard: a target has no use for many times the
+// records that the answer holds.
+func maxPartBytes(maxRecords int) int {
+	records := min(max(maxRecords, 0), maxAnswerRecords)
+	return max(minPartBound, partBoundFactor*records*gather.RecordBytes)
+}
+
 // checkTargets refuses a query before anything is sent if too few shards have a
 // usable target.
 func (q *query) checkTargets() *failure.Error {
@@ -269,6 +285,7 @@
 
 func (q *query) handleResult(r *sentRequest) {
 	r.complete(q.call)
+	defer r.attempt.Release()
 	reply := r.result.Reply
 	switch {
 	case reply != nil && reply.OK() && reply.ID == q.call.Request.ID:
--- a/pkg/dispatch/sent.go
+++ b/pkg/dispatch/sent.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/pool"
 )
@@ -61,6 +62,25 @@
 	return slices.ContainsFunc(s, func(r *sentRequest) bool { return r.mayHaveRun })
 }
 
+// attemptOf returns the attempt that got a reply, or nil.
+func (s sentRequests) attemptOf(reply *exchange.Reply) *pool.Attempt {
+	for _, r := range s {
+		if reply != nil && r.completed && r.result.Reply == reply {
+			return r.attempt
+		}
+	}
+	return nil
+}
+
+// release returns the memory of all replies but one, which may be nil.
+func (s sentRequests) release(kept *pool.Attempt) {
+	for _, r := range s {
+		if r.attempt != kept {
+			r.attempt.Release()
+		}
+	}
+}
+
 // targets returns the targets that requests were sent to, and those that may have
 // run one.
 func (s sentRequests) targets() (asked, mayHaveRun map[model.TargetID]bool) {
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -70,6 +70,8 @@
 	e.recordFirst(service)
 	e.logAdmitted(c, &s.trace)
 	out := s.loop(ctx)
+	out.attempt = s.sent.attemptOf(out.Reply)
+	s.sent.release(out.attempt)
 	e.checkCrashes(c, s.sent)
 	return observe(c, out)
 }
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -26,6 +26,8 @@
 	Body   []byte
 	// WantHeader requests the header fields of the reply.
 	WantHeader bool
+	// MaxReplyBytes bounds the body of a reply; 0 means that the pool's bound applies.
+	MaxReplyBytes int
 	// Encoded is the part that is the same for all targets, set by Codec.Prepare.
 	Encoded []byte
 }
--- a/pkg/pool/conn.go
+++ b/pkg/pool/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"radishturn.example/radishturn/pkg/exchange"
+	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/model"
 )
 
@@ -18,8 +19,10 @@
 	readBufferBytes = 2 << 10
 	// requestBytes is large enough for a typical request.
 	requestBytes = 512
-	// maxReplyBytes bounds the body of one reply.
+	// maxReplyBytes bounds the body of a reply to a request that states no other bound.
 	maxReplyBytes = 8 << 20
+	// maxForeignBytes bounds the body of a foreign reply.
+	maxForeignBytes = 64 << 10
 	// maxForeignReplies is the number of consecutive foreign replies that are
 	// discarded before the connection is closed. A foreign reply is one that does not
 	// belong to the request in progress, such as a late reply to an earlier request.
@@ -62,6 +65,32 @@
 	conn atomic.Pointer[conn]
 	// abandoned is set once the attempt must not be sent any more.
 	abandoned atomic.Bool
+	// memory is what a long reply takes of the process's memory for bodies.
+	memory atomic.Pointer[membudget.Reservation]
+}
+
+// Release returns the memory that the reply takes. It is called once the reply is no
+// longer used, or its result is no longer waited for.
+func (a *Attempt) Release() {
+	a.memory.CompareAndSwap(nil, released)
+	a.memory.Load().Release()
+}
+
+// released is the reservation of attempts that were released before they had one.
+var released = func() *membudget.Reservation {
+	r := (*membudget.Budget)(nil).Reserve()
+	r.Release()
+	return r
+}()
+
+// reserve reserves memory for the reply.
+func (a *Attempt) reserve(n int64) error {
+	r := a.memory.Load()
+	if r == nil {
+		a.memory.CompareAndSwap(nil, a.conn.Load().pool.memory.Reserve())
+		r = a.memory.Load()
+	}
+	return r.Grow(n)
 }
 
 // Abandon closes the attempt's connection unless the reply arrives within linger.
@@ -84,7 +113,9 @@
 type conn struct {
 	pool *Pool
 	net  net.Conn
-	br   *bufio.Reader
+	// br reads from reader.
+	br     *bufio.Reader
+	reader *replyReader
 	// uses counts the attempts that were started.
 	uses atomic.Int64
 	// replied is set by the first reply.
@@ -101,7 +132,9 @@
 	// foreign counts the foreign replies since the last reply to a request in
 	// progress.
 	foreign int
-	closed  bool
+	// receiving is set while bytes arrive although no request is in progress.
+	receiving bool
+	closed    bool
 	// usableUntil is when the idle connection must no longer be used, because the
 	// target may close it; zero if the target has stated no time.
 	usableUntil time.Time
@@ -111,7 +144,7 @@
 // nothing, if the connection is closed or in use.
 func (c *conn) start(a *Attempt) bool {
 	c.mu.Lock()
-	if c.closed || c.attempt != nil {
+	if c.closed || c.receiving || c.attempt != nil {
 		c.mu.Unlock()
 		return false
 	}
@@ -148,6 +181,7 @@
 // that the target closes the connection.
 func (c *conn) readLoop() {
 	for {
+		c.reader.begin(nil, 0)
 		if _, err := c.br.Peek(1); err != nil {
 			c.fail(fmt.Errorf("read reply from %s: %w", c.pool.address, err))
 			return
@@ -160,11 +194,9 @@
 
 // readReply reads one reply and reports whether to read another one.
 func (c *conn) readReply() bool {
-	a := c.current()
-	expect := exchange.ReplyOptions{MaxBody: maxReplyBytes}
-	if a != nil {
-		expect.Method, expect.WantHeader = a.Request.Method, a.Request.WantHeader
-	}
+	a := c.receive()
+	expect := replyOptions(a)
+	c.reader.begin(a, expect.MaxBody)
 	reply, err := c.pool.codec.ReadReply(c.br, expect)
 	if err != nil {
 		c.fail(fmt.Errorf("read reply from %s: %w", c.pool.address, err))
@@ -176,10 +208,26 @@
 	return c.finish(a, reply)
 }
 
+// replyOptions returns how the reply to an attempt is read, or foreign bytes if there is
+// none.
+func replyOptions(a *Attempt) exchange.ReplyOptions {
+	if a == nil {
+		return exchange.ReplyOptions{MaxBody: maxForeignBytes}
+	}
+	o := exchange.ReplyOptions{Method: a.Request.Method, WantHeader: a.Request.WantHeader, MaxBody: maxReplyBytes}
+	if a.Request.MaxReplyBytes > 0 {
+		o.MaxBody = a.Request.MaxReplyBytes
+	}
+	return o
+}
+
 // discardForeignReply discards a foreign reply and reports whether the connection
 // stays open.
 func (c *conn) discardForeignReply(reply *exchange.Reply) bool {
 	c.pool.foreign.Inc()
+	c.mu.Lock()
+	c.receiving = false
+	c.mu.Unlock()
 	c.foreign++
 	if reply.Close || c.foreign > maxForeignReplies {
 		c.fail(fmt.Errorf("connection to %s ended by a foreign reply", c.pool.address))
@@ -218,6 +266,15 @@
 	return reusable
 }
 
+// receive returns the attempt in progress, to which the bytes that arrive belong. If
+// there is none, no attempt may start until they are read.
+func (c *conn) receive() *Attempt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receiving = c.attempt == nil
+	return c.attempt
+}
+
 func (c *conn) current() *Attempt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -247,7 +304,7 @@
 func (c *conn) usable(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.closed && c.attempt == nil && (c.usableUntil.IsZero() || now.Before(c.usableUntil))
+	return !c.closed && !c.receiving && c.attempt == nil && (c.usableUntil.IsZero() || now.Before(c.usableUntil))
 }
 
 // connectError returns err, a failure to connect, wrapped with ErrNotSent.
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"radishturn.example/radishturn/pkg/exchange"
+	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/model"
 )
 
@@ -58,6 +59,8 @@
 	Dial DialFunc
 	// ResetGuard may be nil.
 	ResetGuard *ResetGuard
+	// Memory bounds the replies that are held at a time; nil means without limit.
+	Memory *membudget.Budget
 }
 
 // Pool holds the connections to one target.
@@ -67,6 +70,7 @@
 	codec      exchange.Codec
 	dialTarget DialFunc
 	resetGuard *ResetGuard
+	memory     *membudget.Budget
 	opened     *metrics.Counter
 	foreign    *metrics.Counter
 
@@ -88,7 +92,7 @@
 		s.Dial = DialTCP
 	}
 	return &Pool{
-		target: target, address: address, codec: s.Codec, dialTarget: s.Dial, resetGuard: s.ResetGuard, limit: limit,
+		target: target, address: address, codec: s.Codec, dialTarget: s.Dial, resetGuard: s.ResetGuard, memory: s.Memory, limit: limit,
 		open:    make(map[*conn]bool),
 		opened:  metrics.GetOrCreateCounter("radishturn_target_connections_opened_total"),
 		foreign: metrics.GetOrCreateCounter("radishturn_target_replies_foreign_total"),
@@ -193,7 +197,8 @@
 		_ = raw.Close()
 		return nil, net.ErrClosed
 	}
-	c := &conn{pool: p, net: raw, br: bufio.NewReaderSize(raw, readBufferBytes)}
+	reader := &replyReader{conn: raw}
+	c := &conn{pool: p, net: raw, reader: reader, br: bufio.NewReaderSize(reader, readBufferBytes)}
 	p.open[c] = true
 	go c.readLoop()
 	return c, nil
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -67,6 +67,9 @@
 	NamedByAddress   bool                     `json:"namedByAddress,omitempty"`
 	ID               model.InstanceID         `json:"id"`
 	AvailabilityZone model.AvailabilityZoneID `json:"availabilityZone"`
+	// MemoryMB is the memory that the process may use, in MiB; 0 means not stated. A
+	// quarter of it is for message bodies.
+	MemoryMB int `json:"memoryMB,omitempty"`
 	// MeshListen is the UDP address for other instances.
 	MeshListen netip.AddrPort `json:"meshListen"`
 	// MeshAdvertise is the address advertised to peers; empty means MeshListen.
