Targets state in replies that they are leaving, or when they want the next request

A target that is going to stop now says so in all its replies, before the list does, and one that turns a request away may state with Retry-After for how long it wants none. Neither was read: both kinds got requests, hedges and retries.

Change. dispatch.notice is the pure part: leaving from the first reply that says so, until the process has ended (its address refuses connections, or it is listed with another start time), ten minutes at most; paused until the end of the longest pause that was asked for, a minute at most. Such a target is left out of every choice. If too few shards or no target of a service can be asked, the call is refused at once, not run, and Retry-After states when the first pauses end.

Not built yet: other instances do not learn of it, and a restarted instance learns it from the first reply.

--- /dev/null
+++ b/pkg/dispatch/notice.go
@@ -0,0 +1,62 @@
+package dispatch
+
+import (
+	"errors"
+	"syscall"
+	"time"
+
+	"radishturn.example/radishturn/pkg/pool"
+)
+
+const (
+	// maxPause bounds the pause that a target can ask for.
+	maxPause = time.Minute
+	// maxLeaving is how long a target is considered as leaving after its last word on
+	// it: long enough for any target to stop, and then for its listing to end.
+	maxLeaving = 10 * time.Minute
+)
+
+// notice is what a target's process has stated in its replies about the requests that
+// it wants. It performs no I/O and reads no clock.
+//
+// Invariant: a process that is leaving or paused gets no request, neither first nor
+// further ones, however few other targets there are.
+type notice struct {
+	// leaving is set from the first reply that says so, until leavingUntil at most.
+	leaving      bool
+	leavingUntil time.Duration
+	// pausedUntil is the end of the pause that the target has asked for.
+	pausedUntil time.Duration
+}
+
+// allows reports whether the process wants a request at now.
+func (n *notice) allows(now time.Duration) bool {
+	return now >= n.pausedUntil && !(n.leaving && now < n.leavingUntil)
+}
+
+// record records the result of a request. A process whose address refuses connections
+// has ended; what it stated says nothing about the next one there.
+func (n *notice) record(now time.Duration, r pool.Result) {
+	if errors.Is(r.Err, syscall.ECONNREFUSED) {
+		*n = notice{}
+		return
+	}
+	if r.Reply == nil {
+		return
+	}
+	if r.Reply.Leaving {
+		n.leaving, n.leavingUntil = true, now+maxLeaving
+	}
+	if r.Reply.RetryAfter > 0 {
+		n.pausedUntil = max(n.pausedUntil, now+min(r.Reply.RetryAfter, maxPause))
+	}
+}
+
+// usableAgainIn returns how long it takes until the pause of a process that is paused
+// ends; 0 for any other.
+func (n *notice) usableAgainIn(now time.Duration) time.Duration {
+	if n.leaving && now < n.leavingUntil {
+		return 0
+	}
+	return max(0, n.pausedUntil-now)
+}
--- a/pkg/dispatch/registry.go
+++ b/pkg/dispatch/registry.go
@@ -148,7 +148,7 @@
 // updateTarget returns the target for a new or changed entry. Connections and
 // health are kept while the address stays the same.
 func (r *registry) updateTarget(old *target, listed model.Target) *target {
-	if old != nil && old.Address == listed.Address {
+	if old != nil && old.Address == listed.Address && old.Born == listed.Born {
 		if listed.Leaving && !old.Leaving {
 			events.Emit(events.TargetLeaving, listed.ID, "listed as leaving")
 		}
@@ -257,6 +257,21 @@
 	return slices.ContainsFunc(s.own, usable) || slices.ContainsFunc(s.onDemand, usable)
 }
 
+// pauseLeft returns how long it takes until the first of the service's targets that
+// have asked for a pause may get a request again; 0 if none has.
+func (rs *registryState) pauseLeft(service model.ServiceID, now time.Duration) time.Duration {
+	var least time.Duration
+	s := rs.services[service]
+	for _, targets := range [][]*target{s.own, s.onDemand} {
+		for _, t := range targets {
+			if left := t.pauseLeft(now); left > 0 && (least == 0 || left < least) {
+				least = left
+			}
+		}
+	}
+	return least
+}
+
 // ready reports whether both the routing table and the catalog are known.
 func (rs *registryState) ready() bool { return rs.view.Routing != nil && rs.view.Catalog != nil }
 
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -297,7 +297,11 @@
 }
 
 func (s *singleCall) refuse(step, format string, args ...any) Outcome {
-	return s.fail(newRefusal(failure.NoTarget, failure.NotRun, step, string(s.service), refusedRetryAfter, format, args...))
+	retryAfter := refusedRetryAfter
+	if now := s.engine.now(); !s.call.state.hasUsableTarget(s.service, now) {
+		retryAfter = max(retryAfter, s.call.state.pauseLeft(s.service, now))
+	}
+	return s.fail(newRefusal(failure.NoTarget, failure.NotRun, step, string(s.service), retryAfter, format, args...))
 }
 
 // fail returns an error outcome and records the call's requests in the trace.
--- a/pkg/dispatch/status.go
+++ b/pkg/dispatch/status.go
@@ -62,6 +62,10 @@
 			status.Unused = "address of another target"
 		case t.health.unreachable(now):
 			status.Unused = "unreachable"
+		case !t.notice.allows(now) && t.notice.usableAgainIn(now) == 0:
+			status.Unused = "leaving"
+		case !t.notice.allows(now):
+			status.Unused = "paused"
 		}
 		t.mu.Unlock()
 		s.Targets = append(s.Targets, status)
@@ -85,6 +89,8 @@
 	"unused":      func(t *TargetStatus) bool { return t.Unused != "" },
 	"unreachable": func(t *TargetStatus) bool { return t.Unused == "unreachable" },
 	"dear":        func(t *TargetStatus) bool { return t.FleetCost > 0 },
+	"leaving":     func(t *TargetStatus) bool { return t.Unused == "leaving" },
+	"paused":      func(t *TargetStatus) bool { return t.Unused == "paused" },
 	"cold":        func(t *TargetStatus) bool { return t.Cold },
 }
 
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -29,6 +29,7 @@
 
 	mu     sync.Mutex
 	health health
+	notice notice
 	// wrongTarget is set once the process at the address has replied that it is not
 	// this target. Only a listing at another address clears it.
 	wrongTarget bool
@@ -74,7 +75,7 @@
 func (t *target) begin(now, usual time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.coldAllowed(now) {
+	if !t.coldAllowed(now) || !t.notice.allows(now) {
 		return false
 	}
 	if t.coldInterval > 0 {
@@ -113,6 +114,8 @@
 	default:
 		h.reached(now, now-sent, usual, r.Reply.Status >= http.StatusInternalServerError || !r.Reply.OK())
 	}
+	noticeBefore := t.notice
+	t.notice.record(now, r)
 	if r.Reply != nil && r.Reply.Load.Known {
 		l := r.Reply.Load
 		h.loadReported(now, l.Running, l.Waiting, l.MaxRunning)
@@ -120,6 +123,10 @@
 	switch {
 	case t.wrongTarget && !wrongBefore:
 		return changeWrongTarget
+	case t.notice.leaving && !noticeBefore.leaving:
+		return changeLeaving
+	case t.notice.pausedUntil > now && noticeBefore.pausedUntil <= now:
+		return changePaused
 	case h.connectFailures > 0 && failuresBefore == 0:
 		return changeUnreachable
 	case h.connectFailures == 0 && failuresBefore > 0:
@@ -145,6 +152,10 @@
 	changeUnreachable
 	// changeReachable: the target could be connected to again.
 	changeReachable
+	// changeLeaving: the target has stated that it is going to stop.
+	changeLeaving
+	// changePaused: the target has stated that it wants no request for a time.
+	changePaused
 )
 
 // log logs the change, if there is one.
@@ -156,15 +167,26 @@
 		events.Emit(events.TargetEjected, id, err)
 	case changeReachable:
 		events.Emit(events.TargetReadmitted, id)
+	case changeLeaving:
+		events.Emit(events.TargetLeaving, id, "stated in a reply")
+	case changePaused:
+		events.Emit(events.TargetPaused, id)
 	}
 }
 
+// pauseLeft returns how long the target still wants no request; 0 if it is not paused.
+func (t *target) pauseLeft(now time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.notice.usableAgainIn(now)
+}
+
 // cost returns the expected cost of another request, or false if the target must not
 // get one.
 func (t *target) cost(now time.Duration) (float64, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.wrongTarget || t.Leaving || t.health.unreachable(now) || !t.coldAllowed(now) {
+	if t.wrongTarget || t.Leaving || !t.notice.allows(now) || t.health.unreachable(now) || !t.coldAllowed(now) {
 		return 0, false
 	}
 	return t.health.cost(now), true
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -92,6 +92,7 @@
 	RequestSent        Number = 5024
 	CallLate           Number = 5025
 	CallQueued         Number = 5026
+	TargetPaused       Number = 5027
 
 	OrderOutcomeUnknown     Number = 6001
 	OrderClaimUnconfirmed   Number = 6002
@@ -214,6 +215,7 @@
 	{RequestSent, infoLevel, "request to a target sent", []string{"request", "service", "target", "milliseconds", "cost", "dear", "replyMilliseconds", "result"}},
 	{CallLate, infoLevel, "latency objective exceeded while the request of a caller is in progress", []string{"request", "route", "milliseconds", "waiting", "late"}},
 	{CallQueued, infoLevel, "query was queued before its start", []string{"request", "route", "milliseconds", "ahead", "limit"}},
+	{TargetPaused, infoLevel, "target has asked for a pause", []string{"target"}},
 
 	{OrderOutcomeUnknown, warnLevel, "outcome of an order is unknown", []string{"request", "error"}},
 	{OrderClaimUnconfirmed, warnLevel, "claim of an order could not be confirmed", []string{"request", "error"}},
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -65,7 +65,12 @@
 	// WrongTarget is set if the request was addressed to another target. It was not
 	// run.
 	WrongTarget bool
-	Load        Load
+	// Leaving is set if the target states that it is going to stop.
+	Leaving bool
+	// RetryAfter is how long the target wants no request after one that it did not run;
+	// 0 if not stated.
+	RetryAfter time.Duration
+	Load       Load
 	// Close is set if the target closes the connection after the reply.
 	Close bool
 	// KeepAlive is how long an idle connection stays open; 0 if not stated.
--- a/pkg/exchange/exchangetest/exchangetest.go
+++ b/pkg/exchange/exchangetest/exchangetest.go
@@ -35,11 +35,12 @@
 	}
 	var id, signature string
 	var notRun, wrong, closes bool
-	var length int
+	var length, retryAfter int
 	reply := &exchange.Reply{}
-	if _, err := fmt.Sscanf(line, "%d %s %s %t %t %t %d\n", &reply.Status, &id, &signature, &notRun, &wrong, &closes, &length); err != nil {
+	if _, err := fmt.Sscanf(line, "%d %s %s %t %t %t %t %d %d\n", &reply.Status, &id, &signature, &notRun, &wrong, &closes, &reply.Leaving, &retryAfter, &length); err != nil {
 		return nil, err
 	}
+	reply.RetryAfter = time.Duration(retryAfter) * time.Millisecond
 	reply.ID, reply.Signature = model.RequestID(id), signature
 	if signature == "-" {
 		reply.Signature = ""
@@ -66,7 +67,11 @@
 	StaleReplyFirst bool
 	// Close closes the connection after the reply.
 	Close bool
-	Body  []byte
+	// Leaving states that the target is going to stop, and RetryAfter that it wants no
+	// request for so long; whole milliseconds.
+	Leaving    bool
+	RetryAfter time.Duration
+	Body       []byte
 }
 
 // Target is a fake target.
@@ -187,12 +192,12 @@
 		b.Status, signature = 503, "-"
 	}
 	if b.StaleReplyFirst {
-		_, _ = fmt.Fprintf(c, "200 earlier %s.earlier false false false 0\n", t.ID)
+		_, _ = fmt.Fprintf(c, "200 earlier %s.earlier false false false false 0 0\n", t.ID)
 	}
 	length := len(b.Body)
 	if b.TruncateReply {
 		length += 10
 	}
-	_, _ = fmt.Fprintf(c, "%d %s %s %t %t %t %d\n%s", b.Status, id, signature, b.NotRun, b.WrongTarget, b.Close, length, b.Body)
+	_, _ = fmt.Fprintf(c, "%d %s %s %t %t %t %t %d %d\n%s", b.Status, id, signature, b.NotRun, b.WrongTarget, b.Close, b.Leaving, b.RetryAfter.Milliseconds(), length, b.Body)
 	return !b.TruncateReply && !b.Close
 }
