Calls: refuse what cannot be answered in time, replace requests at targets that have ended

A request at a target that fell silent after it had accepted it waited until the caller's deadline, 8 s, on routes that allow one attempt, although targets that have ended do not count as attempts.

A call past its deadline is refused as not run before anything is sent. A target counts as ended once it is no longer listed, connections to it fail again and again, or its machine acknowledges nothing; an idempotent call then asks another one.

--- a/pkg/dispatch/query.go
+++ b/pkg/dispatch/query.go
@@ -75,6 +75,9 @@
 	if err := refuseQuarantined(c); err != nil {
 		return observe(c, Outcome{Err: err, Trace: q.trace})
 	}
+	if err := refuseExpired(e.now(), q.plan.Deadline); err != nil {
+		return observe(c, Outcome{Err: err, Trace: q.trace})
+	}
 	if err := q.checkTargets(); err != nil {
 		return observe(c, Outcome{Err: err, Trace: q.trace})
 	}
@@ -273,7 +276,7 @@
 		return q.engine.choose(q.call, service, now, false, nil)
 	}
 	asked, mayHaveRun := q.sentByShard[i].targets()
-	targetLimitReached := len(mayHaveRun) >= max(1, q.call.Route.MaxAttempts)
+	targetLimitReached := q.sentByShard[i].attempts() >= max(1, q.call.Route.MaxAttempts)
 	if !targetLimitReached {
 		if t := q.engine.choose(q.call, service, now, true, func(t *target) bool { return asked[t.ID] }); t != nil {
 			return t
--- a/pkg/dispatch/sent.go
+++ b/pkg/dispatch/sent.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"radishturn.example/radishturn/pkg/exchange"
@@ -27,6 +28,10 @@
 	// mayHaveArrived is false once it is known that the target did not receive the
 	// request, and mayHaveRun once it is known that the target did not run it.
 	mayHaveArrived, mayHaveRun bool
+	// targetEnded is set once the target is known to have ended, or to be cut off, since
+	// the request was sent. The request then no longer counts as one of the attempts
+	// that the route allows, though the target may have run it.
+	targetEnded bool
 	// result is set by another goroutine before the request is delivered on the
 	// results channel. It may be read once completed is set.
 	result pool.Result
@@ -45,6 +50,8 @@
 	r.completed, r.resultAt = true, time.Since(c.Arrived)
 	r.mayHaveArrived = !isNotSent(r.result.Err)
 	r.mayHaveRun = r.mayHaveArrived && (reply == nil || !reply.NotRun && !reply.WrongTarget)
+	// The connection times out if the target's machine acknowledges nothing.
+	r.targetEnded = r.targetEnded || errors.Is(r.result.Err, syscall.ETIMEDOUT)
 }
 
 // sentRequests are the requests to one shard of a query, or those of a call to one
@@ -81,6 +88,18 @@
 	}
 }
 
+// attempts returns how many targets may have run a request, without those that have
+// ended since.
+func (s sentRequests) attempts() int {
+	targets := make(map[model.TargetID]bool)
+	for _, r := range s {
+		if r.mayHaveRun && !r.targetEnded {
+			targets[r.target.ID] = true
+		}
+	}
+	return len(targets)
+}
+
 // targets returns the targets that requests were sent to, and those that may have
 // run one.
 func (s sentRequests) targets() (asked, mayHaveRun map[model.TargetID]bool) {
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -22,6 +22,9 @@
 	// singleHedgeFactor is the delay, in usual latencies, before an idempotent
 	// request is sent to a second target.
 	singleHedgeFactor = 2.5
+	// endedCheckInterval is how often a call checks whether the targets of its requests
+	// have ended.
+	endedCheckInterval = 200 * time.Millisecond
 	// refusedRetryAfter is the Retry-After time when no target accepts the request.
 	refusedRetryAfter = 150 * time.Millisecond
 )
@@ -64,6 +67,9 @@
 	if err := refuseQuarantined(c); err != nil {
 		return observe(c, s.fail(err))
 	}
+	if err := refuseExpired(e.now(), s.deadline); err != nil {
+		return observe(c, s.fail(err))
+	}
 	if !c.state.hasUsableTarget(service, e.now()) {
 		return observe(c, s.refuse("find target", "no target of %s is usable", service))
 	}
@@ -76,6 +82,14 @@
 	return observe(c, out)
 }
 
+// refuseExpired refuses a call whose deadline has passed before anything is sent.
+func refuseExpired(now, deadline time.Duration) *failure.Error {
+	if now < deadline {
+		return nil
+	}
+	return failure.New(failure.DeadlineExceeded, failure.NotRun, "check deadline", "", "the caller waits no longer")
+}
+
 // pickService chooses the service of a call whose route may be split over several.
 func (e *Engine) pickService(c *Call) model.ServiceID {
 	if len(c.Route.Split) == 1 {
@@ -118,6 +132,7 @@
 		case <-timer.C:
 			s.logLate()
 			s.hedge()
+			s.replaceEnded()
 		}
 	}
 }
@@ -171,11 +186,10 @@
 // request against the retry budget if an earlier one may have arrived, and counts and
 // logs a denial by the budget.
 func (s *singleCall) takeFurtherRequest() bool {
-	_, mayHaveRun := s.sent.targets()
-	if s.trace.Sent >= maxSingleRequests || len(mayHaveRun) >= max(1, s.call.Route.MaxAttempts) {
+	if s.trace.Sent >= maxSingleRequests || s.sent.attempts() >= max(1, s.call.Route.MaxAttempts) {
 		return false
 	}
-	if len(mayHaveRun) > 0 && !s.call.Route.Idempotent {
+	if s.sent.mayHaveRun() && !s.call.Route.Idempotent {
 		return false
 	}
 	if s.sent.mayHaveArrived() && !s.engine.takeExtraRequest(s.service, len(s.inFlight) == 0) {
@@ -195,9 +209,35 @@
 	if s.call.Route.Idempotent && len(s.inFlight) == 1 && !s.hedged {
 		wakeup = min(wakeup, max(now, s.hedgeAt()))
 	}
+	if s.call.Route.Idempotent {
+		wakeup = min(wakeup, now+endedCheckInterval)
+	}
 	return wakeup
 }
 
+// replaceEnded sends a further request if all targets that work on the call have ended,
+// and would never reply.
+func (s *singleCall) replaceEnded() {
+	if !s.call.Route.Idempotent || len(s.inFlight) == 0 {
+		return
+	}
+	state := s.engine.registryState()
+	for _, r := range s.inFlight {
+		if !r.target.hasEnded(state) {
+			return
+		}
+	}
+	for _, r := range s.inFlight {
+		r.targetEnded = true
+	}
+	// The new list may name other targets.
+	s.call.state = state
+	s.trace.RetriesDue++
+	if s.takeFurtherRequest() {
+		s.send()
+	}
+}
+
 // objectiveEnd returns when the call's latency objective ends.
 func (s *singleCall) objectiveEnd() time.Duration {
 	return s.arrived + s.call.Route.Objective - s.call.Elapsed
