--- a/pkg/routing/check.go
+++ b/pkg/routing/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"radishturn.example/radishturn/pkg/model"
 )
@@ -43,8 +44,8 @@
 		}
 		total += w.Weight
 	}
-	if total <= 0 {
-		return fmt.Errorf("weights add up to %g; the sum must be greater than zero", total)
+	if total <= 0 || math.IsInf(total, 0) {
+		return fmt.Errorf("weights add up to %g; the sum must be finite and greater than zero", total)
 	}
 	return nil
 }
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -91,6 +91,6 @@
 // ShardsRequired returns the minimum number of shards in an answer.
 func (f *Fanout) ShardsRequired() int {
 	n := len(f.Shards)
-	need := int(math.Ceil(f.MinShardShare * float64(n)))
+	need := int(math.Ceil(min(max(0, f.MinShardShare), 1) * float64(n)))
 	return max(1, min(need, n))
 }
