Soak: odd list entries, leaving targets, pauses, planned stops of control members

The list holds eight odd entries at random places (deep nesting, numbers and ports out of range, bytes that are no JSON, open strings), draining targets say so in their replies, shedding ones ask for a pause. Control members are stopped as planned in half of the cases: the expression for it was always 0, since whole milliseconds of nanoseconds are even.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -199,7 +199,7 @@
 	case 1: // an entry instance shuts down
 		entry.signal(syscall.SIGTERM)
 	case 2: // a control instance is killed or shuts down
-		member.signal([]syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[int(duration)%2])
+		member.signal([]syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[int(duration.Milliseconds())%2])
 	case 3: // an entry instance is frozen
 		f.freeze(entry, duration)
 	case 4: // a control instance is frozen
--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -10,6 +10,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -39,6 +41,9 @@
 	modeCount
 )
 
+// shedRetryAfter is the pause that a target asks for when it sheds a request, in seconds.
+const shedRetryAfter = "0.2"
+
 // run is one execution of a request by a target.
 type run struct {
 	target *target
@@ -100,8 +105,12 @@
 	l.mu.Lock()
 	mode, draining := l.mode, l.draining
 	l.mu.Unlock()
+	if !draining.IsZero() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if mode == shedding && rand.IntN(2) == 0 {
 		w.Header().Set("X-Radishturn-Not-Executed", "1")
+		w.Header().Set("Retry-After", shedRetryAfter)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -137,20 +146,27 @@
 	return body
 }
 
-// serveList serves the platform's list of back ends, with two malformed entries
-// that its readers must skip.
+// oddEntries are entries of another writer. They name no back end to use, and the
+// readers of the list must keep all others.
+var oddEntries = []string{
+	`{"id":7}`, `"damaged"`, `null`, `{"id":"i-open`, "\x00\xff",
+	strings.Repeat("[", 20000) + strings.Repeat("]", 20000),
+	`{"id":"i-odd","service":"orders","address":"127.0.0.1:65536","zone":"a","version":"v1","slots":4,"state":"ready"}`,
+	`{"id":"i-odd","service":"orders","address":"127.0.0.1:9","zone":"a","version":"v1","slots":9223372036854775808,"state":"ready"}`,
+}
+
+// serveList serves the platform's list of back ends with odd entries between them.
 func (f *fleet) serveList(rw http.ResponseWriter, _ *http.Request) {
 	type entry struct {
 		ID      string `json:"id"`
 		Service string `json:"service"`
 		Address string `json:"address"`
 		Zone    string `json:"zone"`
+		Version string `json:"version"`
 		Slots   int    `json:"slots"`
 		State   string `json:"state"`
 	}
-	list := struct {
-		Instances []any `json:"instances"`
-	}{Instances: []any{map[string]any{"id": 7}, "damaged"}}
+	entries := slices.Clone(oddEntries)
 	f.mu.Lock()
 	for _, l := range f.targets {
 		l.mu.Lock()
@@ -159,10 +175,13 @@
 			state = "draining"
 		}
 		l.mu.Unlock()
-		list.Instances = append(list.Instances, entry{l.id, l.service, l.address, l.zone, 4, state})
+		encoded, err := json.Marshal(entry{l.id, l.service, l.address, l.zone, "v1", 4, state})
+		f.must(err)
+		entries = append(entries, string(encoded))
 	}
 	f.mu.Unlock()
-	_ = json.NewEncoder(rw).Encode(list)
+	rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
+	_, _ = fmt.Fprintf(rw, `{"instances":[%s],"next-page-token":null}`, strings.Join(entries, ","))
 }
 
 // proxy forwards the connections of the entry instances to one target, and injects
