--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -232,9 +232,8 @@
 	}
 	// The new list may name other targets.
 	s.call.state = state
-	s.trace.RetriesDue++
-	if s.takeFurtherRequest() {
-		s.send()
+	if s.takeFurtherRequest() && s.send() {
+		s.trace.RetriesDue++
 	}
 }
 
