--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -13,7 +13,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -193,11 +192,6 @@
 // reserved for extra requests without which the call fails.
 const reserveShare = 0.35
 
-// reserve returns how many extra requests are reserved. In a large fleet, an
-// instance's share of Slack is a few requests; a part of one that is set aside helps no
-// call, and keeps a whole one from being sent.
-func reserve(b retry.Bound) float64 { return math.Floor(reserveShare * b.Slack) }
-
 // takeExtraRequest reports whether the retry budget of a service allows an extra
 // request, and counts it if so. A request that the call needs may use the reserve.
 func (e *Engine) takeExtraRequest(s model.ServiceID, needed bool) bool {
@@ -205,7 +199,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	b := e.budget(s)
-	if !needed && b.Remaining(now, bound) < 1+reserve(bound) {
+	if !needed && b.Remaining(now, bound) < 1+reserveShare*bound.Slack {
 		return false
 	}
 	return b.Take(now, bound)
