--- a/pkg/mesh/quic.go
+++ b/pkg/mesh/quic.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/netip"
 	"os"
@@ -67,16 +66,6 @@
 
 var _ Mesh = (*QUIC)(nil)
 
-// peer holds the connection to one instance. Its mutex is held while dialing, so
-// that concurrent requests share one dial.
-type peer struct {
-	id model.InstanceID
-
-	mu      sync.Mutex
-	address netip.AddrPort
-	conn    *quic.Conn
-}
-
 // Environment variables that quic-go reads when a socket is set up. Its own
 // warning about small buffers is disabled because it would not be written as an
 // event of the log.
@@ -166,43 +155,6 @@
 // Handle sets the handler of a kind.
 func (m *QUIC) Handle(kind Kind, handler Handler) { m.dispatcher.register(kind, handler) }
 
-// SetPeer sets the address of an instance.
-func (m *QUIC) SetPeer(id model.InstanceID, address netip.AddrPort) {
-	m.mu.Lock()
-	p, ok := m.peers[id]
-	if !ok {
-		p = &peer{id: id, address: address}
-		m.peers[id] = p
-	}
-	m.mu.Unlock()
-	p.setAddress(address)
-}
-
-// setAddress closes the connection if the address has changed.
-func (p *peer) setAddress(address netip.AddrPort) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.address == address {
-		return
-	}
-	p.address = address
-	if p.conn != nil {
-		_ = p.conn.CloseWithError(closeNormal, "address changed")
-		p.conn = nil
-	}
-}
-
-// Peers returns the instances with a known address.
-func (m *QUIC) Peers() []model.InstanceID {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	ids := make([]model.InstanceID, 0, len(m.peers))
-	for id := range m.peers {
-		ids = append(ids, id)
-	}
-	return ids
-}
-
 // Call sends a request and waits for the reply. A request to this instance is
 // served without the network.
 func (m *QUIC) Call(ctx context.Context, to model.InstanceID, kind Kind, request cbor.RawMessage) (cbor.RawMessage, error) {
@@ -221,188 +173,6 @@
 	return payloadOf(r)
 }
 
-func payloadOf(r *replyMessage) (cbor.RawMessage, error) {
-	if r.Failure != nil {
-		return nil, r.Failure.toError()
-	}
-	return r.Payload, nil
-}
-
-func (m *QUIC) openStream(ctx context.Context, to model.InstanceID) (*quic.Stream, error) {
-	p := m.peer(to)
-	if p == nil {
-		return nil, errors.New("address of the peer is not known")
-	}
-	stream, err := m.openStreamTo(ctx, p)
-	if errors.Is(err, errConnectionLost) {
-		// The connection was closed, and nothing of this request was sent on it.
-		return m.openStreamTo(ctx, p)
-	}
-	return stream, err
-}
-
-func (m *QUIC) openStreamTo(ctx context.Context, p *peer) (*quic.Stream, error) {
-	conn, err := m.connect(ctx, p)
-	if err != nil {
-		return nil, err
-	}
-	stream, err := conn.OpenStreamSync(ctx)
-	if err != nil {
-		// If the caller stopped waiting for a stream, the connection may still be good.
-		if ctx.Err() != nil {
-			return nil, err
-		}
-		p.dropConnection(conn)
-		return nil, fmt.Errorf("%w: %w", errConnectionLost, err)
-	}
-	return stream, nil
-}
-
-// peer returns the peer with an ID, or nil if its address is not known.
-func (m *QUIC) peer(id model.InstanceID) *peer {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	p := m.peers[id]
-	if p != nil || m.resolve == nil {
-		return p
-	}
-	address, ok := m.resolve(id)
-	if !ok {
-		return nil
-	}
-	p = &peer{id: id, address: address}
-	m.peers[id] = p
-	return p
-}
-
-// ResolveByAddress makes every ID that is an IP address a peer at that address,
-// with the port on which this instance listens.
-func (m *QUIC) ResolveByAddress() {
-	port := m.Address().Port()
-	m.resolve = func(id model.InstanceID) (netip.AddrPort, bool) {
-		ip, err := netip.ParseAddr(string(id))
-		return netip.AddrPortFrom(ip, port), err == nil
-	}
-}
-
-func (m *QUIC) connect(ctx context.Context, p *peer) (*quic.Conn, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conn != nil && p.conn.Context().Err() == nil {
-		return p.conn, nil
-	}
-	if err := ctx.Err(); err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
-	defer cancel()
-	client := m.credentials.ClientConfig([]string{alpnProtocol}, string(p.id))
-	conn, err := m.transport.Dial(ctx, net.UDPAddrFromAddrPort(p.address), client, quicConfig())
-	if err != nil {
-		return nil, err
-	}
-	events.Emit(events.PeerConnected, p.id, p.address)
-	p.conn = conn
-	return conn, nil
-}
-
-// dropConnection closes and removes a failed connection, unless it was replaced
-// already.
-func (p *peer) dropConnection(conn *quic.Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conn == conn {
-		_ = conn.CloseWithError(closeNormal, "failed")
-		p.conn = nil
-	}
-}
-
-// exchange sends e and reads the reply. It cancels the stream when ctx is done.
-func exchange(ctx context.Context, stream *quic.Stream, e *requestMessage) (*replyMessage, error) {
-	stop := context.AfterFunc(ctx, func() {
-		stream.CancelRead(streamCancelled)
-		stream.CancelWrite(streamCancelled)
-	})
-	defer stop()
-	if err := writeMessage(stream, e); err != nil {
-		return nil, errors.Join(err, ctx.Err())
-	}
-	r := new(replyMessage)
-	if err := readMessage(stream, r); err != nil {
-		return nil, errors.Join(err, ctx.Err())
-	}
-	return r, nil
-}
-
-func writeMessage(stream *quic.Stream, message any) error {
-	payload, err := cbor.Marshal(message)
-	if err != nil {
-		return fmt.Errorf("encode message: %w", err)
-	}
-	if _, err := stream.Write(payload); err != nil {
-		return fmt.Errorf("write message: %w", err)
-	}
-	return stream.Close()
-}
-
-func readMessage(r io.Reader, message any) error {
-	payload, err := io.ReadAll(io.LimitReader(r, maxMessageBytes+1))
-	if err != nil {
-		return fmt.Errorf("read message: %w", err)
-	}
-	if len(payload) > maxMessageBytes {
-		return fmt.Errorf("message is longer than %d bytes", maxMessageBytes)
-	}
-	if err := decodeMode.Unmarshal(payload, message); err != nil {
-		return fmt.Errorf("decode message: %w", err)
-	}
-	return nil
-}
-
-// Run serves the requests of peers until ctx is done or the mesh is closed.
-func (m *QUIC) Run(ctx context.Context) error {
-	for {
-		conn, err := m.listener.Accept(ctx)
-		if ctx.Err() != nil || errors.Is(err, quic.ErrServerClosed) || errors.Is(err, quic.ErrTransportClosed) {
-			return nil
-		}
-		if err != nil {
-			return fmt.Errorf("accept peers: %w", err)
-		}
-		go m.serveConn(ctx, conn)
-	}
-}
-
-func (m *QUIC) serveConn(ctx context.Context, conn *quic.Conn) {
-	from := model.InstanceID(keys.PeerName(conn.ConnectionState().TLS))
-	for {
-		stream, err := conn.AcceptStream(ctx)
-		if err != nil {
-			events.Emit(events.PeerDisconnected, from, err)
-			return
-		}
-		go m.serveStream(ctx, from, stream)
-	}
-}
-
-func (m *QUIC) serveStream(ctx context.Context, from model.InstanceID, stream *quic.Stream) {
-	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
-	defer cancel()
-	_ = stream.SetDeadline(time.Now().Add(serveTimeout))
-	e := new(requestMessage)
-	if err := readMessage(stream, e); err != nil {
-		stream.CancelRead(streamCancelled)
-		stream.CancelWrite(streamCancelled)
-		return
-	}
-	// The context of the write side ends when the peer cancels the stream.
-	stop := context.AfterFunc(stream.Context(), cancel)
-	defer stop()
-	if err := writeMessage(stream, m.dispatcher.serve(ctx, from, e)); err != nil {
-		stream.CancelWrite(streamCancelled)
-	}
-}
-
 // Close closes all connections and the socket.
 func (m *QUIC) Close() error {
 	return errors.Join(m.listener.Close(), m.transport.Close(), m.socket.Close())
--- /dev/null
+++ b/pkg/mesh/serve.go
@@ -0,0 +1,58 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/keys"
+	"radishturn.example/radishturn/pkg/model"
+)
+
+// Run serves the requests of peers until ctx is done or the mesh is closed.
+func (m *QUIC) Run(ctx context.Context) error {
+	for {
+		conn, err := m.listener.Accept(ctx)
+		if ctx.Err() != nil || errors.Is(err, quic.ErrServerClosed) || errors.Is(err, quic.ErrTransportClosed) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept peers: %w", err)
+		}
+		go m.serveConn(ctx, conn)
+	}
+}
+
+func (m *QUIC) serveConn(ctx context.Context, conn *quic.Conn) {
+	from := model.InstanceID(keys.PeerName(conn.ConnectionState().TLS))
+	for {
+		stream, err := conn.AcceptStream(ctx)
+		if err != nil {
+			events.Emit(events.PeerDisconnected, from, err)
+			return
+		}
+		go m.serveStream(ctx, from, stream)
+	}
+}
+
+func (m *QUIC) serveStream(ctx context.Context, from model.InstanceID, stream *quic.Stream) {
+	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+	defer cancel()
+	_ = stream.SetDeadline(time.Now().Add(serveTimeout))
+	e := new(requestMessage)
+	if err := readMessage(stream, e); err != nil {
+		stream.CancelRead(streamCancelled)
+		stream.CancelWrite(streamCancelled)
+		return
+	}
+	// The context of the write side ends when the peer cancels the stream.
+	stop := context.AfterFunc(stream.Context(), cancel)
+	defer stop()
+	if err := writeMessage(stream, m.dispatcher.serve(ctx, from, e)); err != nil {
+		stream.CancelWrite(streamCancelled)
+	}
+}
