--- a/pkg/dispatch/query.go
+++ b/pkg/dispatch/query.go
@@ -127,38 +127,6 @@
 	return max(minPartBound, partBoundFactor*records*gather.RecordBytes)
 }
 
-// checkTargets refuses a query before anything is sent if too few shards have a
-// usable target.
-func (q *query) checkTargets() *failure.Error {
-	now, usable := q.engine.now(), 0
-	var pauses []time.Duration
-	for _, s := range q.call.Route.Fanout.Shards {
-		if q.call.state.hasUsableTarget(s, now) {
-			usable++
-			continue
-		}
-		q.trace.Unanswered = append(q.trace.Unanswered, string(s))
-		if left := q.call.state.pauseLeft(s, now); left > 0 {
-			pauses = append(pauses, left)
-		}
-	}
-	if usable >= q.plan.Required {
-		return nil
-	}
-	return newRefusal(failure.NoTarget, failure.NotRun, "find targets", "", retryAfterPauses(pauses, q.plan.Required-usable),
-		"%d of %d shards have a usable target, %d required", usable, len(q.call.Route.Fanout.Shards), q.plan.Required)
-}
-
-// retryAfterPauses returns when it is worth returning if missing more shards are
-// required: when so many of those whose targets are paused can be asked again.
-func retryAfterPauses(pauses []time.Duration, missing int) time.Duration {
-	if len(pauses) < missing {
-		return noTargetRetryAfter
-	}
-	slices.Sort(pauses)
-	return max(noTargetRetryAfter, pauses[missing-1])
-}
-
 func (q *query) loop(ctx context.Context) Outcome {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -82,14 +82,6 @@
 	return observe(c, out)
 }
 
-// refuseExpired refuses a call whose deadline has passed before anything is sent.
-func refuseExpired(now, deadline time.Duration) *failure.Error {
-	if now < deadline {
-		return nil
-	}
-	return failure.New(failure.DeadlineExceeded, failure.NotRun, "check deadline", "", "the caller waits no longer")
-}
-
 // pickService chooses the service of a call whose route may be split over several.
 func (e *Engine) pickService(c *Call) model.ServiceID {
 	if len(c.Route.Split) == 1 {
@@ -215,28 +207,6 @@
 	return wakeup
 }
 
-// replaceEnded sends a further request if all targets that work on the call have ended,
-// and would never reply.
-func (s *singleCall) replaceEnded() {
-	if !s.call.Route.Idempotent || len(s.inFlight) == 0 {
-		return
-	}
-	state := s.engine.registryState()
-	for _, r := range s.inFlight {
-		if !r.target.hasEnded(state) {
-			return
-		}
-	}
-	for _, r := range s.inFlight {
-		r.targetEnded = true
-	}
-	// The new list may name other targets.
-	s.call.state = state
-	if s.takeFurtherRequest() && s.send() {
-		s.trace.RetriesDue++
-	}
-}
-
 // objectiveEnd returns when the call's latency objective ends.
 func (s *singleCall) objectiveEnd() time.Duration {
 	return s.arrived + s.call.Route.Objective - s.call.Elapsed
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -174,21 +174,6 @@
 	}
 }
 
-// endedConnectFailures is how many consecutive failures to connect show that a target
-// has ended or is cut off.
-const endedConnectFailures = 2
-
-// hasEnded reports whether the target is known to have ended or to be cut off: it is no
-// longer listed, or connections to it fail again and again.
-func (t *target) hasEnded(state *registryState) bool {
-	if state.targets[t.ID] == nil || state.targets[t.ID].process != t.process {
-		return true
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.health.connectFailures >= endedConnectFailures
-}
-
 // pauseLeft returns how long the target still wants no request; 0 if it is not paused.
 func (t *target) pauseLeft(now time.Duration) time.Duration {
 	t.mu.Lock()
