fanout: a death is noticed also if the next process answers first

The check compared the boot ID that the running process states with the one that the target had stated last; if a request to the next process was answered before the lost connection of an earlier one was handled, both were the same, and the new process was cold, which explains a death by itself.

An attempt keeps the boot ID and the coldness of the process that it was sent to. A spec that puts the two in this order failed before.

--- a/pkg/fanout/attempt.go
+++ b/pkg/fanout/attempt.go
@@ -53,7 +53,7 @@
 		left := time.Until(p.request.Deadline).Milliseconds()
 		q.Header = target.NewHeader(p.request.ID, p.plan.snapshot.ID, p.request.Route, k+1, left)
 	}
-	go p.runAttempt(ctx, cancel, attemptRef{subquery: i, attempt: k, target: t, started: now, alone: p.trial.active}, q)
+	go p.runAttempt(ctx, cancel, attemptRef{subquery: i, attempt: k, target: t, started: now, alone: p.trial.active, process: t.leaf.processOf(t)}, q)
 }
 
 // attemptRef identifies an attempt in flight.
@@ -63,6 +63,8 @@
 	target   *targetState
 	started  time.Duration
 	alone    bool
+	// process is the target's process when the attempt started.
+	process targetProcess
 }
 
 func (p *pass) runAttempt(ctx context.Context, cancel context.CancelFunc, a attemptRef, q *target.Query) {
@@ -71,7 +73,7 @@
 	var death deathCheckResult
 	if result.Kind == target.KindReset {
 		p.deathChecks.Add(1)
-		death = p.service.confirmDeath(t, p.fingerprint, a.alone)
+		death = p.service.confirmDeath(t, a.process, p.fingerprint, a.alone)
 		// The count is lowered only after the result has been queued, so that the
 		// pass learns whether the target died before it may hedge again.
 		defer p.deathChecks.Add(-1)
--- a/pkg/fanout/death.go
+++ b/pkg/fanout/death.go
@@ -60,18 +60,19 @@
 // confirmDeath checks whether a target that lost a connection died: it refuses
 // connections, or a process with another boot ID answers. If a request may have
 // caused the death, those in flight become suspect, and the death is reported to
-// control.
-func (s *Service) confirmDeath(t *targetState, f model.Fingerprint, alone bool) deathCheckResult {
-	check, first := t.leaf.joinDeathCheck(t, f, s.now())
+// control. lost is the process to which the request was
+// sent.
+func (s *Service) confirmDeath(t *targetState, lost targetProcess, f model.Fingerprint, alone bool) deathCheckResult {
+	check, first := t.leaf.joinDeathCheck(t, lost, f, s.now())
 	if !first {
 		<-check.done
 		return check.result(alone)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), deathCheckTimeout)
 	defer cancel()
-	condition, boot := t.client.Probe(ctx)
+	condition, running := t.client.Probe(ctx)
 	t.leaf.endDeathCheck(t)
-	restarted := condition == target.ProbeAnswered && check.boot != "" && boot != check.boot
+	restarted := condition == target.ProbeAnswered && check.boot != "" && running != check.boot
 	check.died = condition == target.ProbeRefused || restarted
 	if check.died {
 		s.reportDeath(t, check, alone)
@@ -87,13 +88,35 @@
 	return deathCheckResult{lostBoot: c.boot, mayBeCause: !c.cold || alone, quarantined: alone && c.quarantined}
 }
 
+// targetProcess is what is known of a target's process.
+type targetProcess struct {
+	// boot is empty if it is not known.
+	boot model.BootID
+	cold bool
+}
+
+// processOf returns the process of the target that last stated its boot ID.
+func (l *leaf) processOf(t *targetState) targetProcess {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return t.process()
+}
+
+func (t *targetState) process() targetProcess {
+	return targetProcess{boot: t.warmth.Boot(), cold: !t.unrestricted()}
+}
+
 // joinDeathCheck returns the check of the target, and whether the caller has to
-// run it.
-func (l *leaf) joinDeathCheck(t *targetState, f model.Fingerprint, now time.Duration) (*deathCheck, bool) {
+// run it. The process whose connections were lost is the one to which the request was
+// sent: the next one may have stated its boot ID meanwhile.
+func (l *leaf) joinDeathCheck(t *targetState, lost targetProcess, f model.Fingerprint, now time.Duration) (*deathCheck, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if t.deathCheck == nil {
-		t.deathCheck = &deathCheck{done: make(chan struct{}), boot: t.warmth.Boot(), cold: !t.unrestricted() || l.collection.turnedColdRecently(now)}
+		if current := t.process(); lost.boot == "" || lost.boot == current.boot {
+			lost = current
+		}
+		t.deathCheck = &deathCheck{done: make(chan struct{}), boot: lost.boot, cold: lost.cold || l.collection.turnedColdRecently(now)}
 		t.deathCheck.answeredRecently = l.recentAnswers.contains(f, now)
 		for _, r := range t.running {
 			t.deathCheck.suspects = append(t.deathCheck.suspects, r.fingerprint)
--- a/pkg/fanout/moves_test.go
+++ b/pkg/fanout/moves_test.go
@@ -1,6 +1,7 @@
 package fanout_test
 
 import (
+	"context"
 	"sync"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -41,4 +42,25 @@
 		Expect(f.reported(func(e view.Evidence) bool { return len(e.Crashes) > 0 })).To(BeTrue())
 		Expect(f.reported(func(e view.Evidence) bool { return len(e.VersionStops) > 0 })).To(BeFalse())
 	})
+
+	It("is noticed by a request whose loss is seen only after the next process has answered another one", func() {
+		f := newFixture(1, 1, withoutHedging)
+		only := f.targets[0]
+		f.warmUp()
+		hold := make(chan struct{})
+		only.set(func(t *fakeTarget) { t.hold = hold })
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_, _ = f.service.Query(context.Background(), newQuery("lost"))
+		}()
+		Eventually(only.inFlightNow).Should(Equal(1))
+		only.set(func(t *fakeTarget) { t.hold, t.boot = nil, "b2" })
+		_, err := f.service.Query(context.Background(), newQuery("next"))
+		Expect(err).NotTo(HaveOccurred())
+		only.server.CloseClientConnections()
+		close(hold)
+		<-ended
+		Expect(f.reported(func(e view.Evidence) bool { return len(e.Crashes) > 0 && e.Crashes[0].Boot == "b1" })).To(BeTrue())
+	})
 })
