dispatch: a target that resets new connections has not ended

Two failures to connect of any kind counted as the end of a target. One that is over its connection limit resets new connections while it works on requests; an idempotent call could then be sent to more targets than its route allows.

Only attempts to connect that are refused or not answered count; a reset or a reply ends the row.

--- a/pkg/dispatch/ended.go
+++ b/pkg/dispatch/ended.go
@@ -1,5 +1,11 @@
 package dispatch
 
+import (
+	"errors"
+	"net"
+	"syscall"
+)
+
 // replaceEnded sends a further request if all targets that work on the call have ended,
 // and would never reply.
 func (s *singleCall) replaceEnded() {
@@ -22,17 +28,25 @@
 	}
 }
 
-// endedConnectFailures is how many consecutive failures to connect show that a target
-// has ended or is cut off.
-const endedConnectFailures = 2
+// maxSilentConnects is how many consecutive attempts to connect a running target that
+// can be reached leaves unaccepted.
+const maxSilentConnects = 1
+
+// notAccepted reports whether an error shows that nothing accepts connections at the
+// target's address. A reset shows the opposite: a target over its connection limit
+// resets new connections while it works on the requests of others.
+func notAccepted(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &timeout) && timeout.Timeout()
+}
 
 // hasEnded reports whether the target is known to have ended or to be cut off: it is no
-// longer listed, or connections to it fail again and again.
+// longer listed, or nothing accepts connections at its address.
 func (t *target) hasEnded(state *registryState) bool {
 	if state.targets[t.ID] == nil || state.targets[t.ID].process != t.process {
 		return true
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.health.connectFailures >= endedConnectFailures
+	return t.silentConnects > maxSilentConnects
 }
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -30,6 +30,8 @@
 	mu     sync.Mutex
 	health health
 	notice notice
+	// silentConnects counts the consecutive attempts to connect that were not accepted.
+	silentConnects int
 	// wrongTarget is set once the process at the address has replied that it is not
 	// this target. Only a listing at another address clears it.
 	wrongTarget bool
@@ -114,6 +116,12 @@
 	default:
 		h.reached(now, now-sent, usual, r.Reply.Status >= http.StatusInternalServerError || !r.Reply.OK())
 	}
+	switch {
+	case notAccepted(r.Err):
+		t.silentConnects++
+	case !abandonedUnsent(r.Err):
+		t.silentConnects = 0
+	}
 	noticeBefore := t.notice
 	t.notice.record(now, r)
 	if r.Reply != nil && r.Reply.Load.Known {
