membudget, pool, notice: simpler state

An attempt's reservation is a value that is bound to a budget when it grows, instead of an atomic pointer with a shared released one. The reply reader is used by one goroutine and needs no atomic. A notice is two times; a flag beside one of them stayed set after its time, so a target that said so again was not logged. The status asks for the same states once. Specs of the packages pass.

--- a/pkg/dispatch/notice.go
+++ b/pkg/dispatch/notice.go
@@ -22,17 +22,17 @@
 // Invariant: a process that is leaving or paused gets no request, neither first nor
 // further ones, however few other targets there are.
 type notice struct {
-	// leaving is set from the first reply that says so, until leavingUntil at most.
-	leaving      bool
-	leavingUntil time.Duration
+	// leavingUntil is set by each reply that says that the target is going to stop, and
 	// pausedUntil is the end of the pause that the target has asked for.
-	pausedUntil time.Duration
+	leavingUntil, pausedUntil time.Duration
 }
 
+func (n *notice) leaving(now time.Duration) bool { return now < n.leavingUntil }
+
+func (n *notice) paused(now time.Duration) bool { return now < n.pausedUntil }
+
 // allows reports whether the process wants a request at now.
-func (n *notice) allows(now time.Duration) bool {
-	return now >= n.pausedUntil && !(n.leaving && now < n.leavingUntil)
-}
+func (n *notice) allows(now time.Duration) bool { return !n.leaving(now) && !n.paused(now) }
 
 // record records the result of a request. A process whose address refuses connections
 // has ended; what it stated says nothing about the next one there.
@@ -45,17 +45,17 @@
 		return
 	}
 	if r.Reply.Leaving {
-		n.leaving, n.leavingUntil = true, now+maxLeaving
+		n.leavingUntil = now + maxLeaving
 	}
 	if r.Reply.RetryAfter > 0 {
 		n.pausedUntil = max(n.pausedUntil, now+min(r.Reply.RetryAfter, maxPause))
 	}
 }
 
-// usableAgainIn returns how long it takes until the pause of a process that is paused
-// ends; 0 for any other.
-func (n *notice) usableAgainIn(now time.Duration) time.Duration {
-	if n.leaving && now < n.leavingUntil {
+// pauseLeft returns how long it takes until a process that is paused, and not leaving,
+// wants requests again; 0 for any other.
+func (n *notice) pauseLeft(now time.Duration) time.Duration {
+	if n.leaving(now) {
 		return 0
 	}
 	return max(0, n.pausedUntil-now)
--- a/pkg/dispatch/notice_test.go
+++ b/pkg/dispatch/notice_test.go
@@ -34,7 +34,7 @@
 		n.record(0, reply(exchange.Reply{Status: 503, RetryAfter: 5 * time.Second}))
 		n.record(time.Second, reply(exchange.Reply{Status: 503, RetryAfter: time.Second}))
 		Expect(n.allows(5*time.Second - 1)).To(BeFalse())
-		Expect(n.usableAgainIn(time.Second)).To(Equal(4 * time.Second))
+		Expect(n.pauseLeft(time.Second)).To(Equal(4 * time.Second))
 		Expect(n.allows(5 * time.Second)).To(BeTrue())
 	})
 
--- a/pkg/dispatch/status.go
+++ b/pkg/dispatch/status.go
@@ -54,7 +54,7 @@
 		t.mu.Lock()
 		status.Cost, status.InFlight = rounded(t.health.cost(now)), len(t.health.pending)
 		switch {
-		case t.Leaving:
+		case t.Leaving || t.notice.leaving(now):
 			status.Unused = "leaving"
 		case state.view.Evacuated[t.AvailabilityZone]:
 			status.Unused = "evacuated"
@@ -62,9 +62,7 @@
 			status.Unused = "address of another target"
 		case t.health.unreachable(now):
 			status.Unused = "unreachable"
-		case !t.notice.allows(now) && t.notice.usableAgainIn(now) == 0:
-			status.Unused = "leaving"
-		case !t.notice.allows(now):
+		case t.notice.paused(now):
 			status.Unused = "paused"
 		}
 		t.mu.Unlock()
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -131,9 +131,9 @@
 	switch {
 	case t.wrongTarget && !wrongBefore:
 		return changeWrongTarget
-	case t.notice.leaving && !noticeBefore.leaving:
+	case t.notice.leaving(now) && !noticeBefore.leaving(now):
 		return changeLeaving
-	case t.notice.pausedUntil > now && noticeBefore.pausedUntil <= now:
+	case t.notice.paused(now) && !noticeBefore.paused(now):
 		return changePaused
 	case h.connectFailures > 0 && failuresBefore == 0:
 		return changeUnreachable
@@ -186,7 +186,7 @@
 func (t *target) pauseLeft(now time.Duration) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.notice.usableAgainIn(now)
+	return t.notice.pauseLeft(now)
 }
 
 // cost returns the expected cost of another request, or false if the target must not
--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// Reservation is the part of a budget that one message holds. The zero value is an
-// empty reservation of an unlimited budget. It is safe for concurrent use.
+// Reservation is the part of a budget that one message holds. The zero value holds
+// nothing. It is safe for concurrent use.
 type Reservation struct {
 	mu       sync.Mutex
 	budget   *Budget
@@ -54,17 +54,15 @@
 	released bool
 }
 
-// Reserve returns an empty reservation.
-func (b *Budget) Reserve() *Reservation { return &Reservation{budget: b} }
-
-// Grow reserves n more bytes. It fails if the budget has no room for them, or the
-// reservation was released.
-func (r *Reservation) Grow(n int64) error {
+// Grow reserves n more bytes of the budget, which is the same in all calls. It fails if
+// the budget has no room for them, or the reservation was released.
+func (r *Reservation) Grow(b *Budget, n int64) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.released || !r.budget.take(n) {
+	if r.released || !b.take(n) {
 		return ErrExhausted
 	}
+	r.budget = b
 	r.held += n
 	return nil
 }
--- a/pkg/membudget/membudget_test.go
+++ b/pkg/membudget/membudget_test.go
@@ -15,9 +15,9 @@
 	var workers sync.WaitGroup
 	for range 50 {
 		workers.Go(func() {
-			r := b.Reserve()
+			var r membudget.Reservation
 			defer r.Release()
-			for r.Grow(7) == nil {
+			for r.Grow(b, 7) == nil {
 				g.Expect(b.Used()).To(BeNumerically("<=", 1000+50*7))
 			}
 		})
@@ -29,13 +29,12 @@
 func TestReleasedReservationCannotGrow(t *testing.T) {
 	g := NewWithT(t)
 	b := membudget.New(10)
-	r := b.Reserve()
-	g.Expect(r.Grow(10)).To(Succeed())
-	g.Expect(b.Reserve().Grow(1)).To(MatchError(membudget.ErrExhausted))
+	var r, other membudget.Reservation
+	g.Expect(r.Grow(b, 10)).To(Succeed())
+	g.Expect(other.Grow(b, 1)).To(MatchError(membudget.ErrExhausted))
 	r.Release()
 	r.Release()
 	g.Expect(b.Used()).To(BeZero())
-	g.Expect(r.Grow(1)).To(MatchError(membudget.ErrExhausted))
-	var unlimited *membudget.Budget
-	g.Expect(unlimited.Reserve().Grow(1 << 40)).To(Succeed())
+	g.Expect(r.Grow(b, 1)).To(MatchError(membudget.ErrExhausted))
+	g.Expect(other.Grow(nil, 1<<40)).To(Succeed())
 }
--- a/pkg/pool/conn.go
+++ b/pkg/pool/conn.go
@@ -66,32 +66,12 @@
 	// abandoned is set once the attempt must not be sent any more.
 	abandoned atomic.Bool
 	// memory is what a long reply takes of the process's memory for bodies.
-	memory atomic.Pointer[membudget.Reservation]
+	memory membudget.Reservation
 }
 
 // Release returns the memory that the reply takes. It is called once the reply is no
 // longer used, or its result is no longer waited for.
-func (a *Attempt) Release() {
-	a.memory.CompareAndSwap(nil, released)
-	a.memory.Load().Release()
-}
-
-// released is the reservation of attempts that were released before they had one.
-var released = func() *membudget.Reservation {
-	r := (*membudget.Budget)(nil).Reserve()
-	r.Release()
-	return r
-}()
-
-// reserve reserves memory for the reply.
-func (a *Attempt) reserve(n int64) error {
-	r := a.memory.Load()
-	if r == nil {
-		a.memory.CompareAndSwap(nil, a.conn.Load().pool.memory.Reserve())
-		r = a.memory.Load()
-	}
-	return r.Grow(n)
-}
+func (a *Attempt) Release() { a.memory.Release() }
 
 // Abandon closes the attempt's connection unless the reply arrives within linger.
 func (a *Attempt) Abandon(linger time.Duration) {
--- a/pkg/pool/reply_reader.go
+++ b/pkg/pool/reply_reader.go
@@ -3,7 +3,8 @@
 import (
 	"errors"
 	"net"
-	"sync/atomic"
+
+	"radishturn.example/radishturn/pkg/membudget"
 )
 
 const (
@@ -23,11 +24,14 @@
 
 // replyReader reads replies from a connection and bounds the bytes of each one,
 // whatever they are: a reply to a request, or bytes that nobody asked for. The bytes of
-// long replies are reserved in the memory budget of the process.
+// long replies are reserved in the memory budget of the process. It is used by the
+// connection's read loop alone.
 type replyReader struct {
 	conn net.Conn
+	// memory is the budget of the process.
+	memory *membudget.Budget
 	// attempt is the attempt whose reply is read; nil while there is none.
-	attempt atomic.Pointer[Attempt]
+	attempt *Attempt
 	// left is how many bytes of the current reply may still be read; read counts
 	// those that were.
 	left, read int64
@@ -35,7 +39,7 @@
 
 // begin starts a new reply whose body has at most maxBody bytes.
 func (r *replyReader) begin(a *Attempt, maxBody int) {
-	r.attempt.Store(a)
+	r.attempt = a
 	r.left, r.read = headAllowance+bodyAllowance*int64(maxBody), 0
 }
 
@@ -47,13 +51,11 @@
 	n, err := r.conn.Read(p[:min(int64(len(p)), r.left)])
 	r.left -= int64(n)
 	r.read += int64(n)
-	if r.read <= unreservedBytes {
+	if r.attempt == nil || r.read <= unreservedBytes {
 		return n, err
 	}
-	if a := r.attempt.Load(); a != nil {
-		if full := a.reserve(int64(n)); full != nil {
-			return 0, full
-		}
+	if full := r.attempt.memory.Grow(r.memory, int64(n)); full != nil {
+		return 0, full
 	}
 	return n, err
 }
