fanout: admission, retries and budgets in files of their own

Declarations were moved as they were; no code changed. Specs, vet and staticcheck of the package pass.

--- a/pkg/fanout/collection.go
+++ b/pkg/fanout/collection.go
@@ -92,50 +92,6 @@
 	}
 }
 
-func hedgePolicy(s settings.Collection) hedge.Policy {
-	if s.Hedge == nil {
-		return hedge.Policy{Mode: hedge.ModeAdaptive}
-	}
-	return hedge.Policy{Mode: hedge.Mode(s.Hedge.Mode), Delay: s.Hedge.Delay.Std()}
-}
-
-func (c *collection) hedgeDelay(d hedge.Distribution) (time.Duration, bool) {
-	c.extraBudgetMu.Lock()
-	fill := c.extraBudget.Fill()
-	c.extraBudgetMu.Unlock()
-	return c.hedgePolicy.DelayFor(d, fill)
-}
-
-func (c *collection) earnBudget(attempts int) {
-	c.extraBudgetMu.Lock()
-	defer c.extraBudgetMu.Unlock()
-	c.extraBudget.RecordAttempts(attempts)
-}
-
-func (c *collection) takeHedge(now time.Duration) bool {
-	c.extraBudgetMu.Lock()
-	defer c.extraBudgetMu.Unlock()
-	return c.extraBudget.TakeHedge(now)
-}
-
-func (c *collection) returnHedge() {
-	c.extraBudgetMu.Lock()
-	defer c.extraBudgetMu.Unlock()
-	c.extraBudget.ReturnHedge()
-}
-
-func (c *collection) takeRetry() bool {
-	c.extraBudgetMu.Lock()
-	defer c.extraBudgetMu.Unlock()
-	return c.extraBudget.TakeRetry()
-}
-
-func (c *collection) pauseHedges(now time.Duration) {
-	c.extraBudgetMu.Lock()
-	defer c.extraBudgetMu.Unlock()
-	c.extraBudget.PauseHedges(now)
-}
-
 // refresh applies the platform's list and the view. Both are immutable once they
 // are published, so the same pointers mean that nothing has changed.
 func (c *collection) refresh(list *platform.List, v *view.View, now time.Duration) {
