dispatch: specs of expired calls beside those of calls; one way to send in the fixture

The spec of a query whose time ends before a target was asked had come to test the new refusal instead: its call was over when it arrived. It arrives in time again and finds no connection.

--- a/pkg/dispatch/fixture_test.go
+++ b/pkg/dispatch/fixture_test.go
@@ -102,7 +102,12 @@
 }
 
 func (f *fixture) do(route *routing.Route, id string) Outcome {
-	c := &Call{Request: &exchange.Request{ID: model.RequestID(id), Method: "GET"}, Route: route, Arrived: time.Now(), Timeout: time.Second}
+	return f.doWithin(time.Second, route, id)
+}
+
+// doWithin is do for a caller that waits for the given time.
+func (f *fixture) doWithin(timeout time.Duration, route *routing.Route, id string) Outcome {
+	c := &Call{Request: &exchange.Request{ID: model.RequestID(id), Method: "GET"}, Route: route, Arrived: time.Now(), Timeout: timeout}
 	serve := f.engine.Forward
 	if route.Fanout != nil {
 		serve = f.engine.Query
--- a/pkg/dispatch/query_test.go
+++ b/pkg/dispatch/query_test.go
@@ -31,7 +31,7 @@
 		f.publish(nil)
 		call := &Call{
 			Request: &exchange.Request{ID: "q1", Method: "GET"}, Route: queryRoute("x"),
-			Arrived: time.Now().Add(-time.Second), Timeout: time.Second,
+			Arrived: time.Now(), Timeout: deadlineMargin + 50*time.Millisecond,
 		}
 		f.engine.registry.stateOf(f.views.View()).services["x"].own[0].pool.Close()
 		Expect(f.engine.Query(context.Background(), call).Err.Ran).To(Equal(failure.NotRun))
--- a/pkg/dispatch/refuse.go
+++ b/pkg/dispatch/refuse.go
@@ -29,8 +29,8 @@
 		"%d of %d shards have a usable target, %d required", usable, len(q.call.Route.Fanout.Shards), q.plan.Required)
 }
 
-// retryAfterPauses returns when it is worth returning if missing more shards are
-// required: when so many of those whose targets are paused can be asked again.
+// retryAfterPauses returns the Retry-After time of a query that lacks so many shards:
+// when that many of those whose targets are paused can be asked again.
 func retryAfterPauses(pauses []time.Duration, missing int) time.Duration {
 	if len(pauses) < missing {
 		return noTargetRetryAfter
--- a/pkg/model/check.go
+++ b/pkg/model/check.go
@@ -9,8 +9,8 @@
 const (
 	// maxNameBytes bounds an identifier.
 	maxNameBytes = 256
-	// MaxConcurrency bounds the concurrency that a target may state.
-	MaxConcurrency = 1 << 16
+	// maxConcurrency bounds the concurrency that a target may state.
+	maxConcurrency = 1 << 16
 	// maxErrorText bounds the part of a malformed value that an error shows.
 	maxErrorText = 48
 )
@@ -35,8 +35,8 @@
 	switch {
 	case !isUnicast(t.Address):
 		return fmt.Errorf("target %s: address %s is not one of a host and port", t.ID, t.Address)
-	case t.Concurrency < 0 || t.Concurrency > MaxConcurrency:
-		return fmt.Errorf("target %s: concurrency %d is not between 0 and %d", t.ID, t.Concurrency, MaxConcurrency)
+	case t.Concurrency < 0 || t.Concurrency > maxConcurrency:
+		return fmt.Errorf("target %s: concurrency %d is not between 0 and %d", t.ID, t.Concurrency, maxConcurrency)
 	case t.Leaf.Leaf < 0 || t.Slot < 0 || t.Born < 0:
 		return fmt.Errorf("target %s: leaf %d, slot %d or start time %d is negative", t.ID, t.Leaf.Leaf, t.Slot, t.Born)
 	}
