catalog: targets are checked where they enter, in the catalog itself

The leader and the lease's holder each filtered a list, or a copy of a delta, before they handed it to the catalog, and the catalog, which does no I/O, had the type that logs. Update and Apply leave out what cannot be used themselves and return why, so no caller can forget it; the check over a list is model's, the bounded log of recurring errors is of events. The specs' targets have an address; a spec for both sides.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -61,8 +61,14 @@
 	}
 }
 
-// Update replaces the list of targets and reports whether anything changed.
-func (c *Catalog) Update(list []model.Target) bool {
+// Update replaces the list of targets and reports whether anything changed. It leaves
+// out targets that cannot be used and returns why.
+func (c *Catalog) Update(list []model.Target) (changed bool, refused []error) {
+	list, refused = model.UsableTargets(list)
+	return c.replace(list), refused
+}
+
+func (c *Catalog) replace(list []model.Target) bool {
 	next := c.position.Sequence + 1
 	changed := !c.loaded
 	c.loaded = true
@@ -180,8 +186,15 @@
 }
 
 // Apply returns the set after a delta; s may be nil. The digest of the resulting
-// position is computed from the targets in the set.
-func (s *Set) Apply(d *Delta) *Set {
+// position is computed from the targets in the set. Targets that cannot be used are
+// left out; Apply returns why.
+func (s *Set) Apply(d *Delta) (next *Set, refused []error) {
+	changed, refused := model.UsableTargets(d.Changed)
+	return s.apply(d, changed), refused
+}
+
+// apply is Apply with the targets that changed and can be used.
+func (s *Set) apply(d *Delta, changed []model.Target) *Set {
 	next := &Set{Position: d.To}
 	if s != nil && !d.Full {
 		next.Targets = maps.Clone(s.Targets)
@@ -190,7 +203,7 @@
 		next.Position.Digest = 0
 	}
 	if next.Targets == nil {
-		next.Targets = make(map[model.TargetID]model.Target, len(d.Changed))
+		next.Targets = make(map[model.TargetID]model.Target, len(changed))
 	}
 	if len(d.ReplacedBuckets) > 0 {
 		next.removeBuckets(d.ReplacedBuckets)
@@ -198,7 +211,7 @@
 	for _, id := range d.Removed {
 		next.remove(id)
 	}
-	for _, t := range d.Changed {
+	for _, t := range changed {
 		next.remove(t.ID)
 		next.Targets[t.ID] = t
 		next.Position.Digest ^= digestOf(&t)
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -17,7 +18,23 @@
 	RunSpecs(t, "catalog")
 }
 
+var address = netip.MustParseAddrPort("10.0.0.1:80")
+
 var _ = Describe("Catalog", func() {
+	// The leader and its followers may run different builds.
+	It("takes no targets that cannot be used, neither at the leader nor at a follower", func() {
+		usable, odd := model.Target{ID: "i-1", Address: address}, model.Target{ID: "i\r\n2", Address: address}
+		c := catalog.New(1)
+		changed, refused := c.Update([]model.Target{odd, usable})
+		Expect(changed).To(BeTrue())
+		Expect(refused).To(HaveLen(1))
+		Expect(c.Len()).To(Equal(1))
+		var s *catalog.Set
+		s, refused = s.Apply(&catalog.Delta{Full: true, Changed: []model.Target{odd, usable}})
+		Expect(refused).To(HaveLen(1))
+		Expect(s.Targets).To(HaveLen(1))
+	})
+
 	It("brings followers up to date, however far behind they are", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			term := uint64(1)
@@ -33,6 +50,7 @@
 				for i := range rapid.IntRange(0, 6).Draw(t, "targets") {
 					list = append(list, model.Target{
 						ID:      model.TargetID(fmt.Sprint(i)),
+						Address: address,
 						Leaving: rapid.Bool().Draw(t, "leaving"),
 					})
 					if rapid.Bool().Draw(t, "another") {
@@ -62,7 +80,7 @@
 	It("sends a follower of an earlier leader only the changes", func() {
 		var list []model.Target
 		for i := range 1000 {
-			list = append(list, model.Target{ID: model.TargetID(fmt.Sprint("i-", i))})
+			list = append(list, model.Target{ID: model.TargetID(fmt.Sprint("i-", i)), Address: address})
 		}
 		before, unchanged, after := catalog.New(1), catalog.New(2), catalog.New(3)
 		before.Update(list)
@@ -103,6 +121,6 @@
 			continue
 		}
 		received += len(d.Changed)
-		*s = (*s).Apply(d)
+		*s, _ = (*s).Apply(d)
 	}
 }
--- a/pkg/control/server/leader_term.go
+++ b/pkg/control/server/leader_term.go
@@ -45,15 +45,16 @@
 	offers   map[model.InstanceID]reconfig.Offer
 	changing atomic.Bool
 	// catalog is the list of targets that the leader distributes to instances.
-	catalog        *catalog.Catalog
-	refusedTargets *catalog.RefusalLog
+	catalog *catalog.Catalog
+	// refusedTargets logs targets that the catalog does not take.
+	refusedTargets *events.ErrorLog
 	// costs holds the costs of targets, aggregated over the reports of all instances.
 	costs *catalog.CostTracker
 }
 
 func newLeaderTerm(s *Server, term uint64) *leaderTerm {
 	n := &leaderTerm{Server: s, term: term, started: s.now(), warmth: grant.NewWarmUp(), catalog: catalog.New(term), costs: catalog.NewCostTracker(term),
-		refusedTargets: catalog.NewRefusalLog(), offers: make(map[model.InstanceID]reconfig.Offer)}
+		refusedTargets: events.NewErrorLog(events.PlatformEntryInvalid), offers: make(map[model.InstanceID]reconfig.Offer)}
 	var known []table.KnownInstance
 	s.machine.Read(func(st *state.State) {
 		n.clock = st.Clock()
--- a/pkg/control/server/limits.go
+++ b/pkg/control/server/limits.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/grant"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/settings"
@@ -21,7 +20,8 @@
 		return
 	}
 	n.list = list
-	n.catalog.Update(catalog.ValidTargets(list.Targets, n.refusedTargets.Add))
+	_, refused := n.catalog.Update(list.Targets)
+	n.refusedTargets.Add(refused...)
 	n.setLimits()
 }
 
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -6,6 +6,7 @@
 
 	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/control/wire"
+	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/grant"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/state"
@@ -73,13 +74,13 @@
 	// then set Reset, which asks for a new session.
 	noGrants bool
 	// refusedTargets logs targets from the leader that cannot be used.
-	refusedTargets *catalog.RefusalLog
+	refusedTargets *events.ErrorLog
 }
 
 func newHolder(self model.Instance, boot string, duration, grace time.Duration) *holder {
 	return &holder{
 		self: self, boot: boot, duration: duration, grace: grace, view: &view.View{}, noGrants: true,
-		refusedTargets: catalog.NewRefusalLog(),
+		refusedTargets: events.NewErrorLog(events.PlatformEntryInvalid),
 	}
 }
 
@@ -200,10 +201,10 @@
 	if d == nil || d.NeedBuckets {
 		return
 	}
-	checked := *d
-	checked.Changed = catalog.ValidTargets(d.Changed, h.refusedTargets.Add)
+	targets, refused := h.view.Catalog.Apply(d)
+	h.refusedTargets.Add(refused...)
 	next := *h.view
-	next.Catalog = h.view.Catalog.Apply(&checked)
+	next.Catalog = targets
 	h.view = &next
 }
 
--- a/pkg/model/check.go
+++ b/pkg/model/check.go
@@ -15,10 +15,24 @@
 	maxErrorText = 48
 )
 
+// UsableTargets returns the targets that can be used, and why the others cannot. It is
+// applied wherever targets enter: where lists are read, at the leader, and at the
+// instances that follow it, so that a value that one of them lets through does no harm
+// behind the next.
+func UsableTargets(targets []Target) (usable []Target, refused []error) {
+	usable = make([]Target, 0, len(targets))
+	for _, t := range targets {
+		if err := t.Check(); err != nil {
+			refused = append(refused, err)
+			continue
+		}
+		usable = append(usable, t)
+	}
+	return usable, refused
+}
+
 // Check returns an error if the target cannot be used: a field is missing, out of
-// range, or not fit for a header field or a metric label. It is checked wherever
-// targets enter: where lists are read, at the leader, and at the instances that follow
-// it, so that a value that one of them lets through does no harm behind the next.
+// range, or not fit for a header field or a metric label.
 func (t *Target) Check() error {
 	if t.ID == "" {
 		return errors.New("target without an ID")
--- a/pkg/platform/module.go
+++ b/pkg/platform/module.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"radishturn.example/radishturn"
-	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/settings"
 )
 
@@ -30,7 +30,7 @@
 	settings settings.Platform
 	client   *http.Client
 	list     atomic.Pointer[List]
-	refused  *catalog.RefusalLog
+	refused  *events.ErrorLog
 	failing  bool
 }
 
@@ -50,7 +50,7 @@
 func (m *Module) Provision(c *radishturn.Context) error {
 	m.settings = c.Settings.Platform
 	m.client = &http.Client{Timeout: readTimeout}
-	m.refused = catalog.NewRefusalLog()
+	m.refused = events.NewErrorLog(events.PlatformEntryInvalid)
 	return radishturn.Provide[Source](c, m)
 }
 
@@ -106,6 +106,8 @@
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(list); err != nil {
 		return nil, fmt.Errorf("read platform list from %s: %w", url, err)
 	}
-	list.Targets = catalog.ValidTargets(list.Targets, m.refused.Add)
+	targets, refused := model.UsableTargets(list.Targets)
+	m.refused.Add(refused...)
+	list.Targets = targets
 	return list, nil
 }
