--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -187,7 +187,8 @@
 
 // Apply returns the set after a delta; s may be nil. The digest of the resulting
 // position is computed from the targets in the set. Targets that cannot be used are
-// left out; Apply returns why.
+// left out; Apply returns why. The digest then differs from that of a leader whose build
+// takes them, so the leader sends their buckets again.
 func (s *Set) Apply(d *Delta) (next *Set, refused []error) {
 	changed, refused := model.UsableTargets(d.Changed)
 	return s.apply(d, changed), refused
