--- a/pkg/dispatch/notice.go
+++ b/pkg/dispatch/notice.go
@@ -11,8 +11,8 @@
 const (
 	// maxPause bounds the pause that a target can ask for.
 	maxPause = time.Minute
-	// maxLeaving is how long a target is considered as leaving after its last word on
-	// it: long enough for any target to stop, and then for its listing to end.
+	// maxLeaving is how long a target is considered as leaving after the last reply that
+	// says so: long enough for any target to stop, and then for its listing to end.
 	maxLeaving = 10 * time.Minute
 )
 
--- a/pkg/jsonlist/jsonlist.go
+++ b/pkg/jsonlist/jsonlist.go
@@ -231,25 +231,22 @@
 // brackets alone. It returns false if the value does not end within the limit.
 func (p *parser) endOfValue(start int) (end, depth int, ok bool) {
 	limit := min(len(p.text), start+p.limits.Bytes)
+	// open holds the closing brackets that are still to come.
 	var open []byte
 	for at := start; at < limit; at++ {
 		c := p.text[at]
-		switch c {
-		case '"':
+		switch {
+		case c == '"':
 			if at, ok = p.endOfString(at, limit); !ok {
 				return 0, 0, false
 			}
-		case '{', '[':
+		case c == '{' || c == '[':
 			open = append(open, c+closingOffset)
 			depth = max(depth, len(open))
-			continue
-		case '}', ']', ',', ':':
-			if len(open) == 0 {
-				return at, depth, at > start
-			}
-			if c == ',' || c == ':' {
-				continue
-			}
+		case len(open) == 0 && bytes.IndexByte(delimiters, c) >= 0:
+			// A number or a word ends before its delimiter.
+			return at, depth, at > start
+		case c == '}' || c == ']':
 			if open[len(open)-1] != c {
 				return 0, 0, false
 			}
@@ -264,6 +261,8 @@
 	return 0, 0, false
 }
 
+var delimiters = []byte("]},:")
+
 // closingOffset is the difference between a closing bracket and its opening one, the
 // same for both kinds.
 const closingOffset = '}' - '{'
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -100,6 +100,9 @@
 	p.checkRequired("instance.callerListen", !i.CallerListen.IsValid())
 	p.checkRequired("instance.adminListen", !i.AdminListen.IsValid())
 	p.checkPositive("instance.maxInFlight", i.MaxInFlight > 0, "allow at least one query")
+	if i.MemoryMB < 0 {
+		p.report("instance.memoryMB", "negative", "state a number of MiB, or leave it out")
+	}
 	if i.CallerListen.IsValid() && listenersConflict(i.CallerListen, i.AdminListen) {
 		p.report("instance.adminListen", "same port as callerListen", "choose another port")
 	}
