--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -64,6 +64,7 @@
 		Entry("even number of members", `["split-1", "zadar-1", "sibenik-1"]`, `["split-1", "zadar-1"]`, "control.members", "2 members"),
 		Entry("unknown hedge mode", `"connectTime": "6ms"`, `"hedge": {"mode": "often"}`, "collections[0].hedge.mode", "not a mode"),
 		Entry("fixed hedge without delay", `"connectTime": "6ms"`, `"hedge": {"mode": "fixed"}`, "collections[0].hedge.delay", "not greater"),
+		Entry("negative memory", `"callerListen"`, `"memoryMB": -1, "callerListen"`, "instance.memoryMB", "negative"),
 		Entry("host name", `"10.20.1.11:8080"`, `"split:8080"`, "instance.callerListen", ""),
 	)
 
