--- a/review/standin/moved.go
+++ b/review/standin/moved.go
@@ -20,19 +20,8 @@
 	crashTime           = 4500 * time.Millisecond
 	greyTime            = 6500 * time.Millisecond
 	greyPart            = 0.4
-	contactWindow       = 4 * time.Second
-	applyTime           = 3 * time.Second
-	steadySeconds       = 15
-	loadPause           = 25 * time.Millisecond
-	// servedRatio is the ratio below which the rule is broken, and minRequests the
-	// number of requests from which it applies.
-	servedRatio = 0.25
-	minRequests = 20
 )
 
-// tally counts the requests on one route in the steady state.
-type tally struct{ asked, served, refused, other int }
-
 const movedServices = `"services":[{"name":"catalog","health-path":"/health","max-connections":45,"protocol":"h1","tls":false,"cold-start-s":3.0,"cold-per-s":0.0},{"name":"orders","health-path":"/health","max-connections":45,"protocol":"h1","tls":false,"cold-start-s":3.0,"cold-per-s":0.0}],"limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}}`
 
 func safeRoute(name, prefix, service string) string {
@@ -80,41 +69,8 @@
 	if err := f.awaitReady(15 * time.Second); err != nil {
 		return false, err
 	}
-	counts := map[string]*tally{}
-	steady := false
-	stop := make(chan struct{})
-	var clients sync.WaitGroup
-	prefixes := []string{"/c/", "/o/"}
-	for _, front := range f.fronts() {
-		clients.Go(func() {
-			f.steadyLoad(stop, front, loadPause, func() string {
-				mu.Lock()
-				defer mu.Unlock()
-				return prefixes[rand.IntN(len(prefixes))]
-			}, func(prefix string, a answer) {
-				mu.Lock()
-				defer mu.Unlock()
-				if !steady {
-					return
-				}
-				t := counts[prefix]
-				if t == nil {
-					t = &tally{}
-					counts[prefix] = t
-				}
-				t.asked++
-				switch {
-				case a.status >= 200 && a.status < 300 && a.header.Get("X-Radishturn-Server-Signature") != "":
-					t.served++
-				case a.status == 503:
-					t.refused++
-				default:
-					t.other++
-				}
-			})
-		})
-	}
-	defer func() { close(stop); clients.Wait() }()
+	w := f.watch("/c/", "/o/")
+	defer w.end()
 	time.Sleep(3 * time.Second)
 	for i := range 2 {
 		l, err := f.startLeaf("orders", []string{"mechelen", "leuven"}[i%2], "v2", handle)
@@ -160,31 +116,7 @@
 	if err := f.order("POST", "/Configuration.Replace", config); err != nil {
 		return false, err
 	}
-	time.Sleep(contactWindow + applyTime)
-	mu.Lock()
-	prefixes, steady = append(prefixes, "/n/"), true
-	mu.Unlock()
-	f.log("steady state begins: route n, added later, leads to orders")
-	time.Sleep(steadySeconds * time.Second)
-	mu.Lock()
-	defer mu.Unlock()
-	steady = false
-	first, added := tally{}, tally{}
-	for prefix, t := range counts {
-		f.log("in %d s of steady state, path %s: %d asked, %d served, %d answered 503, %d otherwise", steadySeconds, prefix, t.asked, t.served, t.refused, t.other)
-		sum := &first
-		if prefix == "/n/" {
-			sum = &added
-		}
-		sum.asked += t.asked
-		sum.served += t.served
-	}
-	if added.asked < minRequests || first.asked == 0 {
-		return false, fmt.Errorf("too few requests: %d on the added route", added.asked)
-	}
-	ratioAdded, ratioFirst := float64(added.served)/float64(added.asked), float64(first.served)/float64(first.asked)
-	f.log("served: %.3f on the added route, %.3f on the first routes", ratioAdded, ratioFirst)
-	return ratioAdded < servedRatio*ratioFirst, nil
+	return w.addedRouteStarves("/n/")
 }
 
 // awaitCompleted asks for the state of a roll-out until it is completed.
@@ -202,42 +134,3 @@
 	}
 	return fmt.Errorf("the roll-out was not completed: %s", last)
 }
-
-// steadyLoad sends one request after the other to a front, on kept connections.
-func (f *fleet) steadyLoad(stop chan struct{}, front *node, pause time.Duration, prefix func() string, done func(string, answer)) {
-	tick := time.NewTicker(pause)
-	defer tick.Stop()
-	idle := make(chan *clientConn, 256)
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	for n := 0; ; n++ {
-		select {
-		case <-stop:
-			return
-		case <-tick.C:
-		}
-		wg.Go(func() {
-			var c *clientConn
-			select {
-			case c = <-idle:
-			default:
-				var err error
-				if c, err = dialFront(front); err != nil {
-					return
-				}
-			}
-			p := prefix()
-			a := c.ask("GET", fmt.Sprintf("%s%d", p, n), "h.example", fmt.Sprintf("%s-%d", front.name, n), 2*time.Second, nil)
-			done(p, a)
-			if a.err != nil || a.header.Get("Connection") == "close" {
-				_ = c.Close()
-				return
-			}
-			select {
-			case idle <- c:
-			default:
-				_ = c.Close()
-			}
-		})
-	}
-}
--- a/review/standin/rollout.go
+++ b/review/standin/rollout.go
@@ -14,14 +14,15 @@
 
 // Figures of the roll-out. The bounds are those of the platform's pages.
 const (
-	rolloutSeconds  = 40
-	requestsPerS    = 100
-	exposureShare   = 0.1
-	exposureSlack   = 50
-	rollbackTime    = 5 * time.Second
-	badAnswers      = 50
-	overloadPerS    = 40
-	overloadFailing = 0.3
+	rolloutSeconds = 60
+	requestsPerS   = 150
+	exposureShare  = 0.1
+	exposureSlack  = 50
+	rollbackTime   = 5 * time.Second
+	badAnswers     = 50
+	overloadPerS   = 40
+	workTime       = 10 * time.Millisecond
+	overloadFactor = 5
 )
 
 // versionCount counts the requests of one version of the service.
@@ -29,7 +30,7 @@
 	mu sync.Mutex
 	// arrivals holds the times of the requests that have reached v1 and v2.
 	arrivals map[string][]time.Time
-	// bad holds the times of the failures of v2.
+	// bad holds the times of the slow answers of v2.
 	bad []time.Time
 }
 
@@ -50,17 +51,14 @@
 		count.mu.Lock()
 		now := time.Now()
 		count.arrivals[l.version] = append(count.arrivals[l.version], now)
-		fails := trouble && l.version == "v2" && count.perSecond("v2", now) > overloadPerS && rand.Float64() < overloadFailing
-		if fails {
+		work := workTime
+		if trouble && l.version == "v2" && count.perSecond("v2", now) > overloadPerS {
+			work *= overloadFactor
 			count.bad = append(count.bad, now)
 		}
 		count.mu.Unlock()
-		time.Sleep(10 * time.Millisecond)
-		status := 200
-		if fails {
-			status = 500
-		}
-		_, err := c.Write(l.answer(r, status, []byte("body of "+r.id)))
+		time.Sleep(work)
+		_, err := c.Write(l.answer(r, 200, []byte("body of "+r.id)))
 		return err == nil
 	}
 	if err := f.startNodes(3, 2); err != nil {
@@ -98,7 +96,7 @@
 	}
 	deadline := ordered.Add(rolloutSeconds * time.Second)
 	state := ""
-	for time.Now().Before(deadline.Add(15 * time.Second)) {
+	for time.Now().Before(deadline.Add(12 * time.Second)) {
 		status, text := f.cores()[rand.IntN(3)].call("GET", "/Rollouts.Get/orders", "")
 		if status == 200 && !strings.Contains(text, state) || status == 200 && state == "" {
 			state = map[bool]string{true: "completed"}[strings.Contains(text, "completed")]
