--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -37,7 +37,11 @@
 	mu    sync.Mutex
 	leafs []*leaf
 	nodes []*node
-	list  *http.Server
+	// firstCoreLag is how much later than the others the first core machine starts.
+	firstCoreLag time.Duration
+	// lost are machines that are gone for good.
+	lost []*node
+	list *http.Server
 	// listAddress is where the platform's list is served.
 	listAddress string
 }
@@ -123,7 +127,12 @@
 		}
 		f.nodes = append(f.nodes, n)
 	}
-	for _, n := range f.nodes {
+	// The machines start within 0.3 s of each other in any order; here the first one of
+	// the core is the last to start.
+	for _, n := range append(append([]*node{}, f.nodes[1:]...), f.nodes[0]) {
+		if n == f.nodes[0] {
+			time.Sleep(f.firstCoreLag)
+		}
 		if err := n.start(true); err != nil {
 			return err
 		}
@@ -238,7 +247,7 @@
 
 // stopAll ends every process that was started.
 func (f *fleet) stopAll() {
-	for _, n := range f.nodes {
+	for _, n := range append(f.nodes, f.lost...) {
 		n.mu.Lock()
 		started := n.process != nil
 		n.mu.Unlock()
