--- a/review/standin/watch.go
+++ b/review/standin/watch.go
@@ -42,7 +42,7 @@
 func (f *fleet) watch(prefixes ...string) *watch {
 	w := &watch{f: f, stop: make(chan struct{}), prefixes: prefixes, counts: make(map[string]*tally)}
 	for _, front := range f.fronts() {
-		w.clients.Go(func() { f.steadyLoad(w.stop, front, loadPause, w.prefix, w.done) })
+		w.clients.Go(func() { f.steadyLoad(w.stop, front, loadPause, 2*time.Second, w.prefix, w.done) })
 	}
 	return w
 }
@@ -112,7 +112,7 @@
 }
 
 // steadyLoad sends one request after the other to a front, on kept connections.
-func (f *fleet) steadyLoad(stop chan struct{}, front *node, pause time.Duration, prefix func() string, done func(string, answer)) {
+func (f *fleet) steadyLoad(stop chan struct{}, front *node, pause, deadline time.Duration, prefix func() string, done func(string, answer)) {
 	tick := time.NewTicker(pause)
 	defer tick.Stop()
 	idle := make(chan *clientConn, 256)
@@ -135,7 +135,7 @@
 				}
 			}
 			p := prefix()
-			a := c.ask("GET", fmt.Sprintf("%s%d", p, n), "h.example", fmt.Sprintf("%s-%d", front.name, n), 2*time.Second, nil)
+			a := c.ask("GET", fmt.Sprintf("%s%d", p, n), "h.example", fmt.Sprintf("%s-%d", front.name, n), deadline, nil)
 			done(p, a)
 			if a.err != nil || a.header.Get("Connection") == "close" {
 				_ = c.Close()
