Operators' calls: one ID from the instance that receives a call to each member that applies it

The record of the incident joins a call at a member and its effect at the leader by time only; RT3107 is not written if the call's sender has gone, though the command is applied, and it is written if nothing changed. Now each call has an ID. RT3109 and RT3110 tell when an instance received it and how it ended, RT3107 what the leader made of it, also without an answer, RT3111 that a member applied it, at which index, and RT4011 the version of the state that an entry's evacuated zones are from.

What they decide: hypothesis A shows as RT3111 of a call after that of a newer call, with RT3110 "context canceled" at the instance that received it; B as an index that a later leader lacks; C as RT3111 at the members without RT4011 of that version at an entry. No logic is changed.

--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -7,6 +7,8 @@
 	"context"
 	"time"
 
+	"github.com/google/uuid"
+
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/move"
 	"radishturn.example/radishturn/pkg/replica"
@@ -61,21 +63,35 @@
 	// returns an error rather than a table that may be stale.
 	Table(ctx context.Context) (*routing.Table, error)
 	// Evacuate starts or ends the evacuation of an availability zone.
-	Evacuate(ctx context.Context, zone model.AvailabilityZoneID, end bool) error
+	Evacuate(ctx context.Context, call Call, zone model.AvailabilityZoneID, end bool) error
 	// StartMove starts to move the traffic of a service to a version. It is
 	// idempotent.
-	StartMove(ctx context.Context, o MoveRequest) error
+	StartMove(ctx context.Context, call Call, o MoveRequest) error
 	// Move returns the latest move of a service. It returns an error rather than
 	// a move that may be stale.
 	Move(ctx context.Context, service model.ServiceID) (*move.State, error)
 }
 
+// CallID identifies one call of an operator in the log events of every instance that
+// takes part in it.
+type CallID string
+
+// Call is an operator's call that asks for a change.
+type Call struct {
+	ID CallID
+}
+
+// NewCall returns a call with an ID of its own.
+func NewCall() Call { return Call{ID: CallID(uuid.NewString())} }
+
 // MoveRequest asks to move the traffic of a service to a version.
 type MoveRequest struct {
 	Service model.ServiceID `cbor:"1,keyasint"`
 	To      model.VersionID `cbor:"2,keyasint"`
 	// Duration is the time within which the move has to be complete.
 	Duration time.Duration `cbor:"3,keyasint"`
+	// Call is set by control.
+	Call CallID `cbor:"4,keyasint,omitempty"`
 }
 
 // ApplyRequest asks for a change of the rules.
--- a/pkg/control/server/moves.go
+++ b/pkg/control/server/moves.go
@@ -17,11 +17,15 @@
 )
 
 // StartMove starts to move the traffic of a service to a version.
-func (s *Server) StartMove(ctx context.Context, o control.MoveRequest) error {
+func (s *Server) StartMove(ctx context.Context, call control.Call, o control.MoveRequest) error {
 	if o.Service == "" || o.To == "" || o.Duration <= 0 {
 		return failure.New(failure.BadRequest, failure.NotRun, "check order", "", "a service, a version and a positive duration are required")
 	}
+	o.Call = call.ID
+	events.Emit(events.ChangeRequested, string(call.ID), string(wire.KindStartMove), string(o.Service), s.leaderHint())
+	started := time.Now()
 	_, err := route.Call[control.MoveRequest, wire.Empty](ctx, s.router, wire.KindStartMove, &o)
+	events.Emit(events.ChangeAnswered, string(call.ID), time.Since(started).Milliseconds(), err)
 	return err
 }
 
@@ -44,7 +48,7 @@
 	if _, err := n.propose(ctx, "start move", &state.Command{StartMove: command}); err != nil {
 		return nil, err
 	}
-	events.Emit(events.MoveRequested, o.Service, command.Move.From, o.To, o.Duration.Milliseconds())
+	events.Emit(events.MoveRequested, o.Service, command.Move.From, o.To, o.Duration.Milliseconds(), string(o.Call))
 	return &wire.Empty{}, nil
 }
 
--- a/pkg/control/server/table.go
+++ b/pkg/control/server/table.go
@@ -39,11 +39,18 @@
 }
 
 // Evacuate starts or ends the evacuation of an availability zone.
-func (s *Server) Evacuate(ctx context.Context, zone model.AvailabilityZoneID, end bool) error {
-	_, err := route.Call[state.Evacuate, wire.Empty](ctx, s.router, wire.KindEvacuate, &state.Evacuate{AvailabilityZone: zone, End: end})
+func (s *Server) Evacuate(ctx context.Context, call control.Call, zone model.AvailabilityZoneID, end bool) error {
+	events.Emit(events.ChangeRequested, string(call.ID), string(wire.KindEvacuate), string(zone), s.leaderHint())
+	started := time.Now()
+	request := &state.Evacuate{AvailabilityZone: zone, End: end, Call: call.ID}
+	_, err := route.Call[state.Evacuate, wire.Empty](ctx, s.router, wire.KindEvacuate, request)
+	events.Emit(events.ChangeAnswered, string(call.ID), time.Since(started).Milliseconds(), err)
 	return err
 }
 
+// leaderHint returns the leader that this instance knows of; empty if none.
+func (s *Server) leaderHint() string { return string(s.group.Status().Leader.Instance) }
+
 func (n *leaderTerm) putTable(ctx context.Context, p *state.PutTable) (*wire.TableVersion, error) {
 	started := time.Now()
 	result, err := n.propose(ctx, "put routing table", &state.Command{PutTable: p})
@@ -73,9 +80,10 @@
 }
 
 func (n *leaderTerm) evacuate(ctx context.Context, e *state.Evacuate) (*wire.Empty, error) {
-	if _, err := n.propose(ctx, "evacuate", &state.Command{Evacuate: e}); err != nil {
+	_, err := n.propose(ctx, "evacuate", &state.Command{Evacuate: e})
+	events.Emit(events.ZoneEvacuation, e.AvailabilityZone, !e.End, string(e.Call), err)
+	if err != nil {
 		return nil, err
 	}
-	events.Emit(events.ZoneEvacuation, e.AvailabilityZone, !e.End)
 	return &wire.Empty{}, nil
 }
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -50,8 +50,11 @@
 	MembershipChangeFailed Number = 3104
 	MemberOfferFailed      Number = 3105
 	TableAccepted          Number = 3106
-	QuarantineLiftFailed   Number = 3108
 	ZoneEvacuation         Number = 3107
+	QuarantineLiftFailed   Number = 3108
+	ChangeRequested        Number = 3109
+	ChangeAnswered         Number = 3110
+	EvacuationApplied      Number = 3111
 
 	LeaseGranted       Number = 4001
 	LeaseControlLost   Number = 4003
@@ -174,8 +177,11 @@
 	{MembershipChangeFailed, warnLevel, "membership change of the control group failed", []string{"old", "new", "error"}},
 	{MemberOfferFailed, debugLevel, "offer of this instance as a member did not reach the leader", []string{"error"}},
 	{TableAccepted, infoLevel, "routing table accepted", []string{"version", "inForce", "routes", "milliseconds"}},
-	{ZoneEvacuation, warnLevel, "evacuation of an availability zone changed", []string{"availabilityZone", "evacuated"}},
+	{ZoneEvacuation, warnLevel, "evacuation of an availability zone was asked for", []string{"availabilityZone", "evacuated", "call", "error"}},
 	{QuarantineLiftFailed, warnLevel, "expired quarantines could not be lifted; will retry", []string{"error"}},
+	{ChangeRequested, infoLevel, "operator's call for a change received", []string{"call", "kind", "item", "leader"}},
+	{ChangeAnswered, infoLevel, "operator's call for a change answered", []string{"call", "milliseconds", "error"}},
+	{EvacuationApplied, infoLevel, "command of an evacuation applied", []string{"availabilityZone", "evacuated", "call", "index", "refusal"}},
 
 	{LeaseGranted, infoLevel, "lease granted", []string{"leader", "revision"}},
 	{LeaseControlLost, warnLevel, "connection to control lost; queries continue, orders are refused", []string{"reached", "known"}},
@@ -186,7 +192,7 @@
 	{LeaseExpired, warnLevel, "lease of an instance expired", []string{"instance"}},
 	{RenewalFailed, debugLevel, "renewal of the lease failed", []string{"error"}},
 	{TableInForce, infoLevel, "routing table is in force on this instance", []string{"version", "old", "routes", "services"}},
-	{ZonesEvacuated, warnLevel, "evacuated availability zones changed on this instance", []string{"availabilityZones"}},
+	{ZonesEvacuated, warnLevel, "evacuated availability zones changed on this instance", []string{"availabilityZones", "stateVersion"}},
 	{ControlUnreachable, warnLevel, "control is unreachable; serving continues with the last known state", []string{"milliseconds", "tableVersion", "error"}},
 
 	{NewestSnapshotChanged, infoLevel, "newest complete snapshot of the collection changed", []string{"collection", "snapshot"}},
@@ -229,7 +235,7 @@
 	{MoveLate, warnLevel, "move cannot finish by its deadline", []string{"collection", "by", "reason"}},
 	{MoveSuspended, infoLevel, "move suspended", []string{"collection", "reason"}},
 	{MoveStepUncertain, warnLevel, "outcome of a move step is unknown; will retry", []string{"collection", "error"}},
-	{MoveRequested, infoLevel, "move of a service requested", []string{"service", "from", "to", "durationMilliseconds"}},
+	{MoveRequested, infoLevel, "move of a service requested", []string{"service", "from", "to", "durationMilliseconds", "call"}},
 
 	{RulesAccepted, infoLevel, "rules accepted", []string{"revision", "author", "hash"}},
 	{RulesRefused, warnLevel, "rules refused", []string{"author", "error"}},
--- a/pkg/lease/log.go
+++ b/pkg/lease/log.go
@@ -10,14 +10,14 @@
 )
 
 // logChanges logs a change of the routing table or of the evacuated zones, for an
-// instance with configFromLeader.
-func logChanges(old, next *view.View) {
-	if version := next.Routing.Version(); version != old.Routing.Version() {
-		table := next.Routing.Table
-		events.Emit(events.TableInForce, version, old.Routing.Version(), len(table.Routes), len(table.Services))
+// instance with configFromLeader. Version is the version of the replicated state that
+// next is from.
+func logChanges(old, next *view.View, version uint64) {
+	if table := next.Routing.Version(); table != old.Routing.Version() {
+		events.Emit(events.TableInForce, table, old.Routing.Version(), len(next.Routing.Table.Routes), len(next.Routing.Table.Services))
 	}
 	if !maps.Equal(old.Evacuated, next.Evacuated) {
-		events.Emit(events.ZonesEvacuated, slices.Sorted(maps.Keys(next.Evacuated)))
+		events.Emit(events.ZonesEvacuated, slices.Sorted(maps.Keys(next.Evacuated)), version)
 	}
 }
 
--- a/pkg/lease/log_test.go
+++ b/pkg/lease/log_test.go
@@ -41,10 +41,10 @@
 		Routing:   routing.NewIndex(&routing.Table{Version: 7}),
 		Evacuated: map[model.AvailabilityZoneID]bool{"b": true, "a": true},
 	}
-	logChanges(old, next)
+	logChanges(old, next, 31)
 	g.Expect(log.String()).To(And(ContainSubstring(`"event":"RT4010"`), ContainSubstring(`"version":7`)))
-	g.Expect(log.String()).To(And(ContainSubstring(`"event":"RT4011"`), ContainSubstring(`["a","b"]`)))
+	g.Expect(log.String()).To(And(ContainSubstring(`"event":"RT4011"`), ContainSubstring(`["a","b"]`), ContainSubstring(`"stateVersion":31`)))
 	log.Reset()
-	logChanges(next, next)
+	logChanges(next, next, 32)
 	g.Expect(log.String()).To(BeEmpty())
 }
--- a/pkg/lease/renew.go
+++ b/pkg/lease/renew.go
@@ -181,7 +181,7 @@
 		events.Emit(events.RulesInForce, m.holder.view.Revision)
 	}
 	if m.configFromLeader {
-		logChanges(old, m.holder.view)
+		logChanges(old, m.holder.view, m.holder.configVersion)
 	}
 	switch {
 	case m.holder.sendHoldings, m.holder.sendBuckets, reply.Challenge:
--- a/pkg/state/command.go
+++ b/pkg/state/command.go
@@ -55,6 +55,8 @@
 	AvailabilityZone model.AvailabilityZoneID `cbor:"1,keyasint"`
 	// End ends the evacuation.
 	End bool `cbor:"2,keyasint,omitempty"`
+	// Call is the operator's call. Commands of builds without calls have none.
+	Call control.CallID `cbor:"3,keyasint,omitempty"`
 }
 
 // ApplyRules replaces the rules if Base is the newest revision.
--- a/pkg/state/machine.go
+++ b/pkg/state/machine.go
@@ -5,6 +5,7 @@
 
 	"radishturn.example/radishturn"
 	"radishturn.example/radishturn/pkg/control"
+	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/move"
@@ -54,7 +55,22 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return encodeResult(m.state.Apply(index, c))
+	result := m.state.Apply(index, c)
+	if c.Evacuate != nil {
+		logEvacuation(index, c.Evacuate, result)
+	}
+	return encodeResult(result)
+}
+
+// logEvacuation logs an applied command of an evacuation. Unlike the leader's reply it
+// is logged for each command, also if nobody waits for it any more, and again when the
+// log is replayed after a restart.
+func logEvacuation(index uint64, e *Evacuate, r *Result) {
+	refusal := ""
+	if r.Refusal != nil {
+		refusal = r.Refusal.Message
+	}
+	events.Emit(events.EvacuationApplied, e.AvailabilityZone, !e.End, string(e.Call), index, refusal)
 }
 
 func encodeResult(r *Result) []byte {
