Operators' calls are carried out by compare and set, while the operator waits

Cause: an evacuation is ordered without a version, so whichever call reached the leader last held. An operator who gets no reply within a second closes and calls another member. A member that stands still meanwhile holds the first call in its socket; once it goes on it serves it, forwards it to the leader, and only then learns that the connection is closed. If the operator has ordered the opposite meanwhile, and got an acknowledgement, the older call undoes it. The same holds for a copy of a call in a relay or a leader that stands still, since a call to the leader is sent again through others after 250 ms. Roll-outs have the same fault.

Why it works: a call first asks the leader for the newest command on the zone, then makes sure that its operator's connection is still open (by poll, since net/http learns of the close later), and then sends a command that is refused if another call on the zone was accepted since. An operator who has got a newer acknowledgement closed the older call's connection before he made the newer call; so either the close is seen, or the older call has asked before the newer one was accepted, and is refused. Each accepted call counts, also one that changes nothing. Copies are known by the call's ID.

Commands of earlier builds carry no call and are applied as before; a leader of an earlier build applies calls of this one as before.

--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -76,13 +76,22 @@
 // takes part in it.
 type CallID string
 
-// Call is an operator's call that asks for a change.
+// Call is an operator's call that asks for a change. An operator who gets no reply
+// gives a call up and may then ask for the opposite, so a call is carried out only
+// while its operator waits, and only if no newer one on the same item was.
 type Call struct {
 	ID CallID
+	// waits reports whether the operator still waits for the reply.
+	waits func() bool
 }
 
-// NewCall returns a call with an ID of its own.
-func NewCall() Call { return Call{ID: CallID(uuid.NewString())} }
+// NewCall returns a call with an ID of its own. Waits reports whether the operator
+// still waits for the reply; it is asked after the state was read that the change
+// builds on.
+func NewCall(waits func() bool) Call { return Call{ID: CallID(uuid.NewString()), waits: waits} }
+
+// Waits reports whether the operator still waits for the reply.
+func (c Call) Waits() bool { return c.waits() }
 
 // MoveRequest asks to move the traffic of a service to a version.
 type MoveRequest struct {
@@ -90,8 +99,10 @@
 	To      model.VersionID `cbor:"2,keyasint"`
 	// Duration is the time within which the move has to be complete.
 	Duration time.Duration `cbor:"3,keyasint"`
-	// Call is set by control.
-	Call CallID `cbor:"4,keyasint,omitempty"`
+	// Call and Expected are set by control; Expected is the revision of the newest
+	// move of the service that the call builds on.
+	Call     CallID         `cbor:"4,keyasint,omitempty"`
+	Expected model.Revision `cbor:"5,keyasint,omitempty"`
 }
 
 // ApplyRequest asks for a change of the rules.
--- a/pkg/control/server/fleet_test.go
+++ b/pkg/control/server/fleet_test.go
@@ -42,6 +42,49 @@
 	mu      sync.Mutex
 	meshes  map[model.InstanceID]*fakeMesh
 	blocked map[[2]model.InstanceID]bool
+	// held are the messages that are delivered only once their hold is released, even
+	// if the sender has given them up.
+	held map[heldMessages]chan struct{}
+}
+
+// heldMessages are the messages of one kind that an instance sends.
+type heldMessages struct {
+	from model.InstanceID
+	kind mesh.Kind
+}
+
+// hold keeps the messages of an instance of the given kinds back until release is
+// called.
+func (b *fakeNetwork) hold(from model.InstanceID, kinds ...mesh.Kind) (release func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	released := make(chan struct{})
+	for _, kind := range kinds {
+		b.held[heldMessages{from, kind}] = released
+	}
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		for _, kind := range kinds {
+			if b.held[heldMessages{from, kind}] == released {
+				delete(b.held, heldMessages{from, kind})
+			}
+		}
+		close(released)
+	}
+}
+
+// awaitRelease waits while a message is held. A message that was held is delivered
+// whatever became of its sender, so it gets a context of its own.
+func (b *fakeNetwork) awaitRelease(ctx context.Context, from model.InstanceID, kind mesh.Kind) context.Context {
+	b.mu.Lock()
+	released := b.held[heldMessages{from, kind}]
+	b.mu.Unlock()
+	if released == nil {
+		return ctx
+	}
+	<-released
+	return context.WithoutCancel(ctx)
 }
 
 // fakeMesh is the Mesh of one instance on a fakeNetwork.
@@ -78,6 +121,7 @@
 		<-ctx.Done()
 		return nil, failure.New(failure.PeerUnreachable, failure.Unknown, string(kind), string(to), "%w", ctx.Err())
 	}
+	ctx = n.network.awaitRelease(ctx, n.id, kind)
 	handler := n.network.meshes[to].handlers[kind]
 	if handler == nil {
 		return nil, failure.New(failure.BadRequest, failure.NotRun, string(kind), string(to), "no handler")
@@ -304,7 +348,7 @@
 
 func newFleet() *fleet {
 	fl := &fleet{
-		network:    &fakeNetwork{meshes: make(map[model.InstanceID]*fakeMesh), blocked: make(map[[2]model.InstanceID]bool)},
+		network:    &fakeNetwork{meshes: make(map[model.InstanceID]*fakeMesh), blocked: make(map[[2]model.InstanceID]bool), held: make(map[heldMessages]chan struct{})},
 		group:      &fakeGroup{},
 		dispatcher: &fakeDispatcher{runs: make(map[string]int), delay: 5 * time.Millisecond},
 	}
--- a/pkg/control/server/module.go
+++ b/pkg/control/server/module.go
@@ -150,6 +150,7 @@
 	mesh.Handle(s.mesh, wire.KindPutTable, onLeader(s, (*leaderTerm).putTable))
 	mesh.Handle(s.mesh, wire.KindTable, onLeader(s, (*leaderTerm).table))
 	mesh.Handle(s.mesh, wire.KindEvacuate, onLeader(s, (*leaderTerm).evacuate))
+	mesh.Handle(s.mesh, wire.KindEvacuation, onLeader(s, (*leaderTerm).evacuation))
 	mesh.Handle(s.mesh, wire.KindOffer, onLeader(s, (*leaderTerm).recordOffer))
 	mesh.Handle(s.mesh, wire.KindStartMove, onLeader(s, (*leaderTerm).startMove))
 	mesh.Handle(s.mesh, wire.KindMove, onLeader(s, (*leaderTerm).move))
--- a/pkg/control/server/moves.go
+++ b/pkg/control/server/moves.go
@@ -22,11 +22,22 @@
 		return failure.New(failure.BadRequest, failure.NotRun, "check order", "", "a service, a version and a positive duration are required")
 	}
 	o.Call = call.ID
-	events.Emit(events.ChangeRequested, string(call.ID), string(wire.KindStartMove), string(o.Service), s.leaderHint())
-	started := time.Now()
-	_, err := route.Call[control.MoveRequest, wire.Empty](ctx, s.router, wire.KindStartMove, &o)
-	events.Emit(events.ChangeAnswered, string(call.ID), time.Since(started).Milliseconds(), err)
-	return err
+	return s.runCall(ctx, call, wire.KindStartMove, string(o.Service), func() error {
+		newest, err := s.Move(ctx, o.Service)
+		switch {
+		case failure.CodeOf(err) == failure.NotFound:
+			o.Expected = 0
+		case err != nil:
+			return err
+		default:
+			o.Expected = newest.Revision
+		}
+		if err := checkWaits(call); err != nil {
+			return err
+		}
+		_, err = route.Call[control.MoveRequest, wire.Empty](ctx, s.router, wire.KindStartMove, &o)
+		return err
+	})
 }
 
 // Move returns the latest move of a service.
@@ -42,7 +53,7 @@
 	n.termMu.Unlock()
 	delete(running, o.To)
 	now := time.Now()
-	command := &state.StartMove{At: now, Move: rules.Move{
+	command := &state.StartMove{At: now, Call: o.Call, Expected: o.Expected, Move: rules.Move{
 		Collection: model.CollectionID(o.Service), From: versions.Established("", running), To: o.To, By: now.Add(o.Duration),
 	}}
 	if _, err := n.propose(ctx, "start move", &state.Command{StartMove: command}); err != nil {
--- a/pkg/control/server/table.go
+++ b/pkg/control/server/table.go
@@ -40,16 +40,42 @@
 
 // Evacuate starts or ends the evacuation of an availability zone.
 func (s *Server) Evacuate(ctx context.Context, call control.Call, zone model.AvailabilityZoneID, end bool) error {
-	events.Emit(events.ChangeRequested, string(call.ID), string(wire.KindEvacuate), string(zone), s.leaderHint())
-	started := time.Now()
-	request := &state.Evacuate{AvailabilityZone: zone, End: end, Call: call.ID}
-	_, err := route.Call[state.Evacuate, wire.Empty](ctx, s.router, wire.KindEvacuate, request)
-	events.Emit(events.ChangeAnswered, string(call.ID), time.Since(started).Milliseconds(), err)
-	return err
+	return s.runCall(ctx, call, wire.KindEvacuate, string(zone), func() error {
+		newest, err := s.evacuationIndex(ctx, zone)
+		if err != nil {
+			return err
+		}
+		if err := checkWaits(call); err != nil {
+			return err
+		}
+		request := &state.Evacuate{AvailabilityZone: zone, End: end, Call: call.ID, Expected: newest}
+		_, err = route.Call[state.Evacuate, wire.Empty](ctx, s.router, wire.KindEvacuate, request)
+		return err
+	})
+}
+
+// evacuationIndex asks the leader for the index of the newest command on an availability
+// zone. A leader of an earlier build does not know the question, and applies commands
+// whatever index they expect.
+func (s *Server) evacuationIndex(ctx context.Context, zone model.AvailabilityZoneID) (uint64, error) {
+	query := &wire.EvacuationQuery{AvailabilityZone: zone}
+	reply, err := route.Call[wire.EvacuationQuery, wire.EvacuationReply](ctx, s.router, wire.KindEvacuation, query)
+	if failure.CodeOf(err) == failure.BadRequest {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	return reply.Index, nil
 }
 
-// leaderHint returns the leader that this instance knows of; empty if none.
-func (s *Server) leaderHint() string { return string(s.group.Status().Leader.Instance) }
+// evacuation returns the index of the newest command on an availability zone. It needs
+// no read barrier: a command that builds on an older index is refused.
+func (n *leaderTerm) evacuation(_ context.Context, q *wire.EvacuationQuery) (*wire.EvacuationReply, error) {
+	reply := new(wire.EvacuationReply)
+	n.machine.Read(func(s *state.State) { reply.Index = s.EvacuationIndex(q.AvailabilityZone) })
+	return reply, nil
+}
 
 func (n *leaderTerm) putTable(ctx context.Context, p *state.PutTable) (*wire.TableVersion, error) {
 	started := time.Now()
--- a/pkg/control/wire/wire.go
+++ b/pkg/control/wire/wire.go
@@ -42,7 +42,9 @@
 	KindPutTable mesh.Kind = "table.put"
 	KindTable    mesh.Kind = "table.get"
 	KindEvacuate mesh.Kind = "zone.evacuate"
-	KindOffer    mesh.Kind = "member.offer"
+	// KindEvacuation reads which command on a zone is the newest.
+	KindEvacuation mesh.Kind = "zone.get"
+	KindOffer      mesh.Kind = "member.offer"
 	// KindStartMove and KindMove start and read the move of one service.
 	KindStartMove mesh.Kind = "move.start"
 	KindMove      mesh.Kind = "move.get"
@@ -64,7 +66,7 @@
 	KindHistory: true, KindInForce: true, KindMoves: true, KindQuarantined: true, KindLift: true,
 	KindInstances: true, KindMembers: true, KindAddMember: true, KindReplaceMember: true, KindRemoveMember: true,
 	KindPutTable: true, KindTable: true, KindEvacuate: true, KindOffer: true,
-	KindStartMove: true, KindMove: true,
+	KindStartMove: true, KindMove: true, KindEvacuation: true,
 }
 
 // RelayRequest is a request to the leader that another instance forwards.
@@ -235,6 +237,17 @@
 	Service model.ServiceID `cbor:"1,keyasint"`
 }
 
+// EvacuationQuery asks for the newest command on an availability zone.
+type EvacuationQuery struct {
+	AvailabilityZone model.AvailabilityZoneID `cbor:"1,keyasint"`
+}
+
+// EvacuationReply holds the log index of the newest command on a zone, 0 if there is
+// none.
+type EvacuationReply struct {
+	Index uint64 `cbor:"1,keyasint"`
+}
+
 // Offer tells the leader that an instance with a disk can become a member.
 type Offer struct {
 	Member replica.Member `cbor:"1,keyasint"`
--- a/pkg/httpserver/httpserver.go
+++ b/pkg/httpserver/httpserver.go
@@ -54,6 +54,7 @@
 		ReadTimeout:       limits.RequestTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		ConnContext:       withConn,
 	}}
 }
 
@@ -61,7 +62,9 @@
 func (s *Server) SetErrorLog(w io.Writer) { s.http.ErrorLog = log.New(w, "", 0) }
 
 // OnConnect sets a function that derives the context of each new connection.
-func (s *Server) OnConnect(f func(context.Context, net.Conn) context.Context) { s.http.ConnContext = f }
+func (s *Server) OnConnect(f func(context.Context, net.Conn) context.Context) {
+	s.http.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return f(withConn(ctx, c), c) }
+}
 
 // Run serves until ctx is done. After Shutdown it waits for ctx, so that a graceful
 // shutdown does not end the process before the other modules are done.
--- a/pkg/state/command.go
+++ b/pkg/state/command.go
@@ -43,6 +43,12 @@
 type StartMove struct {
 	Move rules.Move `cbor:"1,keyasint"`
 	At   time.Time  `cbor:"2,keyasint"`
+	// Call is the operator's call. Commands without one, of earlier builds, are applied
+	// whatever Expected is.
+	Call control.CallID `cbor:"3,keyasint,omitempty"`
+	// Expected is the revision of the newest move of the service when the call arrived,
+	// 0 if there was none. The command is refused if there is a newer one.
+	Expected model.Revision `cbor:"4,keyasint,omitempty"`
 }
 
 // PutTable replaces the routing table if its version is higher.
@@ -55,8 +61,12 @@
 	AvailabilityZone model.AvailabilityZoneID `cbor:"1,keyasint"`
 	// End ends the evacuation.
 	End bool `cbor:"2,keyasint,omitempty"`
-	// Call is the operator's call. Commands of builds without calls have none.
+	// Call is the operator's call. Commands without one, of earlier builds, are applied
+	// whatever Expected is.
 	Call control.CallID `cbor:"3,keyasint,omitempty"`
+	// Expected is the index of the newest command on the zone when the call arrived, 0
+	// if there was none. The command is refused if there is a newer one.
+	Expected uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // ApplyRules replaces the rules if Base is the newest revision.
--- a/pkg/state/moves.go
+++ b/pkg/state/moves.go
@@ -43,12 +43,17 @@
 // startMove starts a move that an operator requested. Its revision is the log index of
 // the command, since no revision of the rules started it. A request for the version that
 // the latest move of the service went to is treated as a resend, whatever the
-// outcome of that move.
+// outcome of that move. A request is refused if it builds on another move than the
+// latest one.
 func (s *State) startMove(index uint64, request *StartMove) *Result {
 	c := request.Move.Collection
-	if m, ok := s.data.Moves[c]; ok && m.Rule.To == request.Move.To {
+	newest, known := s.data.Moves[c]
+	if known && newest.Rule.To == request.Move.To {
 		return &Result{}
 	}
+	if request.Call != "" && newest.Revision != request.Expected {
+		return &Result{Refusal: refuse(failure.Conflict, "the call builds on revision %d; the newest move of %s has revision %d", request.Expected, c, newest.Revision)}
+	}
 	s.data.Moves[c] = move.State{
 		Rule: request.Move, Revision: model.Revision(index), Phase: move.PhaseUnderWay, Requested: true,
 		Started: request.At, SteppedAt: request.At, Evidence: "accepted, not begun",
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -20,6 +20,8 @@
 	MaxHistoryBytes = 8 << 20
 	// MaxInstances limits the number of instances that may hold leases.
 	MaxInstances = 4096
+	// MaxZones limits the number of availability zones that evacuations may name.
+	MaxZones = 1024
 )
 
 // State is the complete replicated state. It is not safe for concurrent use.
@@ -59,6 +61,8 @@
 	Table *routing.Table `cbor:"11,keyasint,omitempty"`
 	// Evacuated are the availability zones whose targets receive no new requests.
 	Evacuated map[model.AvailabilityZoneID]bool `cbor:"12,keyasint,omitempty"`
+	// EvacuationCalls holds the newest command on each availability zone.
+	EvacuationCalls map[model.AvailabilityZoneID]evacuationCall `cbor:"14,keyasint,omitempty"`
 	// LastOrdinal is the ordinal of the most recently recorded instance; see
 	// model.Instance.Ordinal.
 	LastOrdinal uint64 `cbor:"13,keyasint,omitempty"`
--- a/pkg/state/table.go
+++ b/pkg/state/table.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 
+	"radishturn.example/radishturn/pkg/control"
+	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/routing"
 )
@@ -65,7 +67,40 @@
 // Table returns the routing table in force, or nil before the first one.
 func (s *State) Table() *routing.Table { return s.data.Table }
 
+// evacuationCall is the newest command on an availability zone.
+type evacuationCall struct {
+	Index uint64         `cbor:"1,keyasint"`
+	Call  control.CallID `cbor:"2,keyasint,omitempty"`
+}
+
+// EvacuationIndex returns the index of the newest command on an availability zone, 0 if
+// there is none.
+func (s *State) EvacuationIndex(zone model.AvailabilityZoneID) uint64 {
+	return s.data.EvacuationCalls[zone].Index
+}
+
+// evacuate starts or ends an evacuation, unless a newer command on the zone was applied
+// than the one that e builds on. A copy of the newest call changes nothing. Each other
+// call counts as a newer one even if the zone stays as it is: an older call must not
+// undo it.
 func (s *State) evacuate(index uint64, e *Evacuate) *Result {
+	newest, known := s.data.EvacuationCalls[e.AvailabilityZone]
+	switch {
+	case e.Call != "" && newest.Call == e.Call:
+		return &Result{}
+	case e.Call != "" && newest.Index != e.Expected:
+		return &Result{Refusal: refuse(failure.Conflict, "the call builds on index %d; the newest call on zone %s has index %d", e.Expected, e.AvailabilityZone, newest.Index)}
+	case !known && len(s.data.EvacuationCalls) >= MaxZones:
+		return &Result{Refusal: refuse(failure.Overloaded, "the limit of %d availability zones is reached", MaxZones)}
+	}
+	if s.data.EvacuationCalls == nil {
+		s.data.EvacuationCalls = make(map[model.AvailabilityZoneID]evacuationCall)
+	}
+	s.data.EvacuationCalls[e.AvailabilityZone] = evacuationCall{Index: index, Call: e.Call}
+	return s.setEvacuated(index, e)
+}
+
+func (s *State) setEvacuated(index uint64, e *Evacuate) *Result {
 	if s.data.Evacuated[e.AvailabilityZone] != e.End {
 		return &Result{}
 	}
--- a/pkg/state/table_test.go
+++ b/pkg/state/table_test.go
@@ -11,6 +11,8 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"radishturn.example/radishturn/pkg/control"
+	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/move"
 	"radishturn.example/radishturn/pkg/routing"
@@ -183,6 +185,96 @@
 	})
 })
 
+// zoneCall is a call on the zone "a" as an operator's instance sends it.
+type zoneCall struct {
+	command  *state.Command
+	accepted bool
+}
+
+func newZoneCall(s *state.State, id string, end bool) *zoneCall {
+	return &zoneCall{command: &state.Command{Evacuate: &state.Evacuate{
+		AvailabilityZone: "a", End: end, Call: control.CallID(id), Expected: s.EvacuationIndex("a"),
+	}}}
+}
+
+func isEvacuated(s *state.State) bool { return len(s.Delta(0).Evacuated) == 1 }
+
+var _ = Describe("Calls on an availability zone", func() {
+	It("are refused after a newer call, even one that left the zone as it was", func() {
+		s := state.New()
+		start := newZoneCall(s, "start", false)
+		Expect(s.Apply(1, start.command).Refusal).To(BeNil())
+		late := newZoneCall(s, "late end", true)
+		again := newZoneCall(s, "start again", false)
+		Expect(s.Apply(2, again.command).Refusal).To(BeNil())
+		Expect(s.Apply(3, late.command).Refusal.Code).To(Equal(failure.Conflict))
+		Expect(isEvacuated(s)).To(BeTrue())
+		Expect(s.Apply(4, again.command).Refusal).To(BeNil())
+		Expect(s.EvacuationIndex("a")).To(BeEquivalentTo(2))
+	})
+
+	It("leave the zone as the newest accepted call says, whatever copies arrive later", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			s := state.New()
+			var calls []*zoneCall
+			want := false
+			for index := uint64(1); index < 40; index++ {
+				if len(calls) == 0 || rapid.Bool().Draw(t, "new call") {
+					calls = append(calls, newZoneCall(s, fmt.Sprint(index), rapid.Bool().Draw(t, "end")))
+				}
+				if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+					s = restoredCopyOf(s)
+				}
+				arriving := calls[rapid.IntRange(0, len(calls)-1).Draw(t, "arriving")]
+				before := s.EvacuationIndex("a")
+				accepted := s.Apply(index, arriving.command).Refusal == nil
+				if accepted && !arriving.accepted {
+					arriving.accepted = true
+					want = !arriving.command.Evacuate.End
+				}
+				if arriving.command.Evacuate.Expected != before && accepted {
+					Expect(s.EvacuationIndex("a")).To(Equal(before))
+				}
+				Expect(isEvacuated(s)).To(Equal(want))
+			}
+		})
+	})
+
+	It("of earlier builds are applied in the order of the log", func() {
+		s := state.New()
+		s.Apply(1, newZoneCall(s, "start", false).command)
+		s.Apply(2, &state.Command{Evacuate: &state.Evacuate{AvailabilityZone: "a", End: true}})
+		Expect(isEvacuated(s)).To(BeFalse())
+	})
+
+	It("name a bounded number of zones", func() {
+		s := state.New()
+		for i := range state.MaxZones {
+			zone := model.AvailabilityZoneID(fmt.Sprint("z", i))
+			Expect(s.Apply(uint64(i+1), &state.Command{Evacuate: &state.Evacuate{AvailabilityZone: zone, Call: "c"}}).Refusal).To(BeNil())
+		}
+		refused := s.Apply(state.MaxZones+1, &state.Command{Evacuate: &state.Evacuate{AvailabilityZone: "one more", Call: "c"}})
+		Expect(refused.Refusal.Code).To(Equal(failure.Overloaded))
+	})
+})
+
+var _ = Describe("Requested moves", func() {
+	It("are refused after a newer move", func() {
+		s := state.New()
+		move := func(call, to string, expected model.Revision) *state.Command {
+			return &state.Command{StartMove: &state.StartMove{
+				Move: rules.Move{Collection: "s", To: model.VersionID(to)}, Call: control.CallID(call), Expected: expected,
+			}}
+		}
+		Expect(s.Apply(1, move("first", "v2", 0)).Refusal).To(BeNil())
+		late := move("late", "v4", 1)
+		Expect(s.Apply(2, move("second", "v3", 1)).Refusal).To(BeNil())
+		Expect(s.Apply(3, late).Refusal.Code).To(Equal(failure.Conflict))
+		m, _ := s.Move("s")
+		Expect(m.Rule.To).To(BeEquivalentTo("v3"))
+	})
+})
+
 var _ = Describe("Ordinals", func() {
 	It("stay with an instance that registers again with other fields", func() {
 		s := state.New()
