A late release of an earlier process ends no lease of a later one

What callers could see: more load on targets than is granted, for as long as a lease, after a change of leader; not seen by the users.

A leader that had not heard from the instance yet freed its share.

Evidence: both new specs failed before (the instance was missing among the holders; the share of an unknown process counted as reported).

Why it works: a release counts only if the leader knows that process as the holder; else the lease ends when it expires, as that of a killed process does.

--- a/pkg/control/server/abandoned_test.go
+++ b/pkg/control/server/abandoned_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/gomega"
 
 	"radishturn.example/radishturn/pkg/control"
@@ -91,3 +92,19 @@
 		})
 	}
 }
+
+// Guards against a process whose lease the next leader does not know of, since a release
+// of the process before it came late.
+func TestALateReleaseOfAnEarlierProcessEndsNoLease(t *testing.T) {
+	withFleet(t, func(t *testing.T, fl *fleet) {
+		g := NewWithT(t)
+		time.Sleep(settleTime)
+		release, err := cbor.Marshal(wire.Release{Instance: "entry-5", Boot: "the process before"})
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = fl.instances[5].server.Router().Call(t.Context(), wire.KindRelease, release)
+		g.Expect(err).NotTo(HaveOccurred())
+		holders, err := fl.instances[0].server.Instances(t.Context())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(holders).To(ContainElement(HaveField("Instance.ID", Equal(model.InstanceID("entry-5")))))
+	})
+}
--- a/pkg/control/server/leader_term.go
+++ b/pkg/control/server/leader_term.go
@@ -161,11 +161,15 @@
 	return n.granter.Renew(n.now(), r)
 }
 
-// release ends a lease that its holder gave up before it expired.
+// release ends a lease that its holder gave up before it expired. It does nothing if
+// another process of the instance holds the lease.
 func (n *leaderTerm) release(ctx context.Context, r *wire.Release) (*wire.Empty, error) {
 	n.termMu.Lock()
-	n.granter.Return(n.now(), r.Instance, r.Boot)
+	returned := n.granter.Return(n.now(), r.Instance, r.Boot)
 	n.termMu.Unlock()
+	if !returned {
+		return &wire.Empty{}, nil
+	}
 	_, err := n.propose(ctx, "forget instance", &state.Command{RemoveInstances: &state.RemoveInstances{Instances: []model.InstanceID{r.Instance}}})
 	return &wire.Empty{}, err
 }
--- a/pkg/lease/granter/granter.go
+++ b/pkg/lease/granter/granter.go
@@ -155,14 +155,18 @@
 	g.ledger.SetReported(id, held)
 }
 
-// Return ends the lease of a process that returned it with wire.Release.
-func (g *Granter) Return(now time.Duration, id model.InstanceID, boot string) {
-	if s := g.sessions[id]; s != nil && s.boot != boot {
-		return
+// Return ends the lease of a process that returned it with wire.Release, and reports
+// whether it did. The release of a process that this leader has not heard from may be a
+// delayed one, while a later process of the instance holds the lease; such a lease ends
+// when it expires.
+func (g *Granter) Return(now time.Duration, id model.InstanceID, boot string) bool {
+	if s := g.sessions[id]; s == nil || s.boot != boot {
+		return false
 	}
 	g.table.Return(now, id)
 	g.ledger.Remove(id)
 	delete(g.sessions, id)
+	return true
 }
 
 // Tick frees the shares of leases that have certainly ended, returns their holders,
--- a/pkg/lease/granter/granter_test.go
+++ b/pkg/lease/granter/granter_test.go
@@ -96,3 +96,23 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	return reply
 }
+
+func TestAReleaseOfAnUnknownProcessFreesNoShare(t *testing.T) {
+	g := NewWithT(t)
+	leader := newLeader(true)
+	for _, id := range instances {
+		report(g, leader, id)
+	}
+	before := leader.MaxHeld(targets[0])
+	leader.Return(3, "a", "earlier")
+	g.Expect(leader.MaxHeld(targets[0])).To(Equal(before))
+
+	next := newLeader(true)
+	next.Return(1, "a", "earlier")
+	// The lease of "a" may still be in use, so its share is not known yet.
+	g.Expect(report(g, next, "b").Report).To(BeFalse())
+	allReported := false
+	next.OnAllReported(func() { allReported = true })
+	report(g, next, "c")
+	g.Expect(allReported).To(BeFalse())
+}
