A late call to lift a quarantine does not end a later one

What operators could see: a request that ended targets again, and was put in quarantine again, is served once more; not seen by the users.

Why it works: a quarantine is known by the log index at which it began; the call names the one that was in force when it arrived.

--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -143,6 +143,9 @@
 	// control group was formed, see state.State.Clock. 0 means that it lasts until
 	// an operator lifts it.
 	Until time.Duration `json:"until,omitempty" cbor:"4,keyasint,omitempty"`
+	// Index is the log index of the command that began the quarantine; 0 if an earlier
+	// build did.
+	Index uint64 `json:"index,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // LeaseHolder is an instance that holds a lease.
--- a/pkg/control/server/forward.go
+++ b/pkg/control/server/forward.go
@@ -54,9 +54,19 @@
 	return reply.Quarantined, nil
 }
 
-// Lift ends the quarantine of a fingerprint.
+// Lift ends the quarantine of a fingerprint that is in force now, but not a later one.
 func (s *Server) Lift(ctx context.Context, f model.Fingerprint, author string) error {
-	_, err := route.Call[state.LiftQuarantine, wire.Empty](ctx, s.router, wire.KindLift, &state.LiftQuarantine{Fingerprint: f, Author: author})
+	list, err := s.Quarantined(ctx)
+	if err != nil {
+		return err
+	}
+	request := &state.LiftQuarantine{Fingerprint: f, Author: author}
+	for _, q := range list {
+		if q.Fingerprint == f {
+			request.Index = q.Index
+		}
+	}
+	_, err = route.Call[state.LiftQuarantine, wire.Empty](ctx, s.router, wire.KindLift, request)
 	return err
 }
 
--- a/pkg/state/state_test.go
+++ b/pkg/state/state_test.go
@@ -149,6 +149,16 @@
 		Expect(ts.run(state.Command{LiftQuarantine: &state.LiftQuarantine{Fingerprint: 7}}).Refusal.Code).To(Equal(failure.NotFound))
 	})
 
+	It("is not lifted by a call that was made for an earlier quarantine of the request", func() {
+		ts := newTestState()
+		report(ts, 0, crash("t1", "b1", 7), trial("t2", "b1", 7))
+		lift := state.Command{LiftQuarantine: &state.LiftQuarantine{Fingerprint: 7, Author: "ivo", Index: ts.Quarantined()[0].Index}}
+		Expect(ts.run(lift).Refusal).To(BeNil())
+		report(ts, 0, crash("t1", "b2", 7), trial("t2", "b2", 7))
+		Expect(ts.run(lift).Refusal.Code).To(Equal(failure.Conflict))
+		Expect(ts.restoredCopy().Quarantined()).To(HaveLen(1))
+	})
+
 	It("quarantines a request that no target has answered after three crashes spread over time", func() {
 		unanswered := func(target string) state.TargetCrash {
 			d := crash(target, "b", 7)
