The leader logs an instance that renews but does not take a change

RT4013 names the instance and both versions, once, when it has renewed four times in a row without a version that the replies brought. No logic is changed.

--- a/pkg/control/server/leader_term.go
+++ b/pkg/control/server/leader_term.go
@@ -50,11 +50,13 @@
 	refusedTargets *events.ErrorLog
 	// costs holds the costs of targets, aggregated over the reports of all instances.
 	costs *catalog.CostTracker
+	// lags are the instances that renew without having the newest state.
+	lags lags
 }
 
 func newLeaderTerm(s *Server, term uint64) *leaderTerm {
 	n := &leaderTerm{Server: s, term: term, started: s.now(), warmth: grant.NewWarmUp(), catalog: catalog.New(term), costs: catalog.NewCostTracker(term),
-		refusedTargets: events.NewErrorLog(events.PlatformEntryInvalid), offers: make(map[model.InstanceID]reconfig.Offer)}
+		refusedTargets: events.NewErrorLog(events.PlatformEntryInvalid), offers: make(map[model.InstanceID]reconfig.Offer), lags: make(lags)}
 	var known []table.KnownInstance
 	s.machine.Read(func(st *state.State) {
 		n.clock = st.Clock()
@@ -105,12 +107,25 @@
 		return nil, err
 	}
 	renewalsServed.Inc()
-	n.machine.Read(func(s *state.State) { reply.Delta = s.Delta(r.Version) })
+	var current uint64
+	n.machine.Read(func(s *state.State) { reply.Delta, current = s.Delta(r.Version), s.Version() })
+	n.observeLag(r, current)
 	n.addCatalog(r, reply)
 	reply.Voters = n.voters()
 	return reply, nil
 }
 
+// observeLag logs an instance that renews, but does not take a change.
+func (n *leaderTerm) observeLag(r *wire.Renewal, current uint64) {
+	n.termMu.Lock()
+	version, log := n.lags.observe(r.Instance.ID, r.Version, current)
+	behind := len(n.lags)
+	n.termMu.Unlock()
+	if log {
+		events.Emit(events.InstanceBehind, r.Instance.ID, r.Version, version, behind)
+	}
+}
+
 // addCatalog adds the changes of the target list and of the target costs to a
 // reply. All instances share the setting NamedByAddress; without it each one reads
 // the platform's list itself and does not need them.
@@ -218,4 +233,7 @@
 	n.termMu.Lock()
 	defer n.termMu.Unlock()
 	n.granter.Forget(n.now(), ids)
+	for _, id := range ids {
+		delete(n.lags, id)
+	}
 }
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -67,6 +67,7 @@
 	TableInForce       Number = 4010
 	ZonesEvacuated     Number = 4011
 	ControlUnreachable Number = 4012
+	InstanceBehind     Number = 4013
 
 	NewestSnapshotChanged  Number = 5001
 	TargetEjected          Number = 5002
@@ -194,6 +195,7 @@
 	{TableInForce, infoLevel, "routing table is in force on this instance", []string{"version", "old", "routes", "services"}},
 	{ZonesEvacuated, warnLevel, "evacuated availability zones changed on this instance", []string{"availabilityZones", "stateVersion"}},
 	{ControlUnreachable, warnLevel, "control is unreachable; serving continues with the last known state", []string{"milliseconds", "tableVersion", "error"}},
+	{InstanceBehind, warnLevel, "instance renews its lease but does not take a change", []string{"instance", "holds", "version", "behind"}},
 
 	{NewestSnapshotChanged, infoLevel, "newest complete snapshot of the collection changed", []string{"collection", "snapshot"}},
 	{TargetEjected, warnLevel, "target ejected", []string{"target", "reason"}},
