A member that leaves says so with each offer until its process ends

What operators could see: a planned stop of a control member is not answered by its replacement at once, but after it has been silent for 1.5 s; not seen by the users.

Cause: the stop sends one offer that says "leaving"; the loop that offers the disk each 400 ms goes on while the other modules finish, and takes it back.

Evidence: TestAnInstanceThatLeavesOffersItselfNoMore failed before (the newest offer did not say "leaving"). Why it works: what an offer says is read when it is sent.

--- a/pkg/control/server/module.go
+++ b/pkg/control/server/module.go
@@ -8,6 +8,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"radishturn.example/radishturn"
@@ -49,6 +50,8 @@
 	router   *route.Router
 	origin   time.Time
 	sinks    []control.EvidenceSink
+	// leaving is set once the instance shuts down.
+	leaving atomic.Bool
 
 	mu sync.Mutex
 	// configuredMembers are the instances that may lead according to the newest
--- a/pkg/control/server/offers.go
+++ b/pkg/control/server/offers.go
@@ -77,7 +77,7 @@
 	ticker := time.NewTicker(offerInterval)
 	defer ticker.Stop()
 	for {
-		s.offer(ctx, false)
+		s.offer(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -86,10 +86,10 @@
 	}
 }
 
-func (s *Server) offer(ctx context.Context, leaving bool) {
+func (s *Server) offer(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, 2*offerInterval)
 	defer cancel()
-	request := &wire.Offer{Member: s.group.Status().Self, Leaving: leaving}
+	request := &wire.Offer{Member: s.group.Status().Self, Leaving: s.leaving.Load()}
 	reply, err := route.Call[wire.Offer, wire.OfferReply](ctx, s.router, wire.KindOffer, request)
 	if err != nil {
 		events.Emit(events.MemberOfferFailed, err)
@@ -98,10 +98,11 @@
 	s.router.SetReportedMembers(reply.Voters)
 }
 
-// Drain tells the leader that this instance is leaving.
+// Drain tells the leader that this instance is leaving, now and with each later offer.
 func (s *Server) Drain(ctx context.Context) error {
+	s.leaving.Store(true)
 	if s.canBeMember() {
-		s.offer(ctx, true)
+		s.offer(ctx)
 	}
 	return nil
 }
