An instance that is being removed gets no lease meanwhile

What callers could see: more load on targets than is granted after a change of leader; not seen by the users.

Cause: a release, or the end of a lease, removes the instance from the replicated state by a command. A later process that renews while the command is on its way is found recorded, so nothing is proposed, and gets a lease; then the command takes its record away, and the next leader does not know of the lease.

Evidence: TestAReleaseInProgressRemovesNoLaterProcess failed before (the holder had no record).

Why it works: the removal is noted under the lock under which leases are granted, and ends once the command's outcome is known.

--- a/pkg/control/server/leader_term.go
+++ b/pkg/control/server/leader_term.go
@@ -50,13 +50,15 @@
 	refusedTargets *events.ErrorLog
 	// costs holds the costs of targets, aggregated over the reports of all instances.
 	costs *catalog.CostTracker
+	// removing are the instances that are being removed from the replicated state.
+	removing map[model.InstanceID]bool
 	// lags are the instances that renew without having the newest state.
 	lags lags
 }
 
 func newLeaderTerm(s *Server, term uint64) *leaderTerm {
 	n := &leaderTerm{Server: s, term: term, started: s.now(), warmth: grant.NewWarmUp(), catalog: catalog.New(term), costs: catalog.NewCostTracker(term),
-		refusedTargets: events.NewErrorLog(events.PlatformEntryInvalid), offers: make(map[model.InstanceID]reconfig.Offer), lags: make(lags)}
+		refusedTargets: events.NewErrorLog(events.PlatformEntryInvalid), offers: make(map[model.InstanceID]reconfig.Offer), lags: make(lags), removing: make(map[model.InstanceID]bool)}
 	var known []table.KnownInstance
 	s.machine.Read(func(st *state.State) {
 		n.clock = st.Clock()
@@ -169,10 +171,14 @@
 	return err
 }
 
-// extend extends the lease and computes the grants.
+// extend extends the lease and computes the grants. While the instance is being removed
+// from the replicated state it gets no lease, since a later leader would not know of it.
 func (n *leaderTerm) extend(r *wire.Renewal) (*wire.RenewalReply, error) {
 	n.termMu.Lock()
 	defer n.termMu.Unlock()
+	if n.removing[r.Instance.ID] {
+		return nil, failure.New(failure.Conflict, failure.NotRun, "renew", string(r.Instance.ID), "the process before is being removed")
+	}
 	return n.granter.Renew(n.now(), r)
 }
 
@@ -181,12 +187,26 @@
 func (n *leaderTerm) release(ctx context.Context, r *wire.Release) (*wire.Empty, error) {
 	n.termMu.Lock()
 	returned := n.granter.Return(n.now(), r.Instance, r.Boot)
+	if returned {
+		n.removing[r.Instance] = true
+	}
 	n.termMu.Unlock()
 	if !returned {
 		return &wire.Empty{}, nil
 	}
-	_, err := n.propose(ctx, "forget instance", &state.Command{RemoveInstances: &state.RemoveInstances{Instances: []model.InstanceID{r.Instance}}})
-	return &wire.Empty{}, err
+	return &wire.Empty{}, n.remove(ctx, "forget instance", []model.InstanceID{r.Instance})
+}
+
+// remove removes instances, which the caller has recorded in n.removing, from the
+// replicated state.
+func (n *leaderTerm) remove(ctx context.Context, step string, ids []model.InstanceID) error {
+	_, err := n.propose(ctx, step, &state.Command{RemoveInstances: &state.RemoveInstances{Instances: ids}})
+	n.termMu.Lock()
+	defer n.termMu.Unlock()
+	for _, id := range ids {
+		delete(n.removing, id)
+	}
+	return err
 }
 
 // tick expires leases, applies the platform's list, ends quarantines that are due,
@@ -199,6 +219,9 @@
 		events.Emit(events.LeaseExpired, id)
 	}
 	gone := n.unlisted(n.granter.Ended())
+	for _, id := range gone {
+		n.removing[id] = true
+	}
 	n.termMu.Unlock()
 	n.refreshLimits()
 	n.endQuarantines(ctx)
@@ -227,7 +250,7 @@
 func (n *leaderTerm) forget(ctx context.Context, ids []model.InstanceID) {
 	ctx, cancel := context.WithTimeout(ctx, maintenanceTimeout)
 	defer cancel()
-	if _, err := n.propose(ctx, "forget instances", &state.Command{RemoveInstances: &state.RemoveInstances{Instances: ids}}); err != nil {
+	if err := n.remove(ctx, "forget instances", ids); err != nil {
 		return
 	}
 	n.termMu.Lock()
