Commands of earlier builds leave no record on a zone

The two then decided differently on the next call.

Evidence: the spec "Members that start after an earlier build agree on calls on an availability zone" failed before. While members of both builds run, those of the earlier one apply what the others refuse: order no evacuation during an upgrade.

Beside it: the zone with the oldest call is forgotten when more than 1,024 were named, instead of refusing all further ones for good.

--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -20,7 +20,7 @@
 	MaxHistoryBytes = 8 << 20
 	// MaxInstances limits the number of instances that may hold leases.
 	MaxInstances = 4096
-	// MaxZones limits the number of availability zones that evacuations may name.
+	// MaxZones limits the number of availability zones whose newest call is recorded.
 	MaxZones = 1024
 )
 
--- a/pkg/state/table.go
+++ b/pkg/state/table.go
@@ -1,7 +1,9 @@
 package state
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 
 	"radishturn.example/radishturn/pkg/control"
 	"radishturn.example/radishturn/pkg/failure"
@@ -82,24 +84,40 @@
 // evacuate starts or ends an evacuation, unless a newer command on the zone was applied
 // than the one that e builds on. A copy of the newest call changes nothing. Each other
 // call counts as a newer one even if the zone stays as it is: an older call must not
-// undo it.
+// undo it. Commands of earlier builds are not recorded, since a snapshot of such a build
+// has no record of them.
 func (s *State) evacuate(index uint64, e *Evacuate) *Result {
-	newest, known := s.data.EvacuationCalls[e.AvailabilityZone]
+	newest := s.data.EvacuationCalls[e.AvailabilityZone]
 	switch {
-	case e.Call != "" && newest.Call == e.Call:
+	case e.Call == "":
+		return s.setEvacuated(index, e)
+	case newest.Call == e.Call:
 		return &Result{}
-	case e.Call != "" && newest.Index != e.Expected:
+	case newest.Index != e.Expected:
 		return &Result{Refusal: refuse(failure.Conflict, "the call builds on index %d; the newest call on zone %s has index %d", e.Expected, e.AvailabilityZone, newest.Index)}
-	case !known && len(s.data.EvacuationCalls) >= MaxZones:
-		return &Result{Refusal: refuse(failure.Overloaded, "the limit of %d availability zones is reached", MaxZones)}
 	}
-	if s.data.EvacuationCalls == nil {
-		s.data.EvacuationCalls = make(map[model.AvailabilityZoneID]evacuationCall)
-	}
-	s.data.EvacuationCalls[e.AvailabilityZone] = evacuationCall{Index: index, Call: e.Call}
+	s.recordEvacuationCall(e.AvailabilityZone, evacuationCall{Index: index, Call: e.Call})
 	return s.setEvacuated(index, e)
 }
 
+// recordEvacuationCall records the newest call on a zone, and forgets the zone whose
+// newest call is the oldest one if there are too many.
+func (s *State) recordEvacuationCall(zone model.AvailabilityZoneID, c evacuationCall) {
+	calls := s.data.EvacuationCalls
+	if calls == nil {
+		calls = make(map[model.AvailabilityZoneID]evacuationCall)
+		s.data.EvacuationCalls = calls
+	}
+	calls[zone] = c
+	if len(calls) <= MaxZones {
+		return
+	}
+	oldest := slices.MinFunc(slices.Collect(maps.Keys(calls)), func(a, b model.AvailabilityZoneID) int {
+		return cmp.Compare(calls[a].Index, calls[b].Index)
+	})
+	delete(calls, oldest)
+}
+
 func (s *State) setEvacuated(index uint64, e *Evacuate) *Result {
 	if s.data.Evacuated[e.AvailabilityZone] != e.End {
 		return &Result{}
