An operator's call is sent only while its operator must still wait

A close that is lost is sent again only after 200 ms and more; a machine that was suspended gets it late. The older call could then read the state after the newer one, or try again after a conflict, and undo it. Found by review.

Why it works: an operator waits a second before he makes another call. A change is sent, also after a conflict, only within 700 ms of the call's arrival, and none is sent for a second after the process stood still for more than 200 ms (by the clock that counts a suspension), during which calls may have waited in a socket. So the state that a change builds on was read before any newer call was made, and the compare refuses it if one was accepted since. The closed connection remains a reason to send nothing, but the order no longer rests on it. Assumed: less than 100 ms from the operator to the socket.

The same rule for calls that lift a quarantine, which had none; one that finds no quarantine is refused at once (TestACallThatFoundNoQuarantineLiftsNoLaterOne failed before), and the quarantine is named by its begin, which builds before had too (the spec on lifts after an earlier build failed before).

--- a/pkg/adminapi/handlers.go
+++ b/pkg/adminapi/handlers.go
@@ -11,6 +11,7 @@
 	"radishturn.example/radishturn"
 	"radishturn.example/radishturn/pkg/control"
 	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/httpserver"
 	"radishturn.example/radishturn/pkg/keys"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/problem"
@@ -118,7 +119,9 @@
 	if err != nil {
 		return problem.Write(c, badRequest("fingerprint %q is not a hexadecimal number", c.Param("fingerprint")), "")
 	}
-	return replyNoContent(c, m.admin.Lift(c.Request().Context(), model.Fingerprint(f), operator(c)))
+	ctx := c.Request().Context()
+	call := control.NewCall(httpserver.Waiting(ctx))
+	return replyNoContent(c, m.admin.Lift(ctx, call, model.Fingerprint(f), operator(c)))
 }
 
 // instances returns the holders of leases.
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -38,7 +38,7 @@
 	// Quarantined returns the quarantined request fingerprints.
 	Quarantined(ctx context.Context) ([]Quarantine, error)
 	// Lift ends the quarantine of a fingerprint.
-	Lift(ctx context.Context, f model.Fingerprint, author string) error
+	Lift(ctx context.Context, call Call, f model.Fingerprint, author string) error
 	// Instances returns the instances that hold a lease.
 	Instances(ctx context.Context) ([]LeaseHolder, error)
 	// Members returns the control group as the leader sees it.
@@ -76,22 +76,34 @@
 // takes part in it.
 type CallID string
 
-// Call is an operator's call that asks for a change. An operator who gets no reply
-// gives a call up and may then ask for the opposite, so a call is carried out only
-// while its operator waits, and only if no newer one on the same item was.
+// OperatorPatience is how long an operator waits for a reply at least. An operator who
+// gets none gives the call up and may then ask for the opposite.
+const OperatorPatience = time.Second
+
+// sendWithin is how long after its arrival the change of a call may be sent to the
+// leader. With the longest pause that an instance does not notice
+// (boottime.PauseLimit) it is shorter than OperatorPatience, so that the state which the
+// change builds on was read before the operator can have made another call.
+const sendWithin = 700 * time.Millisecond
+
+// Call is an operator's call that asks for a change. It is carried out only while its
+// operator waits, and only if no newer one on the same item was.
 type Call struct {
-	ID CallID
-	// waits reports whether the operator still waits for the reply.
+	ID      CallID
+	arrived time.Time
+	// waits reports whether the operator still waits for the reply, as far as is known.
 	waits func() bool
 }
 
-// NewCall returns a call with an ID of its own. Waits reports whether the operator
-// still waits for the reply; it is asked after the state was read that the change
-// builds on.
-func NewCall(waits func() bool) Call { return Call{ID: CallID(uuid.NewString()), waits: waits} }
+// NewCall returns a call that arrives now, with an ID of its own. Waits reports whether
+// the operator still waits for the reply, as far as this instance knows.
+func NewCall(waits func() bool) Call {
+	return Call{ID: CallID(uuid.NewString()), arrived: time.Now(), waits: waits}
+}
 
-// Waits reports whether the operator still waits for the reply.
-func (c Call) Waits() bool { return c.waits() }
+// MayBeSent reports whether the change that the call asks for may be sent. It is to be
+// asked after the state was read that the change builds on.
+func (c Call) MayBeSent() bool { return time.Since(c.arrived) < sendWithin && c.waits() }
 
 // MoveRequest asks to move the traffic of a service to a version.
 type MoveRequest struct {
@@ -143,9 +155,6 @@
 	// control group was formed, see state.State.Clock. 0 means that it lasts until
 	// an operator lifts it.
 	Until time.Duration `json:"until,omitempty" cbor:"4,keyasint,omitempty"`
-	// Index is the log index of the command that began the quarantine; 0 if an earlier
-	// build did.
-	Index uint64 `json:"index,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // LeaseHolder is an instance that holds a lease.
--- a/pkg/control/server/forward.go
+++ b/pkg/control/server/forward.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 
 	"radishturn.example/radishturn/pkg/control"
 	"radishturn.example/radishturn/pkg/control/route"
 	"radishturn.example/radishturn/pkg/control/wire"
+	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/move"
 	"radishturn.example/radishturn/pkg/replica"
@@ -55,19 +58,23 @@
 }
 
 // Lift ends the quarantine of a fingerprint that is in force now, but not a later one.
-func (s *Server) Lift(ctx context.Context, f model.Fingerprint, author string) error {
-	list, err := s.Quarantined(ctx)
-	if err != nil {
-		return err
-	}
-	request := &state.LiftQuarantine{Fingerprint: f, Author: author}
-	for _, q := range list {
-		if q.Fingerprint == f {
-			request.Index = q.Index
+func (s *Server) Lift(ctx context.Context, call control.Call, f model.Fingerprint, author string) error {
+	return s.runCall(ctx, call, wire.KindLift, fmt.Sprintf("%016x", uint64(f)), func() error {
+		list, err := s.Quarantined(ctx)
+		if err != nil {
+			return err
 		}
-	}
-	_, err = route.Call[state.LiftQuarantine, wire.Empty](ctx, s.router, wire.KindLift, request)
-	return err
+		i := slices.IndexFunc(list, func(q control.Quarantine) bool { return q.Fingerprint == f })
+		if i < 0 {
+			return failure.New(failure.NotFound, failure.NotRun, "lift quarantine", "", "fingerprint %016x is not quarantined", uint64(f))
+		}
+		if err := checkCall(call); err != nil {
+			return err
+		}
+		request := &state.LiftQuarantine{Fingerprint: f, Author: author, Began: list[i].At.Unix()}
+		_, err = route.Call[state.LiftQuarantine, wire.Empty](ctx, s.router, wire.KindLift, request)
+		return err
+	})
 }
 
 // Instances returns the instances that hold a lease.
--- a/pkg/control/server/late_lift_test.go
+++ b/pkg/control/server/late_lift_test.go
@@ -30,7 +30,7 @@
 		release := fl.network.hold(fl.instances[5].id, wire.KindLift, wire.KindRelay)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		g.Expect(fl.instances[5].server.Lift(ctx, f, "ivo")).NotTo(Succeed())
+		g.Expect(fl.instances[5].server.Lift(ctx, waitingCall(), f, "ivo")).NotTo(Succeed())
 		suspects := []model.Fingerprint{f}
 		propose(g, fl, &state.Command{TargetCrashes: &state.TargetCrashes{At: time.Now(), Crashes: []state.TargetCrash{
 			{Target: "t1", Boot: "b1", Suspects: suspects}, {Target: "t2", Boot: "b1", Suspects: suspects, Trial: true},
--- a/pkg/control/server/leader_test.go
+++ b/pkg/control/server/leader_test.go
@@ -92,7 +92,7 @@
 		list, err := fl.instances[5].server.Quarantined(t.Context())
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(list).To(ConsistOf(HaveField("Fingerprint", model.Fingerprint(7))))
-		g.Expect(fl.instances[5].server.Lift(t.Context(), 7, "ivo")).To(Succeed())
+		g.Expect(fl.instances[5].server.Lift(t.Context(), waitingCall(), 7, "ivo")).To(Succeed())
 		time.Sleep(time.Second)
 		g.Expect(fl.instances[2].lease.View().Quarantined).To(BeEmpty())
 	})
--- a/pkg/control/server/moves.go
+++ b/pkg/control/server/moves.go
@@ -32,7 +32,7 @@
 		default:
 			o.Expected = newest.Revision
 		}
-		if err := checkWaits(call); err != nil {
+		if err := checkCall(call); err != nil {
 			return err
 		}
 		_, err = route.Call[control.MoveRequest, wire.Empty](ctx, s.router, wire.KindStartMove, &o)
--- a/pkg/control/server/operator_waits_test.go
+++ b/pkg/control/server/operator_waits_test.go
@@ -16,6 +16,9 @@
 // waits.
 const servingTime = 1500 * time.Millisecond
 
+// waitingCall returns a call whose operator never closes.
+func waitingCall() control.Call { return control.NewCall(func() bool { return true }) }
+
 // evacuateInBackground lets an instance work on a call for servingTime and returns the
 // result later.
 func evacuateInBackground(fl *fleet, instance int, waits func() bool, end bool) <-chan error {
--- a/pkg/control/server/table.go
+++ b/pkg/control/server/table.go
@@ -45,7 +45,7 @@
 		if err != nil {
 			return err
 		}
-		if err := checkWaits(call); err != nil {
+		if err := checkCall(call); err != nil {
 			return err
 		}
 		request := &state.Evacuate{AvailabilityZone: zone, End: end, Call: call.ID, Expected: newest}
--- a/pkg/state/command.go
+++ b/pkg/state/command.go
@@ -101,8 +101,10 @@
 type LiftQuarantine struct {
 	Fingerprint model.Fingerprint `cbor:"1,keyasint"`
 	Author      string            `cbor:"2,keyasint"`
-	// Index is control.Quarantine.Index of the quarantine to lift; 0 stands for any.
-	Index uint64 `cbor:"3,keyasint,omitempty"`
+	// Began is control.Quarantine.At of the quarantine to lift, in Unix seconds, which is
+	// how precisely instances tell each other. Commands of earlier builds have none and
+	// lift any.
+	Began int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // PutInstance records an instance before its first lease.
--- a/pkg/state/earlier_build_test.go
+++ b/pkg/state/earlier_build_test.go
@@ -12,10 +12,10 @@
 
 const (
 	// evacuationCallsKey and quarantinedKey are keys in an encoded snapshot;
-	// quarantineIndexKey is one in an encoded quarantine.
+	// quarantineUntilKey is the last one in a quarantine of an earlier build.
 	evacuationCallsKey = 14
 	quarantinedKey     = 6
-	quarantineIndexKey = 5
+	quarantineUntilKey = 4
 )
 
 // restoredFromEarlierBuild restores a state from a snapshot as a build before operators'
@@ -27,7 +27,7 @@
 	var fields map[int]cbor.RawMessage
 	Expect(cbor.Unmarshal(snapshot, &fields)).To(Succeed())
 	delete(fields, evacuationCallsKey)
-	fields[quarantinedKey] = withoutQuarantineIndexes(fields[quarantinedKey])
+	fields[quarantinedKey] = asInEarlierBuild(fields[quarantinedKey])
 	earlier, err := cbor.Marshal(fields)
 	Expect(err).NotTo(HaveOccurred())
 	restored := state.New()
@@ -35,12 +35,16 @@
 	return restored
 }
 
-func withoutQuarantineIndexes(encoded cbor.RawMessage) cbor.RawMessage {
+func asInEarlierBuild(encoded cbor.RawMessage) cbor.RawMessage {
 	GinkgoHelper()
 	var quarantined map[model.Fingerprint]map[int]cbor.RawMessage
 	Expect(cbor.Unmarshal(encoded, &quarantined)).To(Succeed())
 	for _, q := range quarantined {
-		delete(q, quarantineIndexKey)
+		for key := range q {
+			if key > quarantineUntilKey {
+				delete(q, key)
+			}
+		}
 	}
 	b, err := cbor.Marshal(quarantined)
 	Expect(err).NotTo(HaveOccurred())
@@ -71,7 +75,7 @@
 		fromLog.Apply(1, quarantining())
 		Expect(fromLog.Quarantined()).To(HaveLen(1))
 		fromSnapshot := restoredFromEarlierBuild(fromLog)
-		lift := &state.Command{LiftQuarantine: &state.LiftQuarantine{Fingerprint: 7, Author: "ivo", Index: fromLog.Quarantined()[0].Index}}
+		lift := &state.Command{LiftQuarantine: &state.LiftQuarantine{Fingerprint: 7, Author: "ivo", Began: fromLog.Quarantined()[0].At.Unix()}}
 		Expect(fromSnapshot.Apply(2, lift)).To(Equal(fromLog.Apply(2, lift)))
 	})
 })
--- a/pkg/state/quarantine.go
+++ b/pkg/state/quarantine.go
@@ -74,7 +74,7 @@
 	result := &Result{}
 	for _, crash := range d.Crashes {
 		for _, f := range crash.Suspects[:min(len(crash.Suspects), maxSuspectsPerCrash)] {
-			if s.recordCrash(index, f, crash, d.At) {
+			if s.recordCrash(f, crash, d.At) {
 				s.recordChange(index, fingerprintKey(f))
 				result.Quarantined = append(result.Quarantined, f)
 			}
@@ -84,7 +84,7 @@
 }
 
 // recordCrash counts one crash and reports whether it led to a quarantine.
-func (s *State) recordCrash(index uint64, f model.Fingerprint, d TargetCrash, at time.Time) bool {
+func (s *State) recordCrash(f model.Fingerprint, d TargetCrash, at time.Time) bool {
 	if _, ok := s.data.Quarantined[f]; ok {
 		return false
 	}
@@ -108,7 +108,7 @@
 		return false
 	}
 	delete(s.data.Suspects, f)
-	s.data.Quarantined[f] = control.Quarantine{Fingerprint: f, Deaths: targetsOf(entry.Crashes), At: at, Until: until, Index: index}
+	s.data.Quarantined[f] = control.Quarantine{Fingerprint: f, Deaths: targetsOf(entry.Crashes), At: at, Until: until}
 	return true
 }
 
@@ -182,8 +182,8 @@
 	if !ok {
 		return &Result{Refusal: refuse(failure.NotFound, "fingerprint %016x is not quarantined", uint64(l.Fingerprint))}
 	}
-	if l.Index != 0 && l.Index != quarantine.Index {
-		return &Result{Refusal: refuse(failure.Conflict, "fingerprint %016x was quarantined again at index %d", uint64(l.Fingerprint), quarantine.Index)}
+	if l.Began != 0 && l.Began != quarantine.At.Unix() {
+		return &Result{Refusal: refuse(failure.Conflict, "fingerprint %016x was quarantined again at %s", uint64(l.Fingerprint), quarantine.At.UTC().Format(time.RFC3339))}
 	}
 	delete(s.data.Quarantined, l.Fingerprint)
 	s.recordChange(index, fingerprintKey(l.Fingerprint))
--- a/pkg/state/state_test.go
+++ b/pkg/state/state_test.go
@@ -152,9 +152,11 @@
 	It("is not lifted by a call that was made for an earlier quarantine of the request", func() {
 		ts := newTestState()
 		report(ts, 0, crash("t1", "b1", 7), trial("t2", "b1", 7))
-		lift := state.Command{LiftQuarantine: &state.LiftQuarantine{Fingerprint: 7, Author: "ivo", Index: ts.Quarantined()[0].Index}}
+		lift := state.Command{LiftQuarantine: &state.LiftQuarantine{Fingerprint: 7, Author: "ivo", Began: ts.Quarantined()[0].At.Unix()}}
 		Expect(ts.run(lift).Refusal).To(BeNil())
-		report(ts, 0, crash("t1", "b2", 7), trial("t2", "b2", 7))
+		ts.run(state.Command{TargetCrashes: &state.TargetCrashes{
+			Crashes: []state.TargetCrash{crash("t1", "b2", 7), trial("t2", "b2", 7)}, At: noon.Add(time.Second),
+		}})
 		Expect(ts.run(lift).Refusal.Code).To(Equal(failure.Conflict))
 		Expect(ts.restoredCopy().Quarantined()).To(HaveLen(1))
 	})
