A second signal does not end a planned stop

Cause: run.SignalHandler stops its notification when the first signal arrives, which gives the signal its default action back while the modules still drain.

Why it works: the actor takes the signals itself until the process ends. A stop is bounded anyway, and SIGKILL remains.

--- a/cmd/radishturnd/main.go
+++ b/cmd/radishturnd/main.go
@@ -147,23 +147,24 @@
 var errShutdownRequested = errors.New("shutdown requested by a signal")
 
 // shutdownOnSignal returns the actor that waits for a signal and then drains the
-// modules.
+// modules. A further signal does not end the process sooner, which would cut off
+// requests.
 func shutdownOnSignal(kernel *radishturn.Kernel) (execute func() error, interrupt func(error)) {
 	ctx, cancel := context.WithCancel(context.Background())
-	wait, stop := run.SignalHandler(ctx, syscall.SIGINT, syscall.SIGTERM)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	execute = func() error {
-		var signalError *run.SignalError
-		if err := wait(); !errors.As(err, &signalError) {
-			return err
+		var received os.Signal
+		select {
+		case received = <-signals:
+		case <-ctx.Done():
+			return ctx.Err()
 		}
-		events.Emit(events.ProcessStopping, signalError.Signal.String())
+		events.Emit(events.ProcessStopping, received.String())
 		if err := kernel.Drain(ctx); err != nil {
 			events.Emit(events.DrainIncomplete, err)
 		}
 		return errShutdownRequested
 	}
-	return execute, func(err error) {
-		cancel()
-		stop(err)
-	}
+	return execute, func(error) { cancel() }
 }
