One schedule for a planned stop: each request that is taken has its answer before the end

Cause: the stop had three bounds of its own (2.5 s, 3 s, or two settings), and no request knew of any. A request kept its caller's timeout, 8 s and more, though 3 to 5.5 s were left; what was not done then was cut. Requests on open connections were taken until the last moment. A request whose body did not arrive held the stop up and was cut as well.

Now package shutdown derives from the grace (setting stop.grace; bounds.grace-s on the platform) until when requests are taken, by when each has its answer, and when connections close. Admission is a pure function of the schedule, the time since the signal and the request: its timeout is shortened so that it ends in time, for the target too; a request that has too little left for its usual duration, or comes later, is refused as not run with Retry-After and a closed connection, after its body was read. At the deadline the contexts of all requests end with a cause of their own: calls in progress end as 504, those that no target got as 503, and a read of a body ends. Idle connections close only once nothing is taken any more, so a request that crosses the close is not passed on. What is still open at the end is closed before the lease is handed back. The kernel's drain as a whole is bounded by the grace.

stop.finish is replaced by stop.grace (35s, at least three times platform.balancerLag).

--- a/cmd/radishturnd/main.go
+++ b/cmd/radishturnd/main.go
@@ -83,7 +83,7 @@
 			func(error) { cancel() },
 		)
 	}
-	g.Add(shutdownOnSignal(kernel))
+	g.Add(shutdownOnSignal(kernel, s.Stop.Grace.Std()))
 	g.Add(watchSettings(kernel, file, s))
 	events.Emit(events.ProcessStarted, s.Instance.ID, s.Instance.AvailabilityZone, radishturn.Version)
 
@@ -147,9 +147,9 @@
 var errShutdownRequested = errors.New("shutdown requested by a signal")
 
 // shutdownOnSignal returns the actor that waits for a signal and then drains the
-// modules. A further signal does not end the process sooner, which would cut off
-// requests.
-func shutdownOnSignal(kernel *radishturn.Kernel) (execute func() error, interrupt func(error)) {
+// modules, within the grace. A further signal does not end the process sooner, which
+// would cut off requests.
+func shutdownOnSignal(kernel *radishturn.Kernel, grace time.Duration) (execute func() error, interrupt func(error)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
@@ -160,6 +160,8 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		ctx, cancel := context.WithTimeout(ctx, grace)
+		defer cancel()
 		events.Emit(events.ProcessStopping, received.String())
 		if err := kernel.Drain(ctx); err != nil {
 			events.Emit(events.DrainIncomplete, err)
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -127,14 +127,7 @@
 func (e *Engine) prepare(c *Call) {
 	c.state = e.registryState()
 	e.opts.Codec.Prepare(c.Request)
-	key := c.Route.Host + c.Route.Prefix
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	c.stats = e.stats[key]
-	if c.stats == nil {
-		c.stats = newRouteStats(c.Route.Objective)
-		e.stats[key] = c.stats
-	}
+	c.stats = e.statsOf(c.Route)
 }
 
 // exploreShare is the share of choices that ignore the costs reported by the fleet,
@@ -164,6 +157,23 @@
 	return nil
 }
 
+// UsualLatency returns the usual latency of a route's requests to targets; 0 means
+// unknown.
+func (e *Engine) UsualLatency(r *routing.Route) time.Duration { return e.statsOf(r).usual() }
+
+// statsOf returns the statistics of a route.
+func (e *Engine) statsOf(r *routing.Route) *routeStats {
+	key := r.Host + r.Prefix
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.stats[key]
+	if s == nil {
+		s = newRouteStats(r.Objective)
+		e.stats[key] = s
+	}
+	return s
+}
+
 func (e *Engine) retryBound() retry.Bound {
 	return e.opts.RetryBudget.ForInstance(len(e.opts.Views.View().Instances), budgetSafety)
 }
--- a/pkg/dispatch/query.go
+++ b/pkg/dispatch/query.go
@@ -9,6 +9,7 @@
 	"radishturn.example/radishturn/pkg/gather"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/pool"
+	"radishturn.example/radishturn/pkg/shutdown"
 )
 
 const (
@@ -146,6 +147,9 @@
 		timer.Reset(max(0, q.run.NextCheck(now)-now))
 		select {
 		case <-ctx.Done():
+			if shutdown.IsStopping(ctx) {
+				return q.fail(0, failure.DeadlineExceeded, "gather parts")
+			}
 			// failure.Draining stands in for a disconnected caller, since there is no
 			// code for it. Only the log and the metrics show it.
 			return q.fail(callerGoneLinger, failure.Draining, "wait for the caller")
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -9,6 +9,7 @@
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/pool"
+	"radishturn.example/radishturn/pkg/shutdown"
 )
 
 const (
@@ -107,11 +108,14 @@
 	for {
 		now := s.engine.now()
 		if now >= s.deadline {
-			return s.timedOut()
+			return s.timedOut("no reply before the deadline")
 		}
 		timer.Reset(max(0, s.nextWakeup(now)-now))
 		select {
 		case <-ctx.Done():
+			if shutdown.IsStopping(ctx) {
+				return s.timedOut("the instance is stopping")
+			}
 			s.abandon(0)
 			// failure.Draining stands in for a disconnected caller, since there is no
 			// code for it. Only the log and the metrics show it.
@@ -139,7 +143,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return s.refuse("find connection", "the caller disconnected"), false
+			return s.refuse("find connection", "%w", context.Cause(ctx)), false
 		case <-time.After(connectionPoll):
 		}
 	}
@@ -296,8 +300,8 @@
 	return s.fail(failure.New(failure.TargetFailed, failure.Unknown, "send", string(s.service), "%w", s.lastErr))
 }
 
-func (s *singleCall) timedOut() Outcome {
-	out := s.fail(failure.New(failure.DeadlineExceeded, failure.Unknown, "wait for target", string(s.service), "no reply before the deadline"))
+func (s *singleCall) timedOut(reason string) Outcome {
+	out := s.fail(failure.New(failure.DeadlineExceeded, failure.Unknown, "wait for target", string(s.service), "%s", reason))
 	s.abandon(0)
 	if s.failureReply != nil {
 		return s.finish(s.failureReply)
--- a/pkg/entryapi/handlers.go
+++ b/pkg/entryapi/handlers.go
@@ -56,6 +56,9 @@
 	started := time.Now()
 	id := m.newRequestID()
 	request, err := m.readQuery(c, id, started)
+	if err == nil {
+		request.Deadline, err = m.admit(request.Collection, request.Deadline, true)
+	}
 	if err != nil {
 		return problem.Write(c, err, id)
 	}
@@ -74,7 +77,7 @@
 	}
 	body := queryBody{Limit: defaultLimit}
 	if err := problem.Decode(c, maxBodyBytes, &body); err != nil {
-		return query.Request{}, err
+		return query.Request{}, readError(c, err)
 	}
 	if err := checkQuery(body); err != nil {
 		return query.Request{}, err
@@ -114,6 +117,9 @@
 	started := time.Now()
 	id := m.newRequestID()
 	request, err := m.readOrder(c, id, started)
+	if err == nil {
+		request.Deadline, err = m.admit(request.Collection, request.Deadline, false)
+	}
 	if err != nil {
 		return problem.Write(c, err, id)
 	}
@@ -137,7 +143,7 @@
 	// The body is passed to the target unchanged.
 	var body targetproto.OrderRequest
 	if err := problem.Decode(c, maxBodyBytes, &body); err != nil {
-		return order.Request{}, err
+		return order.Request{}, readError(c, err)
 	}
 	if body.LeafKey == "" || body.Order == "" {
 		return order.Request{}, badRequest("leafKey and order must not be empty")
--- a/pkg/entryapi/module.go
+++ b/pkg/entryapi/module.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -24,6 +23,7 @@
 	"radishturn.example/radishturn/pkg/problem"
 	"radishturn.example/radishturn/pkg/query"
 	"radishturn.example/radishturn/pkg/settings"
+	"radishturn.example/radishturn/pkg/shutdown"
 	"radishturn.example/radishturn/pkg/view"
 )
 
@@ -53,7 +53,6 @@
 	readiness fanout.Readiness
 	started   time.Time
 	server    *httpserver.Server
-	draining  atomic.Bool
 }
 
 func init() { radishturn.RegisterModule(&Module{}) }
@@ -108,18 +107,12 @@
 	return m.server.Run(ctx)
 }
 
-// Drain is the graceful shutdown: it reports not ready, keeps serving while the
-// load balancer may still send requests, and then waits for the requests in
-// progress.
+// Drain is the graceful shutdown: it reports not ready, takes requests while the load
+// balancer may still send some, and then waits until each of them has its answer.
 func (m *Module) Drain(ctx context.Context) error {
-	m.draining.Store(true)
-	select {
-	case <-ctx.Done():
-	case <-time.After(m.settings.Platform.BalancerLag.Std()):
-	}
-	ctx, cancel := context.WithTimeout(ctx, m.settings.Stop.Finish.Std())
-	defer cancel()
-	return m.server.Shutdown(ctx)
+	grace := m.settings.Stop.Grace.Std()
+	m.server.BeginStop(shutdown.Began(ctx, grace, time.Now()), shutdown.Plan(grace, m.settings.Platform.BalancerLag.Std()))
+	return m.server.FinishStop(ctx)
 }
 
 // Cleanup closes the listener.
@@ -132,7 +125,7 @@
 
 // notReadyReason returns why the instance is not ready, or "" if it is ready.
 func (m *Module) notReadyReason() string {
-	if m.draining.Load() {
+	if m.server.Stopping() {
 		return "planned stop"
 	}
 	switch state := m.view.Lease(); state {
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -17,6 +17,7 @@
 	ListenerServing         Number = 1008
 	SettingsReloaded        Number = 1009
 	SettingsRefused         Number = 1010
+	RequestsEndedByStop     Number = 1011
 	PlatformListUnavailable Number = 1101
 	PlatformListRead        Number = 1102
 
@@ -147,6 +148,7 @@
 	{ListenerServing, infoLevel, "listener is serving", []string{"listener", "address"}},
 	{SettingsReloaded, infoLevel, "settings reloaded", []string{"changed"}},
 	{SettingsRefused, warnLevel, "new settings are invalid; the old ones stay in force", []string{"error"}},
+	{RequestsEndedByStop, warnLevel, "graceful shutdown ends requests in progress with a failure", []string{"listener", "requests"}},
 	{PlatformListUnavailable, warnLevel, "platform list cannot be read", []string{"error"}},
 	{PlatformListRead, infoLevel, "platform list read", []string{"sequence", "targets", "instances"}},
 	{PlatformEntryInvalid, warnLevel, "entry of the platform list is malformed", []string{"error"}},
--- a/pkg/httpserver/httpserver.go
+++ b/pkg/httpserver/httpserver.go
@@ -9,6 +9,7 @@
 	"log"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"radishturn.example/radishturn/pkg/events"
@@ -38,6 +39,11 @@
 	name     string
 	listener net.Listener
 	http     *http.Server
+	// end ends the contexts of all requests.
+	end context.CancelCauseFunc
+	// stop is set once a graceful shutdown has begun.
+	stop       atomic.Pointer[stopping]
+	inProgress atomic.Int64
 }
 
 // New returns a server for the listener; name identifies it in the log. The server
@@ -47,15 +53,20 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &Server{name: name, listener: l, http: &http.Server{
-		Handler:           handler,
+	s := &Server{name: name, listener: l}
+	base, end := context.WithCancelCause(context.Background())
+	s.end = end
+	s.http = &http.Server{
+		Handler:           s.countRequests(handler),
+		BaseContext:       func(net.Listener) context.Context { return base },
 		Protocols:         protocols,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		ReadTimeout:       limits.RequestTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ConnContext:       withConn,
-	}}
+	}
+	return s
 }
 
 // SetErrorLog writes the errors of the server, such as failed TLS handshakes, to w.
@@ -66,7 +77,7 @@
 	s.http.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return f(withConn(ctx, c), c) }
 }
 
-// Run serves until ctx is done. After Shutdown it waits for ctx, so that a graceful
+// Run serves until ctx is done. After FinishStop it waits for ctx, so that a graceful
 // shutdown does not end the process before the other modules are done.
 func (s *Server) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
@@ -79,10 +90,6 @@
 	return nil
 }
 
-// Shutdown stops accepting connections and returns once the requests in progress
-// are finished or ctx is done.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
-
 // Close closes all connections and the listener.
 func (s *Server) Close() error { return errors.Join(s.http.Close(), ignoreClosed(s.listener.Close())) }
 
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -19,6 +19,9 @@
 	// minHeartbeatsPerElection is the least number of heartbeat intervals in an
 	// election timeout, so that one lost heartbeat does not start an election.
 	minHeartbeatsPerElection = 3
+	// minLagsPerGrace is the least number of balancer lags in the grace of a stop, so
+	// that requests that the balancer still sends have time to end.
+	minLagsPerGrace = 3
 )
 
 // check reports every value that has the right type but is invalid.
@@ -169,9 +172,10 @@
 	p.checkPositive("lease.renew", s.Lease.Renew > 0, fix)
 	p.checkPositive("lease.duration", s.Lease.Duration > 0, fix)
 	p.checkPositive("platform.poll", s.Platform.Poll > 0, fix)
-	p.checkPositive("stop.finish", s.Stop.Finish > 0, fix)
+	p.checkPositive("stop.grace", s.Stop.Grace > 0, fix)
 	p.checkRequired("platform.address", !s.Platform.Address.IsValid())
 	p.checkAtLeast("lease.duration", s.Lease.Duration, MinRenewalsPerLease, s.Lease.Renew, "lease.renew")
+	p.checkAtLeast("stop.grace", s.Stop.Grace, minLagsPerGrace, s.Platform.BalancerLag, "platform.balancerLag")
 	p.checkAtLeast("control.electionTimeout", s.Control.ElectionTimeout, minHeartbeatsPerElection, s.Control.Heartbeat, "control.heartbeat")
 }
 
--- a/pkg/settings/defaults.go
+++ b/pkg/settings/defaults.go
@@ -16,7 +16,7 @@
 	defaultLeaseDuration    = Duration(2 * time.Second)
 	defaultPlatformPoll     = Duration(1 * time.Second)
 	defaultBalancerLag      = Duration(5 * time.Second)
-	defaultStopFinish       = Duration(30 * time.Second)
+	defaultStopGrace        = Duration(35 * time.Second)
 	defaultDeadline         = Duration(1 * time.Second)
 	defaultColdLoad         = 2
 	defaultHedgeBudget      = 0.05
@@ -36,7 +36,7 @@
 	setDefault(p, "lease.duration", &s.Lease.Duration, defaultLeaseDuration)
 	setDefault(p, "platform.poll", &s.Platform.Poll, defaultPlatformPoll)
 	setDefault(p, "platform.balancerLag", &s.Platform.BalancerLag, defaultBalancerLag)
-	setDefault(p, "stop.finish", &s.Stop.Finish, defaultStopFinish)
+	setDefault(p, "stop.grace", &s.Stop.Grace, defaultStopGrace)
 	setDefault(p, "log.format", &s.Log.Format, "json")
 	setDefault(p, "log.level", &s.Log.Level, "info")
 	for i := range s.Collections {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -234,10 +234,10 @@
 	Level string `json:"level"`
 }
 
-// Stop sets the time limits of a graceful shutdown.
+// Stop sets the time limit of a graceful shutdown.
 type Stop struct {
-	// Finish limits the wait for requests in progress once BalancerLag is over.
-	Finish Duration `json:"finish"`
+	// Grace is how long after the signal the process ends at the latest.
+	Grace Duration `json:"grace"`
 }
 
 // Duration is a time.Duration that is encoded as a string with a unit, such as
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -65,6 +65,7 @@
 		Entry("unknown hedge mode", `"connectTime": "6ms"`, `"hedge": {"mode": "often"}`, "collections[0].hedge.mode", "not a mode"),
 		Entry("fixed hedge without delay", `"connectTime": "6ms"`, `"hedge": {"mode": "fixed"}`, "collections[0].hedge.delay", "not greater"),
 		Entry("negative memory", `"callerListen"`, `"memoryMB": -1, "callerListen"`, "instance.memoryMB", "negative"),
+		Entry("grace too short for the balancer", `"platform": {`, `"stop": {"grace": "14s"}, "platform": {`, "stop.grace", "shorter than 3 times platform.balancerLag"),
 		Entry("host name", `"10.20.1.11:8080"`, `"split:8080"`, "instance.callerListen", ""),
 	)
 
