target: an order's reply counts only once its framing is complete

Callers of the product's own interface were told that an order was placed on a reply that its target had stopped sending: the JSON decoder ends with the object and never sees whether the chunks or the length after it arrived. The object may be whole by then, but nothing showed it; what follows the object in the body was not looked at either. Parts of queries were checked already, by their length.

The body is now read to its end, and then decoded; the same for health reports.

--- a/pkg/target/order.go
+++ b/pkg/target/order.go
@@ -111,7 +111,7 @@
 		return OrderResult{Kind: result.Kind, Meta: result.Meta, Err: result.Err}
 	}
 	reply := new(targetproto.OrderReply)
-	err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(reply)
+	err := decodeBody(response, reply)
 	if err == nil {
 		err = verifyOrderReply(o, c.leaf, reply)
 	}
--- a/pkg/target/reply.go
+++ b/pkg/target/reply.go
@@ -200,13 +200,29 @@
 	return body, nil
 }
 
+// errReplyTooLong means that the body of a reply is longer than maxReplyBytes.
+var errReplyTooLong = errors.New("reply is too long")
+
+// decodeBody decodes a body that may have no Content-Length. The value counts only once
+// the whole body has arrived: an object alone does not show that its reply is complete.
+func decodeBody(response *http.Response, value any) error {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
+	if err != nil {
+		return fmt.Errorf("read reply: %w", err)
+	}
+	if len(body) > maxReplyBytes {
+		return errReplyTooLong
+	}
+	return json.Unmarshal(body, value)
+}
+
 func readHealth(id model.TargetID, response *http.Response) (*targetproto.Health, error) {
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("read health of %s: status %d", id, response.StatusCode)
 	}
 	health := new(targetproto.Health)
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(health); err != nil {
+	if err := decodeBody(response, health); err != nil {
 		return nil, fmt.Errorf("read health of %s: %w", id, err)
 	}
 	return health, nil
