dispatch: a goroutine that waited puts no older view in force

The registry built its state for a view that its caller had read before it took the lock. A caller that was slow to get it put the older view back in force over a newer one: targets that had left the list came back with fresh connections and no history, those listed since were closed, until the next request read the view again.

The view is now read under the lock; the reader only says where from.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -118,7 +118,7 @@
 	return state.table()
 }
 
-func (e *Engine) registryState() *registryState { return e.registry.stateOf(e.opts.Views.View()) }
+func (e *Engine) registryState() *registryState { return e.registry.stateOf(e.opts.Views.View) }
 
 // now returns the time on the monotonic clock.
 func (e *Engine) now() time.Duration { return time.Since(e.origin) }
--- a/pkg/dispatch/query_test.go
+++ b/pkg/dispatch/query_test.go
@@ -33,7 +33,7 @@
 			Request: &exchange.Request{ID: "q1", Method: "GET"}, Route: queryRoute("x"),
 			Arrived: time.Now(), Timeout: deadlineMargin + 50*time.Millisecond,
 		}
-		f.engine.registry.stateOf(f.views.View()).services["x"].own[0].pool.Close()
+		f.engine.registry.stateOf(f.views.View).services["x"].own[0].pool.Close()
 		Expect(f.engine.Query(context.Background(), call).Err.Ran).To(Equal(failure.NotRun))
 	})
 
--- a/pkg/dispatch/registry.go
+++ b/pkg/dispatch/registry.go
@@ -70,15 +70,18 @@
 	return r
 }
 
-// stateOf returns the state for a view, and builds it if the view is new.
-func (r *registry) stateOf(v *view.View) *registryState {
+// stateOf returns the state for the view that latest returns, and builds it if the view
+// is new.
+func (r *registry) stateOf(latest func() *view.View) *registryState {
 	state := r.current.Load()
-	if state.view == v {
+	if state.view == latest() {
 		return state
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	state = r.current.Load()
+	// A newer view may have been put in force before the lock was held.
+	v := latest()
 	if state.view != v {
 		state = r.buildState(state, v)
 		r.current.Store(state)
--- a/pkg/dispatch/single_test.go
+++ b/pkg/dispatch/single_test.go
@@ -85,7 +85,7 @@
 		last := f.add("s", "c", nil)
 		f.publish(nil)
 		unreachable.Stop()
-		for _, t := range f.engine.registry.stateOf(f.views.View()).services["s"].own {
+		for _, t := range f.engine.registry.stateOf(f.views.View).services["s"].own {
 			if t.ID == "i-2" {
 				t.health.slowness = 20
 			}
--- a/pkg/dispatch/subset_test.go
+++ b/pkg/dispatch/subset_test.go
@@ -74,7 +74,7 @@
 		}
 		v.Catalog = set
 		r := newRegistry(v.Instances[0].ID, "a", pool.Shared{})
-		state := r.stateOf(v)
+		state := r.stateOf(func() *view.View { return v })
 		for _, t := range state.services["s"].own {
 			t.health.slowness = slowness
 		}
@@ -237,7 +237,7 @@
 		before.Catalog, after.Catalog, after.Routing = set, set, before.Routing
 		// The instance's availability zone has no target of the service.
 		r := newRegistry(self, "d", pool.Shared{})
-		Expect(idsOf(r.stateOf(before).services["s"].own)).NotTo(Equal(idsOf(r.stateOf(after).services["s"].own)))
+		Expect(idsOf(r.stateOf(func() *view.View { return before }).services["s"].own)).NotTo(Equal(idsOf(r.stateOf(func() *view.View { return after }).services["s"].own)))
 	})
 
 	It("does not change the subsets of other instances when an instance joins", func() {
