dispatch: each send chooses from the registry state in force, not from that of arrival

Cause: a call kept the registry state of its arrival and chose from it whenever it sent, after a reply that took seconds, at a hedge, after its place in the queue, in the wait for a connection. Deadlines are up to 8 s. Quarantine, the move between versions and the fleet's costs were read from it too.

Fix, by type: a call holds a pinnedView (its table version; its route with the shards of one configuration version, and its times, were pinned already), and a currentView is an argument of each decision: choice, usability, pause, move, quarantine, costs. A result counts for the move under which its request was sent. A request that is quarantined while it waits is not sent again, and leaves the queue.

--- a/pkg/dispatch/calllog.go
+++ b/pkg/dispatch/calllog.go
@@ -107,7 +107,7 @@
 		}
 		*lines++
 		t.deferEvent(events.RequestSent, c.Request.ID, service, r.target.ID, r.sentAt.Milliseconds(), rounded(r.cost),
-			rounded(c.state.view.ExpensiveTargets[r.target.ID]), r.resultAt.Milliseconds(), r.resultLabel())
+			rounded(r.fleetCost), r.resultAt.Milliseconds(), r.resultLabel())
 	}
 }
 
--- a/pkg/dispatch/ended.go
+++ b/pkg/dispatch/ended.go
@@ -12,17 +12,15 @@
 	if !s.call.Route.Idempotent || len(s.inFlight) == 0 {
 		return
 	}
-	state := s.engine.registryState()
+	current := s.engine.current()
 	for _, r := range s.inFlight {
-		if !r.target.hasEnded(state) {
+		if !r.target.hasEnded(current) {
 			return
 		}
 	}
 	for _, r := range s.inFlight {
 		r.targetEnded = true
 	}
-	// The new list may name other targets.
-	s.call.state = state
 	if s.takeFurtherRequest() && s.send() {
 		s.trace.RetriesDue++
 	}
@@ -42,8 +40,8 @@
 
 // hasEnded reports whether the target is known to have ended or to be cut off: it is no
 // longer listed, or nothing accepts connections at its address.
-func (t *target) hasEnded(state *registryState) bool {
-	if state.targets[t.ID] == nil || state.targets[t.ID].process != t.process {
+func (t *target) hasEnded(current currentView) bool {
+	if current.targets[t.ID] == nil || current.targets[t.ID].process != t.process {
 		return true
 	}
 	t.mu.Lock()
--- a/pkg/dispatch/ended_test.go
+++ b/pkg/dispatch/ended_test.go
@@ -39,7 +39,7 @@
 				}
 				listed.recordResult(now, now, time.Millisecond, time.Second, result)
 			}
-			NewWithT(t).Expect(listed.hasEnded(&registryState{targets: map[model.TargetID]*target{"i-1": listed}})).To(Equal(c.ended))
+			NewWithT(t).Expect(listed.hasEnded(currentView{&registryState{targets: map[model.TargetID]*target{"i-1": listed}}})).To(Equal(c.ended))
 		})
 	}
 }
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -93,7 +93,7 @@
 // BodyMemory returns the budget for message bodies; nil means without limit.
 func (e *Engine) BodyMemory() *membudget.Budget { return e.opts.BodyMemory }
 
-// Call is a caller's request with its route and timing.
+// Call is a caller's request with its route and timing, which hold from its arrival on.
 type Call struct {
 	Request *exchange.Request
 	Route   *routing.Route
@@ -104,8 +104,8 @@
 	// Elapsed is the estimated time that the caller had waited before Arrived.
 	Elapsed time.Duration
 
-	state *registryState
-	stats *routeStats
+	pinned pinnedView
+	stats  *routeStats
 }
 
 // Table returns the routing table in force, or nil if this instance cannot
@@ -123,9 +123,9 @@
 // now returns the time on the monotonic clock.
 func (e *Engine) now() time.Duration { return time.Since(e.origin) }
 
-// prepare sets the registry state and the statistics that the call uses.
+// prepare sets what the call pins and the statistics that it uses.
 func (e *Engine) prepare(c *Call) {
-	c.state = e.registryState()
+	c.pinned = pinnedView{tableVersion: e.current().table().Version()}
 	e.opts.Codec.Prepare(c.Request)
 	c.stats = e.statsOf(c.Route)
 }
@@ -136,21 +136,21 @@
 
 // choose returns the target for the next request of a call, or nil. further is set
 // if an earlier request was sent; skip reports targets to leave out.
-func (e *Engine) choose(c *Call, service model.ServiceID, now time.Duration, further bool, skip func(*target) bool) *target {
+func (e *Engine) choose(c *Call, current currentView, service model.ServiceID, now time.Duration, further bool, skip func(*target) bool) *target {
 	criteria := selection{service: service, now: now, usual: c.stats.usual(), skip: skip}
 	// The fleet's costs may be outdated once the lease has expired.
 	if e.opts.Views.Lease() == view.LeaseHeld && rand.Float64() >= exploreShare {
-		criteria.fleetCosts = c.state.view.ExpensiveTargets
+		criteria.fleetCosts = current.view.ExpensiveTargets
 	}
-	rank := e.versionRank(c, service, further)
+	rank := e.versionRank(c, current, service, further)
 	if rank == nil {
-		return e.registry.choose(c.state, criteria)
+		return e.registry.choose(current.registryState, criteria)
 	}
 	for _, worst := range []versions.Rank{versions.Primary, versions.Fallback} {
 		criteria.skip = func(t *target) bool {
 			return rank(t) > worst || skip != nil && skip(t)
 		}
-		if t := e.registry.choose(c.state, criteria); t != nil {
+		if t := e.registry.choose(current.registryState, criteria); t != nil {
 			return t
 		}
 	}
--- a/pkg/dispatch/moves.go
+++ b/pkg/dispatch/moves.go
@@ -50,8 +50,8 @@
 // versionRank returns a function that ranks targets for a request, or nil if the
 // service has no move in progress. A further request goes to the old version until
 // the move is complete, so that a bad version fails a request at most once.
-func (e *Engine) versionRank(c *Call, s model.ServiceID, further bool) func(*target) versions.Rank {
-	move, ok := c.state.view.Moves[moveKey(s)]
+func (e *Engine) versionRank(c *Call, current currentView, s model.ServiceID, further bool) func(*target) versions.Rank {
+	move, ok := current.moveOf(s)
 	if !ok {
 		return nil
 	}
@@ -75,12 +75,11 @@
 	return move.From
 }
 
-// recordVersionOutcome counts the result of a request for the move of its service,
-// if one is in progress. An abandoned request counts as a success with the time
+// recordVersionOutcome counts the result of a request for the move of its service that
+// was in progress when the request was sent. An abandoned request counts as a success with the time
 // until it was abandoned as its latency.
-func (e *Engine) recordVersionOutcome(c *Call, t *target, r pool.Result, latency time.Duration) {
-	move, ok := c.state.view.Moves[moveKey(t.Service)]
-	if !ok || errors.Is(r.Err, pool.ErrNotSent) || r.Reply != nil && (r.Reply.NotRun || r.Reply.WrongTarget) {
+func (e *Engine) recordVersionOutcome(c *Call, t *target, move view.Move, r pool.Result, latency time.Duration) {
+	if errors.Is(r.Err, pool.ErrNotSent) || r.Reply != nil && (r.Reply.NotRun || r.Reply.WrongTarget) {
 		return
 	}
 	good := errors.Is(r.Err, pool.ErrAbandoned) || r.Reply != nil && r.Reply.OK()
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -68,7 +68,7 @@
 }
 
 func (e *Engine) newTrace(c *Call) Trace {
-	return Trace{TableVersion: c.state.table().Version(), Usual: c.stats.usual(), LeaseLeft: e.opts.Views.LeaseLeft()}
+	return Trace{TableVersion: c.pinned.tableVersion, Usual: c.stats.usual(), LeaseLeft: e.opts.Views.LeaseLeft()}
 }
 
 func newRefusal(code failure.Code, ran failure.Ran, step, peer string, retryAfter time.Duration, format string, args ...any) *failure.Error {
--- a/pkg/dispatch/quarantine.go
+++ b/pkg/dispatch/quarantine.go
@@ -33,9 +33,8 @@
 
 // refuseQuarantined refuses a quarantined request, which has crashed targets, before
 // it is sent to another one.
-func refuseQuarantined(c *Call) *failure.Error {
-	quarantined := c.state.view.Quarantined
-	if len(quarantined) == 0 || !quarantined[fingerprintOf(c.Request)] {
+func refuseQuarantined(c *Call, current currentView) *failure.Error {
+	if !current.quarantines(c) {
 		return nil
 	}
 	return newRefusal(failure.Quarantined, failure.NotRun, "check quarantine", "", quarantineRetryAfter,
--- a/pkg/dispatch/query.go
+++ b/pkg/dispatch/query.go
@@ -73,7 +73,7 @@
 func (e *Engine) Query(ctx context.Context, c *Call) Outcome {
 	e.prepare(c)
 	q := e.newQuery(c)
-	if err := refuseQuarantined(c); err != nil {
+	if err := refuseQuarantined(c, e.current()); err != nil {
 		return observe(c, Outcome{Err: err, Trace: q.trace})
 	}
 	if err := refuseExpired(e.now(), q.plan.Deadline); err != nil {
@@ -192,13 +192,13 @@
 }
 
 func (q *query) send(i int, now time.Duration) {
-	service := q.call.Route.Fanout.Shards[i]
-	t := q.choose(i, service, now)
+	current, service := q.engine.current(), q.call.Route.Fanout.Shards[i]
+	t := q.choose(i, current, service, now)
 	if t == nil {
-		q.run.RecordUnsent(i, now, q.call.state.hasUsableTarget(service, now))
+		q.run.RecordUnsent(i, now, current.hasUsableTarget(service, now))
 		return
 	}
-	if q.seemsToCrashTargets() {
+	if q.seemsToCrashTargets() || current.quarantines(q.call) {
 		// Recorded like a denial by the retry budget, so that the shard is tried again
 		// after a pause. A part that arrives until then clears the suspicion.
 		q.run.RecordDenied(i, now)
@@ -210,8 +210,8 @@
 		q.run.RecordDenied(i, now)
 		return
 	}
-	r := newSentRequest(q.call, i, t, now)
-	attempt, ok := t.send(q.engine, q.call, q.partTimeout(now), func(result pool.Result) {
+	r := newSentRequest(q.call, current, i, t, now)
+	attempt, ok := t.send(q.engine, q.call, current, q.partTimeout(now), func(result pool.Result) {
 		r.result = result
 		q.results <- r
 	})
@@ -243,21 +243,21 @@
 // choose returns the target for the next request to a shard, or nil. It prefers a
 // target that was not asked yet. A target is asked again only if no request to the
 // shard is in flight. The route limits how many targets may run the request.
-func (q *query) choose(i int, service model.ServiceID, now time.Duration) *target {
+func (q *query) choose(i int, current currentView, service model.ServiceID, now time.Duration) *target {
 	if len(q.sentByShard[i]) == 0 {
-		return q.engine.choose(q.call, service, now, false, nil)
+		return q.engine.choose(q.call, current, service, now, false, nil)
 	}
 	asked, mayHaveRun := q.sentByShard[i].targets()
 	targetLimitReached := q.sentByShard[i].attempts() >= max(1, q.call.Route.MaxAttempts)
 	if !targetLimitReached {
-		if t := q.engine.choose(q.call, service, now, true, func(t *target) bool { return asked[t.ID] }); t != nil {
+		if t := q.engine.choose(q.call, current, service, now, true, func(t *target) bool { return asked[t.ID] }); t != nil {
 			return t
 		}
 	}
 	if q.run.InFlight(i) {
 		return nil
 	}
-	return q.engine.choose(q.call, service, now, true, func(t *target) bool { return targetLimitReached && !mayHaveRun[t.ID] })
+	return q.engine.choose(q.call, current, service, now, true, func(t *target) bool { return targetLimitReached && !mayHaveRun[t.ID] })
 }
 
 // partTimeout returns how long a target may work on its part. The upper limit is
--- a/pkg/dispatch/refuse.go
+++ b/pkg/dispatch/refuse.go
@@ -10,15 +10,15 @@
 // checkTargets refuses a query before anything is sent if too few shards have a
 // usable target.
 func (q *query) checkTargets() *failure.Error {
-	now, usable := q.engine.now(), 0
+	current, now, usable := q.engine.current(), q.engine.now(), 0
 	var pauses []time.Duration
 	for _, s := range q.call.Route.Fanout.Shards {
-		if q.call.state.hasUsableTarget(s, now) {
+		if current.hasUsableTarget(s, now) {
 			usable++
 			continue
 		}
 		q.trace.Unanswered = append(q.trace.Unanswered, string(s))
-		if left := q.call.state.pauseLeft(s, now); left > 0 {
+		if left := current.pauseLeft(s, now); left > 0 {
 			pauses = append(pauses, left)
 		}
 	}
--- a/pkg/dispatch/sent.go
+++ b/pkg/dispatch/sent.go
@@ -22,9 +22,10 @@
 	// sentAt and resultAt are relative to the arrival of the call; resultAt is 0 until
 	// there is a result.
 	sentAt, resultAt time.Duration
-	// cost is the expected cost of the target, in usual latencies.
-	cost      float64
-	completed bool
+	// cost is the expected cost of the target, and fleetCost what the instances together
+	// reported, both in usual latencies and as of sentAt.
+	cost, fleetCost float64
+	completed       bool
 	// mayHaveArrived is false once it is known that the target did not receive the
 	// request, and mayHaveRun once it is known that the target did not run it.
 	mayHaveArrived, mayHaveRun bool
@@ -38,9 +39,9 @@
 }
 
 // newSentRequest returns a request that is to be sent now.
-func newSentRequest(c *Call, shard int, t *target, now time.Duration) *sentRequest {
+func newSentRequest(c *Call, current currentView, shard int, t *target, now time.Duration) *sentRequest {
 	cost, _ := t.cost(now)
-	return &sentRequest{shard: shard, target: t, sentAt: time.Since(c.Arrived), cost: cost, mayHaveArrived: true, mayHaveRun: true}
+	return &sentRequest{shard: shard, target: t, sentAt: time.Since(c.Arrived), cost: cost, fleetCost: current.view.ExpensiveTargets[t.ID], mayHaveArrived: true, mayHaveRun: true}
 }
 
 // complete records that the result is available, and whether the request may have
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -65,13 +65,13 @@
 		results:  make(chan *sentRequest, maxSingleRequests),
 		trace:    e.newTrace(c),
 	}
-	if err := refuseQuarantined(c); err != nil {
+	if err := refuseQuarantined(c, e.current()); err != nil {
 		return observe(c, s.fail(err))
 	}
 	if err := refuseExpired(e.now(), s.deadline); err != nil {
 		return observe(c, s.fail(err))
 	}
-	if !c.state.hasUsableTarget(service, e.now()) {
+	if !e.current().hasUsableTarget(service, e.now()) {
 		return observe(c, s.refuse("find target", "no target of %s is usable", service))
 	}
 	e.recordFirst(service)
@@ -96,7 +96,7 @@
 		rr = &roundRobin{}
 		e.roundRobins[key] = rr
 	}
-	return c.Route.Split[rr.pick(c.state.table().Version(), c.Route.Split)].Service
+	return c.Route.Split[rr.pick(c.pinned.tableVersion, c.Route.Split)].Service
 }
 
 func (s *singleCall) loop(ctx context.Context) Outcome {
@@ -153,14 +153,14 @@
 // send sends the request to the best target that was not asked yet. The target may
 // work on it until half of deadlineMargin before the timeout of the call.
 func (s *singleCall) send() bool {
-	now := s.engine.now()
+	current, now := s.engine.current(), s.engine.now()
 	asked, _ := s.sent.targets()
-	t := s.engine.choose(s.call, s.service, now, len(asked) > 0, func(t *target) bool { return asked[t.ID] })
+	t := s.engine.choose(s.call, current, s.service, now, len(asked) > 0, func(t *target) bool { return asked[t.ID] })
 	if t == nil {
 		return false
 	}
-	r := newSentRequest(s.call, 0, t, now)
-	attempt, ok := t.send(s.engine, s.call, s.deadline+deadlineMargin/2-now, func(result pool.Result) {
+	r := newSentRequest(s.call, current, 0, t, now)
+	attempt, ok := t.send(s.engine, s.call, current, s.deadline+deadlineMargin/2-now, func(result pool.Result) {
 		r.result = result
 		s.results <- r
 	})
@@ -185,7 +185,7 @@
 	if s.trace.Sent >= maxSingleRequests || s.sent.attempts() >= max(1, s.call.Route.MaxAttempts) {
 		return false
 	}
-	if s.sent.mayHaveRun() && !s.call.Route.Idempotent {
+	if s.sent.mayHaveRun() && !s.call.Route.Idempotent || s.engine.current().quarantines(s.call) {
 		return false
 	}
 	if s.sent.mayHaveArrived() && !s.engine.takeExtraRequest(s.service, len(s.inFlight) == 0) {
@@ -311,8 +311,8 @@
 
 func (s *singleCall) refuse(step, format string, args ...any) Outcome {
 	retryAfter := refusedRetryAfter
-	if now := s.engine.now(); !s.call.state.hasUsableTarget(s.service, now) {
-		retryAfter = max(retryAfter, s.call.state.pauseLeft(s.service, now))
+	if current, now := s.engine.current(), s.engine.now(); !current.hasUsableTarget(s.service, now) {
+		retryAfter = max(retryAfter, current.pauseLeft(s.service, now))
 	}
 	return s.fail(newRefusal(failure.NoTarget, failure.NotRun, step, string(s.service), retryAfter, format, args...))
 }
--- a/pkg/dispatch/startqueue.go
+++ b/pkg/dispatch/startqueue.go
@@ -46,7 +46,7 @@
 // maxStarting returns how many queries may be starting at a time, so that each has a
 // connection to every shard.
 func (q *query) maxStarting() int {
-	services := q.call.state.services
+	services := q.engine.current().services
 	least := 0
 	for i, s := range q.call.Route.Fanout.Shards {
 		if n := services[s].maxConnections; i == 0 || n < least {
@@ -57,8 +57,8 @@
 }
 
 // awaitStart waits until the query may start. It returns an error if the query cannot
-// be answered in time, and the same error if the caller disconnects; no request has
-// been sent then.
+// be answered in time or was quarantined meanwhile, and the former if the caller
+// disconnects; no request has been sent then.
 func (q *query) awaitStart(ctx context.Context) *failure.Error {
 	s, limit, now := q.engine.startQueueOf(q.call.Route.Fanout.Shards), q.maxStarting(), q.engine.now()
 	minDuration := time.Duration(minRunFactor * float64(q.plan.UsualLatency))
@@ -86,6 +86,11 @@
 	if waited := q.leftQueueAt - now; waited >= time.Millisecond && q.engine.logLimiters.progress.Allow() {
 		events.Emit(events.CallQueued, q.call.Request.ID, q.call.Route.Name, waited.Milliseconds(), waiting, limit)
 	}
+	// The request may have been quarantined while it waited.
+	if err := refuseQuarantined(q.call, q.engine.current()); err != nil {
+		q.releaseStart(true)
+		return err
+	}
 	return nil
 }
 
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -41,11 +41,13 @@
 	coldSent                   bool
 }
 
-// send starts an attempt. It returns false if the target may not get a request now
-// or no connection is available. done is called after the result is recorded.
-func (t *target) send(e *Engine, call *Call, timeout time.Duration, done func(pool.Result)) (*pool.Attempt, bool) {
+// send starts an attempt to a target chosen from the current view. It returns false if
+// the target may not get a request now or no connection is available. done is called
+// after the result is recorded.
+func (t *target) send(e *Engine, call *Call, current currentView, timeout time.Duration, done func(pool.Result)) (*pool.Attempt, bool) {
 	sent := e.now()
 	usual := call.stats.usual()
+	move, moving := current.moveOf(t.Service)
 	a := &pool.Attempt{
 		Request: call.Request,
 		Params:  exchange.TargetParams{Target: t.ID, Timeout: timeout},
@@ -54,7 +56,9 @@
 		now := e.now()
 		t.recordResult(now, sent, usual, timeout, r).log(t.ID, r.Err)
 		e.recordCost(t.ID, observedCost(r, now-sent, usual))
-		e.recordVersionOutcome(call, t, r, now-sent)
+		if moving {
+			e.recordVersionOutcome(call, t, move, r, now-sent)
+		}
 		if r.Reply != nil && r.Reply.OK() {
 			call.stats.add(now - sent)
 			targetSeconds.Update((now - sent).Seconds())
