pool: a request that waited for a new connection is sent only if its target is still wanted

A connection may take up to 1 s to open (connectTimeout), and the wait for a reset adds to it. The request was then written although its target had begun to drain, its availability zone was evacuated, or it had left the list meanwhile: the decision of before the wait was carried out after it.

Right before the first byte the attempt now asks whether it is withdrawn; the engine answers from the registry state in force, what the target itself has stated, and the quarantine. A withdrawn attempt was not sent: it uses no retry budget, another target may get the request, and it counts neither for nor against the target's health. Logs call it `withdrawn`.

--- a/pkg/dispatch/current.go
+++ b/pkg/dispatch/current.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/view"
 )
@@ -30,6 +32,19 @@
 	return move, ok
 }
 
+// admits reports whether a target, chosen earlier, may still be sent a request: the same
+// process is listed and not leaving, its availability zone is not evacuated, and it has
+// not stated that it wants none.
+func (v currentView) admits(t *target, now time.Duration) bool {
+	listed := v.targets[t.ID]
+	if listed == nil || listed.process != t.process || listed.Leaving || v.view.Evacuated[listed.AvailabilityZone] {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.wrongTarget && t.notice.allows(now)
+}
+
 // quarantines reports whether the request of a call is quarantined.
 func (v currentView) quarantines(c *Call) bool {
 	return len(v.view.Quarantined) > 0 && v.view.Quarantined[fingerprintOf(c.Request)]
--- a/pkg/dispatch/sent.go
+++ b/pkg/dispatch/sent.go
@@ -118,6 +118,7 @@
 const (
 	resultPending     = "pending"
 	resultUnreached   = "unreached"
+	resultWithdrawn   = "withdrawn"
 	resultAbandoned   = "abandoned"
 	resultBroken      = "broken"
 	resultShed        = "shed"
@@ -132,6 +133,8 @@
 	}
 	reply, err := r.result.Reply, r.result.Err
 	switch {
+	case errors.Is(err, pool.ErrWithdrawn):
+		return resultWithdrawn
 	case isNotSent(err):
 		return resultUnreached
 	case errors.Is(err, pool.ErrAbandoned):
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -49,8 +49,9 @@
 	usual := call.stats.usual()
 	move, moving := current.moveOf(t.Service)
 	a := &pool.Attempt{
-		Request: call.Request,
-		Params:  exchange.TargetParams{Target: t.ID, Timeout: timeout},
+		Request:   call.Request,
+		Params:    exchange.TargetParams{Target: t.ID, Timeout: timeout},
+		Withdrawn: func() bool { return e.withdraws(call, t) },
 	}
 	a.Done = func(r pool.Result) {
 		now := e.now()
@@ -77,6 +78,12 @@
 	return a, true
 }
 
+// withdraws reports whether a request that has waited for a connection must not be sent.
+func (e *Engine) withdraws(c *Call, t *target) bool {
+	current := e.current()
+	return !current.admits(t, e.now()) || current.quarantines(c)
+}
+
 // begin records a request, or returns false if the cold limit allows none now.
 func (t *target) begin(now, usual time.Duration) bool {
 	t.mu.Lock()
@@ -100,7 +107,7 @@
 	failuresBefore, wrongBefore := h.connectFailures, t.wrongTarget
 	h.end(sent)
 	switch {
-	case abandonedUnsent(r.Err):
+	case neverTried(r.Err):
 	case errors.Is(r.Err, pool.ErrNotSent):
 		h.connectFailed(now)
 	case errors.Is(r.Err, pool.ErrAbandoned):
@@ -123,7 +130,7 @@
 	switch {
 	case notAccepted(r.Err):
 		t.silentConnects++
-	case !abandonedUnsent(r.Err):
+	case !neverTried(r.Err):
 		t.silentConnects = 0
 	}
 	noticeBefore := t.notice
@@ -147,10 +154,10 @@
 	return changeNone
 }
 
-// abandonedUnsent reports whether an attempt was abandoned before anything was sent,
-// which says nothing about the target.
-func abandonedUnsent(err error) bool {
-	return errors.Is(err, pool.ErrNotSent) && errors.Is(err, pool.ErrAbandoned)
+// neverTried reports whether an attempt was abandoned or withdrawn before anything was
+// sent, which says nothing about the target.
+func neverTried(err error) bool {
+	return errors.Is(err, pool.ErrNotSent) && (errors.Is(err, pool.ErrAbandoned) || errors.Is(err, pool.ErrWithdrawn))
 }
 
 // targetChange is a change in the state of a target.
--- a/pkg/pool/conn.go
+++ b/pkg/pool/conn.go
@@ -44,6 +44,9 @@
 	ErrNotSent = errors.New("request was not sent")
 	// ErrAbandoned means that this instance abandoned the attempt.
 	ErrAbandoned = errors.New("attempt was abandoned")
+	// ErrWithdrawn means that the target must no longer be sent the request; see
+	// Attempt.Withdrawn.
+	ErrWithdrawn = errors.New("request was withdrawn while it waited for a connection")
 )
 
 // Result is the result of an attempt.
@@ -60,6 +63,9 @@
 	Request *exchange.Request
 	Params  exchange.TargetParams
 	Done    func(Result)
+	// Withdrawn reports whether the request must no longer be sent. It is called right
+	// before the request is written if it has waited for a connection; nil means never.
+	Withdrawn func() bool
 
 	// conn is set once the attempt has a connection.
 	conn atomic.Pointer[conn]
@@ -69,6 +75,18 @@
 	memory membudget.Reservation
 }
 
+// unwanted returns why an attempt that has waited for a connection must not be sent, or
+// nil.
+func (a *Attempt) unwanted() error {
+	switch {
+	case a.abandoned.Load():
+		return ErrAbandoned
+	case a.Withdrawn != nil && a.Withdrawn():
+		return ErrWithdrawn
+	}
+	return nil
+}
+
 // Release returns the memory that the reply takes. It is called once the reply is no
 // longer used, or its result is no longer waited for.
 func (a *Attempt) Release() { a.memory.Release() }
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -156,9 +156,9 @@
 		return
 	}
 	p.resetGuard.waitForReset()
-	if a.abandoned.Load() {
+	if err := a.unwanted(); err != nil {
 		p.release(c)
-		a.Done(Result{Err: connectError(p.target, p.address, ErrAbandoned)})
+		a.Done(Result{Err: connectError(p.target, p.address, err)})
 		return
 	}
 	if !c.start(a) {
