fanout: what waited for capacity goes by the move in force

Queries and orders of the product's own interface chose their versions when they came. An order that waited for a place at the new version was placed there after the version had been rolled back; a query that waited was refused or left the leaf out, though the old version was free.

Each attempt after a wait (a place, a reply, a trial) and each try of an order now takes the move and this instance's own stop of a version anew. First attempts, which wait for nothing, share the choice of the pass.

--- a/pkg/fanout/attempt.go
+++ b/pkg/fanout/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"radishturn.example/radishturn/pkg/query/versions"
 	"radishturn.example/radishturn/pkg/query/warmth"
 	"radishturn.example/radishturn/pkg/settings"
 	"radishturn.example/radishturn/pkg/target"
@@ -16,7 +17,7 @@
 		return noTarget
 	}
 	required := targetRequirements{
-		snapshot: p.plan.snapshot.ID, choice: p.choice, alone: p.trial.active,
+		snapshot: p.plan.snapshot.ID, choice: p.choiceFor(sq), alone: p.trial.active,
 		fingerprint: p.fingerprint, hedge: isHedge,
 		waitForColdTargets: p.collection.settings.Policy == settings.PreferCoverage,
 	}
@@ -35,6 +36,15 @@
 	return why
 }
 
+// choiceFor returns the versions that the next attempt of a subquery may use: by the
+// move in force, unless nothing was waited for since the pass has begun.
+func (p *pass) choiceFor(sq *subquery) versions.Choice {
+	if sq.attemptCount > 0 || sq.waiting || sq.held {
+		p.choice = p.collection.chooseVersions(p.service.views.View(), p.request.Caller, p.request.ID)
+	}
+	return p.choice
+}
+
 // startAttempt starts the goroutine of an attempt. The goroutine is bounded by the
 // attempt's context and never blocks on the pass.
 func (p *pass) startAttempt(i int, t *targetState, now time.Duration, isHedge bool) {
--- a/pkg/fanout/orders.go
+++ b/pkg/fanout/orders.go
@@ -43,9 +43,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(-answerMargin))
 	defer cancel()
-	d := &orderDispatch{service: s, leaf: l, request: &r, maySend: maySend}
+	d := &orderDispatch{service: s, collection: c, leaf: l, request: &r, maySend: maySend}
 	d.required.waitForColdTargets = true
-	d.required.choice = c.chooseVersions(s.views.View(), r.Caller, r.ID)
 	return d.run(ctx)
 }
 
@@ -60,10 +59,12 @@
 
 // orderDispatch is the state of one order while it is dispatched.
 type orderDispatch struct {
-	service  *Service
-	leaf     *leaf
-	request  *order.Request
-	maySend  func() bool
+	service    *Service
+	collection *collection
+	leaf       *leaf
+	request    *order.Request
+	maySend    func() bool
+	// required holds a choice of versions only for one try to get a target.
 	required targetRequirements
 }
 
@@ -98,6 +99,7 @@
 		if d.service.views.Lease() != view.LeaseHeld {
 			return nil, failure.New(failure.LeaseExpired, failure.NotRun, stepDispatch, "", "lease is not held")
 		}
+		d.required.choice = d.collection.chooseVersions(d.service.views.View(), d.request.Caller, d.request.ID)
 		t, why := d.leaf.acquireTarget(&d.required, newRandom(), d.service.now())
 		switch why {
 		case available:
--- a/pkg/fanout/outcomes.go
+++ b/pkg/fanout/outcomes.go
@@ -11,9 +11,6 @@
 	"radishturn.example/radishturn/pkg/view"
 )
 
-// versionChoice is the choice of versions for one query.
-type versionChoice = versions.Choice
-
 // outcomeWindow is the length of the windows in which view.Outcome counts.
 const outcomeWindow = time.Second
 
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -68,10 +68,11 @@
 // that executes it may access the fields that change, except for queue and
 // deathChecks.
 type pass struct {
-	service     *Service
-	collection  *collection
-	request     *query.Request
-	plan        *plan
+	service    *Service
+	collection *collection
+	request    *query.Request
+	plan       *plan
+	// choice is from the start of the pass, or from the last attempt after a wait.
 	choice      versions.Choice
 	fingerprint model.Fingerprint
 
@@ -96,7 +97,7 @@
 	deathChecks atomic.Int32
 }
 
-func (s *Service) newPass(ctx context.Context, c *collection, p *plan, r *query.Request, choice versions.Choice, f model.Fingerprint) *pass {
+func (s *Service) newPass(ctx context.Context, c *collection, p *plan, r *query.Request, f model.Fingerprint) *pass {
 	now := s.now()
 	n := len(p.leaves)
 	return &pass{
@@ -104,7 +105,7 @@
 		collection:  c,
 		request:     r,
 		plan:        p,
-		choice:      choice,
+		choice:      c.chooseVersions(s.views.View(), r.Caller, r.ID),
 		fingerprint: f,
 		ctx:         ctx,
 		queue:       eventQueue{ready: make(chan struct{}, 1)},
--- a/pkg/fanout/service.go
+++ b/pkg/fanout/service.go
@@ -176,8 +176,7 @@
 func (s *Service) runQuery(ctx context.Context, c *collection, record *queryRecord) (*query.Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, record.request.Deadline.Add(-answerMargin))
 	defer cancel()
-	choice := c.chooseVersions(s.views.View(), record.request.Caller, record.request.ID)
-	first, err := s.runPass(ctx, c, record, choice)
+	first, err := s.runPass(ctx, c, record)
 	if err != nil {
 		return nil, err
 	}
@@ -186,7 +185,7 @@
 		return nil, failure.New(failure.Quarantined, failure.Unknown, stepFanout, "", "the request with fingerprint %016x is refused because targets crashed while they ran it", uint64(record.fingerprint))
 	}
 	if s.awaitRerun(ctx, c, record, first) {
-		if second, err := s.runPass(ctx, c, record, choice); err == nil && second.coveredDocuments() > first.coveredDocuments() {
+		if second, err := s.runPass(ctx, c, record); err == nil && second.coveredDocuments() > first.coveredDocuments() {
 			return s.buildAnswer(c, record, second)
 		}
 	}
@@ -227,14 +226,14 @@
 }
 
 // runPass runs the query once on the current snapshot.
-func (s *Service) runPass(ctx context.Context, c *collection, record *queryRecord, choice versionChoice) (*pass, error) {
+func (s *Service) runPass(ctx context.Context, c *collection, record *queryRecord) (*pass, error) {
 	current := c.currentPlan(s.now())
 	if current == nil {
 		return nil, failure.New(failure.NoSnapshot, failure.NotRun, "pin snapshot", "", "no snapshot of collection %s is known to be held", c.id)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	p := s.newPass(ctx, c, current, record.request, choice, record.fingerprint)
+	p := s.newPass(ctx, c, current, record.request, record.fingerprint)
 	record.passes = append(record.passes, p)
 	p.execute()
 	for i := range p.subqueries {
