--- a/pkg/control/server/table.go
+++ b/pkg/control/server/table.go
@@ -31,13 +31,23 @@
 
 // Table returns the newest accepted table, or nil before the first one.
 func (s *Server) Table(ctx context.Context) (*routing.Table, error) {
+	started := time.Now()
 	reply, err := route.Call[wire.Empty, wire.TableReply](ctx, s.router, wire.KindTable, &wire.Empty{})
+	events.Emit(events.TableRead, versionRead(reply), time.Since(started).Milliseconds(), err)
 	if err != nil {
 		return nil, err
 	}
 	return reply.Table, nil
 }
 
+// versionRead returns the version of the table in a reply, or 0 if there is none.
+func versionRead(r *wire.TableReply) uint64 {
+	if r == nil || r.Table == nil {
+		return 0
+	}
+	return r.Table.Version
+}
+
 // Evacuate starts or ends the evacuation of an availability zone.
 func (s *Server) Evacuate(ctx context.Context, call control.Call, zone model.AvailabilityZoneID, end bool) error {
 	return s.runCall(ctx, call, wire.KindEvacuate, string(zone), func() error {
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -25,9 +25,10 @@
 	LogLinesDropped      Number = 1104
 	MetricsUnavailable   Number = 1105
 
-	PeerConnected    Number = 2001
-	PeerDisconnected Number = 2002
-	SmallUDPBuffer   Number = 2003
+	PeerConnected      Number = 2001
+	PeerDisconnected   Number = 2002
+	SmallUDPBuffer     Number = 2003
+	PeerConnectionLost Number = 2004
 
 	GroupFormed            Number = 3001
 	LeaderElected          Number = 3002
@@ -56,6 +57,7 @@
 	ChangeRequested        Number = 3109
 	ChangeAnswered         Number = 3110
 	EvacuationApplied      Number = 3111
+	TableRead              Number = 3112
 
 	LeaseGranted       Number = 4001
 	LeaseControlLost   Number = 4003
@@ -69,6 +71,7 @@
 	ZonesEvacuated     Number = 4011
 	ControlUnreachable Number = 4012
 	InstanceBehind     Number = 4013
+	OlderStateIgnored  Number = 4014
 
 	NewestSnapshotChanged  Number = 5001
 	TargetEjected          Number = 5002
@@ -158,6 +161,7 @@
 	{PeerConnected, debugLevel, "peer connected", []string{"peer", "address"}},
 	{PeerDisconnected, debugLevel, "peer disconnected", []string{"peer", "error"}},
 	{SmallUDPBuffer, warnLevel, "UDP receive buffer of the mesh is smaller than requested", []string{"kiB", "wantedKiB"}},
+	{PeerConnectionLost, infoLevel, "connection to a peer lost", []string{"peer", "address", "milliseconds", "error"}},
 
 	{GroupFormed, infoLevel, "control group formed", []string{"members"}},
 	{LeaderElected, infoLevel, "leader elected", []string{"leader", "term"}},
@@ -185,6 +189,7 @@
 	{ChangeRequested, infoLevel, "operator's call for a change received", []string{"call", "kind", "item", "leader"}},
 	{ChangeAnswered, infoLevel, "operator's call for a change answered", []string{"call", "milliseconds", "error"}},
 	{EvacuationApplied, infoLevel, "command of an evacuation applied", []string{"availabilityZone", "evacuated", "call", "index", "refusal"}},
+	{TableRead, infoLevel, "routing table read for an operator", []string{"version", "milliseconds", "error"}},
 
 	{LeaseGranted, infoLevel, "lease granted", []string{"leader", "revision"}},
 	{LeaseControlLost, warnLevel, "connection to control lost; queries continue, orders are refused", []string{"reached", "known"}},
@@ -198,6 +203,7 @@
 	{ZonesEvacuated, warnLevel, "evacuated availability zones changed on this instance", []string{"availabilityZones", "stateVersion"}},
 	{ControlUnreachable, warnLevel, "control is unreachable; serving continues with the last known state", []string{"milliseconds", "tableVersion", "error"}},
 	{InstanceBehind, warnLevel, "instance renews its lease but does not take a change", []string{"instance", "holds", "version", "behind"}},
+	{OlderStateIgnored, warnLevel, "leader sent an older state than the one held; ignored", []string{"leader", "stateVersion", "heldVersion", "tableVersion", "heldTableVersion"}},
 
 	{NewestSnapshotChanged, infoLevel, "newest complete snapshot of the collection changed", []string{"collection", "snapshot"}},
 	{TargetEjected, warnLevel, "target ejected", []string{"target", "reason"}},
--- a/pkg/lease/log.go
+++ b/pkg/lease/log.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"radishturn.example/radishturn/pkg/control/wire"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/view"
 )
@@ -21,6 +22,23 @@
 	}
 }
 
+// logOlderState logs that a reply holds an older state than h, or a whole routing table
+// that is older than the one held. The holder ignores what is older.
+func logOlderState(r *wire.RenewalReply, h *holder) {
+	d := r.Delta
+	if d == nil {
+		return
+	}
+	held := h.view.Routing.Version()
+	table := held
+	if d.Table != nil {
+		table = d.Table.To
+	}
+	if d.To < h.configVersion || table < held {
+		events.Emit(events.OlderStateIgnored, r.Leader, d.To, h.configVersion, table, held)
+	}
+}
+
 // controlContact detects that control has been unreachable for longer than a lease.
 type controlContact struct {
 	// lastSuccess is when a renewal last succeeded, or when the instance started.
--- a/pkg/lease/log_test.go
+++ b/pkg/lease/log_test.go
@@ -8,9 +8,11 @@
 
 	. "github.com/onsi/gomega"
 
+	"radishturn.example/radishturn/pkg/control/wire"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/routing"
+	"radishturn.example/radishturn/pkg/state"
 	"radishturn.example/radishturn/pkg/view"
 )
 
@@ -48,3 +50,22 @@
 	logChanges(next, next, 32)
 	g.Expect(log.String()).To(BeEmpty())
 }
+
+func TestLogsOnlyOlderStatesFromTheLeader(t *testing.T) {
+	g := NewWithT(t)
+	var log bytes.Buffer
+	g.Expect(events.Setup(&log, "json", "info")).To(Succeed())
+	defer func() { g.Expect(events.Setup(os.Stderr, "json", "info")).To(Succeed()) }()
+	h := &holder{view: &view.View{Routing: routing.NewIndex(&routing.Table{Version: 7})}, configVersion: 31}
+	for _, d := range []*state.Delta{
+		nil, {From: 31, To: 31}, {From: 31, To: 33, Table: &routing.TableDelta{From: 7, To: 8}}, {To: 31, Table: &routing.TableDelta{To: 7}},
+	} {
+		logOlderState(&wire.RenewalReply{Delta: d}, h)
+	}
+	g.Expect(log.String()).To(BeEmpty())
+	logOlderState(&wire.RenewalReply{Leader: "a", Delta: &state.Delta{To: 30}}, h)
+	g.Expect(log.String()).To(And(ContainSubstring(`"event":"RT4014"`), ContainSubstring(`"stateVersion":30`), ContainSubstring(`"heldVersion":31`)))
+	log.Reset()
+	logOlderState(&wire.RenewalReply{Leader: "a", Delta: &state.Delta{To: 32, Table: &routing.TableDelta{To: 6}}}, h)
+	g.Expect(log.String()).To(And(ContainSubstring(`"event":"RT4014"`), ContainSubstring(`"tableVersion":6`)))
+}
--- a/pkg/lease/renew.go
+++ b/pkg/lease/renew.go
@@ -168,6 +168,7 @@
 	m.sentEvidence = nil
 	held := m.times.Load().state(m.now()) == view.LeaseHeld
 	old := m.holder.view
+	logOlderState(reply, m.holder)
 	changed := m.holder.applyReply(m.now(), sent, reply)
 	if changed {
 		m.updatePeers(reply.Delta)
--- a/pkg/mesh/peers.go
+++ b/pkg/mesh/peers.go
@@ -135,6 +135,7 @@
 		return nil, err
 	}
 	events.Emit(events.PeerConnected, p.id, p.address)
+	recordLoss(p.id, p.address, conn)
 	p.conn = conn
 	return conn, nil
 }
