Keys, mesh: a restarted process can reset the connections to the former one

What callers saw: after all control processes are killed at once, entries act on an older configuration, or refuse routes that were added, though the new leader serves and confirms changes.

Cause: QUIC's stateless reset, by which a process says that it does not know a connection, needs a secret that outlives the process. It was derived from the instance's private key. An instance that issues its own certificate, as on the users' platform, makes a new key at each start, so its peers did not recognise its resets, and only the idle timeout of 4 s ended what they had to the former process.

Evidence: on the code before, both entries of the new mesh test fail (no call succeeds within a second of the restart), and so does the new test of keys; the restart tests that existed used keys from files.

--- a/pkg/keys/keys.go
+++ b/pkg/keys/keys.go
@@ -118,7 +118,8 @@
 }
 
 // IssueCredentials creates a key and a certificate for an instance without writing
-// them to files.
+// them to files. The secrets that are derived from these credentials depend on the
+// authority's key, since the instance's key does not outlive the process.
 func (a *Authority) IssueCredentials(name string, validFor time.Duration) (*Credentials, error) {
 	der, key, err := a.newKeyPair(name, RoleInstance, validFor)
 	if err != nil {
@@ -131,7 +132,7 @@
 	roots := x509.NewCertPool()
 	roots.AddCert(a.certificate)
 	pair := tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key, Leaf: leaf}
-	return &Credentials{pair: pair, roots: roots}, nil
+	return &Credentials{pair: pair, roots: roots, durableKey: a.key}, nil
 }
 
 // newKeyPair generates a key and returns it with its signed certificate.
--- a/pkg/keys/keys_test.go
+++ b/pkg/keys/keys_test.go
@@ -105,6 +105,21 @@
 		Expect(secret(other)).NotTo(Equal(secret(first)))
 	})
 
+	It("derive the same secret after a restart that issues a new key, and a different one for each holder", func() {
+		a, err := keys.LoadAuthority(folder)
+		Expect(err).NotTo(HaveOccurred())
+		secret := func(name, purpose string) [32]byte {
+			c, err := a.IssueCredentials(name, time.Hour)
+			Expect(err).NotTo(HaveOccurred())
+			s, err := c.DeriveSecret(purpose)
+			Expect(err).NotTo(HaveOccurred())
+			return s
+		}
+		Expect(secret("e1", "test")).To(Equal(secret("e1", "test")))
+		Expect(secret("e2", "test")).NotTo(Equal(secret("e1", "test")))
+		Expect(secret("e1", "other")).NotTo(Equal(secret("e1", "test")))
+	})
+
 	DescribeTable("admit only operators to the admin listener", func(makeClient func() *tls.Config, matcher OmegaMatcher) {
 		Expect(handshake(issue(folder, "e1", keys.RoleInstance), makeClient())).To(matcher)
 	},
--- a/pkg/keys/tls.go
+++ b/pkg/keys/tls.go
@@ -1,6 +1,7 @@
 package keys
 
 import (
+	"crypto"
 	"crypto/hkdf"
 	"crypto/sha256"
 	"crypto/tls"
@@ -23,6 +24,9 @@
 type Credentials struct {
 	pair  tls.Certificate
 	roots *x509.CertPool
+	// durableKey is the private key from which secrets are derived. It outlives the
+	// process: the holder's own if it was read from a file, otherwise the authority's.
+	durableKey crypto.PrivateKey
 }
 
 // Load loads the files and verifies that the certificate is signed by the
@@ -40,7 +44,7 @@
 	if !roots.AppendCertsFromPEM(authority) {
 		return nil, fmt.Errorf("load authority %s: the file contains no valid certificate", f.Authority)
 	}
-	c := &Credentials{pair: pair, roots: roots}
+	c := &Credentials{pair: pair, roots: roots, durableKey: pair.PrivateKey}
 	if err := c.verify(time.Now()); err != nil {
 		return nil, fmt.Errorf("certificate %s: %w", f.Certificate, err)
 	}
@@ -56,15 +60,17 @@
 	return err
 }
 
-// DeriveSecret derives a secret for one purpose. It depends only on the purpose
-// and the private key, so a restarted process derives the same secret.
+// DeriveSecret derives a secret for one purpose. It depends only on the purpose, the
+// holder's name and a private key that outlives the process, so a restarted process
+// derives the same secret although it may have issued itself a new certificate. Only
+// those who have that private key can derive it.
 func (c *Credentials) DeriveSecret(purpose string) ([32]byte, error) {
 	var secret [32]byte
-	key, err := x509.MarshalPKCS8PrivateKey(c.pair.PrivateKey)
+	key, err := x509.MarshalPKCS8PrivateKey(c.durableKey)
 	if err != nil {
 		return secret, fmt.Errorf("derive secret for %s: %w", purpose, err)
 	}
-	derived, err := hkdf.Key(sha256.New, key, nil, purpose, len(secret))
+	derived, err := hkdf.Key(sha256.New, key, []byte(c.Name()), purpose, len(secret))
 	if err != nil {
 		return secret, fmt.Errorf("derive secret for %s: %w", purpose, err)
 	}
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"sync"
 	"testing"
@@ -144,6 +145,43 @@
 		})
 	})
 
+	// Each start of a process that issues its own certificate makes a new key, as the
+	// entries on the users' platform saw after all control processes were killed.
+	DescribeTable("reaches within a second a peer that ended without notice and came back with a new key", func(request *greeting) {
+		authority, err := keys.LoadAuthority(folder)
+		Expect(err).NotTo(HaveOccurred())
+		listen := func(address netip.AddrPort, name string) *mesh.QUIC {
+			c, err := authority.IssueCredentials(name, time.Hour)
+			Expect(err).NotTo(HaveOccurred())
+			m, err := mesh.Listen(address, c, false)
+			Expect(err).NotTo(HaveOccurred())
+			mesh.Handle(m, greet, func(context.Context, model.InstanceID, *greeting) (*greeting, error) {
+				return &greeting{Text: "here"}, nil
+			})
+			go func() { _ = m.Run(ctx) }()
+			return m
+		}
+		a := listen(loopback, "a")
+		DeferCleanup(a.Close)
+		b := listen(loopback, "b")
+		address := b.Address()
+		a.SetPeer("b", address)
+		_, err = mesh.Call[greeting, greeting](ctx, a, "b", greet, request)
+		Expect(err).NotTo(HaveOccurred())
+		b.Kill()
+		DeferCleanup(listen(address, "b").Close)
+		within, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		// A call that fails has found out that the connection is lost; the next one dials.
+		for err = errors.New("no call yet"); err != nil && within.Err() == nil; {
+			_, err = mesh.Call[greeting, greeting](within, a, "b", greet, request)
+		}
+		Expect(err).NotTo(HaveOccurred())
+	},
+		Entry("for a request of usual length", &greeting{Text: "hello, how are you today?"}),
+		Entry("for a request without content", &greeting{}),
+	)
+
 	It("reports that a request to an unknown peer was not run", func() {
 		a := start(ctx, issue(folder, folder, "a", keys.RoleInstance))
 		_, err := mesh.Call[greeting, greeting](ctx, a, "nobody", greet, &greeting{Text: "hello"})
