--- a/pkg/consensus/follower.go
+++ b/pkg/consensus/follower.go
@@ -51,8 +51,8 @@
 }
 
 // Compact records that the snapshot described by meta is durable, and discards the
-// log entries before it except for the last keep ones. Members that need a
-// discarded entry receive the snapshot.
+// log entries before it except for the last keep ones, or as many of them as
+// maxRetainedBytes allows. Members that need a discarded entry receive the snapshot.
 func (r *Raft) Compact(meta SnapshotMeta, keep uint64) {
 	if meta.Index > r.applied {
 		panic(fmt.Sprintf("consensus: snapshot at %d beyond applied %d", meta.Index, r.applied))
@@ -61,9 +61,7 @@
 		return
 	}
 	r.snapshot = meta
-	if meta.Index > keep {
-		r.log.compact(meta.Index - keep)
-	}
+	r.log.compact(r.log.retainedFrom(meta.Index, keep, maxRetainedBytes))
 }
 
 // SnapshotMeta returns the metadata of a snapshot taken now, at the applied index.
--- a/pkg/consensus/log.go
+++ b/pkg/consensus/log.go
@@ -81,6 +81,24 @@
 	return nil
 }
 
+// maxRetainedBytes bounds the entries that stay in memory although a snapshot covers
+// them.
+const maxRetainedBytes = 8 << 20
+
+// retainedFrom returns the index up to which entries may be discarded so that the last
+// ones up to index are kept: keep of them, or fewer if they exceed maxBytes.
+func (l *raftLog) retainedFrom(index, keep uint64, maxBytes int) uint64 {
+	size := 0
+	for from := index; ; from-- {
+		if from <= l.base || index-from >= keep {
+			return from
+		}
+		if size += l.at(from).size(); size > maxBytes {
+			return from
+		}
+	}
+}
+
 // compact discards the entries up to and including index.
 func (l *raftLog) compact(index uint64) {
 	if index <= l.base {
--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -59,7 +59,9 @@
 	hardState consensus.HardState
 	// snapshotIndex is the index of the current snapshot.
 	snapshotIndex uint64
-	writeErr      error
+	// logBytes is the size of the log written since the newest snapshot was begun.
+	logBytes int64
+	writeErr error
 }
 
 type segment struct {
@@ -80,6 +82,10 @@
 // Disk returns the identity of the data folder.
 func (j *Journal) Disk() model.DiskID { return j.disk }
 
+// LogBytes returns the size of the log written since the newest snapshot was begun, in
+// this process or before: what a restart replays, and what a snapshot lets go.
+func (j *Journal) LogBytes() int64 { return j.logBytes }
+
 // Append writes entries and the hard state, either of which may be nil, and
 // syncs them with one call.
 func (j *Journal) Append(h *consensus.HardState, entries []consensus.Entry) error {
@@ -118,6 +124,7 @@
 		return err
 	}
 	j.offset += int64(len(frame))
+	j.logBytes += int64(len(frame))
 	return nil
 }
 
--- a/pkg/journal/journaltest/disk.go
+++ b/pkg/journal/journaltest/disk.go
@@ -95,6 +95,17 @@
 	return names
 }
 
+// Size returns the bytes that all files hold together.
+func (d *Disk) Size() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	total := 0
+	for _, f := range d.live {
+		total += len(f.data)
+	}
+	return total
+}
+
 // Content returns a file's bytes.
 func (d *Disk) Content(name string) []byte {
 	d.mu.Lock()
--- a/pkg/journal/open.go
+++ b/pkg/journal/open.go
@@ -236,6 +236,7 @@
 		return errDamaged(name, "the segment ends at offset %d but is not the last one", end)
 	}
 	j.segments = append(j.segments, s.segment)
+	j.logBytes += end
 	if last {
 		j.hardState = r.hardState
 		return j.openForAppend(name, end, torn)
--- a/pkg/journal/snapshot.go
+++ b/pkg/journal/snapshot.go
@@ -30,6 +30,7 @@
 	if j.writeErr != nil {
 		return nil, j.writeErr
 	}
+	j.logBytes = 0
 	if err := j.rotate(); err != nil {
 		return nil, j.fail("begin segment", err)
 	}
@@ -87,6 +88,7 @@
 	if j.writeErr != nil {
 		return j.writeErr
 	}
+	j.logBytes = 0
 	if err := j.rotate(); err != nil {
 		return j.fail("begin segment", err)
 	}
--- a/pkg/replica/node.go
+++ b/pkg/replica/node.go
@@ -26,6 +26,9 @@
 	defaultMaxBatch = 1024
 	// defaultSnapshotEvery is the number of entries between snapshots.
 	defaultSnapshotEvery = 4096
+	// snapshotLogBytes is the size of the log after which a snapshot is taken although
+	// there are fewer entries: a few commands of the largest size.
+	snapshotLogBytes = 16 << 20
 )
 
 // Options configure a Node.
@@ -38,7 +41,8 @@
 	InitialMembers  []model.InstanceID
 	ElectionTimeout time.Duration
 	Heartbeat       time.Duration
-	// SnapshotEvery is the number of log entries between snapshots.
+	// SnapshotEvery is the number of log entries between snapshots; a snapshot is taken
+	// sooner if the log gets large, see snapshotLogBytes.
 	SnapshotEvery int
 	// MaxBatch limits the number of proposals that share one sync.
 	MaxBatch int
--- a/pkg/replica/snapshots.go
+++ b/pkg/replica/snapshots.go
@@ -17,8 +17,7 @@
 // snapshotIfDue takes a snapshot of the state in the event loop and writes it in
 // the background.
 func (n *Node) snapshotIfDue() error {
-	s := n.raft.Status()
-	if n.snapshotInProgress || s.Applied-s.Snapshot < uint64(n.options.SnapshotEvery) {
+	if n.snapshotInProgress || !n.snapshotDue() {
 		return nil
 	}
 	data, err := n.options.StateMachine.Snapshot()
@@ -37,9 +36,17 @@
 	return nil
 }
 
+// snapshotDue reports whether the log is long enough for a snapshot, by entries or by
+// bytes. A few large commands would otherwise fill the disk before they are many.
+func (n *Node) snapshotDue() bool {
+	s := n.raft.Status()
+	return s.Applied-s.Snapshot >= uint64(n.options.SnapshotEvery) ||
+		s.Applied > s.Snapshot && n.journal.LogBytes() >= snapshotLogBytes
+}
+
 // commitSnapshot makes a written snapshot the current one and truncates the log
-// before it. The entries of half a snapshot interval stay in memory for members
-// that are slightly behind.
+// before it. The entries of half a snapshot interval, as far as Compact keeps them, stay
+// in memory for members that are slightly behind.
 func (n *Node) commitSnapshot(s writtenSnapshot) {
 	n.snapshotInProgress = false
 	if s.err == nil {
