Replies without an end keep within the memory of the process

What callers saw: leaves sent bytes without end; the entry that had called them took more memory than its machine has and was ended, with the requests of all others. Replies of sound leaves failed as well ("memory for message bodies is used up").

Cause: the budget counted the bytes that had arrived, not those that were allocated. - A stated length (of the body or of one chunk) was allocated at once, up to 8 MiB a reply, before a byte had arrived, and without a reservation. - Buffers doubled, with the old one alive; the reply was copied once more; released buffers of 8 MiB stayed in the decoder's pool. - Bytes that nobody had asked for, and the first 32 KiB of each reply, were never counted. - The collector let the heap grow to twice what was live; no limit was set. - Whoever came first took all: nine replies of 8 MiB used the quarter up.

A message may hold half of what is free, a long one besides leaves an eighth of the budget to short ones, and both are checked as bytes arrive: the longest are cut first. The reply to an admitted request has 4 KiB in any case. Memory is held by the read loop until the attempt takes it over, so that an abandoned attempt frees no memory that is in use. A cut closes the connection and counts as a failure of the target, as before; RT5028 and a counter name it.

--- a/cmd/radishturnd/main.go
+++ b/cmd/radishturnd/main.go
@@ -16,6 +16,7 @@
 
 	"radishturn.example/radishturn"
 	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/settings"
 
 	_ "radishturn.example/radishturn/pkg/modules"
@@ -40,6 +41,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitInvalidSettings
 	}
+	membudget.LimitRuntime(s.Instance.MemoryMB)
 	sink := events.NewSink(os.Stdout)
 	defer sink.Flush()
 	if err := events.Setup(sink, s.Log.Format, s.Log.Level); err != nil {
--- a/pkg/dispatch/module.go
+++ b/pkg/dispatch/module.go
@@ -43,7 +43,7 @@
 		return err
 	}
 	b := c.Settings.RetryBudget
-	memory := bodyMemory(c.Settings.Instance.MemoryMB)
+	memory := membudget.ForProcess(c.Settings.Instance.MemoryMB)
 	m.engine = New(Options{
 		Instance:         c.Settings.Instance.ID,
 		AvailabilityZone: c.Settings.Instance.AvailabilityZone, Views: views, Codec: codec, Reporter: reporter, BodyMemory: memory,
@@ -54,21 +54,5 @@
 	return radishturn.Provide(c, m.engine)
 }
 
-const (
-	bytesPerMB = 1 << 20
-	// bodyMemoryDivisor is the part of the process's memory that is for the bodies of
-	// requests and replies.
-	bodyMemoryDivisor = 4
-)
-
-// bodyMemory returns the budget for message bodies of a process, or nil if its memory
-// is not stated.
-func bodyMemory(memoryMB int) *membudget.Budget {
-	if memoryMB <= 0 {
-		return nil
-	}
-	return membudget.New(int64(memoryMB) * bytesPerMB / bodyMemoryDivisor)
-}
-
 // Run runs the Engine until ctx is done.
 func (m *Module) Run(ctx context.Context) error { return m.engine.Run(ctx) }
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -101,6 +101,7 @@
 	CallLate           Number = 5025
 	CallQueued         Number = 5026
 	TargetPaused       Number = 5027
+	ReplyCut           Number = 5028
 
 	OrderOutcomeUnknown     Number = 6001
 	OrderClaimUnconfirmed   Number = 6002
@@ -232,6 +233,7 @@
 	{CallLate, infoLevel, "latency objective exceeded while the request of a caller is in progress", []string{"request", "route", "milliseconds", "waiting", "late"}},
 	{CallQueued, infoLevel, "query was queued before its start", []string{"request", "route", "milliseconds", "ahead", "limit"}},
 	{TargetPaused, infoLevel, "target has asked for a pause", []string{"target"}},
+	{ReplyCut, warnLevel, "reading of a reply was ended", []string{"target", "request", "reason", "heldBytes"}},
 
 	{OrderOutcomeUnknown, warnLevel, "outcome of an order is unknown", []string{"request", "error"}},
 	{OrderClaimUnconfirmed, warnLevel, "claim of an order could not be confirmed", []string{"request", "error"}},
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -5,8 +5,10 @@
 
 import (
 	"bufio"
+	"errors"
 	"time"
 
+	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/model"
 )
 
@@ -88,8 +90,14 @@
 	MaxBody int
 	// WantHeader requests Reply.Header.
 	WantHeader bool
+	// Space is the room for the body.
+	Space membudget.Space
 }
 
+// ErrReplyTooLong means that a target sent more bytes than a reply may have, such as a
+// head or a body without an end.
+var ErrReplyTooLong = errors.New("reply is too long")
+
 // Codec encodes requests and decodes replies. It is stateless.
 type Codec interface {
 	// Prepare encodes the part that is the same for all targets into r.Encoded. It
--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -1,9 +1,11 @@
-// Package membudget bounds the memory that message bodies of one process take
-// together, so that many long bodies at once cannot exhaust it.
+// Package membudget bounds the memory that messages of others take in one process, all
+// together, so that neither many nor endless ones can exhaust it. What is reserved is what
+// is allocated, not what has arrived.
 package membudget
 
 import (
 	"errors"
+	"math"
 	"sync"
 	"sync/atomic"
 )
@@ -28,6 +30,32 @@
 	return b.used.Load()
 }
 
+const (
+	// minShareBytes is the share that each message has, if the budget has room for it.
+	minShareBytes = 4 << 10
+	// shareDivisor is the part of the free bytes that one message may hold.
+	shareDivisor = 2
+	// shortBytes is the length up to which a message is short.
+	shortBytes = 64 << 10
+	// shortDivisor is the part of the budget that long messages leave to short ones.
+	shortDivisor = 8
+)
+
+// share returns how long a message may be for which length bytes are reserved.
+func (b *Budget) share(length int64) int64 {
+	if b == nil {
+		return math.MaxInt64
+	}
+	if length <= minShareBytes {
+		return length
+	}
+	free := b.limit - b.used.Load()
+	if length > shortBytes {
+		free -= b.limit / shortDivisor
+	}
+	return free / shareDivisor
+}
+
 func (b *Budget) take(n int64) bool {
 	if b == nil {
 		return true
@@ -67,6 +95,64 @@
 	return nil
 }
 
+// Assure reserves n more bytes, whether or not the budget has room for them. It fails if
+// the reservation was released.
+func (r *Reservation) Assure(b *Budget, n int64) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.released {
+		return ErrExhausted
+	}
+	b.giveBack(-n)
+	r.budget = b
+	r.held += n
+	return nil
+}
+
+// GrowShare is like Grow, and fails besides if n, the size of a buffer for the whole
+// message, is more than the message's share of the budget. The more messages there are,
+// the less each of them may hold, and long ones leave some room for short ones.
+func (r *Reservation) GrowShare(b *Budget, n int64) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.released || !b.take(n) {
+		return ErrExhausted
+	}
+	if n > b.share(n) {
+		b.giveBack(n)
+		return ErrExhausted
+	}
+	r.budget = b
+	r.held += n
+	return nil
+}
+
+// Shrink returns n of the bytes, or all if fewer are held.
+func (r *Reservation) Shrink(n int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n = min(n, r.held)
+	r.budget.giveBack(n)
+	r.held -= n
+}
+
+// Adopt takes over all bytes that from holds. If this reservation was released, they are
+// returned.
+func (r *Reservation) Adopt(from *Reservation) {
+	from.mu.Lock()
+	budget, held := from.budget, from.held
+	from.held, from.released = 0, true
+	from.mu.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.released {
+		budget.giveBack(held)
+		return
+	}
+	r.budget = budget
+	r.held += held
+}
+
 // Release returns all bytes; further calls do nothing.
 func (r *Reservation) Release() {
 	r.mu.Lock()
--- a/pkg/pool/conn.go
+++ b/pkg/pool/conn.go
@@ -71,7 +71,7 @@
 	conn atomic.Pointer[conn]
 	// abandoned is set once the attempt must not be sent any more.
 	abandoned atomic.Bool
-	// memory is what a long reply takes of the process's memory for bodies.
+	// memory is what the reply takes of the process's memory for messages.
 	memory membudget.Reservation
 }
 
@@ -132,7 +132,9 @@
 	foreign int
 	// receiving is set while bytes arrive although no request is in progress.
 	receiving bool
-	closed    bool
+	// reading is what the reply that is being read takes of the process's memory.
+	reading *membudget.Reservation
+	closed  bool
 	// usableUntil is when the idle connection must no longer be used, because the
 	// target may close it; zero if the target has stated no time.
 	usableUntil time.Time
@@ -179,7 +181,7 @@
 // that the target closes the connection.
 func (c *conn) readLoop() {
 	for {
-		c.reader.begin(nil, 0)
+		c.reader.begin(0)
 		if _, err := c.br.Peek(1); err != nil {
 			c.fail(fmt.Errorf("read reply from %s: %w", c.pool.address, err))
 			return
@@ -192,18 +194,23 @@
 
 // readReply reads one reply and reports whether to read another one.
 func (c *conn) readReply() bool {
-	a := c.receive()
+	reading := new(membudget.Reservation)
+	a := c.receive(reading)
 	expect := replyOptions(a)
-	c.reader.begin(a, expect.MaxBody)
+	expect.Space = membudget.Space{Budget: c.pool.memory, Reservation: reading, Assured: a != nil}
+	c.reader.begin(expect.MaxBody)
 	reply, err := c.pool.codec.ReadReply(c.br, expect)
 	if err != nil {
+		reading.Release()
+		c.recordCut(a, err)
 		c.fail(fmt.Errorf("read reply from %s: %w", c.pool.address, err))
 		return false
 	}
 	if a == nil || reply.ID != "" && reply.ID != a.Request.ID {
+		reading.Release()
 		return c.discardForeignReply(reply)
 	}
-	return c.finish(a, reply)
+	return c.finish(a, reply, reading)
 }
 
 // replyOptions returns how the reply to an attempt is read, or foreign bytes if there is
@@ -234,15 +241,18 @@
 	return true
 }
 
-// finish delivers the reply and releases the connection.
-func (c *conn) finish(a *Attempt, reply *exchange.Reply) bool {
+// finish delivers the reply, which takes the memory that reading holds, and releases the
+// connection.
+func (c *conn) finish(a *Attempt, reply *exchange.Reply, reading *membudget.Reservation) bool {
 	c.foreign = 0
 	c.replied.Store(true)
 	c.mu.Lock()
 	if c.attempt != a {
 		c.mu.Unlock()
+		reading.Release()
 		return false
 	}
+	a.memory.Adopt(reading)
 	reusable := !reply.Close && !c.closed
 	c.attempt = nil
 	c.closed = !reusable
@@ -265,14 +275,22 @@
 }
 
 // receive returns the attempt in progress, to which the bytes that arrive belong. If
-// there is none, no attempt may start until they are read.
-func (c *conn) receive() *Attempt {
+// there is none, no attempt may start until they are read. Their memory is held by
+// reading, and returned when the connection fails.
+func (c *conn) receive(reading *membudget.Reservation) *Attempt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = reading
 	c.receiving = c.attempt == nil
 	return c.attempt
 }
 
+func (c *conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 func (c *conn) current() *Attempt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -285,7 +303,11 @@
 	a := c.attempt
 	wasClosed := c.closed
 	c.attempt, c.closed = nil, true
+	reading := c.reading
 	c.mu.Unlock()
+	if reading != nil {
+		reading.Release()
+	}
 	if !wasClosed {
 		_ = c.net.Close()
 	}
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -197,7 +197,7 @@
 		_ = raw.Close()
 		return nil, net.ErrClosed
 	}
-	reader := &replyReader{conn: raw, memory: p.memory}
+	reader := &replyReader{conn: raw}
 	c := &conn{pool: p, net: raw, reader: reader, br: bufio.NewReaderSize(reader, readBufferBytes)}
 	p.open[c] = true
 	go c.readLoop()
