--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -29,6 +29,7 @@
 	PeerDisconnected   Number = 2002
 	SmallUDPBuffer     Number = 2003
 	PeerConnectionLost Number = 2004
+	PeerMessageRefused Number = 2005
 
 	GroupFormed            Number = 3001
 	LeaderElected          Number = 3002
@@ -163,6 +164,7 @@
 	{PeerDisconnected, debugLevel, "peer disconnected", []string{"peer", "error"}},
 	{SmallUDPBuffer, warnLevel, "UDP receive buffer of the mesh is smaller than requested", []string{"kiB", "wantedKiB"}},
 	{PeerConnectionLost, infoLevel, "connection to a peer lost", []string{"peer", "address", "milliseconds", "error"}},
+	{PeerMessageRefused, warnLevel, "message of a peer was not read", []string{"peer", "error", "heldBytes"}},
 
 	{GroupFormed, infoLevel, "control group formed", []string{"members"}},
 	{LeaderElected, infoLevel, "leader elected", []string{"leader", "term"}},
--- a/pkg/membudget/read.go
+++ b/pkg/membudget/read.go
@@ -27,6 +27,8 @@
 	// Assured is set if a message of 4 KiB is always read, such as the reply to a request
 	// that was admitted. The caller bounds the number of such messages.
 	Assured bool
+	// Whole is set if one message may take the whole budget.
+	Whole bool
 }
 
 func (s Space) grow(n int) error {
@@ -35,6 +37,8 @@
 		return nil
 	case s.Assured && n <= firstBytes:
 		return s.Reservation.Assure(s.Budget, int64(n))
+	case s.Whole:
+		return s.Reservation.Grow(s.Budget, int64(n))
 	}
 	return s.Reservation.GrowShare(s.Budget, int64(n))
 }
@@ -42,7 +46,7 @@
 // within reports whether a message in a buffer of n bytes is still within its share, which
 // shrinks as other messages come.
 func (s Space) within(n int) bool {
-	return s.Reservation == nil || int64(n) <= s.Budget.share(int64(n))
+	return s.Reservation == nil || s.Whole || int64(n) <= s.Budget.share(int64(n))
 }
 
 func (s Space) shrink(n int) {
--- a/pkg/mesh/cut_test.go
+++ b/pkg/mesh/cut_test.go
@@ -7,6 +7,8 @@
 	"testing/iotest"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"radishturn.example/radishturn/pkg/membudget"
 )
 
 // A message that a peer stopped sending must not be taken for a shorter one.
@@ -23,18 +25,18 @@
 		for cut := range len(encoded) {
 			for _, end := range []error{io.EOF, io.ErrUnexpectedEOF} {
 				sent := io.MultiReader(bytes.NewReader(encoded[:cut]), iotest.ErrReader(end))
-				if err := readMessage(sent, new(requestMessage)); err == nil {
+				if err := readMessage(sent, new(requestMessage), membudget.Space{}); err == nil {
 					t.Fatalf("%x of %x is taken as a request", encoded[:cut], encoded)
 				}
 				sent = io.MultiReader(bytes.NewReader(encoded[:cut]), iotest.ErrReader(end))
-				if err := readMessage(sent, new(replyMessage)); err == nil {
+				if err := readMessage(sent, new(replyMessage), membudget.Space{}); err == nil {
 					t.Fatalf("%x of %x is taken as a reply", encoded[:cut], encoded)
 				}
 			}
 		}
 		// The stream must end in order, even after a whole message.
 		sent := io.MultiReader(bytes.NewReader(encoded), iotest.ErrReader(io.ErrUnexpectedEOF))
-		if readMessage(sent, new(replyMessage)) == nil {
+		if readMessage(sent, new(replyMessage), membudget.Space{}) == nil {
 			t.Fatal("a message of a stream that broke off is taken")
 		}
 	}
--- a/pkg/mesh/fuzz_test.go
+++ b/pkg/mesh/fuzz_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"radishturn.example/radishturn/pkg/membudget"
 )
 
 // FuzzReadMessage decodes arbitrary bytes from a peer as a request and as a
@@ -25,11 +27,11 @@
 	f.Add(bytes.Repeat([]byte{0x81}, 64))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		e := new(requestMessage)
-		if err := readMessage(bytes.NewReader(raw), e); err == nil && len(e.Payload) > len(raw) {
+		if err := readMessage(bytes.NewReader(raw), e, membudget.Space{}); err == nil && len(e.Payload) > len(raw) {
 			t.Fatal("payload longer than the message")
 		}
 		r := new(replyMessage)
-		if err := readMessage(bytes.NewReader(raw), r); err == nil && r.Failure != nil {
+		if err := readMessage(bytes.NewReader(raw), r, membudget.Space{}); err == nil && r.Failure != nil {
 			_ = r.Failure.toError().Error()
 		}
 	})
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -13,6 +13,7 @@
 
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/keys"
+	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/mesh"
 	"radishturn.example/radishturn/pkg/model"
 )
@@ -43,9 +44,13 @@
 	return c
 }
 
-func start(ctx context.Context, c *keys.Credentials) *mesh.QUIC {
+func start(ctx context.Context, c *keys.Credentials) *mesh.QUIC { return startWithMemory(ctx, c, nil) }
+
+// startWithMemory is start with a budget for the messages of peers.
+func startWithMemory(ctx context.Context, c *keys.Credentials, memory *membudget.Budget) *mesh.QUIC {
 	m, err := mesh.Listen(loopback, c, false)
 	Expect(err).NotTo(HaveOccurred())
+	m.LimitMemory(memory)
 	DeferCleanup(m.Close)
 	mesh.Handle(m, greet, func(_ context.Context, from model.InstanceID, g *greeting) (*greeting, error) {
 		if g.Text == "" {
--- a/pkg/mesh/messages.go
+++ b/pkg/mesh/messages.go
@@ -8,10 +8,12 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
+
+	"radishturn.example/radishturn/pkg/membudget"
 )
 
-// exchange sends e and reads the reply. It cancels the stream when ctx is done.
-func exchange(ctx context.Context, stream *quic.Stream, e *requestMessage) (*replyMessage, error) {
+// exchange sends e and reads the reply, for whose bytes memory has to have room. It cancels the stream when ctx is done.
+func exchange(ctx context.Context, stream *quic.Stream, e *requestMessage, memory *membudget.Budget) (*replyMessage, error) {
 	stop := context.AfterFunc(ctx, func() {
 		stream.CancelRead(streamCancelled)
 		stream.CancelWrite(streamCancelled)
@@ -21,7 +23,9 @@
 		return nil, errors.Join(err, ctx.Err())
 	}
 	r := new(replyMessage)
-	if err := readMessage(stream, r); err != nil {
+	reserved := new(membudget.Reservation)
+	defer reserved.Release()
+	if err := readMessage(stream, r, messageSpace(memory, reserved)); err != nil {
 		return nil, errors.Join(err, ctx.Err())
 	}
 	return r, nil
@@ -45,14 +49,17 @@
 	return stream.Close()
 }
 
-func readMessage(r io.Reader, message any) error {
-	payload, err := io.ReadAll(io.LimitReader(r, maxMessageBytes+1))
+// messageSpace returns the room for one message. A control snapshot may take all of it;
+// short messages, such as renewals of leases, are read in any case.
+func messageSpace(memory *membudget.Budget, reserved *membudget.Reservation) membudget.Space {
+	return membudget.Space{Budget: memory, Reservation: reserved, Assured: true, Whole: true}
+}
+
+func readMessage(r io.Reader, message any, space membudget.Space) error {
+	payload, err := membudget.ReadAll(r, membudget.UnknownLength, maxMessageBytes, space)
 	if err != nil {
 		return fmt.Errorf("read message: %w", err)
 	}
-	if len(payload) > maxMessageBytes {
-		return fmt.Errorf("message is longer than %d bytes", maxMessageBytes)
-	}
 	if err := decodeMode.Unmarshal(payload, message); err != nil {
 		return fmt.Errorf("decode message: %w", err)
 	}
--- a/pkg/mesh/module.go
+++ b/pkg/mesh/module.go
@@ -5,6 +5,7 @@
 
 	"radishturn.example/radishturn"
 	"radishturn.example/radishturn/pkg/keys"
+	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/settings"
 )
 
@@ -38,6 +39,7 @@
 	if err != nil {
 		return err
 	}
+	m.LimitMemory(membudget.ForProcess(s.Instance.MemoryMB))
 	if s.Instance.NamedByAddress {
 		m.ResolveByAddress()
 	}
--- a/pkg/mesh/quic.go
+++ b/pkg/mesh/quic.go
@@ -17,6 +17,7 @@
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/keys"
+	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/model"
 )
 
@@ -60,6 +61,10 @@
 	// resolve, if set, returns the address of a peer that SetPeer was not called for.
 	resolve func(id model.InstanceID) (netip.AddrPort, bool)
 
+	// memory bounds the messages of peers that are held at a time; nil means without
+	// limit.
+	memory *membudget.Budget
+
 	mu    sync.Mutex
 	peers map[model.InstanceID]*peer
 }
@@ -144,6 +149,10 @@
 	}
 }
 
+// LimitMemory bounds the messages of peers that are held at a time. It is called before
+// Run.
+func (m *QUIC) LimitMemory(memory *membudget.Budget) { m.memory = memory }
+
 // Address returns the address that the socket is bound to.
 func (m *QUIC) Address() netip.AddrPort {
 	return m.socket.LocalAddr().(*net.UDPAddr).AddrPort()
@@ -166,7 +175,7 @@
 	if err != nil {
 		return nil, failure.New(failure.PeerUnreachable, failure.NotRun, "connect for "+string(kind), string(to), "%w", err)
 	}
-	r, err := exchange(ctx, stream, e)
+	r, err := exchange(ctx, stream, e, m.memory)
 	if err != nil {
 		return nil, failure.New(failure.PeerUnreachable, failure.Unknown, string(kind), string(to), "%w", err)
 	}
--- a/pkg/mesh/serve.go
+++ b/pkg/mesh/serve.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/quic-go/quic-go"
 
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/keys"
+	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/model"
 )
 
@@ -44,7 +46,10 @@
 	defer cancel()
 	_ = stream.SetDeadline(time.Now().Add(serveTimeout))
 	e := new(requestMessage)
-	if err := readMessage(stream, e); err != nil {
+	reserved := new(membudget.Reservation)
+	defer reserved.Release()
+	if err := readMessage(stream, e, messageSpace(m.memory, reserved)); err != nil {
+		m.recordRefused(from, err)
 		stream.CancelRead(streamCancelled)
 		stream.CancelWrite(streamCancelled)
 		return
@@ -56,3 +61,12 @@
 		stream.CancelWrite(streamCancelled)
 	}
 }
+
+// recordRefused logs and counts a message that was not read to its end, since it was too
+// long or there was no memory for it.
+func (m *QUIC) recordRefused(from model.InstanceID, err error) {
+	if errors.Is(err, membudget.ErrTooLong) || errors.Is(err, membudget.ErrExhausted) {
+		metrics.GetOrCreateCounter("radishturn_peer_messages_refused_total").Inc()
+		events.Emit(events.PeerMessageRefused, from, err, m.memory.Used())
+	}
+}
