Replies without an end at the product's own interface keep within the memory

What callers saw: nothing that was reported. The same class in the client of the product's own protocol: the transport took a head of up to 10 MiB from each target (its default), and a stated length of up to 8 MiB was allocated before a byte of the body had arrived, for each target at once.

Why it works: heads are bounded at 64 KiB, and bodies of queries, orders and health reports are read by membudget.ReadAll from one budget for all targets.

--- a/pkg/fanout/collection.go
+++ b/pkg/fanout/collection.go
@@ -8,6 +8,7 @@
 
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/grant"
+	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/platform"
 	"radishturn.example/radishturn/pkg/query/hedge"
@@ -76,14 +77,17 @@
 	sameInstances bool
 
 	self model.InstanceID
+	// memory bounds the replies that are read at a time, over all collections.
+	memory *membudget.Budget
 	// sharingInstances is a copy of instances that is read without mu.
 	sharingInstances atomic.Pointer[[]model.InstanceID]
 }
 
-func newCollection(s settings.Collection, self model.InstanceID) *collection {
+func newCollection(s settings.Collection, self model.InstanceID, memory *membudget.Budget) *collection {
 	return &collection{
 		id:          s.ID,
 		self:        self,
+		memory:      memory,
 		settings:    s,
 		hedgePolicy: hedgePolicy(s),
 		extraBudget: hedge.NewBudget(s.HedgeBudget),
@@ -205,7 +209,7 @@
 	}
 	state := &targetState{
 		target:    t,
-		client:    target.NewClient(t),
+		client:    target.NewClient(t, c.memory),
 		leaf:      l,
 		snapshots: make(map[model.SnapshotID]*snapshots.Record),
 	}
--- a/pkg/fanout/service.go
+++ b/pkg/fanout/service.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/platform"
 	"radishturn.example/radishturn/pkg/query"
@@ -107,8 +108,9 @@
 		answered:         poison.NewAnsweredSet(),
 		extraHealthReads: make(chan struct{}, healthWorkers),
 	}
+	memory := membudget.ForProcess(c.Settings.Instance.MemoryMB)
 	for _, collection := range c.Settings.Collections {
-		s.collections[collection.ID] = newCollection(collection, c.Settings.Instance.ID)
+		s.collections[collection.ID] = newCollection(collection, c.Settings.Instance.ID, memory)
 	}
 	for _, caller := range c.Settings.Callers {
 		s.callers[caller.ID] = caller
--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/targetproto"
 )
@@ -27,6 +28,8 @@
 const (
 	// maxReplyBytes limits the body of a reply.
 	maxReplyBytes = 8 << 20
+	// maxHeadBytes limits the head of a reply.
+	maxHeadBytes = 64 << 10
 	// idleTimeout is how long an unused connection is kept open.
 	idleTimeout = 90 * time.Second
 	// connectionBufferBytes is the size of the read and write buffers.
@@ -39,6 +42,9 @@
 	leaf     model.LeafID
 	leafName string
 	address  netip.AddrPort
+	// memory bounds the replies that are read at a time, over all clients of the process;
+	// nil means without limit.
+	memory *membudget.Budget
 
 	queryURL  *url.URL
 	orderURL  *url.URL
@@ -54,13 +60,15 @@
 	transport    atomic.Pointer[http.Transport]
 }
 
-// NewClient returns a client of t with a grant of zero connections.
-func NewClient(t model.Target) *Client {
+// NewClient returns a client of t with a grant of zero connections. Replies that are being
+// read take memory, which may be nil.
+func NewClient(t model.Target, memory *membudget.Budget) *Client {
 	c := &Client{
 		id:        t.ID,
 		leaf:      t.Leaf,
 		leafName:  t.Leaf.String(),
 		address:   t.Address,
+		memory:    memory,
 		queryURL:  targetURL(t.Address, targetproto.QueryPath(t.Leaf)),
 		orderURL:  targetURL(t.Address, targetproto.OrderPath(t.Leaf)),
 		healthURL: targetURL(t.Address, targetproto.HealthPath),
@@ -110,6 +118,8 @@
 		DisableCompression:  true,
 		ReadBufferSize:      connectionBufferBytes,
 		WriteBufferSize:     connectionBufferBytes,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
@@ -216,7 +226,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("read health of %s: %w", c.id, err)
 	}
-	return readHealth(c.id, response)
+	return c.readHealth(response)
 }
 
 func (c *Client) transportFailure(ctx context.Context, step string, err error) Result {
--- a/pkg/target/order.go
+++ b/pkg/target/order.go
@@ -48,7 +48,7 @@
 		return orderFailure(KindFailed, failure.BadRequest, failure.NotRun, step, c.id, err)
 	}
 	guard := &guardedDialer{client: c, allowed: allowed}
-	transport := &http.Transport{DialContext: guard.dial, DisableKeepAlives: true, DisableCompression: true}
+	transport := &http.Transport{DialContext: guard.dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	defer transport.CloseIdleConnections()
 	response, err := transport.RoundTrip(c.orderRequest(ctx, o, body))
 	if err != nil {
@@ -111,7 +111,7 @@
 		return OrderResult{Kind: result.Kind, Meta: result.Meta, Err: result.Err}
 	}
 	reply := new(targetproto.OrderReply)
-	err := decodeBody(response, reply)
+	err := c.decodeBody(response, reply)
 	if err == nil {
 		err = verifyOrderReply(o, c.leaf, reply)
 	}
--- a/pkg/target/reply.go
+++ b/pkg/target/reply.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/targetproto"
 )
@@ -102,17 +103,16 @@
 		c.setMismatch(&result, err)
 		return result
 	}
-	body, err := readBody(response)
-	if err != nil {
+	reply := new(targetproto.QueryReply)
+	switch err := c.decodeBody(response, reply); {
+	case errors.Is(err, errBodyInvalid):
+		c.setMismatch(&result, err)
+		return result
+	case err != nil:
 		result.Kind = KindReset
 		result.Err = failure.New(failure.TargetFailed, failure.Unknown, "query leaf", string(c.id), "%w", err)
 		return result
 	}
-	reply := new(targetproto.QueryReply)
-	if err := json.Unmarshal(body, reply); err != nil {
-		c.setMismatch(&result, fmt.Errorf("decode reply: %w", err))
-		return result
-	}
 	if err := VerifyReply(q, c.leaf, reply); err != nil {
 		c.setMismatch(&result, err)
 		return result
@@ -186,44 +186,35 @@
 	return nil
 }
 
-// readBody reads exactly Content-Length bytes, and then EOF so that the transport
-// can reuse the connection.
-func readBody(response *http.Response) ([]byte, error) {
-	body := make([]byte, response.ContentLength)
-	if _, err := io.ReadFull(response.Body, body); err != nil {
-		return nil, fmt.Errorf("read reply: %w", err)
-	}
-	var extra [1]byte
-	if n, err := response.Body.Read(extra[:]); n != 0 || (err != nil && !errors.Is(err, io.EOF)) {
-		return nil, fmt.Errorf("read end of reply: %d bytes: %w", n, err)
-	}
-	return body, nil
-}
-
-// errReplyTooLong means that the body of a reply is longer than maxReplyBytes.
-var errReplyTooLong = errors.New("reply is too long")
-
-// decodeBody decodes a body that may have no Content-Length. The value counts only once
-// the whole body has arrived: an object alone does not show that its reply is complete.
-func decodeBody(response *http.Response, value any) error {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
+// errBodyInvalid means that a whole body could not be decoded.
+var errBodyInvalid = errors.New("decode reply")
+
+// decodeBody reads the body to its end, so that the transport can reuse the connection,
+// and decodes it. The value counts only once the whole body has arrived: an object alone
+// does not show that its reply is complete.
+func (c *Client) decodeBody(response *http.Response, into any) error {
+	reserved := new(membudget.Reservation)
+	defer reserved.Release()
+	length := int(min(response.ContentLength, maxReplyBytes+1))
+	space := membudget.Space{Budget: c.memory, Reservation: reserved, Assured: true}
+	body, err := membudget.ReadAll(response.Body, length, maxReplyBytes, space)
 	if err != nil {
 		return fmt.Errorf("read reply: %w", err)
 	}
-	if len(body) > maxReplyBytes {
-		return errReplyTooLong
+	if err := json.Unmarshal(body, into); err != nil {
+		return fmt.Errorf("%w: %w", errBodyInvalid, err)
 	}
-	return json.Unmarshal(body, value)
+	return nil
 }
 
-func readHealth(id model.TargetID, response *http.Response) (*targetproto.Health, error) {
+func (c *Client) readHealth(response *http.Response) (*targetproto.Health, error) {
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("read health of %s: status %d", id, response.StatusCode)
+		return nil, fmt.Errorf("read health of %s: status %d", c.id, response.StatusCode)
 	}
 	health := new(targetproto.Health)
-	if err := decodeBody(response, health); err != nil {
-		return nil, fmt.Errorf("read health of %s: %w", id, err)
+	if err := c.decodeBody(response, health); err != nil {
+		return nil, fmt.Errorf("read health of %s: %w", c.id, err)
 	}
 	return health, nil
 }
--- a/pkg/target/target_test.go
+++ b/pkg/target/target_test.go
@@ -29,7 +29,7 @@
 var leaf = model.LeafID{Service: "svc", Leaf: 1}
 
 func newClient(address net.Addr) *target.Client {
-	c := target.NewClient(model.Target{ID: "t", Leaf: leaf, Address: netip.MustParseAddrPort(address.String())})
+	c := target.NewClient(model.Target{ID: "t", Leaf: leaf, Address: netip.MustParseAddrPort(address.String())}, nil)
 	c.SetGrant(2)
 	return c
 }
