The records of an answer keep no replies in memory

What callers saw: nothing that was reported. The records that a query keeps were slices of the replies of its shards, so that up to one reply for each record stayed in memory to the query's end, after its reservation had been returned.

Evidence: the new test failed before (the record changed with the part), 1 of 1.

Why it works: a record that is kept is copied, 16 bytes.

--- a/pkg/gather/records.go
+++ b/pkg/gather/records.go
@@ -38,7 +38,8 @@
 		t.records = append(t.records, nil)
 	}
 	copy(t.records[position+1:], t.records[position:])
-	t.records[position] = record
+	// A slice of the part would keep all of it.
+	t.records[position] = bytes.Clone(record)
 }
 
 // Bytes returns the records, greatest first.
