Soak: evacuations in series beside faults of control instances, and routes that change

It now does: an operator with a second of patience, beside control instances that are frozen, killed, stopped or lose their disks, mostly the one that is called. New checks: evacuations as targets see them, routes that are added and removed at each entry, reads that go back, a 404 on a route that each configuration has, a process that ends by itself.

Changed in what was there: one of the three targets of orders is in zone b, since an evacuation of zone a would otherwise leave none. A disk is taken only once the instance that lost its disk before has run for 4 s beside an undisturbed majority; until now it was 4 s in any case, which more frozen instances make too short.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -37,17 +37,25 @@
 	drainUnchecked bool
 	served         int
 	asked          int
+	contact        *contact
+	evacuations    *evacuations
+	// probes are the responses on routes that come and go, by status.
+	probes map[int]int
 	// The total counts are for the report.
 	totalServed, totalAsked int
 }
 
-func newChecker() *checker {
-	return &checker{runs: make(map[string][]run), isOrder: make(map[string]bool), reportedNotRun: make(map[string]bool)}
+func newChecker(c *contact) *checker {
+	return &checker{
+		runs: make(map[string][]run), isOrder: make(map[string]bool), reportedNotRun: make(map[string]bool),
+		contact: c, evacuations: newEvacuations(), probes: make(map[int]int),
+	}
 }
 
 func (c *checker) addFinding(format string, args ...any) {
 	if len(c.findings) < maxFindings {
 		c.findings = append(c.findings, fmt.Sprintf(format, args...))
+		c.contact.log("FINDING "+format, args...)
 	}
 }
 
@@ -65,6 +73,21 @@
 	if !draining.IsZero() && r.at.Sub(draining) > drainBound && !c.drainUnchecked {
 		c.addFinding("request %s reached target %s %s after it was listed as draining", id, r.target.id, r.at.Sub(draining))
 	}
+	c.checkEvacuation(id, r)
+}
+
+// recordEntry records the entry instance that a request is sent to.
+func (c *checker) recordEntry(id string, entry *instance) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evacuations.entryOf[id] = entry
+}
+
+// countProbe counts a response on a route that comes and goes.
+func (c *checker) countProbe(status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.probes[status]++
 }
 
 func (c *checker) recordRequest(id string, order bool) {
@@ -89,6 +112,8 @@
 		if c.isOrder[id] && len(c.runs[id]) > 0 {
 			c.addFinding("order %s was refused as not run but has run", id)
 		}
+	case r.StatusCode == http.StatusNotFound:
+		c.addFinding("request %s got 404 on a route that each version has", id)
 	case r.StatusCode != http.StatusOK || err != nil:
 	case shards == nil:
 		c.checkOrder(id, r, body)
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -48,6 +48,10 @@
 	// acknowledged, and sentVersion the highest that was sent.
 	acknowledgedVersion int
 	sentVersion         int
+	// readVersion is the highest version that was read, and acknowledgements are those
+	// of all versions.
+	readVersion      int
+	acknowledgements []acknowledgement
 	// shards are the services that a query gathers from.
 	shards    map[string]bool
 	lostDisks int
@@ -71,11 +75,13 @@
 	mu          sync.Mutex
 	process     *exec.Cmd
 	keepRunning bool
+	starts      int
 }
 
 func newFleet(t *testing.T, seed uint64) *fleet {
+	folder := t.TempDir()
 	f := &fleet{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)), folder: t.TempDir(), checker: newChecker(),
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), folder: folder, checker: newChecker(newContact(t, folder)),
 		targets: make(map[string]*target), shards: make(map[string]bool),
 	}
 	list, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -91,8 +97,8 @@
 		f.startTarget(s, "a")
 		f.startTarget(s, "b")
 	}
-	for range 3 {
-		f.startTarget("orders", "a")
+	for _, zone := range []string{"a", "b", "a"} {
+		f.startTarget("orders", zone)
 	}
 	for i := range controlCount + entryCount {
 		n := &instance{fleet: f, ip: fmt.Sprintf("127.0.1.%d", i+1), member: i < controlCount, bootstrap: true}
@@ -161,9 +167,14 @@
 	n.keepRunning = true
 	n.fleet.must(p.Start())
 	n.process = p
+	n.starts++
+	ended := n.fleet.checker.contact.started(n)
 	go func() {
 		_ = p.Wait()
 		_ = log.Close()
+		if !ended() {
+			n.fleet.addFinding("the process of %s ended by itself: %s", n.ip, p.ProcessState)
+		}
 		time.Sleep(100 * time.Millisecond)
 		n.mu.Lock()
 		again := n.keepRunning && n.process == p
@@ -179,10 +190,18 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.process != nil && n.process.Process != nil {
+		n.fleet.checker.contact.disturb(n, s)
 		_ = n.process.Process.Signal(s)
 	}
 }
 
+// startCount returns the number of times that the process was started.
+func (n *instance) startCount() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.starts
+}
+
 // stop kills the process and keeps it from being restarted.
 func (n *instance) stop() {
 	n.mu.Lock()
@@ -220,8 +239,8 @@
 	}
 	return fmt.Sprintf(`{"version":%d,"routes":[
 {"name":"q","host":"h.example","path-prefix":"/q/","kind":"safe","timeout-ms":1500,"target-latency-ms":150,"max-attempts":2,"top-k":%d,"minimum-shard-share":0.6,"gather":[%s]},
-{"name":"o","host":"h.example","path-prefix":"/o/","kind":"unsafe","timeout-ms":1500,"target-latency-ms":300,"max-attempts":2,"service":"orders"}],
-"services":[%s],"limits":{"max-body-bytes":10000}}`, version, topK, list[1:], services)
+{"name":"o","host":"h.example","path-prefix":"/o/","kind":"unsafe","timeout-ms":1500,"target-latency-ms":300,"max-attempts":2,"service":"orders"}%s],
+"services":[%s],"limits":{"max-body-bytes":10000}}`, version, topK, list[1:], variableRoutes(version), services)
 }
 
 // replaceConfiguration sends a new version to random control instances until one
@@ -238,6 +257,7 @@
 		if status == http.StatusOK {
 			f.mu.Lock()
 			f.acknowledgedVersion = max(f.acknowledgedVersion, version)
+			f.acknowledgements = append(f.acknowledgements, acknowledgement{version, time.Now()})
 			f.mu.Unlock()
 			return
 		}
@@ -253,7 +273,7 @@
 // checks its version. It reports whether the read succeeded.
 func (f *fleet) readConfiguration(ctx context.Context) bool {
 	f.mu.Lock()
-	acknowledged := f.acknowledgedVersion
+	acknowledged, read := f.acknowledgedVersion, f.readVersion
 	f.mu.Unlock()
 	status, body := f.call(ctx, http.MethodGet, f.instances[rand.IntN(controlCount)].ip, "/Configuration.Get", "")
 	if status != http.StatusOK {
@@ -263,6 +283,12 @@
 	if _, err := fmt.Sscanf(body, `{"version":%d`, &version); err != nil || version < acknowledged {
 		f.addFinding("read version %d after %d was acknowledged (%v)", version, acknowledged, err)
 	}
+	if version < read {
+		f.addFinding("read version %d after version %d was read", version, read)
+	}
+	f.mu.Lock()
+	f.readVersion = max(f.readVersion, version)
+	f.mu.Unlock()
 	return true
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -67,19 +68,16 @@
 	f.waitReady(ctx)
 	time.Sleep(catchUpTime)
 
-	load, stopLoad := context.WithCancel(ctx)
-	var clients sync.WaitGroup
-	for i := range entryCount * 3 {
-		clients.Go(func() { f.runClient(load, i) })
-	}
-	f.injectFaults(ctx, duration)
+	stopLoad := f.startLoad(ctx)
+	f.injectFaults(ctx, seed, duration)
+	f.checker.waitEvacuationBound()
 	f.checker.takeServedShare()
 	time.Sleep(4 * time.Second)
 	if share := f.checker.takeServedShare(); share < 0.95 {
 		f.addFinding("only %.0f%% of the requests are served after the faults", 100*share)
 	}
+	f.checker.checkZones()
 	stopLoad()
-	clients.Wait()
 	for try := 0; !f.readConfiguration(ctx); try++ {
 		if try > 100 {
 			f.addFinding("the configuration cannot be read back")
@@ -90,6 +88,22 @@
 	f.report(seed)
 }
 
+// startLoad starts the clients; stop ends them.
+func (f *fleet) startLoad(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var clients sync.WaitGroup
+	for i := range entryCount * 3 {
+		clients.Go(func() { f.runClient(ctx, i) })
+	}
+	for _, n := range f.instances[controlCount:] {
+		clients.Go(func() { f.probeRoutes(ctx, n) })
+	}
+	return func() {
+		cancel()
+		clients.Wait()
+	}
+}
+
 // report fails the test for each finding, and copies the logs to SOAK_LOGS if
 // there is one.
 func (f *fleet) report(seed uint64) {
@@ -97,11 +111,12 @@
 	defer f.checker.mu.Unlock()
 	f.t.Logf("seed %d: %d of %d requests served, %d ran on targets, %d findings", seed,
 		f.checker.totalServed, f.checker.totalAsked, len(f.checker.runs), len(f.checker.findings))
+	f.t.Logf("responses on routes that come and go, by status: %v; %d requests to evacuated zones", f.checker.probes, f.checker.evacuations.cases)
 	for _, finding := range f.checker.findings {
 		f.t.Errorf("seed %d: %s", seed, finding)
 	}
 	if logFolder := os.Getenv("SOAK_LOGS"); logFolder != "" && len(f.checker.findings) > 0 {
-		copyFolder := filepath.Join(logFolder, fmt.Sprintf("seed-%d", seed))
+		copyFolder := filepath.Join(logFolder, strings.ReplaceAll(f.t.Name(), "/", "-"))
 		f.must(os.CopyFS(copyFolder, os.DirFS(f.folder)))
 	}
 }
@@ -155,6 +170,7 @@
 	r.Header.Set("X-Radishturn-Request-Id", id)
 	r.Header.Set("X-Radishturn-Deadline-Milliseconds", strconv.Itoa(int(requestTimeout.Milliseconds())))
 	f.checker.recordRequest(id, order)
+	f.checker.recordEntry(id, n)
 	response, err := client.Do(r)
 	if err != nil {
 		return false
@@ -165,11 +181,13 @@
 
 // injectFaults starts random faults, which may overlap, for the given duration,
 // and waits until all of them have ended.
-func (f *fleet) injectFaults(ctx context.Context, duration time.Duration) {
+func (f *fleet) injectFaults(ctx context.Context, seed uint64, duration time.Duration) {
 	var running sync.WaitGroup
 	var counts [faultKindCount]int
 	until := time.Now().Add(duration)
 	f.checker.setDrainUnchecked(true)
+	running.Go(func() { f.newOperator(seed).run(ctx, until) })
+	running.Go(func() { f.changeConfigurations(ctx, seed, until) })
 	for time.Now().Before(until) {
 		kind := f.rng.IntN(faultKindCount)
 		faultDuration := time.Duration(300+f.rng.IntN(2500)) * time.Millisecond
@@ -179,8 +197,9 @@
 	}
 	running.Wait()
 	f.t.Logf("faults by kind: %v", counts)
+	f.loseMembers(seed)
 	// Bounds on time hold again once every instance has reached control for a while.
-	time.Sleep(4 * time.Second)
+	time.Sleep(contactWindow)
 	f.checker.setDrainUnchecked(false)
 }
 
@@ -249,6 +268,19 @@
 	l.stop()
 }
 
+// loseMembers kills all control instances at once, for every other seed, and waits until
+// they had time to come back.
+func (f *fleet) loseMembers(seed uint64) {
+	if seed%2 == 0 {
+		return
+	}
+	f.checker.contact.loseMost()
+	for _, n := range f.instances[:controlCount] {
+		n.signal(syscall.SIGKILL)
+	}
+	time.Sleep(contactWindow)
+}
+
 // wipeDisk makes a control instance lose its disk, unless another one has lost its
 // disk and may not have caught up yet.
 func (f *fleet) wipeDisk(n *instance) {
@@ -261,6 +293,9 @@
 	f.mu.Unlock()
 	n.wipe()
 	time.Sleep(catchUpTime)
+	for !f.checker.contact.caughtUp(n, time.Now()) {
+		time.Sleep(50 * time.Millisecond)
+	}
 	f.mu.Lock()
 	f.lostDisks--
 	f.mu.Unlock()
