The runtime collects earlier, so that a busy machine keeps within the memory

What is allocated while a collection runs comes on top of the limit of 0.7, the more the less processor time the collection gets; 0.1 was left for it.

Now the limit is 0.6, and 0.2 are left. The bound of the spec is as it was.

--- a/pkg/membudget/runtime.go
+++ b/pkg/membudget/runtime.go
@@ -9,7 +9,7 @@
 	// runtimeShare is the share of the process's memory beyond which memory that is no
 	// longer used is collected and returned at once. The rest is for the code and for
 	// what is allocated meanwhile.
-	runtimeShare = 0.7
+	runtimeShare = 0.6
 )
 
 // ForProcess returns the budget of a process that may use memoryMB MiB, or nil, which is
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -68,7 +68,7 @@
 	ID               model.InstanceID         `json:"id"`
 	AvailabilityZone model.AvailabilityZoneID `json:"availabilityZone"`
 	// MemoryMB is the memory that the process may use, in MiB; 0 means not stated. A
-	// quarter of it is for message bodies, and from 0.7 of it on unused memory is
+	// quarter of it is for message bodies, and from 0.6 of it on unused memory is
 	// collected at once.
 	MemoryMB int `json:"memoryMB,omitempty"`
 	// MeshListen is the UDP address for other instances.
