--- a/pkg/dispatch/current.go
+++ b/pkg/dispatch/current.go
@@ -19,7 +19,7 @@
 // moves, quarantine, costs. A decision takes it as an argument.
 //
 // Invariant: nothing that outlives a decision holds one. What waits, for a reply, a
-// timer, a place in a queue or a connection, reads it anew afterwards.
+// timer, a place in a queue or a connection, reads it again afterwards.
 type currentView struct{ *registryState }
 
 // current returns the view in force now.
--- a/pkg/dispatch/stop_test.go
+++ b/pkg/dispatch/stop_test.go
@@ -15,7 +15,7 @@
 	"radishturn.example/radishturn/pkg/shutdown"
 )
 
-// The end of a planned stop was told to callers as if they had disconnected.
+// Callers got the error of a disconnected caller when a planned stop ended their calls.
 func TestPlannedStopEndsCallsInProgressAtOnce(t *testing.T) {
 	for name, route := range map[string]*routing.Route{
 		"one that may not be repeated": singleRoute(false), "one that may be repeated": singleRoute(true), "query": queryRoute("s"),
