Routing tables hold the accounts of callers and public routes

Deployments identify their callers by keys (issue: caller accounts). Deltas carry changed and removed accounts like routes and services, without the document that holds the keys. Tables of earlier builds decode unchanged. No instance uses the accounts yet.

--- a/pkg/routing/change.go
+++ b/pkg/routing/change.go
@@ -23,30 +23,34 @@
 	// To is the resulting version.
 	To     uint64 `cbor:"2,keyasint"`
 	Limits Limits `cbor:"3,keyasint"`
-	// Routes and Services were added or changed; RemovedRoutes and RemovedServices
-	// were removed.
+	// Routes, Services and Callers were added or changed; RemovedRoutes, RemovedServices
+	// and RemovedCallers were removed.
 	Routes          []Route           `cbor:"4,keyasint,omitempty"`
 	RemovedRoutes   []RouteKey        `cbor:"5,keyasint,omitempty"`
 	Services        []Service         `cbor:"6,keyasint,omitempty"`
 	RemovedServices []model.ServiceID `cbor:"7,keyasint,omitempty"`
+	Callers         []Caller          `cbor:"8,keyasint,omitempty"`
+	RemovedCallers  []model.CallerID  `cbor:"9,keyasint,omitempty"`
 }
 
-// ItemKeys identifies routes and services of a table.
+// ItemKeys identifies routes, services and callers of a table.
 type ItemKeys struct {
 	Routes   map[RouteKey]bool
 	Services map[model.ServiceID]bool
+	Callers  map[model.CallerID]bool
 }
 
 // FullDelta returns the delta that holds the full table without its source.
 func (t *Table) FullDelta() *TableDelta {
-	return &TableDelta{To: t.Version, Limits: t.Limits, Routes: t.Routes, Services: t.Services}
+	return &TableDelta{To: t.Version, Limits: t.Limits, Routes: t.Routes, Services: t.Services, Callers: t.Callers}
 }
 
-// Diff returns the routes and services that differ between the two tables.
+// Diff returns the routes, services and callers that differ between the two tables.
 func (t *Table) Diff(old *Table) ItemKeys {
 	return ItemKeys{
 		Routes:   differingKeys(old.Routes, t.Routes, (*Route).Key),
 		Services: differingKeys(old.Services, t.Services, (*Service).key),
+		Callers:  differingKeys(old.Callers, t.Callers, (*Caller).key),
 	}
 }
 
@@ -77,6 +81,7 @@
 	c := &TableDelta{From: version, To: t.Version, Limits: t.Limits}
 	c.Routes, c.RemovedRoutes = selectByKey(t.Routes, items.Routes, (*Route).Key)
 	c.Services, c.RemovedServices = selectByKey(t.Services, items.Services, (*Service).key)
+	c.Callers, c.RemovedCallers = selectByKey(t.Callers, items.Callers, (*Caller).key)
 	return c
 }
 
@@ -101,7 +106,7 @@
 // the table. The receiver is not modified; it may be nil.
 func (t *Table) Apply(c *TableDelta) (*Table, bool) {
 	if c.From == 0 {
-		return &Table{Version: c.To, Routes: c.Routes, Services: c.Services, Limits: c.Limits}, true
+		return &Table{Version: c.To, Routes: c.Routes, Services: c.Services, Callers: c.Callers, Limits: c.Limits}, true
 	}
 	if t == nil || t.Version != c.From {
 		return nil, false
@@ -110,6 +115,7 @@
 		Version:  c.To,
 		Routes:   merge(t.Routes, c.Routes, c.RemovedRoutes, (*Route).Key),
 		Services: merge(t.Services, c.Services, c.RemovedServices, (*Service).key),
+		Callers:  merge(t.Callers, c.Callers, c.RemovedCallers, (*Caller).key),
 		Limits:   c.Limits,
 	}, true
 }
--- a/pkg/routing/check.go
+++ b/pkg/routing/check.go
@@ -24,7 +24,7 @@
 		}
 		names[r.Key()] = r.Name
 	}
-	return nil
+	return checkCallers(t.Callers)
 }
 
 func (r *Route) check(known map[model.ServiceID]bool) error {
--- a/pkg/routing/index.go
+++ b/pkg/routing/index.go
@@ -6,11 +6,12 @@
 	"radishturn.example/radishturn/pkg/model"
 )
 
-// Index looks up routes and services of a table. It is immutable.
+// Index looks up routes, services and callers of a table. It is immutable.
 type Index struct {
 	Table    *Table
 	hosts    map[string]map[string]*Route
 	services map[model.ServiceID]*Service
+	callers  map[KeyDigest]*Caller
 }
 
 // NewIndex returns the index of a table.
@@ -30,6 +31,15 @@
 	for i := range t.Services {
 		x.services[t.Services[i].Name] = &t.Services[i]
 	}
+	if len(t.Callers) == 0 {
+		return x
+	}
+	x.callers = make(map[KeyDigest]*Caller)
+	for i := range t.Callers {
+		for _, k := range t.Callers[i].Keys {
+			x.callers[k] = &t.Callers[i]
+		}
+	}
 	return x
 }
 
@@ -59,3 +69,10 @@
 
 // Service returns the service with a name, or nil.
 func (x *Index) Service(name model.ServiceID) *Service { return x.services[name] }
+
+// Caller returns the account with a key, or nil.
+func (x *Index) Caller(key KeyDigest) *Caller { return x.callers[key] }
+
+// NeedsKeys reports whether the table has accounts, so that requests need a key except
+// on public routes.
+func (x *Index) NeedsKeys() bool { return len(x.Table.Callers) > 0 }
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -21,6 +21,9 @@
 	// Source is the document from which the table was read, as its author sent
 	// it. Entry instances do not receive it.
 	Source []byte `cbor:"5,keyasint,omitempty"`
+	// Callers are the accounts of clients. If there are any, each request needs the key
+	// of one of them, except on public routes.
+	Callers []Caller `cbor:"6,keyasint,omitempty"`
 }
 
 // Route describes how requests to one host with a path prefix are handled. It is
@@ -47,6 +50,8 @@
 	Split []Weighted `cbor:"9,keyasint,omitempty"`
 	// Fanout is set on routes that query many shards; Split is then empty.
 	Fanout *Fanout `cbor:"10,keyasint,omitempty"`
+	// Public means that requests need no key.
+	Public bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Weighted is a service with its share of a route's requests.
--- a/pkg/state/delta.go
+++ b/pkg/state/delta.go
@@ -66,6 +66,7 @@
 	itemRoute
 	itemService
 	itemEvacuation
+	itemCaller
 )
 
 // itemKey identifies one item of the view.
--- a/pkg/state/table.go
+++ b/pkg/state/table.go
@@ -22,8 +22,8 @@
 	return &Result{TableVersion: t.Version}
 }
 
-// recordTableChanges records each route and service that was added, changed or
-// removed.
+// recordTableChanges records each route, service and caller that was added, changed
+// or removed.
 func (s *State) recordTableChanges(index uint64, old, next *routing.Table) {
 	entry := changeEntry{version: index, key: itemKey{kind: itemTable}}
 	if old != nil {
@@ -41,6 +41,9 @@
 	for id := range differ.Services {
 		s.recordChange(index, itemKey{kind: itemService, name: string(id)})
 	}
+	for id := range differ.Callers {
+		s.recordChange(index, itemKey{kind: itemCaller, name: string(id)})
+	}
 }
 
 // tableSince returns the changes of the table after a version of the state, given
@@ -54,13 +57,17 @@
 	if from == 0 {
 		return t.FullDelta()
 	}
-	items := routing.ItemKeys{Routes: make(map[routing.RouteKey]bool), Services: make(map[model.ServiceID]bool)}
+	items := routing.ItemKeys{
+		Routes: make(map[routing.RouteKey]bool), Services: make(map[model.ServiceID]bool), Callers: make(map[model.CallerID]bool),
+	}
 	for _, k := range keys {
 		switch k.kind {
 		case itemRoute:
 			items.Routes[routing.RouteKey{Host: k.name, Prefix: k.prefix}] = true
 		case itemService:
 			items.Services[model.ServiceID(k.name)] = true
+		case itemCaller:
+			items.Callers[model.CallerID(k.name)] = true
 		}
 	}
 	return t.DeltaSince(from, items)
--- a/pkg/state/table_test.go
+++ b/pkg/state/table_test.go
@@ -67,16 +67,22 @@
 			})
 		}
 	}
+	for i := range 3 {
+		if rapid.Bool().Draw(t, "caller") {
+			key := routing.DigestKey(fmt.Sprint(i, rapid.IntRange(1, 2).Draw(t, "key")))
+			table.Callers = append(table.Callers, routing.Caller{Name: model.CallerID(fmt.Sprint(i)), Keys: []routing.KeyDigest{key}})
+		}
+	}
 	return table
 }
 
 // expectEqualTables compares tables apart from the order of their items.
 func expectEqualTables(t *rapid.T, want, got *routing.Table) {
 	if got == nil || got.Version != want.Version || got.Limits != want.Limits ||
-		len(got.Routes) != len(want.Routes) || len(got.Services) != len(want.Services) {
+		len(got.Routes) != len(want.Routes) || len(got.Services) != len(want.Services) || len(got.Callers) != len(want.Callers) {
 		t.Fatalf("the table is %v, not %v", got, want)
 	}
-	if d := want.Diff(got); len(d.Routes)+len(d.Services) > 0 {
+	if d := want.Diff(got); len(d.Routes)+len(d.Services)+len(d.Callers) > 0 {
 		t.Fatalf("%v differ", d)
 	}
 }
