Only the control group relays messages that hold keys

Cause: a member that cannot reach the leader lets any other instance relay its call, and prefers entry instances. An operator's configuration with the keys of callers passed through them, and the document that was read too. Messages with the document are now relayed only by instances that may lead.

--- a/pkg/control/route/request.go
+++ b/pkg/control/route/request.go
@@ -109,7 +109,7 @@
 func (c *request) attemptOrder() []attempt {
 	leader, relay := c.router.cachedLeader()
 	var attempts []attempt
-	if c.relays && relay != "" {
+	if c.relays && relay != "" && c.mayRelay(relay) {
 		attempts = append(attempts, attempt{to: relay, relay: true})
 	}
 	members := c.memberAttempts()
@@ -140,7 +140,7 @@
 	}
 	members := c.router.possibleLeaders()
 	peers := slices.DeleteFunc(shuffled(c.router.mesh.Peers()), func(id model.InstanceID) bool {
-		return id == c.router.mesh.Self() || c.inFlight[attempt{to: id}]
+		return id == c.router.mesh.Self() || c.inFlight[attempt{to: id}] || !c.mayRelay(id)
 	})
 	slices.SortStableFunc(peers, func(a, b model.InstanceID) int {
 		return compareBool(slices.Contains(members, a), slices.Contains(members, b))
@@ -152,6 +152,11 @@
 	return relays
 }
 
+// mayRelay reports whether an instance may see the request and its reply.
+func (c *request) mayRelay(id model.InstanceID) bool {
+	return !wire.SecretKinds[c.kind] || slices.Contains(c.router.possibleLeaders(), id)
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
--- a/pkg/control/server/fleet_test.go
+++ b/pkg/control/server/fleet_test.go
@@ -45,6 +45,9 @@
 	// held are the messages that are delivered only once their hold is released, even
 	// if the sender has given them up.
 	held map[heldMessages]chan struct{}
+	// observe, if set, gets each request that reaches an instance, and each reply that
+	// it sends or receives.
+	observe func(at model.InstanceID, message []byte)
 }
 
 // heldMessages are the messages of one kind that an instance sends.
@@ -127,6 +130,11 @@
 		return nil, failure.New(failure.BadRequest, failure.NotRun, string(kind), string(to), "no handler")
 	}
 	reply, err := handler(ctx, n.id, request)
+	if n.network.observe != nil {
+		n.network.observe(to, request)
+		n.network.observe(to, reply)
+		n.network.observe(n.id, reply)
+	}
 	if n.network.partitioned(to, n.id) {
 		<-ctx.Done()
 		return nil, failure.New(failure.PeerUnreachable, failure.Unknown, string(kind), string(to), "%w", ctx.Err())
--- a/pkg/control/wire/wire.go
+++ b/pkg/control/wire/wire.go
@@ -69,6 +69,10 @@
 	KindStartMove: true, KindMove: true, KindEvacuation: true,
 }
 
+// SecretKinds are the kinds whose messages hold the document of a routing table, and so
+// the keys of callers. Only instances that may lead relay them.
+var SecretKinds = map[mesh.Kind]bool{KindPutTable: true, KindTable: true}
+
 // RelayRequest is a request to the leader that another instance forwards.
 type RelayRequest struct {
 	Kind    mesh.Kind `cbor:"1,keyasint"`
