--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -103,6 +103,8 @@
 	CallQueued         Number = 5026
 	TargetPaused       Number = 5027
 	ReplyCut           Number = 5028
+	CallerRefused      Number = 5101
+	CallersInForce     Number = 5102
 
 	OrderOutcomeUnknown     Number = 6001
 	OrderClaimUnconfirmed   Number = 6002
@@ -236,6 +238,8 @@
 	{CallQueued, infoLevel, "query was queued before its start", []string{"request", "route", "milliseconds", "ahead", "limit"}},
 	{TargetPaused, infoLevel, "target has asked for a pause", []string{"target"}},
 	{ReplyCut, warnLevel, "reading of a reply was ended", []string{"target", "request", "reason", "heldBytes"}},
+	{CallerRefused, infoLevel, "request was refused because of its key", []string{"request", "caller", "reason", "tableVersion", "renewalMilliseconds"}},
+	{CallersInForce, infoLevel, "accounts of the routing table are in force on this instance", []string{"version", "callers", "keys"}},
 
 	{OrderOutcomeUnknown, warnLevel, "outcome of an order is unknown", []string{"request", "error"}},
 	{OrderClaimUnconfirmed, warnLevel, "claim of an order could not be confirmed", []string{"request", "error"}},
--- a/pkg/lease/log.go
+++ b/pkg/lease/log.go
@@ -7,6 +7,7 @@
 
 	"radishturn.example/radishturn/pkg/control/wire"
 	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/routing"
 	"radishturn.example/radishturn/pkg/view"
 )
 
@@ -16,12 +17,25 @@
 func logChanges(old, next *view.View, version uint64) {
 	if table := next.Routing.Version(); table != old.Routing.Version() {
 		events.Emit(events.TableInForce, table, old.Routing.Version(), len(next.Routing.Table.Routes), len(next.Routing.Table.Services))
+		logCallers(old.Routing, next.Routing)
 	}
 	if !maps.Equal(old.Evacuated, next.Evacuated) {
 		events.Emit(events.ZonesEvacuated, slices.Sorted(maps.Keys(next.Evacuated)), version)
 	}
 }
 
+// logCallers logs the accounts of a new table, if it has any or the old one had.
+func logCallers(old, next *routing.Index) {
+	if !next.NeedsKeys() && (old == nil || !old.NeedsKeys()) {
+		return
+	}
+	keys := 0
+	for i := range next.Table.Callers {
+		keys += len(next.Table.Callers[i].Keys)
+	}
+	events.Emit(events.CallersInForce, next.Version(), len(next.Table.Callers), keys)
+}
+
 // logOlderState logs that a reply holds an older state than h, or a whole routing table
 // that is older than the one held. The holder ignores what is older.
 func logOlderState(r *wire.RenewalReply, h *holder) {
--- a/pkg/lease/module.go
+++ b/pkg/lease/module.go
@@ -49,7 +49,8 @@
 	stopped  bool
 	renewals sync.WaitGroup
 	// contact is used only by renewLoop.
-	contact controlContact
+	contact     controlContact
+	lastRenewal *lastRenewal
 
 	sentEvidence     *view.Evidence
 	evidenceSequence uint64
@@ -58,6 +59,7 @@
 var (
 	_ view.Source   = (*Module)(nil)
 	_ view.Reporter = (*Module)(nil)
+	_ view.Contact  = (*Module)(nil)
 )
 
 func init() { radishturn.RegisterModule(&Module{}) }
@@ -87,10 +89,9 @@
 	}
 	m.setup(c.Settings, peers, router)
 	metricsapi.AddStatusSection(c, "lease", func() any { return m.Status() })
-	if err := radishturn.Provide[view.Source](c, m); err != nil {
-		return err
-	}
-	return radishturn.Provide[view.Reporter](c, m)
+	return errors.Join(
+		radishturn.Provide[view.Source](c, m), radishturn.Provide[view.Reporter](c, m), radishturn.Provide[view.Contact](c, m),
+	)
 }
 
 // New returns a Module for use without the module system, as in tests.
@@ -102,7 +103,7 @@
 
 func (m *Module) setup(s *settings.Settings, peers mesh.Mesh, router *route.Router) {
 	m.settings, m.mesh, m.router = s.Lease, peers, router
-	m.origin = time.Now()
+	m.origin, m.lastRenewal = time.Now(), newLastRenewal()
 	m.configFromLeader = s.Instance.NamedByAddress
 	m.views = view.NewStore()
 	m.renewNow, m.renewSoon = make(chan struct{}, 1), make(chan struct{}, 1)
--- a/pkg/lease/renew.go
+++ b/pkg/lease/renew.go
@@ -117,7 +117,7 @@
 	ctx, cancel := context.WithTimeout(ctx, m.settings.Duration.Std()/2)
 	defer cancel()
 	request := m.nextRenewal()
-	sent := m.now()
+	sent, sentAt := m.now(), m.lastRenewal.now()
 	reply, err := m.call(ctx, request)
 	if err != nil {
 		renewalsFailed.Inc()
@@ -131,7 +131,9 @@
 	renewalsOK.Inc()
 	renewalTime.Update((m.now() - sent).Seconds())
 	m.router.SetReportedMembers(reply.Voters)
-	m.applyReply(sent, reply)
+	if m.applyReply(sent, reply) {
+		m.lastRenewal.record(sentAt)
+	}
 }
 
 // relayEvery is how often an instance with configFromLeader lets a renewal use relays:
@@ -162,7 +164,9 @@
 	return r
 }
 
-func (m *Module) applyReply(sent time.Duration, reply *wire.RenewalReply) {
+// applyReply applies the reply to a renewal and reports whether the view is current as
+// of when the renewal was sent.
+func (m *Module) applyReply(sent time.Duration, reply *wire.RenewalReply) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.sentEvidence = nil
@@ -190,6 +194,7 @@
 	case reply.Grants != nil:
 		notify(m.renewSoon)
 	}
+	return m.holder.isCurrent(reply)
 }
 
 // publishTimes publishes the lease times to readers. m.mu must be held.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -28,6 +28,15 @@
 	Log         Log          `json:"log"`
 	Stop        Stop         `json:"stop"`
 	RetryBudget RetryBudget  `json:"retryBudget,omitzero"`
+	Revocation  Revocation   `json:"revocation,omitzero"`
+}
+
+// Revocation limits how long a caller's key can be used after it was removed.
+type Revocation struct {
+	// Strict means that an entry instance whose last successful renewal is older than
+	// Bound refuses the requests that need a key.
+	Strict bool     `json:"strict,omitempty"`
+	Bound  Duration `json:"bound,omitempty"`
 }
 
 // RetryBudget limits the extra requests that the fleet sends to a service in any
--- a/pkg/view/view.go
+++ b/pkg/view/view.go
@@ -97,6 +97,14 @@
 	LeaseLeft() time.Duration
 }
 
+// Contact tells how old the view may be.
+type Contact interface {
+	// SinceRenewal returns the time since the newest renewal that succeeded was sent,
+	// or since the start. It includes time in which the process or its machine stood
+	// still. The view holds what was in force at the leader then.
+	SinceRenewal() time.Duration
+}
+
 // Evidence is what an entry instance has observed since its last report. It is sent to
 // the leader with the renewal of the lease.
 type Evidence struct {
