dispatch: calls have an account, a priority and a recheck

Call.Priority, the account's or else the route's, orders the queries that wait to start. Call.Recheck is called before each request to a target, when a query leaves the queue and when a request has waited for a connection; a call that may no longer run and that no target may have run ends with the recheck's error. query.logLate moved to calllog.go, unchanged, to keep the file short.

--- a/pkg/dispatch/calllog.go
+++ b/pkg/dispatch/calllog.go
@@ -98,6 +98,16 @@
 	}
 }
 
+// logLate logs, once per query, that the objective has passed while coverage is
+// too low.
+func (q *query) logLate(now time.Duration) {
+	if q.lateLogged || now < q.plan.ObjectiveEnd || q.run.Parts() >= q.plan.Required {
+		return
+	}
+	q.lateLogged = true
+	q.engine.logLate(q.call, len(q.sentByShard)-q.run.Parts(), q.unansweredShards())
+}
+
 // deferSentEvents defers the events of the target requests of a call that failed or was
 // answered in part.
 func (e *Engine) deferSentEvents(c *Call, t *Trace, service model.ServiceID, sent sentRequests, lines *int) {
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -20,6 +20,7 @@
 	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/exchange"
+	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/pool"
@@ -103,6 +104,14 @@
 	Timeout time.Duration
 	// Elapsed is the estimated time that the caller had waited before Arrived.
 	Elapsed time.Duration
+	// Caller is the account of the request; empty if it has none.
+	Caller model.CallerID
+	// Priority orders calls: the account's, or else the route's. 0 is the highest.
+	Priority int
+	// Recheck returns why the call may no longer run, or nil if it may. It is called
+	// before each request to a target and whenever the call has waited. A nil Recheck
+	// means that the call always may.
+	Recheck func() *failure.Error
 
 	pinned pinnedView
 	stats  *routeStats
--- a/pkg/dispatch/query.go
+++ b/pkg/dispatch/query.go
@@ -136,6 +136,10 @@
 		q.sendDue(now)
 		q.logLate(now)
 		q.releaseStart(false)
+		if err := q.recheckUnsent(); err != nil {
+			q.abandon(0)
+			return Outcome{Err: err, Trace: q.trace}
+		}
 		switch q.run.Decide(now) {
 		case gather.Answer:
 			return q.finish()
@@ -161,16 +165,6 @@
 	}
 }
 
-// logLate logs, once per query, that the objective has passed while coverage is
-// too low.
-func (q *query) logLate(now time.Duration) {
-	if q.lateLogged || now < q.plan.ObjectiveEnd || q.run.Parts() >= q.plan.Required {
-		return
-	}
-	q.lateLogged = true
-	q.engine.logLate(q.call, len(q.sentByShard)-q.run.Parts(), q.unansweredShards())
-}
-
 // handleQueuedResults handles all results that are available, so that the loop
 // decides once for all of them.
 func (q *query) handleQueuedResults() {
@@ -198,7 +192,7 @@
 		q.run.RecordUnsent(i, now, current.hasUsableTarget(service, now))
 		return
 	}
-	if q.seemsToCrashTargets() || current.quarantines(q.call) {
+	if q.seemsToCrashTargets() || current.quarantines(q.call) || q.call.recheck() != nil {
 		// Recorded like a denial by the retry budget, so that the shard is tried again
 		// after a pause. A part that arrives until then clears the suspicion.
 		q.run.RecordDenied(i, now)
--- /dev/null
+++ b/pkg/dispatch/recheck_test.go
@@ -0,0 +1,71 @@
+package dispatch
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/exchange"
+	"radishturn.example/radishturn/pkg/exchange/exchangetest"
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/routing"
+)
+
+// doUntilRevoked sends a call that may no longer run after a time.
+func (f *memoryFixture) doUntilRevoked(after time.Duration, route *routing.Route) Outcome {
+	var revoked atomic.Bool
+	time.AfterFunc(after, func() { revoked.Store(true) })
+	c := &Call{
+		Request: &exchange.Request{ID: "q", Method: "GET"}, Route: route, Arrived: time.Now(), Timeout: 8 * time.Second,
+		Recheck: func() *failure.Error {
+			if revoked.Load() {
+				return failure.New(failure.Unauthorized, failure.NotRun, "check key", "", "revoked")
+			}
+			return nil
+		},
+	}
+	if route.Fanout != nil {
+		return f.engine.Query(context.Background(), c)
+	}
+	return f.engine.Forward(context.Background(), c)
+}
+
+// Guards against a request that runs with a key that was removed while the request
+// waited for a connection.
+func TestRevokedCallThatWaitsForAConnectionDoesNotRun(t *testing.T) {
+	for name, route := range map[string]*routing.Route{"call": longRoute(true), "query": longQuery("s")} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, f := NewWithT(t), newMemoryFixture(t)
+				f.dialSlowly(900 * time.Millisecond)
+				f.add("s", "a", nil)
+				f.publish(nil)
+				out := f.doUntilRevoked(500*time.Millisecond, route)
+				g.Expect(f.requests()).To(BeZero())
+				g.Expect(out.Err.Code).To(Equal(failure.Unauthorized))
+				g.Expect(out.NotRun()).To(BeTrue())
+			})
+		})
+	}
+}
+
+// Guards against a hedge or retry of a request whose key was removed after it was sent.
+func TestRevokedCallIsNotSentAgain(t *testing.T) {
+	for name, route := range map[string]*routing.Route{"call": longRoute(true), "query": longQuery("s")} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, f := NewWithT(t), newMemoryFixture(t)
+				f.add("s", "a", always(exchangetest.Behaviour{NoReply: true}))
+				f.add("s", "a", always(exchangetest.Behaviour{NoReply: true}))
+				f.publish(nil)
+				out := f.doUntilRevoked(time.Millisecond, route)
+				g.Expect(f.requests()).To(Equal(1))
+				g.Expect(out.NotRun()).To(BeFalse())
+			})
+		})
+	}
+}
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -134,10 +134,16 @@
 }
 
 // sendFirst sends the first request. It waits up to connectionWait for a free
-// connection.
+// connection, while the call may run.
 func (s *singleCall) sendFirst(ctx context.Context) (Outcome, bool) {
 	until := min(s.engine.now()+connectionWait, s.deadline)
-	for !s.send() {
+	for {
+		if err := s.call.recheck(); err != nil {
+			return s.fail(err), false
+		}
+		if s.send() {
+			return Outcome{}, true
+		}
 		if s.engine.now() >= until {
 			return s.refuse("find connection", "no target of %s has a free connection", s.service), false
 		}
@@ -147,7 +153,6 @@
 		case <-time.After(connectionPoll):
 		}
 	}
-	return Outcome{}, true
 }
 
 // send sends the request to the best target that was not asked yet. The target may
@@ -185,7 +190,7 @@
 	if s.trace.Sent >= maxSingleRequests || s.sent.attempts() >= max(1, s.call.Route.MaxAttempts) {
 		return false
 	}
-	if s.sent.mayHaveRun() && !s.call.Route.Idempotent || s.engine.current().quarantines(s.call) {
+	if s.sent.mayHaveRun() && !s.call.Route.Idempotent || s.engine.current().quarantines(s.call) || s.call.recheck() != nil {
 		return false
 	}
 	if s.sent.mayHaveArrived() && !s.engine.takeExtraRequest(s.service, len(s.inFlight) == 0) {
@@ -295,6 +300,9 @@
 	case s.failureReply != nil:
 		return s.finish(s.failureReply)
 	case !s.sent.mayHaveRun():
+		if err := s.call.recheck(); err != nil {
+			return s.fail(err)
+		}
 		return s.refuse("send", "no target accepted the request: %v", s.lastErr)
 	}
 	return s.fail(failure.New(failure.TargetFailed, failure.Unknown, "send", string(s.service), "%w", s.lastErr))
--- a/pkg/dispatch/startqueue.go
+++ b/pkg/dispatch/startqueue.go
@@ -57,7 +57,7 @@
 }
 
 // awaitStart waits until the query may start. It returns an error if the query cannot
-// be answered in time or was quarantined meanwhile, and the former if the caller
+// be answered in time or may no longer run, and the former if the caller
 // disconnects; no request has been sent then.
 func (q *query) awaitStart(ctx context.Context) *failure.Error {
 	s, limit, now := q.engine.startQueueOf(q.call.Route.Fanout.Shards), q.maxStarting(), q.engine.now()
@@ -66,7 +66,7 @@
 	waiting := s.queue.Waiting()
 	ticket, wait := s.queue.Enqueue(now, limit, queue.Query{
 		Arrived: now - time.Since(q.call.Arrived), OnTimeStart: q.plan.ObjectiveEnd - minDuration, LatestStart: q.plan.Deadline - minDuration,
-		Priority: q.call.Route.Priority,
+		Priority: q.call.Priority,
 	})
 	s.mu.Unlock()
 	latest := time.NewTimer(max(0, ticket.LatestStart-now))
@@ -86,12 +86,15 @@
 	if waited := q.leftQueueAt - now; waited >= time.Millisecond && q.engine.logLimiters.progress.Allow() {
 		events.Emit(events.CallQueued, q.call.Request.ID, q.call.Route.Name, waited.Milliseconds(), waiting, limit)
 	}
-	// The request may have been quarantined while it waited.
-	if err := refuseQuarantined(q.call, q.engine.current()); err != nil {
+	// The request may have been quarantined, or its key revoked, while it waited.
+	err := refuseQuarantined(q.call, q.engine.current())
+	if err == nil {
+		err = q.call.recheck()
+	}
+	if err != nil {
 		q.releaseStart(true)
-		return err
 	}
-	return nil
+	return err
 }
 
 // abandon refuses a ticket, unless it was started in the meantime.
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -81,7 +81,7 @@
 // withdraws reports whether a request that has waited for a connection must not be sent.
 func (e *Engine) withdraws(c *Call, t *target) bool {
 	current := e.current()
-	return !current.admits(t, e.now()) || current.quarantines(c)
+	return !current.admits(t, e.now()) || current.quarantines(c) || c.recheck() != nil
 }
 
 // begin records a request, or returns false if the cold limit allows none now.
