ingress: a key counts as unknown only by the newest table

Cause: after a key was added, an instance that had not renewed its lease since, for up to 400 ms, answered 401 for a key that the newest table held. A request with an unknown key now waits for a renewal that begins after it arrived, 300 ms at most, and is decided with the table in force then. Such renewals are shared by the requests that wait and at least 250 ms apart, so that requests with invalid keys cannot overload the leader.

--- a/pkg/lease/module.go
+++ b/pkg/lease/module.go
@@ -51,6 +51,7 @@
 	// contact is used only by renewLoop.
 	contact     controlContact
 	lastRenewal *lastRenewal
+	refresher   *refresher
 
 	sentEvidence     *view.Evidence
 	evidenceSequence uint64
@@ -103,7 +104,7 @@
 
 func (m *Module) setup(s *settings.Settings, peers mesh.Mesh, router *route.Router) {
 	m.settings, m.mesh, m.router = s.Lease, peers, router
-	m.origin, m.lastRenewal = time.Now(), newLastRenewal()
+	m.origin, m.lastRenewal, m.refresher = time.Now(), newLastRenewal(), newRefresher()
 	m.configFromLeader = s.Instance.NamedByAddress
 	m.views = view.NewStore()
 	m.renewNow, m.renewSoon = make(chan struct{}, 1), make(chan struct{}, 1)
--- a/pkg/lease/renew.go
+++ b/pkg/lease/renew.go
@@ -67,7 +67,8 @@
 	m.renewals.Wait()
 }
 
-// renewLoop renews at the regular interval, and sooner on renewNow or renewSoon.
+// renewLoop renews at the regular interval, and sooner on renewNow, renewSoon or a
+// request to refresh the view.
 func (m *Module) renewLoop(ctx context.Context) {
 	m.contact.recordSuccess(m.now())
 	for {
@@ -86,6 +87,10 @@
 			if !sleep(ctx, m.acknowledgementDelay()) {
 				return
 			}
+		case <-m.refresher.wake:
+			if !sleep(ctx, m.refresher.delay(m.now())) {
+				return
+			}
 		}
 	}
 }
@@ -116,6 +121,7 @@
 func (m *Module) renew(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, m.settings.Duration.Std()/2)
 	defer cancel()
+	defer m.refresher.begin(m.now())()
 	request := m.nextRenewal()
 	sent, sentAt := m.now(), m.lastRenewal.now()
 	reply, err := m.call(ctx, request)
--- a/pkg/view/view.go
+++ b/pkg/view/view.go
@@ -6,6 +6,7 @@
 package view
 
 import (
+	"context"
 	"math"
 	"sync/atomic"
 	"time"
@@ -97,12 +98,15 @@
 	LeaseLeft() time.Duration
 }
 
-// Contact tells how old the view may be.
+// Contact tells how old the view may be, and renews it on demand.
 type Contact interface {
 	// SinceRenewal returns the time since the newest renewal that succeeded was sent,
 	// or since the start. It includes time in which the process or its machine stood
 	// still. The view holds what was in force at the leader then.
 	SinceRenewal() time.Duration
+	// Refresh returns once a renewal that began after the call has ended, whether or not
+	// it succeeded, or once ctx is done.
+	Refresh(ctx context.Context)
 }
 
 // Evidence is what an entry instance has observed since its last report. It is sent to
