dispatch: test that a removed key stops hedges on open connections too

The hedges of the test waited for a connection, so that only one of the two checks was tested. Without either check the test fails now; with both it passes.

--- a/pkg/dispatch/recheck_test.go
+++ b/pkg/dispatch/recheck_test.go
@@ -62,6 +62,9 @@
 				f.add("s", "a", always(exchangetest.Behaviour{NoReply: true}))
 				f.add("s", "a", always(exchangetest.Behaviour{NoReply: true}))
 				f.publish(nil)
+				for _, target := range f.engine.registryState().targets {
+					g.Expect(target.pool.Preconnect()).To(Succeed())
+				}
 				out := f.doUntilRevoked(time.Millisecond, route)
 				g.Expect(f.requests()).To(Equal(1))
 				g.Expect(out.NotRun()).To(BeFalse())
