--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -173,6 +173,7 @@
 	p.checkPositive("lease.duration", s.Lease.Duration > 0, fix)
 	p.checkPositive("platform.poll", s.Platform.Poll > 0, fix)
 	p.checkPositive("stop.grace", s.Stop.Grace > 0, fix)
+	p.checkPositive("revocation.bound", s.Revocation.Bound > 0 || !s.Revocation.Strict && s.Revocation.Bound == 0, fix)
 	p.checkRequired("platform.address", !s.Platform.Address.IsValid())
 	p.checkAtLeast("lease.duration", s.Lease.Duration, MinRenewalsPerLease, s.Lease.Renew, "lease.renew")
 	p.checkAtLeast("stop.grace", s.Stop.Grace, minLagsPerGrace, s.Platform.BalancerLag, "platform.balancerLag")
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -56,6 +56,7 @@
 		Entry("unknown field", `"balancerLag"`, `"balancerLug"`, "platform.balancerLug", "unknown field"),
 		Entry("number without unit", `"balancerLag": "5s"`, `"balancerLag": 5`, "platform.balancerLag", "not a string"),
 		Entry("wrong unit", `"5s"`, `"5 parsecs"`, "platform.balancerLag", "unknown unit"),
+		Entry("strict revocation without a bound", `"callers":`, `"revocation": {"strict": true}, "callers":`, "revocation.bound", "not greater than zero"),
 		Entry("duplicate id", `"id": "village", "priority": 1`, `"id": "bakery", "priority": 1`, "callers[1].id", "given twice"),
 		Entry("port clash", `"adminListen": "10.20.1.11:9443"`, `"adminListen": "10.20.1.11:8080"`, "instance.adminListen", "same port"),
 		Entry("availability zone not declared", `"availabilityZone": "split-a"`, `"availabilityZone": "split-b"`, "instance.availabilityZone", "not declared"),
