soak: accounts whose keys come and go

TestAccounts runs the real programs, adds and removes keys by configuration versions, and kills and freezes entries.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -112,6 +112,8 @@
 		if c.isOrder[id] && len(c.runs[id]) > 0 {
 			c.addFinding("order %s was refused as not run but has run", id)
 		}
+	case r.StatusCode == http.StatusUnauthorized:
+		c.addFinding("request %s got 401 for a key that each version has", id)
 	case r.StatusCode == http.StatusNotFound:
 		c.addFinding("request %s got 404 on a route that each version has", id)
 	case r.StatusCode != http.StatusOK || err != nil:
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -55,6 +55,8 @@
 	// shards are the services that a query gathers from.
 	shards    map[string]bool
 	lostDisks int
+	// accounts is set if the configurations have accounts.
+	accounts bool
 }
 
 func (f *fleet) nextID() int64 { return f.ids.Add(1) }
@@ -237,10 +239,14 @@
 		list += fmt.Sprintf(",%q", s)
 		services += fmt.Sprintf(`,{"name":%q,"max-connections":60}`, s)
 	}
+	accounts := ""
+	if f.accounts {
+		accounts = tenants(version)
+	}
 	return fmt.Sprintf(`{"version":%d,"routes":[
 {"name":"q","host":"h.example","path-prefix":"/q/","kind":"safe","timeout-ms":1500,"target-latency-ms":150,"max-attempts":2,"top-k":%d,"minimum-shard-share":0.6,"gather":[%s]},
 {"name":"o","host":"h.example","path-prefix":"/o/","kind":"unsafe","timeout-ms":1500,"target-latency-ms":300,"max-attempts":2,"service":"orders"}%s],
-"services":[%s],"limits":{"max-body-bytes":10000}}`, version, topK, list[1:], variableRoutes(version), services)
+"services":[%s],"limits":{"max-body-bytes":10000}%s}`, version, topK, list[1:], variableRoutes(version), services, accounts)
 }
 
 // replaceConfiguration sends a new version to random control instances until one
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -169,6 +169,9 @@
 	r.Host = "h.example"
 	r.Header.Set("X-Radishturn-Request-Id", id)
 	r.Header.Set("X-Radishturn-Deadline-Milliseconds", strconv.Itoa(int(requestTimeout.Milliseconds())))
+	if f.accounts {
+		r.Header.Set("Authorization", "Bearer "+baseKey)
+	}
 	f.checker.recordRequest(id, order)
 	f.checker.recordEntry(id, n)
 	response, err := client.Do(r)
--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -115,6 +115,7 @@
 		return
 	}
 	ok := mode != failing || rand.IntN(2) == 0
+	l.fleet.checkCaller(r)
 	l.fleet.checker.recordRun(id, run{target: l, at: time.Now(), ok: ok}, draining)
 	delay := time.Duration(3+rand.IntN(10)) * time.Millisecond
 	if mode == slow {
