state, duty, usage: holders of duties and windows of usage

Some calls to the platform are made by one instance at a time, and the content of a usage report must be decided once. The replicated state gets the holder of each duty with a fencing token (the log index of the command) and the windows that were decided and not accepted. Package duty decides who may act and when the next call is made; package usage counts by windows of true time, merges reports idempotently and estimates true time as the median of wall clocks.

--- a/pkg/boottime/boottime.go
+++ b/pkg/boottime/boottime.go
@@ -24,6 +24,18 @@
 	}
 }
 
+// processStart is the origin of Now if the system has no CLOCK_BOOTTIME.
+var processStart = time.Now()
+
+// Now returns the time since the machine was started. If the system has no
+// CLOCK_BOOTTIME, it returns the time since the process was started.
+func Now() time.Duration {
+	if t, ok := now(); ok {
+		return t
+	}
+	return time.Since(processStart)
+}
+
 func now() (time.Duration, bool) {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
--- a/pkg/state/command.go
+++ b/pkg/state/command.go
@@ -1,7 +1,8 @@
 // Package state implements the replicated state of the tier: rules and their
 // history, traffic moves, quarantined requests, order claims, the instances that may
-// hold leases, the routing table and evacuations of availability zones. State is a
-// deterministic state machine; Machine guards it with a lock.
+// hold leases, the routing table, evacuations of availability zones, and the holders of
+// duties with the usage to report. State is a deterministic state machine; Machine guards
+// it with a lock.
 package state
 
 import (
@@ -11,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"radishturn.example/radishturn/pkg/control"
+	"radishturn.example/radishturn/pkg/duty"
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/move"
@@ -35,6 +37,9 @@
 	PutTable        *PutTable        `cbor:"9,keyasint,omitempty"`
 	Evacuate        *Evacuate        `cbor:"10,keyasint,omitempty"`
 	StartMove       *StartMove       `cbor:"11,keyasint,omitempty"`
+	AcquireDuty     *AcquireDuty     `cbor:"12,keyasint,omitempty"`
+	DecideUsage     *DecideUsage     `cbor:"13,keyasint,omitempty"`
+	AcceptUsage     *AcceptUsage     `cbor:"14,keyasint,omitempty"`
 }
 
 // StartMove starts a move of one service that an operator requested outside the rules.
@@ -200,6 +205,8 @@
 	Orders []OrderResult `cbor:"4,keyasint,omitempty"`
 	// TableVersion is the version of the routing table in force after a PutTable.
 	TableVersion uint64 `cbor:"5,keyasint,omitempty"`
+	// Duty is the record of the duty after an AcquireDuty.
+	Duty *duty.Record `cbor:"6,keyasint,omitempty"`
 }
 
 // Refusal explains why a command was refused.
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -6,11 +6,13 @@
 	"time"
 
 	"radishturn.example/radishturn/pkg/control"
+	"radishturn.example/radishturn/pkg/duty"
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/move"
 	"radishturn.example/radishturn/pkg/routing"
 	"radishturn.example/radishturn/pkg/rules"
+	"radishturn.example/radishturn/pkg/usage"
 )
 
 const (
@@ -69,6 +71,12 @@
 	// Judged holds the crashes that counted for quarantines, those in force and those
 	// that have ended.
 	Judged map[model.Fingerprint]judgedCrashes `cbor:"15,keyasint,omitempty"`
+	// Duties holds the holder of each duty.
+	Duties map[duty.Name]duty.Record `cbor:"16,keyasint,omitempty"`
+	// UsagePending are the windows that were decided and not accepted, oldest first.
+	UsagePending []usage.WindowCounts `cbor:"17,keyasint,omitempty"`
+	// UsageProgress is nil before the first decided window.
+	UsageProgress *UsageProgress `cbor:"18,keyasint,omitempty"`
 }
 
 // New returns an empty state.
@@ -108,6 +116,12 @@
 		return s.evacuate(index, c.Evacuate)
 	case c.StartMove != nil:
 		return s.startMove(index, c.StartMove)
+	case c.AcquireDuty != nil:
+		return s.acquireDuty(index, c.AcquireDuty)
+	case c.DecideUsage != nil:
+		return s.decideUsage(c.DecideUsage)
+	case c.AcceptUsage != nil:
+		return s.acceptUsage(c.AcceptUsage)
 	default:
 		return &Result{}
 	}
