settings, boot: duties

The platform's settings name the duties (cloud.duties) with their lease, rate limit and usage windows. Without a known duty the settings are the zero value and nothing of this runs.

go test ./platform/boot ./pkg/settings: ok.

--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -28,6 +28,7 @@
 	Log         Log          `json:"log"`
 	Stop        Stop         `json:"stop"`
 	RetryBudget RetryBudget  `json:"retryBudget,omitzero"`
+	Duties      Duties       `json:"duties,omitzero"`
 }
 
 // RetryBudget limits the extra requests that the fleet sends to a service in any
