dispatch, lease: count the requests that targets may have run

Each request to a target that may have run is counted under its caller and the window in which it was sent. The rule is one function (UsageRule.countsAsUsage) and may count each call once instead. Counts go with the renewals; replies bring true time, and a new term makes the next renewal carry all windows.

--- a/pkg/control/wire/wire.go
+++ b/pkg/control/wire/wire.go
@@ -14,6 +14,7 @@
 	"radishturn.example/radishturn/pkg/replica"
 	"radishturn.example/radishturn/pkg/routing"
 	"radishturn.example/radishturn/pkg/state"
+	"radishturn.example/radishturn/pkg/usage"
 	"radishturn.example/radishturn/pkg/view"
 )
 
@@ -113,6 +114,11 @@
 	CostPosition catalog.Position `cbor:"15,keyasint"`
 	// CatalogBuckets are set if the leader has asked for them.
 	CatalogBuckets catalog.BucketDigests `cbor:"16,keyasint,omitempty"`
+	// Usage is what targets ran for each caller; nil if no duty to report it is set.
+	Usage *usage.Report `cbor:"17,keyasint,omitempty"`
+	// WallClock is the holder's wall-clock time, since the start of 1970. It is set
+	// together with Usage.
+	WallClock time.Duration `cbor:"18,keyasint,omitempty"`
 }
 
 // RenewalReply grants the lease for the duration in the settings, counted from
@@ -139,6 +145,11 @@
 	// CostHints holds the changes of the expensive targets; nil if the holder's
 	// list is current.
 	CostHints *catalog.HintDelta `cbor:"10,keyasint,omitempty"`
+	// UsageTerm is the leader's term if it has processed the usage in the renewal.
+	UsageTerm uint64 `cbor:"11,keyasint,omitempty"`
+	// TrueTime is the leader's estimate of true time, since the start of 1970; 0 if it
+	// has none yet.
+	TrueTime time.Duration `cbor:"12,keyasint,omitempty"`
 }
 
 // Release gives up a lease before it expires.
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -15,6 +15,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"radishturn.example/radishturn/pkg/catalog"
@@ -27,6 +28,7 @@
 	"radishturn.example/radishturn/pkg/query/versions"
 	"radishturn.example/radishturn/pkg/retry"
 	"radishturn.example/radishturn/pkg/routing"
+	"radishturn.example/radishturn/pkg/usage"
 	"radishturn.example/radishturn/pkg/view"
 )
 
@@ -46,6 +48,10 @@
 	Reporter view.Reporter
 	// RetryBudget bounds the extra requests of the fleet to each service.
 	RetryBudget retry.Bound
+	// Usage counts the requests that targets may have run for each caller, by UsageRule.
+	// It may be nil.
+	Usage     usage.Recorder
+	UsageRule UsageRule
 }
 
 // Engine forwards requests to targets.
@@ -103,6 +109,12 @@
 	Timeout time.Duration
 	// Elapsed is the estimated time that the caller had waited before Arrived.
 	Elapsed time.Duration
+	// Caller is the account that the request is counted for; empty if it is counted for
+	// none.
+	Caller model.CallerID
+
+	// usageCounted is set once the call was counted under the rule CountCalls.
+	usageCounted atomic.Bool
 
 	pinned pinnedView
 	stats  *routeStats
--- a/pkg/dispatch/module.go
+++ b/pkg/dispatch/module.go
@@ -11,6 +11,7 @@
 	"radishturn.example/radishturn/pkg/metricsapi"
 	"radishturn.example/radishturn/pkg/retry"
 	"radishturn.example/radishturn/pkg/settings"
+	"radishturn.example/radishturn/pkg/usage"
 	"radishturn.example/radishturn/pkg/view"
 )
 
@@ -42,11 +43,18 @@
 	if err := errors.Join(radishturn.Fetch(c, &views), radishturn.Fetch(c, &reporter), radishturn.Fetch(c, &codec)); err != nil {
 		return err
 	}
+	var recorder usage.Recorder
+	if c.Settings.Duties.ReportsUsage() {
+		if err := radishturn.Fetch(c, &recorder); err != nil {
+			return err
+		}
+	}
 	b := c.Settings.RetryBudget
 	memory := membudget.ForProcess(c.Settings.Instance.MemoryMB)
 	m.engine = New(Options{
 		Instance:         c.Settings.Instance.ID,
 		AvailabilityZone: c.Settings.Instance.AvailabilityZone, Views: views, Codec: codec, Reporter: reporter, BodyMemory: memory,
+		Usage: recorder, UsageRule: CountRuns,
 		RetryBudget: retry.Bound{Window: b.Window.Std(), Ratio: b.Ratio, Slack: b.Slack},
 	})
 	m.engine.registerGauges()
--- a/pkg/dispatch/sent.go
+++ b/pkg/dispatch/sent.go
@@ -47,10 +47,9 @@
 // complete records that the result is available, and whether the request may have
 // arrived and run.
 func (r *sentRequest) complete(c *Call) {
-	reply := r.result.Reply
 	r.completed, r.resultAt = true, time.Since(c.Arrived)
 	r.mayHaveArrived = !isNotSent(r.result.Err)
-	r.mayHaveRun = r.mayHaveArrived && (reply == nil || !reply.NotRun && !reply.WrongTarget)
+	r.mayHaveRun = mayHaveRun(r.result)
 	// The connection times out if the target's machine acknowledges nothing.
 	r.targetEnded = r.targetEnded || errors.Is(r.result.Err, syscall.ETIMEDOUT)
 }
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"radishturn.example/radishturn/pkg/boottime"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/model"
@@ -45,7 +46,7 @@
 // the target may not get a request now or no connection is available. done is called
 // after the result is recorded.
 func (t *target) send(e *Engine, call *Call, current currentView, timeout time.Duration, done func(pool.Result)) (*pool.Attempt, bool) {
-	sent := e.now()
+	sent, sentBoot := e.now(), boottime.Now()
 	usual := call.stats.usual()
 	move, moving := current.moveOf(t.Service)
 	a := &pool.Attempt{
@@ -56,6 +57,7 @@
 	a.Done = func(r pool.Result) {
 		now := e.now()
 		t.recordResult(now, sent, usual, timeout, r).log(t.ID, r.Err)
+		e.recordUsage(call, sentBoot, r)
 		e.recordCost(t.ID, observedCost(r, now-sent, usual))
 		if moving {
 			e.recordVersionOutcome(call, t, move, r, now-sent)
--- a/pkg/lease/granter/granter.go
+++ b/pkg/lease/granter/granter.go
@@ -212,6 +212,10 @@
 // Leases returns the leases that may still be in use.
 func (g *Granter) Leases(now time.Duration) []table.Lease { return g.table.Leases(now) }
 
+// Boot returns the process that holds the instance's lease, if this leader has heard from
+// it.
+func (g *Granter) Boot(id model.InstanceID) (string, bool) { return g.table.Boot(id) }
+
 // AcceptEvidence reports whether the evidence of a renewal is new and records it as
 // accepted. Renewals may arrive more than once.
 func (g *Granter) AcceptEvidence(r *wire.Renewal) bool {
--- a/pkg/lease/module.go
+++ b/pkg/lease/module.go
@@ -21,6 +21,7 @@
 	"radishturn.example/radishturn/pkg/metricsapi"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/settings"
+	"radishturn.example/radishturn/pkg/usage"
 	"radishturn.example/radishturn/pkg/view"
 )
 
@@ -53,6 +54,8 @@
 
 	sentEvidence     *view.Evidence
 	evidenceSequence uint64
+	// usage is nil unless this instance counts usage.
+	usage *usageSender
 }
 
 var (
@@ -87,6 +90,11 @@
 	}
 	m.setup(c.Settings, peers, router)
 	metricsapi.AddStatusSection(c, "lease", func() any { return m.Status() })
+	if m.usage != nil {
+		if err := radishturn.Provide[usage.Recorder](c, m.usage.counter); err != nil {
+			return err
+		}
+	}
 	if err := radishturn.Provide[view.Source](c, m); err != nil {
 		return err
 	}
@@ -104,6 +112,7 @@
 	m.settings, m.mesh, m.router = s.Lease, peers, router
 	m.origin = time.Now()
 	m.configFromLeader = s.Instance.NamedByAddress
+	m.usage = newUsageSender(&s.Duties, usage.SystemClocks())
 	m.views = view.NewStore()
 	m.renewNow, m.renewSoon = make(chan struct{}, 1), make(chan struct{}, 1)
 	m.stop = make(chan struct{})
--- a/pkg/lease/renew.go
+++ b/pkg/lease/renew.go
@@ -117,7 +117,7 @@
 	ctx, cancel := context.WithTimeout(ctx, m.settings.Duration.Std()/2)
 	defer cancel()
 	request := m.nextRenewal()
-	sent := m.now()
+	sent, sentBoot := m.now(), m.usage.add(request)
 	reply, err := m.call(ctx, request)
 	if err != nil {
 		renewalsFailed.Inc()
@@ -131,6 +131,9 @@
 	renewalsOK.Inc()
 	renewalTime.Update((m.now() - sent).Seconds())
 	m.router.SetReportedMembers(reply.Voters)
+	if m.usage.applyReply(sentBoot, request, reply) {
+		notify(m.renewSoon)
+	}
 	m.applyReply(sent, reply)
 }
 
