control, platform: the leader decides usage windows and reports them

The leader acquires the duty by a command of the log, merges the counts of the renewals, puts the content of each window into the log, and lets platform/duties make the calls. The right to act (leader lease, term, newest token, not refused) is checked again before the first byte of a call. All of this has loops of its own, so a slow platform delays nothing else.

--- a/pkg/control/server/fleet_test.go
+++ b/pkg/control/server/fleet_test.go
@@ -292,6 +292,15 @@
 	instances  []*instance
 	dispatcher *fakeDispatcher
 	targets    []model.TargetID
+	options    fleetOptions
+}
+
+// fleetOptions adapt a fleet; each may be nil.
+type fleetOptions struct {
+	// change changes the settings of each instance.
+	change func(*settings.Settings)
+	// prepare is called for each instance before it starts.
+	prepare func(i int, n *instance)
 }
 
 type instance struct {
@@ -322,8 +331,13 @@
 
 // withFleet runs f on a fake clock with a fleet whose leader is entry-0.
 func withFleet(t *testing.T, f func(t *testing.T, fl *fleet)) {
+	withAdaptedFleet(t, fleetOptions{}, f)
+}
+
+// withAdaptedFleet is withFleet with options.
+func withAdaptedFleet(t *testing.T, options fleetOptions, f func(t *testing.T, fl *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		fl := newFleet()
+		fl := newFleet(options)
 		ctx, cancel := context.WithCancel(t.Context())
 		for _, n := range fl.instances {
 			n.start(ctx)
@@ -346,8 +360,9 @@
 	os.Exit(m.Run())
 }
 
-func newFleet() *fleet {
+func newFleet(options fleetOptions) *fleet {
 	fl := &fleet{
+		options:    options,
 		network:    &fakeNetwork{meshes: make(map[model.InstanceID]*fakeMesh), blocked: make(map[[2]model.InstanceID]bool), held: make(map[heldMessages]chan struct{})},
 		group:      &fakeGroup{},
 		dispatcher: &fakeDispatcher{runs: make(map[string]int), delay: 5 * time.Millisecond},
@@ -369,12 +384,19 @@
 
 func (fl *fleet) newInstance(i int, list *platform.List) *instance {
 	s := fleetSettings(i)
+	if fl.options.change != nil {
+		fl.options.change(s)
+	}
 	m := &fakeMember{group: fl.group, id: s.Instance.ID, machine: state.NewMachine()}
 	fl.group.members = append(fl.group.members, m)
 	n := fl.network.meshes[s.Instance.ID]
 	srv := server.New(s, n, staticList{list}, m.machine, m)
 	l := lease.New(s, n, srv.Router())
-	return &instance{id: s.Instance.ID, server: srv, lease: l, claims: claims.New(s, n, srv.Router(), l, fl.dispatcher)}
+	made := &instance{id: s.Instance.ID, server: srv, lease: l, claims: claims.New(s, n, srv.Router(), l, fl.dispatcher)}
+	if fl.options.prepare != nil {
+		fl.options.prepare(i, made)
+	}
+	return made
 }
 
 func (n *instance) start(ctx context.Context) {
--- a/pkg/control/server/leader_term.go
+++ b/pkg/control/server/leader_term.go
@@ -54,6 +54,8 @@
 	removing map[model.InstanceID]bool
 	// lags are the instances that renew without having the newest state.
 	lags lags
+	// usage is nil unless usage is reported. It has its own lock.
+	usage *usageTerm
 }
 
 func newLeaderTerm(s *Server, term uint64) *leaderTerm {
@@ -70,6 +72,7 @@
 	n.granter = granter.New(s.mesh.Self(), term, n.started, s.settings.Lease.Duration.Std(), s.leaseLifetime(), known)
 	n.granter.OnAllReported(n.restoreColdLoads)
 	n.batches = newBatcher(n)
+	n.usage = newUsageTerm(s, term)
 	n.refreshLimits()
 	return n
 }
@@ -77,7 +80,7 @@
 // propose runs a command through the replicated log and returns a refusal as an
 // error.
 func (n *leaderTerm) propose(ctx context.Context, step string, c *state.Command) (*state.Result, error) {
-	c.Clock = n.clock + n.now() - n.started
+	c.Clock = n.groupClock()
 	b, err := c.Encode()
 	if err != nil {
 		return nil, failure.New(failure.Internal, failure.NotRun, step, "", "%w", err)
@@ -108,6 +111,7 @@
 	if err := n.recordEvidence(ctx, r); err != nil {
 		return nil, err
 	}
+	n.recordUsage(r, reply)
 	renewalsServed.Inc()
 	var current uint64
 	n.machine.Read(func(s *state.State) { reply.Delta, current = s.Delta(r.Version), s.Version() })
--- a/pkg/control/server/metrics.go
+++ b/pkg/control/server/metrics.go
@@ -1,6 +1,12 @@
 package server
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"radishturn.example/radishturn/pkg/duty"
+)
 
 var (
 	renewalsServed          = metrics.GetOrCreateCounter("radishturn_control_renewals_total")
@@ -9,4 +15,11 @@
 	orderChanges            = metrics.GetOrCreateCounter("radishturn_control_order_changes_total")
 	rulesAccepted           = metrics.GetOrCreateCounter("radishturn_control_rules_accepted_total")
 	fingerprintsQuarantined = metrics.GetOrCreateCounter("radishturn_control_fingerprints_condemned_total")
+	dutiesAcquired          = metrics.GetOrCreateCounter("radishturn_control_duties_acquired_total")
+	windowsDecided          = metrics.GetOrCreateCounter("radishturn_control_usage_windows_decided_total")
 )
+
+// countUsageCall counts a call to the platform by its answer.
+func countUsageCall(a duty.Answer) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("radishturn_control_usage_calls_total{answer=%q}", a)).Inc()
+}
--- a/pkg/control/server/module.go
+++ b/pkg/control/server/module.go
@@ -52,6 +52,7 @@
 	sinks    []control.EvidenceSink
 	// leaving is set once the instance shuts down.
 	leaving atomic.Bool
+	duties  *dutyKeeper
 
 	mu sync.Mutex
 	// configuredMembers are the instances that may lead according to the newest
@@ -112,6 +113,9 @@
 	if err := radishturn.Provide[control.TrafficAdmin](c, s); err != nil {
 		return err
 	}
+	if err := radishturn.Provide[control.Duties](c, s); err != nil {
+		return err
+	}
 	return radishturn.Provide(c, s.router)
 }
 
@@ -126,6 +130,7 @@
 	s.settings, s.topology = c, rules.TopologyOf(c)
 	s.mesh, s.platform, s.machine, s.group = m, list, machine, group
 	s.origin = time.Now()
+	s.duties = newDutyKeeper(c.Duties.CallsPerSecond)
 	s.configuredMembers = c.Control.Members
 	s.router = route.New(m, s.members)
 	s.registerHandlers()
@@ -224,6 +229,11 @@
 		offers.Go(func() { s.offerLoop(ctx) })
 		defer offers.Wait()
 	}
+	if s.settings.Duties.ReportsUsage() {
+		var duties sync.WaitGroup
+		duties.Go(func() { s.dutyLoop(ctx) })
+		defer duties.Wait()
+	}
 	for {
 		s.tick(ctx)
 		select {
--- a/pkg/control/server/status.go
+++ b/pkg/control/server/status.go
@@ -1,10 +1,23 @@
 package server
 
 import (
+	"time"
+
 	"radishturn.example/radishturn/pkg/replica"
 	"radishturn.example/radishturn/pkg/state"
+	"radishturn.example/radishturn/pkg/usage"
 )
 
+// LastCall is the newest call of a duty that this process has made.
+type LastCall struct {
+	Window usage.Window `json:"window"`
+	Token  uint64       `json:"token"`
+	Answer string       `json:"answer"`
+	Detail string       `json:"detail,omitempty"`
+	// at is when the answer arrived, on the boot-time clock.
+	at time.Duration
+}
+
 // Status is the state of a control member.
 type Status struct {
 	Member replica.Status `json:"member"`
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -60,6 +60,16 @@
 	EvacuationApplied      Number = 3111
 	TableRead              Number = 3112
 
+	DutyAcquired    Number = 3201
+	DutyNotAcquired Number = 3202
+	DutyRefused     Number = 3203
+	DutyLost        Number = 3204
+	UsageDecided    Number = 3205
+	UsageNotDecided Number = 3206
+	UsageAccepted   Number = 3207
+	UsageCallFailed Number = 3208
+	UsageSkipped    Number = 3209
+
 	LeaseGranted       Number = 4001
 	LeaseControlLost   Number = 4003
 	LeaseCutOff        Number = 4004
@@ -194,6 +204,16 @@
 	{EvacuationApplied, infoLevel, "command of an evacuation applied", []string{"availabilityZone", "evacuated", "call", "index", "refusal"}},
 	{TableRead, infoLevel, "routing table read for an operator", []string{"version", "milliseconds", "error"}},
 
+	{DutyAcquired, infoLevel, "duty acquired", []string{"duty", "token", "term"}},
+	{DutyNotAcquired, warnLevel, "duty cannot be acquired", []string{"duty", "term", "error"}},
+	{DutyRefused, warnLevel, "platform has seen a higher fencing token", []string{"duty", "token", "window"}},
+	{DutyLost, warnLevel, "call of a duty not made: the right to make it has ended", []string{"duty", "token", "window", "error"}},
+	{UsageDecided, infoLevel, "usage of a window decided", []string{"window", "callers", "millisecondsAfterEnd"}},
+	{UsageNotDecided, warnLevel, "usage of a window cannot be decided yet", []string{"window", "error"}},
+	{UsageAccepted, infoLevel, "report on a window accepted", []string{"window", "token"}},
+	{UsageCallFailed, warnLevel, "report on a window not accepted; it is tried again", []string{"window", "token", "answer", "detail"}},
+	{UsageSkipped, warnLevel, "windows passed over: no instance has counted them", []string{"first", "last"}},
+
 	{LeaseGranted, infoLevel, "lease granted", []string{"leader", "revision"}},
 	{LeaseControlLost, warnLevel, "connection to control lost; queries continue, orders are refused", []string{"reached", "known"}},
 	{LeaseCutOff, warnLevel, "instance is cut off from control; requests are refused", []string{"reached", "known"}},
