--- a/pkg/usage/estimator.go
+++ b/pkg/usage/estimator.go
@@ -13,6 +13,9 @@
 	estimateWait = 2 * time.Second
 	// sampleAge is how long the wall clock of an instance counts after its report.
 	sampleAge = 30 * time.Second
+	// medianAge is how long the median is used; sorting the samples of a large fleet for
+	// each renewal would cost the leader much of its time.
+	medianAge = 100 * time.Millisecond
 )
 
 // Estimator estimates true time on the leader from the wall clocks of all instances.
@@ -21,6 +24,11 @@
 type Estimator struct {
 	started time.Duration
 	samples map[model.InstanceID]clockSample
+	// median is the median of the samples at medianAt; it is computed again once it is
+	// older than medianAge, or an instance was added.
+	median   time.Duration
+	medianAt time.Duration
+	counted  int
 }
 
 // clockSample is the difference between an instance's wall clock and the leader's
@@ -41,7 +49,18 @@
 // TrueTime returns the estimated true time, since the start of 1970. It returns false
 // until half of the instances have reported, or some in the first estimateWait.
 func (e *Estimator) TrueTime(now time.Duration, instances int) (time.Duration, bool) {
-	var offsets []time.Duration
+	if len(e.samples) != e.counted || now >= e.medianAt+medianAge {
+		e.update(now)
+	}
+	if e.counted == 0 || 2*e.counted < instances && now < e.started+estimateWait {
+		return 0, false
+	}
+	return now + e.median, true
+}
+
+// update drops old samples and computes the median of the others.
+func (e *Estimator) update(now time.Duration) {
+	offsets := make([]time.Duration, 0, len(e.samples))
 	for id, s := range e.samples {
 		if now-s.at > sampleAge {
 			delete(e.samples, id)
@@ -49,9 +68,9 @@
 		}
 		offsets = append(offsets, s.offset)
 	}
-	if len(offsets) == 0 || 2*len(offsets) < instances && now < e.started+estimateWait {
-		return 0, false
+	e.counted, e.medianAt = len(offsets), now
+	if len(offsets) > 0 {
+		slices.Sort(offsets)
+		e.median = offsets[(len(offsets)-1)/2]
 	}
-	slices.Sort(offsets)
-	return now + offsets[(len(offsets)-1)/2], true
 }
