--- a/pkg/lease/module.go
+++ b/pkg/lease/module.go
@@ -21,6 +21,7 @@
 	"radishturn.example/radishturn/pkg/metricsapi"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/settings"
+	"radishturn.example/radishturn/pkg/usage"
 	"radishturn.example/radishturn/pkg/view"
 )
 
@@ -55,6 +56,8 @@
 
 	sentEvidence     *view.Evidence
 	evidenceSequence uint64
+	// usage is nil unless this instance counts usage.
+	usage *usageSender
 }
 
 var (
@@ -90,6 +93,11 @@
 	}
 	m.setup(c.Settings, peers, router)
 	metricsapi.AddStatusSection(c, "lease", func() any { return m.Status() })
+	if m.usage != nil {
+		if err := radishturn.Provide[usage.Recorder](c, m.usage.counter); err != nil {
+			return err
+		}
+	}
 	return errors.Join(
 		radishturn.Provide[view.Source](c, m), radishturn.Provide[view.Reporter](c, m), radishturn.Provide[view.Contact](c, m),
 	)
@@ -106,6 +114,7 @@
 	m.settings, m.mesh, m.router = s.Lease, peers, router
 	m.origin, m.lastRenewal, m.refresher = time.Now(), newLastRenewal(), newRefresher()
 	m.configFromLeader = s.Instance.NamedByAddress
+	m.usage = newUsageSender(&s.Duties, usage.SystemClocks())
 	m.views = view.NewStore()
 	m.renewNow, m.renewSoon = make(chan struct{}, 1), make(chan struct{}, 1)
 	m.stop = make(chan struct{})
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -29,6 +29,7 @@
 	Stop        Stop         `json:"stop"`
 	RetryBudget RetryBudget  `json:"retryBudget,omitzero"`
 	Revocation  Revocation   `json:"revocation,omitzero"`
+	Duties      Duties       `json:"duties,omitzero"`
 }
 
 // Revocation limits how long a caller's key can be used after it was removed.
