--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -15,6 +15,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"radishturn.example/radishturn/pkg/catalog"
@@ -28,6 +29,7 @@
 	"radishturn.example/radishturn/pkg/query/versions"
 	"radishturn.example/radishturn/pkg/retry"
 	"radishturn.example/radishturn/pkg/routing"
+	"radishturn.example/radishturn/pkg/usage"
 	"radishturn.example/radishturn/pkg/view"
 )
 
@@ -47,6 +49,10 @@
 	Reporter view.Reporter
 	// RetryBudget bounds the extra requests of the fleet to each service.
 	RetryBudget retry.Bound
+	// Usage counts the requests that targets may have run for each caller, by UsageRule.
+	// It may be nil.
+	Usage     usage.Recorder
+	UsageRule UsageRule
 }
 
 // Engine forwards requests to targets.
@@ -113,6 +119,9 @@
 	// means that the call always may.
 	Recheck func() *failure.Error
 
+	// usageCounted is set once the call was counted under the rule CountCalls.
+	usageCounted atomic.Bool
+
 	pinned pinnedView
 	stats  *routeStats
 }
--- a/pkg/lease/renew.go
+++ b/pkg/lease/renew.go
@@ -123,7 +123,7 @@
 	defer cancel()
 	defer m.refresher.begin(m.now())()
 	request := m.nextRenewal()
-	sent, sentAt := m.now(), m.lastRenewal.now()
+	sent, sentAt, sentBoot := m.now(), m.lastRenewal.now(), m.usage.add(request)
 	reply, err := m.call(ctx, request)
 	if err != nil {
 		renewalsFailed.Inc()
@@ -137,6 +137,9 @@
 	renewalsOK.Inc()
 	renewalTime.Update((m.now() - sent).Seconds())
 	m.router.SetReportedMembers(reply.Voters)
+	if m.usage.applyReply(sentBoot, request, reply) {
+		notify(m.renewSoon)
+	}
 	if m.applyReply(sent, reply) {
 		m.lastRenewal.record(sentAt)
 	}
