cli: radishturn duties

Shows the holder of the duty, its fencing token and age, the last call and its answer, and which usage windows were accepted.

--- a/pkg/cli/process_status_test.go
+++ b/pkg/cli/process_status_test.go
@@ -63,6 +63,42 @@
 		Expect(out).To(And(ContainSubstring("leads: 78 leases"), ContainSubstring("3 dear")))
 	})
 
+	It("shows the duty of the member that may act", func() {
+		address := func(d *server.DutyStatus) string {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				Expect(json.NewEncoder(w).Encode(map[string]any{"control": server.Status{Duty: d}})).To(Succeed())
+			}))
+			DeferCleanup(s.Close)
+			return strings.TrimPrefix(s.URL, "http://")
+		}
+		run := func(addresses ...string) (string, error) {
+			var out bytes.Buffer
+			command := cli.Command()
+			command.SetOut(&out)
+			command.SetArgs([]string{"duties", "--metrics", strings.Join(addresses, ",")})
+			err := command.Execute()
+			return out.String(), err
+		}
+		follower := address(&server.DutyStatus{Name: "usage", Holder: "10.1.0.8", Token: 17, Reason: "this instance does not lead"})
+		holder := address(&server.DutyStatus{
+			Name: "usage", Holder: "10.1.0.8", Token: 17, HeldMilliseconds: 2500, MayAct: true,
+			LastCall: &server.LastCall{Window: 353445120, Token: 17, Answer: "limited", Detail: "status 429", AgoMilliseconds: 300},
+			Windows:  []server.WindowStatus{{Window: 353445119, Accepted: true}, {Window: 353445120, Callers: 75, Runs: 4120}},
+		})
+		out, err := run(follower, "127.0.0.1:1", holder)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(out).To(And(ContainSubstring("held by 10.1.0.8, token 17, acquired 2.5s ago"), ContainSubstring("limited (status 429), 300ms ago")))
+		Expect(out).To(And(MatchRegexp(`353445119 +accepted`), MatchRegexp(`353445120 +not accepted +75 +4120`)))
+		Expect(out).NotTo(ContainSubstring("may not act"))
+		out, err = run(follower)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(out).To(ContainSubstring("may not act: this instance does not lead"))
+		_, err = run(address(nil))
+		Expect(cli.ExitCodeOf(err)).To(Equal(cli.ExitNotFound))
+		_, err = run()
+		Expect(cli.ExitCodeOf(err)).To(Equal(cli.ExitInvalid))
+	})
+
 	It("exits with the code for an unreachable instance if nothing listens", func() {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/pkg/cli/root.go
+++ b/pkg/cli/root.go
@@ -129,6 +129,7 @@
 		loadCommand(o),
 		targetsCommand(o),
 		explainCommand(o),
+		dutiesCommand(o),
 	)
 	return root
 }
--- a/pkg/control/server/status.go
+++ b/pkg/control/server/status.go
@@ -1,23 +1,10 @@
 package server
 
 import (
-	"time"
-
 	"radishturn.example/radishturn/pkg/replica"
 	"radishturn.example/radishturn/pkg/state"
-	"radishturn.example/radishturn/pkg/usage"
 )
 
-// LastCall is the newest call of a duty that this process has made.
-type LastCall struct {
-	Window usage.Window `json:"window"`
-	Token  uint64       `json:"token"`
-	Answer string       `json:"answer"`
-	Detail string       `json:"detail,omitempty"`
-	// at is when the answer arrived, on the boot-time clock.
-	at time.Duration
-}
-
 // Status is the state of a control member.
 type Status struct {
 	Member replica.Status `json:"member"`
@@ -26,6 +13,8 @@
 	Instances    int    `json:"instances"`
 	// Leader is set while this member leads.
 	Leader *LeaderStatus `json:"leader,omitempty"`
+	// Duty is the duty to report usage, if it is set.
+	Duty *DutyStatus `json:"duty,omitempty"`
 }
 
 // LeaderStatus is the leader's state that is not replicated.
@@ -42,7 +31,7 @@
 
 // Status returns the current state of the member.
 func (s *Server) Status() Status {
-	status := Status{Member: s.group.Status()}
+	status := Status{Member: s.group.Status(), Duty: s.dutyStatus()}
 	s.machine.Read(func(st *state.State) {
 		if t := st.Table(); t != nil {
 			status.TableVersion = t.Version
--- a/pkg/usage/counter.go
+++ b/pkg/usage/counter.go
@@ -111,7 +111,7 @@
 	r.Since = max(WindowAt(c.trueTime(c.started), c.length), oldest)
 	r.Final = WindowAt(c.trueTime(now)-settleTime, c.length)
 	for _, w := range c.collect(oldest, current) {
-		if total(w.Counts) != c.acknowledged[w.Window] {
+		if Total(w.Counts) != c.acknowledged[w.Window] {
 			r.Windows = append(r.Windows, w)
 		}
 	}
@@ -163,7 +163,7 @@
 		return false
 	}
 	for _, w := range r.Windows {
-		c.acknowledged[w.Window] = max(c.acknowledged[w.Window], total(w.Counts))
+		c.acknowledged[w.Window] = max(c.acknowledged[w.Window], Total(w.Counts))
 	}
 	return false
 }
--- a/pkg/usage/ledger.go
+++ b/pkg/usage/ledger.go
@@ -63,7 +63,7 @@
 		p.since, p.final = min(p.since, r.Since), max(p.final, r.Final)
 	}
 	for _, w := range r.Windows {
-		if w.Window > decided && w.Window <= newest && total(w.Counts) > total(p.windows[w.Window]) {
+		if w.Window > decided && w.Window <= newest && Total(w.Counts) > Total(p.windows[w.Window]) {
 			p.windows[w.Window] = w.Counts
 		}
 	}
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -56,9 +56,9 @@
 	Counts []Count `cbor:"2,keyasint,omitempty"`
 }
 
-// total returns the sum of the counts. Counts of one process only grow, so of two
+// Total returns the sum of the counts. Counts of one process only grow, so of two
 // reports on a window that with the larger total is the newer one.
-func total(counts []Count) uint64 {
+func Total(counts []Count) uint64 {
 	sum := uint64(0)
 	for _, c := range counts {
 		sum += c.Runs
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -102,7 +102,7 @@
 		}
 		g.Wait()
 		counts := c.Report(now).Windows[0].Counts
-		Expect(total(counts)).To(BeEquivalentTo(8000))
+		Expect(Total(counts)).To(BeEquivalentTo(8000))
 		Expect(counts).To(HaveLen(100))
 	})
 })
@@ -174,7 +174,7 @@
 				l.Record(s.from, s.r, 900, 1010)
 			}
 			for w, n := range expected {
-				Expect(total(l.Counts(w))).To(Equal(n))
+				Expect(Total(l.Counts(w))).To(Equal(n))
 			}
 		}
 	})
@@ -195,7 +195,7 @@
 		l.Record(dead, &Report{Windows: []WindowCounts{countsOf(1000, 5)}}, 0, 1002)
 		gone := func(Process) bool { return false }
 		l.Discard(999, gone)
-		Expect(total(l.Counts(1000))).To(BeEquivalentTo(5))
+		Expect(Total(l.Counts(1000))).To(BeEquivalentTo(5))
 		l.Discard(1000, gone)
 		Expect(l.processes).To(BeEmpty())
 	})
