control, usage: counts survive a loss of power, and late ones are named

Entry instances keep their counts in memory, so when all machines lost power a window that had ended but was not decided was reported without its requests. Counts that arrive after a window was decided and exceed the tolerance are an event. At a planned stop an instance renews once more, with its newest counts.

--- a/pkg/control/server/duties.go
+++ b/pkg/control/server/duties.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// runDuties acquires the duty if this term does not hold it, decides the windows that are
-// due, and records those that the platform has accepted.
+// runDuties acquires the duty if this term does not hold it, records the windows that the
+// platform has accepted, decides those that are due, and saves the other counts.
 func (n *leaderTerm) runDuties(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, maintenanceTimeout)
 	defer cancel()
@@ -80,6 +80,7 @@
 	}
 	n.recordAccepted(ctx)
 	n.decideWindows(ctx, claim)
+	n.saveCounts(ctx, claim)
 }
 
 // claimToCheck returns the newest claim, and the highest refused token.
--- a/pkg/control/server/fleet_test.go
+++ b/pkg/control/server/fleet_test.go
@@ -388,7 +388,12 @@
 		fl.options.change(s)
 	}
 	m := &fakeMember{group: fl.group, id: s.Instance.ID, machine: state.NewMachine()}
-	fl.group.members = append(fl.group.members, m)
+	if i < len(fl.group.members) {
+		// The instance is started again with its disk.
+		m = fl.group.members[i]
+	} else {
+		fl.group.members = append(fl.group.members, m)
+	}
 	n := fl.network.meshes[s.Instance.ID]
 	srv := server.New(s, n, staticList{list}, m.machine, m)
 	l := lease.New(s, n, srv.Router())
--- a/pkg/control/server/usage.go
+++ b/pkg/control/server/usage.go
@@ -13,6 +13,10 @@
 	"radishturn.example/radishturn/pkg/usage"
 )
 
+// checkpointInterval is the interval at which the leader saves what it has counted. Counts
+// since the last checkpoint are lost if all machines lose power.
+const checkpointInterval = time.Second
+
 // usageTerm is what the leader knows in one term about usage and true time.
 type usageTerm struct {
 	// started is when the term started, on the boot-time clock.
@@ -24,6 +28,8 @@
 	// instances is the number of instances at the newest look, which the estimate of
 	// true time waits for.
 	instances int
+	// savedAt is when the newest checkpoint was written, on the boot-time clock.
+	savedAt time.Duration
 }
 
 // newUsageTerm returns nil if usage is not reported.
@@ -32,9 +38,13 @@
 		return nil
 	}
 	now := s.duties.clocks.Boot()
-	instances := 0
-	s.machine.Read(func(st *state.State) { instances = len(st.Instances()) })
-	return &usageTerm{started: now, ledger: usage.NewLedger(term), estimator: usage.NewEstimator(now), instances: instances}
+	u := &usageTerm{started: now, ledger: usage.NewLedger(term), estimator: usage.NewEstimator(now)}
+	s.machine.Read(func(st *state.State) {
+		u.instances = len(st.Instances())
+		progress, _ := st.UsageProgress()
+		u.ledger.Restore(st.UsageCheckpoint(), progress.Decided)
+	})
+	return u
 }
 
 // recordUsage takes the usage and the wall clock from a renewal, and adds true time to the
@@ -96,6 +106,9 @@
 			events.Emit(events.UsageNotDecided, uint64(command.Window), err)
 			return
 		}
+		n.usage.mu.Lock()
+		n.usage.ledger.SetDecided(command.Window, command.Counts)
+		n.usage.mu.Unlock()
 		windowsDecided.Inc()
 		events.Emit(events.UsageDecided, uint64(command.Window), len(command.Counts), since.Milliseconds())
 	}
@@ -116,6 +129,9 @@
 	}
 	if any {
 		u.ledger.Discard(decided, func(p usage.Process) bool { return slices.Contains(live, p) })
+		for _, l := range u.ledger.TakeLate(d.UsageTolerance) {
+			events.Emit(events.UsageIncomplete, uint64(l.Window), l.Reported, l.Counted)
+		}
 	}
 	in := usage.Input{
 		Now: trueTime, Started: trueTime - (now - u.started), Length: d.UsageWindow.Std(), Late: d.UsageLate.Std(),
@@ -130,3 +146,24 @@
 	}
 	return &state.DecideUsage{Window: w, Counts: u.ledger.Counts(w)}, trueTime - w.End(in.Length), true
 }
+
+// saveCounts writes a checkpoint of the counts to the log, if it is time.
+func (n *leaderTerm) saveCounts(ctx context.Context, claim duty.Claim) {
+	decided, _ := n.decidedWindow()
+	now := n.duties.clocks.Boot()
+	u := n.usage
+	u.mu.Lock()
+	if now < u.savedAt+checkpointInterval {
+		u.mu.Unlock()
+		return
+	}
+	u.savedAt = now
+	counts, changed := u.ledger.Checkpoint(decided)
+	u.mu.Unlock()
+	if !changed {
+		return
+	}
+	if _, err := n.propose(ctx, "save usage", &state.Command{SaveUsage: &state.SaveUsage{Token: claim.Token, Counts: counts}}); err != nil {
+		events.Emit(events.UsageNotSaved, err)
+	}
+}
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -69,6 +69,8 @@
 	UsageAccepted   Number = 3207
 	UsageCallFailed Number = 3208
 	UsageSkipped    Number = 3209
+	UsageIncomplete Number = 3210
+	UsageNotSaved   Number = 3211
 
 	LeaseGranted       Number = 4001
 	LeaseControlLost   Number = 4003
@@ -213,6 +215,8 @@
 	{UsageAccepted, infoLevel, "report on a window accepted", []string{"window", "token"}},
 	{UsageCallFailed, warnLevel, "report on a window not accepted; it is tried again", []string{"window", "token", "answer", "detail"}},
 	{UsageSkipped, warnLevel, "windows passed over: no instance has counted them", []string{"first", "last"}},
+	{UsageIncomplete, warnLevel, "more requests counted than were reported for a window", []string{"window", "reported", "counted"}},
+	{UsageNotSaved, warnLevel, "usage that is not decided cannot be saved", []string{"error"}},
 
 	{LeaseGranted, infoLevel, "lease granted", []string{"leader", "revision"}},
 	{LeaseControlLost, warnLevel, "connection to control lost; queries continue, orders are refused", []string{"reached", "known"}},
--- a/pkg/lease/renew.go
+++ b/pkg/lease/renew.go
@@ -288,6 +288,10 @@
 // Modules that need the lease have shut down before.
 func (m *Module) Drain(ctx context.Context) error {
 	m.stopLoops()
+	if m.usage != nil {
+		// The newest counts would be lost with the process.
+		m.renew(ctx)
+	}
 	m.mu.Lock()
 	m.holder.times.returned = true
 	m.publishTimes()
--- a/pkg/state/command.go
+++ b/pkg/state/command.go
@@ -40,6 +40,7 @@
 	AcquireDuty     *AcquireDuty     `cbor:"12,keyasint,omitempty"`
 	DecideUsage     *DecideUsage     `cbor:"13,keyasint,omitempty"`
 	AcceptUsage     *AcceptUsage     `cbor:"14,keyasint,omitempty"`
+	SaveUsage       *SaveUsage       `cbor:"15,keyasint,omitempty"`
 }
 
 // StartMove starts a move of one service that an operator requested outside the rules.
--- a/pkg/state/duties.go
+++ b/pkg/state/duties.go
@@ -43,6 +43,13 @@
 	Window usage.Window `cbor:"1,keyasint"`
 }
 
+// SaveUsage replaces the checkpoint of what was counted in windows that are not decided.
+type SaveUsage struct {
+	// Token is the fencing token of the duty to report.
+	Token  uint64                `cbor:"1,keyasint"`
+	Counts []usage.ProcessCounts `cbor:"2,keyasint"`
+}
+
 // UsageProgress is which windows were decided and accepted.
 type UsageProgress struct {
 	// Decided is the newest window that was decided; windows are decided in order.
@@ -107,6 +114,19 @@
 	return &Result{}
 }
 
+// saveUsage replaces the checkpoint, unless another holder has acquired the duty.
+func (s *State) saveUsage(c *SaveUsage) *Result {
+	if newest := s.data.Duties[duty.Usage].Token; newest != c.Token {
+		return &Result{Refusal: refuse(failure.Conflict, "token %d was replaced by token %d", c.Token, newest)}
+	}
+	s.data.UsageCheckpoint = c.Counts
+	return &Result{}
+}
+
+// UsageCheckpoint returns what was counted in windows that are not decided, and in some
+// that are. The caller must not modify it.
+func (s *State) UsageCheckpoint() []usage.ProcessCounts { return s.data.UsageCheckpoint }
+
 // Duty returns the holder of a duty; its Token is 0 if there was none yet.
 func (s *State) Duty(name duty.Name) duty.Record { return s.data.Duties[name] }
 
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -77,6 +77,8 @@
 	UsagePending []usage.WindowCounts `cbor:"17,keyasint,omitempty"`
 	// UsageProgress is nil before the first decided window.
 	UsageProgress *UsageProgress `cbor:"18,keyasint,omitempty"`
+	// UsageCheckpoint is what was counted in windows that are not decided.
+	UsageCheckpoint []usage.ProcessCounts `cbor:"19,keyasint,omitempty"`
 }
 
 // New returns an empty state.
@@ -122,6 +124,8 @@
 		return s.decideUsage(c.DecideUsage)
 	case c.AcceptUsage != nil:
 		return s.acceptUsage(c.AcceptUsage)
+	case c.SaveUsage != nil:
+		return s.saveUsage(c.SaveUsage)
 	default:
 		return &Result{}
 	}
--- a/pkg/usage/ledger.go
+++ b/pkg/usage/ledger.go
@@ -19,12 +19,15 @@
 	// decideFinally how long after a window's end it no longer does.
 	newTermWait   = 1500 * time.Millisecond
 	decideFinally = 9 * time.Second
+	// lateWindows is the number of decided windows whose counts are kept, to notice counts
+	// that arrive too late.
+	lateWindows = 2
 )
 
 // Process identifies a process of an instance.
 type Process struct {
-	Instance model.InstanceID
-	Boot     string
+	Instance model.InstanceID `cbor:"1,keyasint"`
+	Boot     string           `cbor:"2,keyasint"`
 }
 
 // Ledger holds the reports that one leader has received in its term. Merging is
@@ -32,6 +35,10 @@
 type Ledger struct {
 	term      uint64
 	processes map[Process]*processReports
+	// decided holds the total of each of the newest decided windows.
+	decided map[Window]uint64
+	// changed is set once counts were recorded since the last checkpoint.
+	changed bool
 }
 
 // processReports are the merged reports of one process.
@@ -44,17 +51,13 @@
 
 // NewLedger returns the Ledger of a leader's term.
 func NewLedger(term uint64) *Ledger {
-	return &Ledger{term: term, processes: make(map[Process]*processReports)}
+	return &Ledger{term: term, processes: make(map[Process]*processReports), decided: make(map[Window]uint64)}
 }
 
-// Record merges a report. Windows up to decided are ignored, as are those after newest,
-// which a wrong clock has counted.
+// Record merges a report. Windows that were decided long ago are ignored, as are those
+// after newest, which a wrong clock has counted.
 func (l *Ledger) Record(from Process, r *Report, decided, newest Window) {
-	p := l.processes[from]
-	if p == nil {
-		p = &processReports{windows: make(map[Window][]Count)}
-		l.processes[from] = p
-	}
+	p := l.reportsOf(from)
 	p.complete = p.complete || r.Term == l.term
 	if r.Final > 0 {
 		if p.final == 0 {
@@ -62,9 +65,24 @@
 		}
 		p.since, p.final = min(p.since, r.Since), max(p.final, r.Final)
 	}
-	for _, w := range r.Windows {
-		if w.Window > decided && w.Window <= newest && Total(w.Counts) > Total(p.windows[w.Window]) {
+	l.merge(p, r.Windows, decided.minus(lateWindows), newest)
+}
+
+func (l *Ledger) reportsOf(from Process) *processReports {
+	p := l.processes[from]
+	if p == nil {
+		p = &processReports{windows: make(map[Window][]Count)}
+		l.processes[from] = p
+	}
+	return p
+}
+
+// merge merges the windows after first up to newest into the reports of a process.
+func (l *Ledger) merge(p *processReports, windows []WindowCounts, first, newest Window) {
+	for _, w := range windows {
+		if w.Window > first && w.Window <= newest && Total(w.Counts) > Total(p.windows[w.Window]) {
 			p.windows[w.Window] = w.Counts
+			l.changed = true
 		}
 	}
 	for len(p.windows) > MaxWindows {
@@ -85,11 +103,35 @@
 	return sorted(runs)
 }
 
-// Discard drops the windows up to decided, and processes that are not live and have
-// none left.
+// SetDecided records that a window was decided with the given counts.
+func (l *Ledger) SetDecided(w Window, counts []Count) { l.decided[w] = Total(counts) }
+
+// LateCount is a decided window of which more requests were counted since.
+type LateCount struct {
+	Window            Window
+	Reported, Counted uint64
+}
+
+// TakeLate returns the newest decided windows of which more was counted since than the
+// tolerance allows, each window once.
+func (l *Ledger) TakeLate(tolerance float64) []LateCount {
+	var late []LateCount
+	for w, reported := range l.decided {
+		if counted := Total(l.Counts(w)); float64(counted) > (1+tolerance)*float64(reported) {
+			late = append(late, LateCount{Window: w, Reported: reported, Counted: counted})
+			delete(l.decided, w)
+		}
+	}
+	return late
+}
+
+// Discard drops the windows that were decided long ago, and processes that are not live
+// and have none left.
 func (l *Ledger) Discard(decided Window, live func(Process) bool) {
+	discarded := func(w Window) bool { return w <= decided.minus(lateWindows) }
+	maps.DeleteFunc(l.decided, func(w Window, _ uint64) bool { return discarded(w) })
 	for from, p := range l.processes {
-		maps.DeleteFunc(p.windows, func(w Window, _ []Count) bool { return w <= decided })
+		maps.DeleteFunc(p.windows, func(w Window, _ []Count) bool { return discarded(w) })
 		if len(p.windows) == 0 && !live(from) {
 			delete(l.processes, from)
 		}
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -56,6 +56,12 @@
 	Counts []Count `cbor:"2,keyasint,omitempty"`
 }
 
+// ProcessCounts are the counts of one process, as in a checkpoint of the leader's ledger.
+type ProcessCounts struct {
+	Process Process        `cbor:"1,keyasint"`
+	Windows []WindowCounts `cbor:"2,keyasint"`
+}
+
 // Total returns the sum of the counts. Counts of one process only grow, so of two
 // reports on a window that with the larger total is the newer one.
 func Total(counts []Count) uint64 {
