--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -35,6 +35,7 @@
 	p.checkLog(s.Log)
 	p.checkCallers(s.Callers)
 	p.checkCollections(s.Collections)
+	p.checkDuties(&s.Duties)
 }
 
 func (p *parser) checkRequired(path string, missing bool) {
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -66,6 +66,8 @@
 		Entry("fixed hedge without delay", `"connectTime": "6ms"`, `"hedge": {"mode": "fixed"}`, "collections[0].hedge.delay", "not greater"),
 		Entry("negative memory", `"callerListen"`, `"memoryMB": -1, "callerListen"`, "instance.memoryMB", "negative"),
 		Entry("grace too short for the balancer", `"platform": {`, `"stop": {"grace": "14s"}, "platform": {`, "stop.grace", "shorter than 3 times platform.balancerLag"),
+		Entry("unknown duty", `"platform": {`, `"duties": {"names": ["billing"], "holderName": "n", "lease": "3s", "callsPerSecond": 50, "usageWindow": "5s", "usageLate": "10s"}, "platform": {`, "duties.names[0]", "no duty"),
+		Entry("duty without a window", `"platform": {`, `"duties": {"names": ["usage"], "holderName": "n", "lease": "3s", "callsPerSecond": 50, "usageLate": "10s"}, "platform": {`, "duties.usageWindow", "not greater than zero"),
 		Entry("host name", `"10.20.1.11:8080"`, `"split:8080"`, "instance.callerListen", ""),
 	)
 
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -17,6 +17,8 @@
 readonly SECOND_LOSS="-DSLOTS=5 -DMAX_TERM=2 -DMAX_LENGTH=5 -DMAX_CRASHES=0 -DMAX_LOSSES=2"
 readonly LEASE="-DLEASE=2 -DMAX_TIME=5 -DMAX_RESTARTS=0"
 readonly LEASE_RESTART="-DLEASE=2 -DMAX_TIME=4 -DMAX_RESTARTS=1"
+readonly DUTY="-DMAX_TIME=4 -DMAX_INDEX=4"
+readonly DUTY_LONGER_LOG="-DMAX_TIME=3 -DMAX_INDEX=5"
 readonly ORDER="-DATTEMPTS=2 -DMAX_TIME=6 -DMAX_TRIES=2"
 
 # search NAME MODEL FLAGS: runs one state space search; its output goes to build/NAME/out.
@@ -78,6 +80,8 @@
   holds lease lease "$LEASE" || failed=1
   holds lease-restart lease "$LEASE_RESTART" || failed=1
   holds order order "$ORDER" || failed=1
+  holds duty duty "$DUTY" || failed=1
+  holds duty-longer-log duty "$DUTY_LONGER_LOG" || failed=1
   caught VOTE_WITH_EMPTY_DISK log "-DSLOTS=4 -DMAX_TERM=2 -DMAX_LENGTH=2 -DMAX_CRASHES=0 -DMAX_LOSSES=1" || failed=1
   caught ACK_BEFORE_SYNC log "$ELECTIONS" || failed=1
   caught VOTE_BEFORE_SYNC log "$ELECTIONS" || failed=1
@@ -95,6 +99,14 @@
   caught RETRY_WITHOUT_PROOF order "$ORDER" || failed=1
   caught RESTARTED_CLAIMER_ANSWERS order "$ORDER" || failed=1
   caught NOT_RUN_ON_LOST_ANSWER order "$ORDER" || failed=1
+  caught LEASE_NOT_CHECKED duty "$DUTY_LONGER_LOG" || failed=1
+  caught STALE_CLAIM_USED duty "$DUTY_LONGER_LOG" || failed=1
+  caught ACQUIRED_AT_ONCE duty "$DUTY_LONGER_LOG" || failed=1
+  caught TOKEN_OF_OWN_COUNTER duty "$DUTY_LONGER_LOG" || failed=1
+  caught OWN_COUNTS_SENT duty "$DUTY_LONGER_LOG" || failed=1
+  caught SENT_BEFORE_DECIDED duty "$DUTY_LONGER_LOG" || failed=1
+  caught DECIDED_AGAIN duty "$DUTY_LONGER_LOG" || failed=1
+  caught ACCEPTED_FORGOTTEN duty "$DUTY_LONGER_LOG" || failed=1
   return $failed
 }
 
