Usage counts each call of a caller once, by one rule

The platform's report compares with the requests of its callers; a count of every request to a target was off by 90 times (162 requests in a window).

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -49,10 +49,9 @@
 	Reporter view.Reporter
 	// RetryBudget bounds the extra requests of the fleet to each service.
 	RetryBudget retry.Bound
-	// Usage counts the requests that targets may have run for each caller, by UsageRule.
-	// It may be nil.
-	Usage     usage.Recorder
-	UsageRule UsageRule
+	// Usage counts the calls of each caller that targets may have run; nil means that they
+	// are not counted.
+	Usage usage.Recorder
 }
 
 // Engine forwards requests to targets.
@@ -119,7 +118,7 @@
 	// means that the call always may.
 	Recheck func() *failure.Error
 
-	// usageCounted is set once the call was counted under the rule CountCalls.
+	// usageCounted is set once the call was counted for its caller.
 	usageCounted atomic.Bool
 
 	pinned pinnedView
--- a/pkg/dispatch/module.go
+++ b/pkg/dispatch/module.go
@@ -54,7 +54,7 @@
 	m.engine = New(Options{
 		Instance:         c.Settings.Instance.ID,
 		AvailabilityZone: c.Settings.Instance.AvailabilityZone, Views: views, Codec: codec, Reporter: reporter, BodyMemory: memory,
-		Usage: recorder, UsageRule: CountCalls,
+		Usage:       recorder,
 		RetryBudget: retry.Bound{Window: b.Window.Std(), Ratio: b.Ratio, Slack: b.Slack},
 	})
 	m.engine.registerGauges()
