--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -49,6 +49,9 @@
 	// Running and Waiting count requests; MaxRunning is the target's limit of
 	// Running.
 	Running, Waiting, MaxRunning int
+	// Pace is how long work takes at the target now, as a multiple of the usual time; 0
+	// if not stated.
+	Pace float64
 }
 
 // Reply is a target's reply.
