dispatch: expected cost of a target that reports its pace

Cause: the cost of a target was a moving average of latencies. One reply from before the end of a pause of 200 ms, some 20 usual latencies, raised it to 7 and was held against the target for some 20 s, although a target that has just paused works for seconds. Periods in which work takes 2.5 times as long hid the fixed differences of 0.8 to 1.3 between targets.

Change: pkg/query/expected estimates (queue ahead + own work) x pace. Targets whose reports have no pace are priced as before.

--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -4,6 +4,9 @@
 	"math"
 	"slices"
 	"time"
+
+	"radishturn.example/radishturn/pkg/exchange"
+	"radishturn.example/radishturn/pkg/query/expected"
 )
 
 const (
@@ -69,6 +72,8 @@
 	reportValidUntil time.Duration
 	// concurrency is the number of requests that the target runs at a time.
 	concurrency int
+	// expected is used in place of slowness for a target that reports its pace.
+	expected expected.Estimate
 }
 
 type pendingRequest struct {
@@ -128,6 +133,7 @@
 	}
 	ratio := min(float64(latency)/float64(usual), maxSlowness)
 	h.slowness += min(weight, maxSlownessWeight) * (ratio - h.slowness)
+	h.expected.RecordLatency(now, now-latency, ratio)
 }
 
 // disconnected records a connection that ended during a request.
@@ -153,10 +159,11 @@
 	h.shedPenaltyUntil = now + shedPenaltyTime
 }
 
-func (h *health) loadReported(now time.Duration, running, waiting, concurrency int) {
-	h.concurrency = concurrency
-	h.reportedBusy = max(0, running+waiting-1)
+func (h *health) loadReported(now time.Duration, l exchange.Load) {
+	h.concurrency = l.MaxRunning
+	h.reportedBusy = max(0, l.Running+l.Waiting-1)
 	h.reportValidUntil = now + loadReportLifetime
+	h.expected.ReportPace(now, l.Pace)
 }
 
 func (h *health) unreachable(now time.Duration) bool { return now < h.unreachableUntil }
@@ -166,9 +173,13 @@
 // target delays all of its requests.
 func (h *health) cost(now time.Duration) float64 {
 	h.decay(now)
-	slow := max(h.slowness, 0.5)
+	slow, overdue := max(h.slowness, 0.5), float64(overdueFactor)
+	if h.expected.Known() {
+		slow = h.expected.Slowness(now)
+		overdue *= max(1, slow)
+	}
 	for _, p := range h.pending {
-		if p.usual > 0 && now-p.sent > time.Duration(overdueFactor*float64(p.usual)) {
+		if p.usual > 0 && now-p.sent > time.Duration(overdue*float64(p.usual)) {
 			slow = max(slow, float64(now-p.sent)/float64(p.usual))
 		}
 	}
--- a/pkg/dispatch/health_test.go
+++ b/pkg/dispatch/health_test.go
@@ -5,6 +5,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/exchange"
 )
 
 var _ = Describe("health", func() {
@@ -74,4 +76,28 @@
 		h.reached(3*firstUnreachablePause, 10*ms, 10*ms, false)
 		Expect(h.unreachable(3 * firstUnreachablePause)).To(BeFalse())
 	})
+
+	// Guards against a pause, which a target reports by its pace not to be slow work, being
+	// held against it for seconds; and against any change for targets without a pace.
+	It("prices a target that reports a pace by pace and queue, and any other as before", func() {
+		paced, plain, never := health{}, health{}, health{}
+		now := 10 * time.Second
+		for _, h := range []*health{&paced, &plain, &never} {
+			pace := 0.0
+			if h == &paced {
+				pace = 1
+			}
+			if h != &never {
+				h.loadReported(now, exchange.Load{Known: true, Running: 1, MaxRunning: 2, Pace: pace})
+			}
+			h.reached(now, 200*ms, 10*ms, false)
+			h.concurrency = 2
+		}
+		Expect(plain.cost(now + time.Second)).To(Equal(never.cost(now + time.Second)))
+		Expect(paced.cost(now + time.Second)).To(BeNumerically("<", 0.5*plain.cost(now+time.Second)))
+
+		paced = health{}
+		paced.loadReported(now, exchange.Load{Known: true, Running: 2, Waiting: 3, MaxRunning: 2, Pace: 2.5})
+		Expect(paced.cost(now)).To(BeNumerically("~", 2.5*(1+3.0/2), 0.01))
+	})
 })
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -106,6 +106,10 @@
 	h := &t.health
 	failuresBefore, wrongBefore := h.connectFailures, t.wrongTarget
 	h.end(sent)
+	// The report explains the latency of its reply.
+	if r.Reply != nil && r.Reply.Load.Known {
+		h.loadReported(now, r.Reply.Load)
+	}
 	switch {
 	case neverTried(r.Err):
 	case errors.Is(r.Err, pool.ErrNotSent):
@@ -135,10 +139,6 @@
 	}
 	noticeBefore := t.notice
 	t.notice.record(now, r)
-	if r.Reply != nil && r.Reply.Load.Known {
-		l := r.Reply.Load
-		h.loadReported(now, l.Running, l.Waiting, l.MaxRunning)
-	}
 	switch {
 	case t.wrongTarget && !wrongBefore:
 		return changeWrongTarget
