dispatch: targets that report a pace are chosen by expected completion

Cause: another zone cost 0.6 usual latencies and a new connection was weighed in the same unit, whatever the work: 100 ms for a call of 170 ms, 3 ms for a part of 5 ms. The delay of a zone was in the latency of its targets as well and so counted twice. A pause of a target was reported to the fleet with up to 30 usual latencies, so that a target that worked again was published as expensive.

Change: the cost of a target with a pace is work x slowness x queue, the learned delay to its zone and the time to connect. Work is the median of the route's latencies without delay and pace. First requests choose with a probability that falls with the 6th power of the expected completion, so that instances with the same report spread; further requests take the least. The cost reported to the fleet for a reply with a pace is 4 at most. Other targets cost what they did.

--- a/pkg/dispatch/costs.go
+++ b/pkg/dispatch/costs.go
@@ -43,5 +43,9 @@
 	case r.Err != nil && !errors.Is(r.Err, pool.ErrAbandoned), r.Reply != nil && !r.Reply.OK():
 		return 1 + failureCost
 	}
-	return float32(min(float64(latency)/float64(usual), maxSlowness))
+	most := float64(maxSlowness)
+	if r.Reply != nil && r.Reply.Load.Pace > 0 {
+		most = maxPacedCost
+	}
+	return float32(min(float64(latency)/float64(usual), most))
 }
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -134,10 +134,10 @@
 // so that a target that has recovered is noticed.
 const exploreShare = 0.04
 
-// choose returns the target for the next request of a call, or nil. further is set
+// choose returns the target for the next request of a call, if there is one. further is set
 // if an earlier request was sent; skip reports targets to leave out.
-func (e *Engine) choose(c *Call, current currentView, service model.ServiceID, now time.Duration, further bool, skip func(*target) bool) *target {
-	criteria := selection{service: service, now: now, usual: c.stats.usual(), skip: skip}
+func (e *Engine) choose(c *Call, current currentView, service model.ServiceID, now time.Duration, further bool, skip func(*target) bool) choice {
+	criteria := selection{service: service, now: now, usual: c.stats.usual(), work: c.stats.usualWork(), further: further, skip: skip}
 	// The fleet's costs may be outdated once the lease has expired.
 	if e.opts.Views.Lease() == view.LeaseHeld && rand.Float64() >= exploreShare {
 		criteria.fleetCosts = current.view.ExpensiveTargets
@@ -150,11 +150,11 @@
 		criteria.skip = func(t *target) bool {
 			return rank(t) > worst || skip != nil && skip(t)
 		}
-		if t := e.registry.choose(current.registryState, criteria); t != nil {
-			return t
+		if chosen := e.registry.choose(current.registryState, criteria); chosen.target != nil {
+			return chosen
 		}
 	}
-	return nil
+	return choice{}
 }
 
 // UsualLatency returns the usual latency of a route's requests to targets; 0 means
--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -133,7 +133,6 @@
 	}
 	ratio := min(float64(latency)/float64(usual), maxSlowness)
 	h.slowness += min(weight, maxSlownessWeight) * (ratio - h.slowness)
-	h.expected.RecordLatency(now, now-latency, ratio)
 }
 
 // disconnected records a connection that ended during a request.
--- a/pkg/dispatch/quarantine.go
+++ b/pkg/dispatch/quarantine.go
@@ -107,3 +107,10 @@
 		}}})
 	}
 }
+
+// seemsToCrashTargets reports whether the query seems to crash the targets that run
+// it: maxDisconnects connections ended during its requests, and no target has
+// answered.
+func (q *query) seemsToCrashTargets() bool {
+	return q.disconnects >= maxDisconnects && q.run.Parts() == 0
+}
--- a/pkg/dispatch/query.go
+++ b/pkg/dispatch/query.go
@@ -193,7 +193,8 @@
 
 func (q *query) send(i int, now time.Duration) {
 	current, service := q.engine.current(), q.call.Route.Fanout.Shards[i]
-	t := q.choose(i, current, service, now)
+	chosen := q.choose(i, current, service, now)
+	t := chosen.target
 	if t == nil {
 		q.run.RecordUnsent(i, now, current.hasUsableTarget(service, now))
 		return
@@ -233,29 +234,22 @@
 	q.sentByShard[i] = append(q.sentByShard[i], r)
 }
 
-// seemsToCrashTargets reports whether the query seems to crash the targets that run
-// it: maxDisconnects connections ended during its requests, and no target has
-// answered.
-func (q *query) seemsToCrashTargets() bool {
-	return q.disconnects >= maxDisconnects && q.run.Parts() == 0
-}
-
-// choose returns the target for the next request to a shard, or nil. It prefers a
+// choose returns the target for the next request to a shard, if there is one. It prefers a
 // target that was not asked yet. A target is asked again only if no request to the
 // shard is in flight. The route limits how many targets may run the request.
-func (q *query) choose(i int, current currentView, service model.ServiceID, now time.Duration) *target {
+func (q *query) choose(i int, current currentView, service model.ServiceID, now time.Duration) choice {
 	if len(q.sentByShard[i]) == 0 {
 		return q.engine.choose(q.call, current, service, now, false, nil)
 	}
 	asked, mayHaveRun := q.sentByShard[i].targets()
 	targetLimitReached := q.sentByShard[i].attempts() >= max(1, q.call.Route.MaxAttempts)
 	if !targetLimitReached {
-		if t := q.engine.choose(q.call, current, service, now, true, func(t *target) bool { return asked[t.ID] }); t != nil {
+		if t := q.engine.choose(q.call, current, service, now, true, func(t *target) bool { return asked[t.ID] }); t.target != nil {
 			return t
 		}
 	}
 	if q.run.InFlight(i) {
-		return nil
+		return choice{}
 	}
 	return q.engine.choose(q.call, current, service, now, true, func(t *target) bool { return targetLimitReached && !mayHaveRun[t.ID] })
 }
--- a/pkg/dispatch/registry.go
+++ b/pkg/dispatch/registry.go
@@ -38,6 +38,7 @@
 	zone model.AvailabilityZoneID
 	// shared is what the pools of all targets have in common.
 	shared pool.Shared
+	delays *zoneDelays
 
 	current atomic.Pointer[registryState]
 	mu      sync.Mutex
@@ -65,7 +66,7 @@
 const maxPreconnectQueue = 4096
 
 func newRegistry(self model.InstanceID, zone model.AvailabilityZoneID, shared pool.Shared) *registry {
-	r := &registry{self: self, zone: zone, shared: shared, preconnects: make(chan *target, maxPreconnectQueue)}
+	r := &registry{self: self, zone: zone, shared: shared, delays: newZoneDelays(zone), preconnects: make(chan *target, maxPreconnectQueue)}
 	r.current.Store(&registryState{view: &view.View{}})
 	return r
 }
@@ -201,53 +202,60 @@
 type selection struct {
 	service model.ServiceID
 	now     time.Duration
-	// usual is the usual latency of the route.
-	usual time.Duration
+	// usual is the usual latency of the route, and work its usual work at targets that
+	// report their pace.
+	usual, work time.Duration
+	// further is set for a hedge or retry.
+	further bool
 	// fleetCosts are the costs of expensive targets as reported by the fleet.
 	fleetCosts map[model.TargetID]float64
 	// skip reports targets to leave out; nil for none.
 	skip func(*target) bool
 }
 
-// choose returns the target with the least expected cost, or nil.
-func (r *registry) choose(state *registryState, c selection) *target {
-	var best *target
-	var leastCost float64
+// choose returns the target with the least expected cost, if there is one.
+func (r *registry) choose(state *registryState, c selection) choice {
+	var chosen chooser
 	consider := func(targets []*target, extra float64) {
 		for _, t := range targets {
 			if c.skip != nil && c.skip(t) {
 				continue
 			}
-			cost, ok := r.selectionCost(t, c)
-			if ok && (best == nil || cost+extra < leastCost) {
-				best, leastCost = t, cost+extra
+			if p, ok := r.price(t, c, t.pool.Availability()); ok {
+				p.cost += extra
+				chosen.consider(t, p)
 			}
 		}
 	}
 	consider(state.services[c.service].own, 0)
 	consider(state.services[c.service].onDemand, onDemandCost)
-	return best
+	return chosen.choice()
 }
 
-// selectionCost returns the expected cost of a request to a target, in usual
-// latencies, or false if the target must not get one.
-func (r *registry) selectionCost(t *target, c selection) (float64, bool) {
+// price returns the expected cost of a request to a target, or false if the target must
+// not get one.
+func (r *registry) price(t *target, c selection, connections pool.Availability) (price, bool) {
 	cost, ok := t.cost(c.now)
 	if !ok {
-		return 0, false
+		return price{}, false
 	}
 	cost = max(cost, c.fleetCosts[t.ID])
-	switch t.pool.Availability() {
+	var connect time.Duration
+	switch connections {
 	case pool.Full:
-		return 0, false
+		return price{}, false
 	case pool.CanOpen:
-		cost += float64(connectDelay) / float64(max(c.usual, time.Millisecond))
+		connect = connectDelay
 	}
+	if t.paced() {
+		return r.completionPrice(t, c, cost, connect), true
+	}
+	cost += float64(connect) / float64(max(c.usual, time.Millisecond))
 	if t.AvailabilityZone != r.zone {
 		cost += crossZoneCost
 	}
 	// A small random term spreads requests over targets of equal cost.
-	return cost + 0.05*rand.Float64(), true
+	return price{cost: cost + 0.05*rand.Float64()}, true
 }
 
 // hasUsableTarget reports whether some target of the service may get a request now.
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -155,7 +155,8 @@
 func (s *singleCall) send() bool {
 	current, now := s.engine.current(), s.engine.now()
 	asked, _ := s.sent.targets()
-	t := s.engine.choose(s.call, current, s.service, now, len(asked) > 0, func(t *target) bool { return asked[t.ID] })
+	chosen := s.engine.choose(s.call, current, s.service, now, len(asked) > 0, func(t *target) bool { return asked[t.ID] })
+	t := chosen.target
 	if t == nil {
 		return false
 	}
--- a/pkg/dispatch/stats.go
+++ b/pkg/dispatch/stats.go
@@ -19,31 +19,56 @@
 // routeStats tracks the usual latency of one route's requests to targets. It is the
 // median, which a minority of slow targets does not affect.
 type routeStats struct {
-	mu     sync.Mutex
-	recent [statsWindow]time.Duration
-	count  int
-	median time.Duration
+	mu      sync.Mutex
+	latency medianWindow
+	// work is what the requests take at targets that report their pace, at pace 1 and
+	// without the delay to the availability zone.
+	work medianWindow
 }
 
 func newRouteStats(objective time.Duration) *routeStats {
-	return &routeStats{median: time.Duration(initialLatencyShare * float64(objective))}
+	initial := medianWindow{median: time.Duration(initialLatencyShare * float64(objective))}
+	return &routeStats{latency: initial, work: initial}
 }
 
 func (s *routeStats) usual() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.median
+	return s.latency.median
 }
 
 func (s *routeStats) add(latency time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.recent[s.count%statsWindow] = latency
-	s.count++
-	if s.count%statsRefresh != 0 {
+	s.latency.add(latency)
+}
+
+func (s *routeStats) usualWork() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.work.median
+}
+
+func (s *routeStats) addWork(work time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.work.add(work)
+}
+
+// medianWindow is the median over the last statsWindow durations.
+type medianWindow struct {
+	recent [statsWindow]time.Duration
+	count  int
+	median time.Duration
+}
+
+func (w *medianWindow) add(d time.Duration) {
+	w.recent[w.count%statsWindow] = d
+	w.count++
+	if w.count%statsRefresh != 0 {
 		return
 	}
-	sorted := slices.Clone(s.recent[:min(s.count, statsWindow)])
+	sorted := slices.Clone(w.recent[:min(w.count, statsWindow)])
 	slices.Sort(sorted)
-	s.median = sorted[len(sorted)/2]
+	w.median = sorted[len(sorted)/2]
 }
--- a/pkg/dispatch/subset_test.go
+++ b/pkg/dispatch/subset_test.go
@@ -83,13 +83,13 @@
 
 	It("prefers its own targets while they perform well", func() {
 		r, state := registryWith(1)
-		Expect(r.choose(state, selection{service: "s", usual: usual})).To(Equal(state.services["s"].own[0]))
+		Expect(r.choose(state, selection{service: "s", usual: usual}).target).To(Equal(state.services["s"].own[0]))
 	})
 
 	It("avoids a target that the fleet reports as expensive", func() {
 		r, state := registryWith(1)
 		own := state.services["s"].own[0]
-		chosen := r.choose(state, selection{service: "s", usual: usual, fleetCosts: map[model.TargetID]float64{own.ID: 8}})
+		chosen := r.choose(state, selection{service: "s", usual: usual, fleetCosts: map[model.TargetID]float64{own.ID: 8}}).target
 		Expect(chosen).NotTo(Equal(own))
 	})
 
@@ -98,7 +98,7 @@
 	// that is more than a query may miss.
 	It("connects to a target outside its subset on demand while its own are slow", func() {
 		r, state := registryWith(8)
-		Expect(state.services["s"].onDemand).To(ContainElement(r.choose(state, selection{service: "s", usual: usual})))
+		Expect(state.services["s"].onDemand).To(ContainElement(r.choose(state, selection{service: "s", usual: usual}).target))
 	})
 })
 
