gather, dispatch: hedges by what is expected of the targets

Cause: a hedge went out after 2.2 usual latencies (calls: 2.5, half of the objective at most), whatever the load of the target. For parts of 5 to 9 ms with an objective of 50 ms the hedge, which often waits for a new connection of 6 ms, then arrived too late; hedges whose reply would arrive after the answer used the retry budget.

Change: with a request the engine notes the expected latency at its target and at the second choice. A hedge waits for what the target's load explains. While required parts are missing it goes out early enough to be answered within the objective, but not before 1.4 times the expected latency. It is not sent if its reply would arrive after the answer or the deadline. Calls to one service are hedged by the same rules. Nothing changes for targets without a pace, except that a query that wakes up reads the replies that have arrived before it sends hedges.

--- a/pkg/dispatch/query.go
+++ b/pkg/dispatch/query.go
@@ -157,6 +157,9 @@
 			q.handleResult(r)
 			q.handleQueuedResults()
 		case <-timer.C:
+			// After a delay of this process, replies may have arrived for requests that
+			// seem overdue.
+			q.handleQueuedResults()
 		}
 	}
 }
@@ -223,6 +226,7 @@
 	r.attempt = attempt
 	q.recordSent(i, r)
 	q.run.RecordSent(i, now)
+	q.run.Expect(i, gather.Expectation{Current: chosen.completion, Next: chosen.next})
 }
 
 func (q *query) recordSent(i int, r *sentRequest) {
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -7,6 +7,7 @@
 
 	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/gather"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/pool"
 	"radishturn.example/radishturn/pkg/shutdown"
@@ -20,9 +21,6 @@
 	connectionWait = 60 * time.Millisecond
 	// connectionPoll is how often a waiting call checks for one.
 	connectionPoll = 5 * time.Millisecond
-	// singleHedgeFactor is the delay, in usual latencies, before an idempotent
-	// request is sent to a second target.
-	singleHedgeFactor = 2.5
 	// endedCheckInterval is how often a call checks whether the targets of its requests
 	// have ended.
 	endedCheckInterval = 200 * time.Millisecond
@@ -48,6 +46,8 @@
 	// hedged is set once a hedge was due, whether or not it was sent.
 	hedged   bool
 	lastSent time.Duration
+	// expected is what is expected of the last request.
+	expected gather.Expectation
 	// lateLogged is set once it is logged that the objective has passed.
 	lateLogged bool
 	trace      Trace
@@ -174,7 +174,7 @@
 	}
 	s.sent = append(s.sent, r)
 	s.inFlight = append(s.inFlight, r)
-	s.lastSent = now
+	s.lastSent, s.expected = now, gather.Expectation{Current: chosen.completion, Next: chosen.next}
 	s.trace.Sent++
 	return true
 }
@@ -226,26 +226,6 @@
 	s.engine.logLate(s.call, 1, []string{describeRequests(s.service, s.sent)})
 }
 
-func (s *singleCall) hedgeAt() time.Duration { return s.lastSent + s.hedgeDelay() }
-
-func (s *singleCall) hedgeDelay() time.Duration {
-	delay := time.Duration(singleHedgeFactor * float64(s.trace.Usual))
-	if half := s.call.Route.Objective / 2; half > 0 {
-		delay = min(delay, half)
-	}
-	return max(delay, connectionWait)
-}
-
-func (s *singleCall) hedge() {
-	if !s.call.Route.Idempotent || s.hedged || len(s.inFlight) == 0 || s.engine.now() < s.hedgeAt() {
-		return
-	}
-	s.hedged = true
-	if s.takeFurtherRequest() && s.send() {
-		s.trace.Hedged++
-	}
-}
-
 // handleResult handles the result of a request. It reports whether the call has
 // ended, with the outcome if so.
 func (s *singleCall) handleResult(r *sentRequest) (Outcome, bool) {
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -5,7 +5,7 @@
 // It is meant for targets that stall independently of each other for longer than
 // the latency objective, so that with many shards nearly every query meets a
 // stalled target. A hedge is sent once a request is overdue, as measured by the
-// usual latency, and the end of the latency objective ends the wait for the
+// usual latency or by what is expected of its target, and the end of the latency objective ends the wait for the
 // remaining shards.
 //
 // A part is the reply of one shard, a list of records. pkg/query and pkg/fanout
@@ -16,11 +16,6 @@
 import "time"
 
 const (
-	// hedgeFactor times the usual latency is the delay before a request is hedged
-	// to a second target.
-	hedgeFactor = 2.2
-	// minHedgeDelay prevents hedges that are due to network delays only.
-	minHedgeDelay = 6 * time.Millisecond
 	// MaxSends is the maximum number of requests to one shard.
 	MaxSends = 6
 	// firstBackoff is the pause before the second retry to a shard; it doubles
@@ -68,6 +63,8 @@
 	// hedgeFrom is when the hedge delay begins: when the last request was sent, or
 	// later if a hedge could not be sent.
 	hedgeFrom time.Duration
+	// expected is what is expected of the last request, if anything is.
+	expected Expectation
 	// retryAt is when a shard without a request in flight is retried; 0 means at
 	// once.
 	retryAt time.Duration
@@ -86,6 +83,7 @@
 	s.inFlight++
 	s.sends++
 	s.hedgeFrom = now
+	s.expected = Expectation{}
 	s.unreachable = false
 }
 
@@ -156,11 +154,6 @@
 // InFlight reports whether a request to shard i is unanswered.
 func (r *Run) InFlight(i int) bool { return r.shards[i].inFlight > 0 }
 
-// HedgeDelay returns how long a request may take before it is hedged.
-func (r *Run) HedgeDelay() time.Duration {
-	return max(minHedgeDelay, time.Duration(hedgeFactor*float64(r.plan.UsualLatency)))
-}
-
 // Due returns the shards to send a request to now: those without one in flight
 // whose retry pause is over, and those whose request is overdue.
 func (r *Run) Due(now time.Duration) []int {
@@ -181,7 +174,7 @@
 	case s.inFlight == 0:
 		return s.retryAt, true
 	default:
-		return s.hedgeFrom + r.HedgeDelay(), true
+		return r.hedgeAt(s)
 	}
 }
 
--- a/pkg/gather/gather_test.go
+++ b/pkg/gather/gather_test.go
@@ -56,6 +56,40 @@
 		Expect(r.Due(100 * r.HedgeDelay())).NotTo(ContainElement(1))
 	})
 
+	// Guards against hedges that go out too late to be answered within the objective, and
+	// against those that only use up the retry budget.
+	Describe("whose shards have expected latencies", func() {
+		expect := func(i int, current, next time.Duration) {
+			r.Expect(i, gather.Expectation{Current: current, Next: next})
+		}
+
+		It("hedges in time for the objective while required parts are missing", func() {
+			expect(0, 20*ms, 140*ms)
+			Expect(r.Due(28 * ms)).To(ConsistOf(0))
+			for _, i := range []int{1, 2, 3} {
+				r.RecordPart(i)
+			}
+			Expect(r.Due(100 * ms)).To(BeEmpty())
+		})
+
+		It("does not hedge earlier if the hedge would be late anyway", func() {
+			expect(0, 20*ms, 170*ms)
+			Expect(r.Due(r.HedgeDelay() - ms)).To(BeEmpty())
+			Expect(r.Due(r.HedgeDelay())).To(ContainElement(0))
+		})
+
+		It("waits for the latency that the load of the target explains", func() {
+			expect(0, 50*ms, 20*ms)
+			Expect(r.Due(r.HedgeDelay() + 29*ms)).NotTo(ContainElement(0))
+			Expect(r.Due(r.HedgeDelay() + 30*ms)).To(ContainElement(0))
+		})
+
+		It("does not hedge where the request would queue for longer than the query lasts", func() {
+			expect(0, 20*ms, plan.Deadline)
+			Expect(r.Due(plan.Deadline - ms)).NotTo(ContainElement(0))
+		})
+	})
+
 	It("answers with three of four parts at the end of the objective while a target is stalled", func() {
 		for i := range 3 {
 			r.RecordPart(i)
