Merge load reports and choice of target

The age of a request is turned into boot time once a call, when it is counted: reading that clock is a system call, which each request to a shard made before.

--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"radishturn.example/radishturn/pkg/boottime"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/model"
@@ -46,9 +45,10 @@
 // the target may not get a request now or no connection is available. done is called
 // after the result is recorded.
 func (t *target) send(e *Engine, call *Call, current currentView, timeout time.Duration, done func(pool.Result)) (*pool.Attempt, bool) {
-	sent, sentBoot := e.now(), boottime.Now()
+	sent := e.now()
 	usual := call.stats.usual()
 	move, moving := current.moveOf(t.Service)
+	reused := t.pool.Availability() == pool.Idle
 	a := &pool.Attempt{
 		Request:   call.Request,
 		Params:    exchange.TargetParams{Target: t.ID, Timeout: timeout},
@@ -57,7 +57,8 @@
 	a.Done = func(r pool.Result) {
 		now := e.now()
 		t.recordResult(now, sent, usual, timeout, r).log(t.ID, r.Err)
-		e.recordUsage(call, sentBoot, r)
+		e.recordUsage(call, now-sent, r)
+		e.learnCompletion(call.stats, t, now, sent, reused, r)
 		e.recordCost(t.ID, observedCost(r, now-sent, usual))
 		if moving {
 			e.recordVersionOutcome(call, t, move, r, now-sent)
@@ -108,6 +109,10 @@
 	h := &t.health
 	failuresBefore, wrongBefore := h.connectFailures, t.wrongTarget
 	h.end(sent)
+	// The report explains the latency of its reply.
+	if r.Reply != nil && r.Reply.Load.Known {
+		h.loadReported(now, r.Reply.Load)
+	}
 	switch {
 	case neverTried(r.Err):
 	case errors.Is(r.Err, pool.ErrNotSent):
@@ -137,10 +142,6 @@
 	}
 	noticeBefore := t.notice
 	t.notice.record(now, r)
-	if r.Reply != nil && r.Reply.Load.Known {
-		l := r.Reply.Load
-		h.loadReported(now, l.Running, l.Waiting, l.MaxRunning)
-	}
 	switch {
 	case t.wrongTarget && !wrongBefore:
 		return changeWrongTarget
--- a/pkg/dispatch/usage.go
+++ b/pkg/dispatch/usage.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"radishturn.example/radishturn/pkg/boottime"
 	"radishturn.example/radishturn/pkg/pool"
 )
 
@@ -12,12 +13,12 @@
 }
 
 // recordUsage counts the call once for its caller, by the time of the first request that a
-// target is known to have run, or may have run. sent is on the boot-time clock.
-func (e *Engine) recordUsage(c *Call, sent time.Duration, r pool.Result) {
+// target is known to have run, or may have run. The request was sent age ago.
+func (e *Engine) recordUsage(c *Call, age time.Duration, r pool.Result) {
 	if e.opts.Usage == nil || c.Caller == "" || !mayHaveRun(r) {
 		return
 	}
 	if c.usageCounted.CompareAndSwap(false, true) {
-		e.opts.Usage.RecordRun(c.Caller, sent)
+		e.opts.Usage.RecordRun(c.Caller, boottime.Now()-age)
 	}
 }
