Test floods of connections against the daemon's processes

Cause: a head without an end holds 108 kB of heap; some 1,500 such clients end the smallest process.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets for people; CI calls the same ones.
-.PHONY: build test lint race model demo proofs capacity soak bench
+.PHONY: build test lint race model demo proofs capacity soak flood bench
 
 BIN := bin
 export CGO_ENABLED := 1
@@ -30,8 +30,8 @@
 
 lint:
 	test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
-	go vet -tags proofs,soak ./...
-	go tool staticcheck -tags proofs,soak ./...
+	go vet -tags proofs,soak,flood ./...
+	go tool staticcheck -tags proofs,soak,flood ./...
 
 model:
 	./spec/check.sh
@@ -51,5 +51,11 @@
 	test -f $(BIN)/keys/authority.key || $(BIN)/radishturn keys init $(BIN)/keys
 	RADISHTURND=$(CURDIR)/$(BIN)/radishturnd go test -tags soak -count=1 -timeout 80m -v ./soak
 
+# Many clients that hold connections, at processes with little memory; not beside other load.
+flood: build
+	mkdir -p $(BIN)/keys
+	test -f $(BIN)/keys/authority.key || $(BIN)/radishturn keys init $(BIN)/keys
+	RADISHTURND=$(CURDIR)/$(BIN)/radishturnd go test -tags flood -count=1 -timeout 10m -v ./flood
+
 bench:
 	go test -run '^$$' -bench . ./pkg/...
