Bound what clients hold at all listeners

Cause: heads, bodies, connections and unread answers of clients took memory and descriptors without a common bound; a flood of unfinished heads ended the process. Change: pkg/clientlimit decides (pure) which connections a listener keeps: it bounds connections, bytes and connections without a complete request, in all and by client address, and evicts the oldest connection without a complete request first. pkg/httpserver drives it from a guarding listener and connection; net/http stays. The memory is a part of the process's budget for messages, which the context now provides; half of the descriptors stay free. Each listener has its own part. HTTP/2 windows, streams and frames are bounded, writes have a deadline, pages of metrics and status count while they are sent. Tests and race detector of the changed packages pass.

--- a/context.go
+++ b/context.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"reflect"
 
+	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/settings"
 )
 
@@ -13,13 +14,16 @@
 	// Settings are the validated settings of this instance. Modules must not
 	// modify them.
 	Settings *settings.Settings
+	// Memory is the budget of the process for the messages of clients and targets; nil if
+	// its memory is not stated.
+	Memory *membudget.Budget
 
 	services map[reflect.Type]any
 }
 
 // NewContext returns a Context without services.
 func NewContext(s *settings.Settings) *Context {
-	return &Context{Settings: s, services: make(map[reflect.Type]any)}
+	return &Context{Settings: s, Memory: membudget.ForProcess(s.Instance.MemoryMB), services: make(map[reflect.Type]any)}
 }
 
 // Provide registers service under type T for modules that are provisioned later.
--- a/pkg/adminapi/module.go
+++ b/pkg/adminapi/module.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -78,8 +77,8 @@
 	if err != nil {
 		return fmt.Errorf("listen for operators on %s: %w", address, err)
 	}
-	secured := tls.NewListener(listener, credentials.ServerConfig([]string{"http/1.1"}, keys.RoleOperator))
-	m.server = httpserver.New("operators", secured, m.handler(), httpserver.DefaultLimits)
+	m.server = httpserver.NewTLS("operators", listener, credentials.ServerConfig([]string{"http/1.1"}, keys.RoleOperator), m.handler(),
+		httpserver.DefaultLimits.With(httpserver.ShareSide, c.Memory))
 	m.server.SetErrorLog(errorLogWriter{})
 	return nil
 }
--- a/pkg/dispatch/module.go
+++ b/pkg/dispatch/module.go
@@ -7,7 +7,6 @@
 	"radishturn.example/radishturn"
 	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/lease"
-	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/metricsapi"
 	"radishturn.example/radishturn/pkg/retry"
 	"radishturn.example/radishturn/pkg/settings"
@@ -43,10 +42,9 @@
 		return err
 	}
 	b := c.Settings.RetryBudget
-	memory := membudget.ForProcess(c.Settings.Instance.MemoryMB)
 	m.engine = New(Options{
 		Instance:         c.Settings.Instance.ID,
-		AvailabilityZone: c.Settings.Instance.AvailabilityZone, Views: views, Codec: codec, Reporter: reporter, BodyMemory: memory,
+		AvailabilityZone: c.Settings.Instance.AvailabilityZone, Views: views, Codec: codec, Reporter: reporter, BodyMemory: c.Memory,
 		RetryBudget: retry.Bound{Window: b.Window.Std(), Ratio: b.Ratio, Slack: b.Slack},
 	})
 	m.engine.registerGauges()
--- a/pkg/entryapi/module.go
+++ b/pkg/entryapi/module.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
-	"golang.org/x/net/netutil"
 
 	"radishturn.example/radishturn"
 	"radishturn.example/radishturn/pkg/burn"
@@ -86,7 +85,9 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers on %s: %w", address, err)
 	}
-	m.server = httpserver.New("callers", netutil.LimitListener(listener, maxConnections), m.handler(), httpserver.DefaultLimits)
+	limits := httpserver.DefaultLimits.With(httpserver.ShareMain, c.Memory)
+	limits.MaxConnections = maxConnections
+	m.server = httpserver.New("callers", listener, m.handler(), limits)
 	return nil
 }
 
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -25,6 +25,13 @@
 	LogLinesDropped      Number = 1104
 	MetricsUnavailable   Number = 1105
 
+	ClientConnectionsRefused Number = 1201
+	ClientConnectionsEvicted Number = 1202
+	ClientHeadsRefused       Number = 1203
+	ClientBodiesRefused      Number = 1204
+	ClientRequestsRefused    Number = 1205
+	ClientAnswersNotRead     Number = 1206
+
 	PeerConnected      Number = 2001
 	PeerDisconnected   Number = 2002
 	SmallUDPBuffer     Number = 2003
@@ -159,6 +166,12 @@
 	{PlatformEntryInvalid, warnLevel, "entry of the platform list is malformed", []string{"error"}},
 	{LogLinesDropped, warnLevel, "log lines dropped", []string{"lines"}},
 	{MetricsUnavailable, warnLevel, "metrics are not served", []string{"address", "error"}},
+	{ClientConnectionsRefused, warnLevel, "connections of clients refused", []string{"listener", "count", "reason"}},
+	{ClientConnectionsEvicted, warnLevel, "connections of clients closed to make room", []string{"listener", "count", "reason", "connections", "heldBytes"}},
+	{ClientHeadsRefused, warnLevel, "heads of requests refused", []string{"listener", "count", "reason"}},
+	{ClientBodiesRefused, warnLevel, "bodies of requests not read to the end", []string{"listener", "count", "error"}},
+	{ClientRequestsRefused, warnLevel, "requests of clients refused for lack of memory", []string{"listener", "count", "reason"}},
+	{ClientAnswersNotRead, warnLevel, "answers that clients did not read", []string{"listener", "count"}},
 
 	{PeerConnected, debugLevel, "peer connected", []string{"peer", "address"}},
 	{PeerDisconnected, debugLevel, "peer disconnected", []string{"peer", "error"}},
--- a/pkg/fanout/module.go
+++ b/pkg/fanout/module.go
@@ -66,7 +66,7 @@
 	origin := time.Now()
 	m.service = NewService(Config{
 		Settings: c.Settings, Platform: source, View: views, Reporter: reporter,
-		Now: func() time.Duration { return time.Since(origin) },
+		Now: func() time.Duration { return time.Since(origin) }, Memory: c.Memory,
 	})
 	return m.provideServices(c)
 }
--- a/pkg/fanout/service.go
+++ b/pkg/fanout/service.go
@@ -88,10 +88,16 @@
 	Reporter view.Reporter
 	// Now returns the time on the monotonic clock since any fixed origin.
 	Now func() time.Duration
+	// Memory is the budget of the process for messages. If it is nil, the settings give it.
+	Memory *membudget.Budget
 }
 
 // NewService returns a Service without targets. Refresh adds them.
 func NewService(c Config) *Service {
+	memory := c.Memory
+	if memory == nil {
+		memory = membudget.ForProcess(c.Settings.Instance.MemoryMB)
+	}
 	s := &Service{
 		settings:         c.Settings,
 		platform:         c.Platform,
@@ -108,7 +114,6 @@
 		answered:         poison.NewAnsweredSet(),
 		extraHealthReads: make(chan struct{}, healthWorkers),
 	}
-	memory := membudget.ForProcess(c.Settings.Instance.MemoryMB)
 	for _, collection := range c.Settings.Collections {
 		s.collections[collection.ID] = newCollection(collection, c.Settings.Instance.ID, memory)
 	}
--- /dev/null
+++ b/pkg/httpserver/guarded_conn.go
@@ -0,0 +1,164 @@
+package httpserver
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"radishturn.example/radishturn/pkg/clientlimit"
+)
+
+// http2Preface begins a connection of HTTP/2.
+var http2Preface = []byte("PRI * HTTP/2.0")
+
+// writeTimeout limits the time in which a client takes the bytes of one write, so that a
+// client that does not read its answer cannot hold it.
+const writeTimeout = 10 * time.Second
+
+// guardedConn counts what a client holds through its connection.
+type guardedConn struct {
+	net.Conn
+	guard *guard
+	entry *clientlimit.Conn
+	// inRequest is set from the end of a head until its request was answered.
+	inRequest atomic.Bool
+	// requests counts the requests of HTTP/2 in progress.
+	requests atomic.Int64
+	http2    atomic.Bool
+	// head counts the bytes since the last request, of which allowed are accounted for.
+	head, allowed atomic.Int64
+	// matched counts the bytes of http2Preface read so far; -1 if others came.
+	matched int
+	// partial is set once a part of a head was read.
+	partial   atomic.Bool
+	closeOnce sync.Once
+}
+
+// NetConn returns the connection beneath.
+func (c *guardedConn) NetConn() net.Conn { return c.Conn }
+
+// Read implements net.Conn.
+func (c *guardedConn) Read(p []byte) (int, error) {
+	if c.head.Load() > 0 && !c.inRequest.Load() && !c.http2.Load() {
+		c.notePartial()
+	}
+	n, err := c.Conn.Read(p)
+	if c.inRequest.Load() && !c.http2.Load() {
+		return n, err
+	}
+	if c.matched >= 0 && c.matched < len(http2Preface) {
+		c.matchPreface(p[:n])
+	}
+	head := c.head.Add(int64(n))
+	if err != nil && head > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.guard.report.headRefused(headTimeout)
+	}
+	if head > c.allowed.Load() && !c.growHead(head) {
+		_ = c.Close()
+		return 0, errEvicted
+	}
+	return n, err
+}
+
+// notePartial notes that a part of a head has arrived.
+func (c *guardedConn) notePartial() {
+	if !c.partial.Swap(true) {
+		c.guard.update(func(t *clientlimit.Table) { t.Partial(c.entry) })
+	}
+}
+
+// matchPreface notes whether the connection uses HTTP/2.
+func (c *guardedConn) matchPreface(p []byte) {
+	p = p[:min(len(p), len(http2Preface)-c.matched)]
+	if !bytes.HasPrefix(http2Preface[c.matched:], p) {
+		c.matched = -1
+		return
+	}
+	if c.matched += len(p); c.matched == len(http2Preface) {
+		c.http2.Store(true)
+		if !c.grow(http2Bytes) {
+			_ = c.Close()
+		}
+	}
+}
+
+// growHead accounts for a head of n bytes and reports whether there was room. It counts
+// a head that is too long once; the HTTP server refuses it.
+func (c *guardedConn) growHead(n int64) bool {
+	allowed := c.allowed.Load()
+	if allowed >= c.guard.maxHead {
+		return true
+	}
+	next := allowed
+	for next < n {
+		next *= 2
+	}
+	next = min(next, c.guard.maxHead)
+	if c.http2.Load() {
+		// Fewer bytes are those of control frames.
+		c.notePartial()
+	} else if n > c.guard.maxHead {
+		c.guard.report.headRefused(headTooLong)
+	}
+	c.allowed.Store(next)
+	return c.grow(headFactor * (next - allowed))
+}
+
+// grow accounts for n more bytes and reports whether there was room.
+func (c *guardedConn) grow(n int64) (ok bool) {
+	c.guard.update(func(t *clientlimit.Table) { ok = t.Grow(c.entry, n) })
+	return ok
+}
+
+func (c *guardedConn) shrink(n int64) {
+	c.guard.update(func(t *clientlimit.Table) { t.Shrink(c.entry, n) })
+}
+
+// begin notes that the head of a request has arrived, and whether all of it has. It
+// fails if the connection was evicted before.
+func (c *guardedConn) begin(whole bool) (ok bool) {
+	c.inRequest.Store(true)
+	c.partial.Store(false)
+	c.head.Store(0)
+	c.guard.update(func(t *clientlimit.Table) { ok = t.Begin(c.entry, whole) })
+	return ok
+}
+
+// complete notes that the whole request has arrived.
+func (c *guardedConn) complete() {
+	c.guard.update(func(t *clientlimit.Table) { t.Complete(c.entry) })
+}
+
+// becomeIdle notes that no request is in progress.
+func (c *guardedConn) becomeIdle() {
+	base := c.guard.base
+	if c.http2.Load() {
+		base += http2Bytes
+	}
+	c.inRequest.Store(false)
+	c.head.Store(0)
+	c.allowed.Store(bufferBytes)
+	c.guard.update(func(t *clientlimit.Table) { t.Idle(c.entry, base) })
+}
+
+// Write implements net.Conn.
+func (c *guardedConn) Write(p []byte) (int, error) {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	n, err := c.Conn.Write(p)
+	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.guard.report.answerNotRead()
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *guardedConn) Close() error {
+	c.closeOnce.Do(func() {
+		c.guard.update(func(t *clientlimit.Table) { t.Close(c.entry) })
+	})
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/pkg/httpserver/guarded_request.go
@@ -0,0 +1,183 @@
+package httpserver
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// http2BodyBytes is the flow-control window of one request and of a connection: what
+	// a client can send that is not read yet.
+	http2BodyBytes = 64 << 10
+	// maxHTTP2Requests is how many requests one connection may have in progress.
+	maxHTTP2Requests = 100
+	// fieldBytes is what a header field holds besides its name and value.
+	fieldBytes = 64
+	// retryAfterSeconds is the Retry-After of a request that was refused for memory.
+	retryAfterSeconds = "1"
+)
+
+// http2Config bounds what one connection of HTTP/2 holds.
+func http2Config() *http.HTTP2Config {
+	return &http.HTTP2Config{
+		MaxConcurrentStreams: maxHTTP2Requests, MaxReadFrameSize: 16 << 10,
+		MaxReceiveBufferPerConnection: http2BodyBytes, MaxReceiveBufferPerStream: http2BodyBytes,
+		WriteByteTimeout: writeTimeout,
+	}
+}
+
+// guardRequests wraps a handler: it accounts for the requests in progress and refuses
+// those for which there is no room, which have not run then.
+func guardRequests(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, _ := r.Context().Value(connKey{}).(net.Conn)
+		guarded := guardedOf(c)
+		switch {
+		case guarded == nil:
+			h.ServeHTTP(w, r)
+		case r.ProtoMajor == 2:
+			guarded.serveHTTP2(h, w, r)
+		default:
+			guarded.serveHTTP1(h, w, r)
+		}
+	})
+}
+
+func (c *guardedConn) serveHTTP1(h http.Handler, w http.ResponseWriter, r *http.Request) {
+	whole := r.ContentLength == 0
+	if !c.begin(whole) {
+		panic(http.ErrAbortHandler)
+	}
+	if !whole {
+		r.Body = &guardedBody{ReadCloser: r.Body, conn: c, allowed: bufferBytes}
+	}
+	h.ServeHTTP(w, r)
+}
+
+func (c *guardedConn) serveHTTP2(h http.Handler, w http.ResponseWriter, r *http.Request) {
+	n := headerBytes(r)
+	if r.ContentLength != 0 {
+		n += http2BodyBytes
+	}
+	c.requests.Add(1)
+	defer c.endHTTP2()
+	if !c.begin(true) {
+		panic(http.ErrAbortHandler)
+	}
+	if !c.grow(n) {
+		c.guard.report.requestRefused()
+		w.Header().Set("Retry-After", retryAfterSeconds)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer c.shrink(n)
+	h.ServeHTTP(&deadlineWriter{ResponseWriter: w}, r)
+}
+
+func (c *guardedConn) endHTTP2() {
+	if c.requests.Add(-1) == 0 {
+		c.becomeIdle()
+	}
+}
+
+// headerBytes returns about what the head of a request holds.
+func headerBytes(r *http.Request) int64 {
+	n := len(r.RequestURI) + fieldBytes
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + fieldBytes
+		}
+	}
+	return int64(n)
+}
+
+// deadlineWriter limits the time in which an answer of HTTP/2 is taken, from its
+// beginning on. Flow control can hold a write back that the connection's deadline does
+// not see.
+type deadlineWriter struct {
+	http.ResponseWriter
+	once sync.Once
+}
+
+// Unwrap returns the writer beneath, for http.ResponseController.
+func (w *deadlineWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *deadlineWriter) limit() {
+	w.once.Do(func() {
+		// An error means that the request has ended.
+		_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(time.Now().Add(writeTimeout))
+	})
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *deadlineWriter) WriteHeader(status int) {
+	w.limit()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *deadlineWriter) Write(p []byte) (int, error) {
+	w.limit()
+	return w.ResponseWriter.Write(p)
+}
+
+// guardedBody notes when the body of a request has arrived, or is cut.
+type guardedBody struct {
+	io.ReadCloser
+	conn *guardedConn
+	done atomic.Bool
+	// read counts the bytes, of which allowed are accounted for until the request ends.
+	read, allowed int64
+}
+
+// grow accounts for the bytes read and reports whether there was room. A handler that
+// collects them holds up to twice as many.
+func (b *guardedBody) grow() bool {
+	before := b.allowed
+	for b.allowed < b.read {
+		b.allowed *= 2
+	}
+	return b.allowed == before || b.conn.grow(b.allowed-before)
+}
+
+// Hold accounts for n bytes that are held for the client of the request with this
+// context, such as a page that is being sent, until release is called. It reports whether
+// there is room; if not, the request is refused.
+func Hold(ctx context.Context, n int) (release func(), ok bool) {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	guarded := guardedOf(c)
+	if guarded == nil {
+		return func() {}, true
+	}
+	if !guarded.grow(int64(n)) {
+		guarded.guard.report.requestRefused()
+		return nil, false
+	}
+	return func() { guarded.shrink(int64(n)) }, true
+}
+
+// Read implements io.Reader.
+func (b *guardedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.read += int64(n)
+	if !b.grow() {
+		return 0, errEvicted
+	}
+	if err != nil && !b.done.Swap(true) {
+		if errors.Is(err, io.EOF) {
+			b.conn.complete()
+			if !b.conn.guard.keepBodies {
+				b.conn.shrink(b.allowed - bufferBytes)
+			}
+		} else {
+			b.conn.guard.report.bodyRefused(err)
+		}
+	}
+	return n, err
+}
--- a/pkg/httpserver/httpserver.go
+++ b/pkg/httpserver/httpserver.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"log"
@@ -13,6 +14,7 @@
 	"time"
 
 	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/membudget"
 )
 
 // Limits limits the resources that one connection can hold.
@@ -24,6 +26,24 @@
 	HeaderTimeout, RequestTimeout time.Duration
 	// IdleTimeout limits the time between two requests on a connection.
 	IdleTimeout time.Duration
+	// Share is the listener's part of what the clients of the process may hold, in
+	// eighths; ShareSide if it is 0.
+	Share int
+	// MaxConnections limits the connections at a time if it is not 0. The memory and the
+	// descriptors of the process limit them too.
+	MaxConnections int
+	// Memory is the budget of the process for messages; nil means that its memory is not
+	// stated.
+	Memory *membudget.Budget
+	// BodiesReserved means that the handler itself reserves the bodies that it reads in
+	// the budget. They count against the listener's share only while they arrive.
+	BodiesReserved bool
+}
+
+// With returns the limits with a share and a budget.
+func (l Limits) With(share int, memory *membudget.Budget) Limits {
+	l.Share, l.Memory = share, memory
+	return l
 }
 
 // DefaultLimits are the limits of listeners that need no others.
@@ -50,6 +70,17 @@
 // accepts HTTP/1.1, and also unencrypted HTTP/2 (h2c) if the listener does not use
 // TLS.
 func New(name string, l net.Listener, handler http.Handler, limits Limits) *Server {
+	g := newGuard(name, limits, false)
+	return newServer(name, &guardedListener{l, g}, g, handler, limits)
+}
+
+// NewTLS is New with TLS.
+func NewTLS(name string, l net.Listener, c *tls.Config, handler http.Handler, limits Limits) *Server {
+	g := newGuard(name, limits, true)
+	return newServer(name, tls.NewListener(&guardedListener{l, g}, c), g, handler, limits)
+}
+
+func newServer(name string, l net.Listener, g *guard, handler http.Handler, limits Limits) *Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -57,7 +88,7 @@
 	base, end := context.WithCancelCause(context.Background())
 	s.end = end
 	s.http = &http.Server{
-		Handler:           s.countRequests(handler),
+		Handler:           guardRequests(s.countRequests(handler)),
 		BaseContext:       func(net.Listener) context.Context { return base },
 		Protocols:         protocols,
 		ReadHeaderTimeout: limits.HeaderTimeout,
@@ -65,6 +96,8 @@
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ConnContext:       withConn,
+		ConnState:         g.onState,
+		HTTP2:             http2Config(),
 	}
 	return s
 }
--- a/pkg/httpserver/waiting.go
+++ b/pkg/httpserver/waiting.go
@@ -28,7 +28,11 @@
 // closedByPeer reports whether the other side is known to have closed or reset the
 // connection, also if bytes that it sent before are not read yet.
 func closedByPeer(c net.Conn) bool {
-	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+	for {
+		wrapped, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
 		c = wrapped.NetConn()
 	}
 	raw, ok := c.(syscall.Conn)
--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -22,6 +22,18 @@
 // New returns a budget of limit bytes.
 func New(limit int64) *Budget { return &Budget{limit: limit} }
 
+// Limit returns the size of the budget, or 0 if it is unlimited.
+func (b *Budget) Limit() int64 {
+	if b == nil {
+		return 0
+	}
+	return b.limit
+}
+
+// Add takes n bytes, or returns -n, whether or not the budget has room for them. The
+// caller bounds what it takes.
+func (b *Budget) Add(n int64) { b.giveBack(-n) }
+
 // Used returns the reserved bytes.
 func (b *Budget) Used() int64 {
 	if b == nil {
--- a/pkg/metricsapi/metricsapi.go
+++ b/pkg/metricsapi/metricsapi.go
@@ -4,6 +4,7 @@
 package metricsapi
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -56,15 +57,24 @@
 	e := echo.New()
 	e.GET(Path, serve)
 	e.GET(StatusPath, sections.serve)
-	m.server = httpserver.New("metrics", l, e, httpserver.DefaultLimits)
+	m.server = httpserver.New("metrics", l, e, httpserver.DefaultLimits.With(httpserver.ShareSide, c.Memory))
 	return nil
 }
 
 func serve(c echo.Context) error {
-	c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
-	c.Response().WriteHeader(http.StatusOK)
-	metrics.WritePrometheus(c.Response(), true)
-	return nil
+	var page bytes.Buffer
+	metrics.WritePrometheus(&page, true)
+	return send(c, "text/plain; version=0.0.4", page.Bytes())
+}
+
+// send sends a page, which is held until the client has read it.
+func send(c echo.Context, contentType string, page []byte) error {
+	release, ok := httpserver.Hold(c.Request().Context(), len(page))
+	if !ok {
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+	defer release()
+	return c.Blob(http.StatusOK, contentType, page)
 }
 
 // Run serves until ctx is done.
--- a/pkg/metricsapi/status.go
+++ b/pkg/metricsapi/status.go
@@ -1,7 +1,7 @@
 package metricsapi
 
 import (
-	"net/http"
+	"encoding/json"
 	"sync"
 
 	"github.com/labstack/echo/v4"
@@ -44,4 +44,10 @@
 	return all
 }
 
-func (s *StatusSections) serve(c echo.Context) error { return c.JSON(http.StatusOK, s.readAll()) }
+func (s *StatusSections) serve(c echo.Context) error {
+	page, err := json.Marshal(s.readAll())
+	if err != nil {
+		return err
+	}
+	return send(c, echo.MIMEApplicationJSON, append(page, '\n'))
+}
