Bound what slow targets and callers hold

Change: requests of more than 8 KiB count against the memory for messages until they are written, 1 MiB at one target at a time; beyond that the target is treated as one without a free connection (RT1207, radishturn_target_requests_held_back_total). A reply without a length that was read after a pause of the process is a failure that may have run; with a length or chunks a cut shows by itself.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"radishturn.example/radishturn/pkg/boottime"
 	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/exchange"
@@ -54,6 +55,7 @@
 	origin      time.Time
 	registry    *registry
 	logLimiters logLimiters
+	pauses      *boottime.PauseWatch
 
 	mu          sync.Mutex
 	stats       map[string]*routeStats
@@ -77,9 +79,12 @@
 
 // New returns an Engine.
 func New(o Options) *Engine {
-	shared := pool.Shared{Codec: o.Codec, Dial: o.Dial, ResetGuard: pool.NewResetGuard(), Memory: o.BodyMemory}
+	pauses := new(boottime.PauseWatch)
+	shared := pool.Shared{
+		Codec: o.Codec, Dial: o.Dial, ResetGuard: pool.NewResetGuard(), Memory: o.BodyMemory, PausedWithin: pauses.PausedWithin,
+	}
 	return &Engine{
-		opts: o, origin: time.Now(), registry: newRegistry(o.Instance, o.AvailabilityZone, shared), logLimiters: newLogLimiters(),
+		opts: o, origin: time.Now(), pauses: pauses, registry: newRegistry(o.Instance, o.AvailabilityZone, shared), logLimiters: newLogLimiters(),
 		stats:           make(map[string]*routeStats),
 		budgets:         make(map[model.ServiceID]*retry.Budget),
 		roundRobins:     make(map[string]*roundRobin),
@@ -227,6 +232,7 @@
 // Run opens connections before they are needed, takes over the latest view and
 // reports evidence at a fixed interval. It returns when ctx is done.
 func (e *Engine) Run(ctx context.Context) error {
+	go e.pauses.Run(ctx)
 	// After a start, the other instances must be known before the targets can be
 	// divided among them.
 	select {
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -31,6 +31,7 @@
 	ClientBodiesRefused      Number = 1204
 	ClientRequestsRefused    Number = 1205
 	ClientAnswersNotRead     Number = 1206
+	RequestsHeldBack         Number = 1207
 
 	PeerConnected      Number = 2001
 	PeerDisconnected   Number = 2002
@@ -172,6 +173,7 @@
 	{ClientBodiesRefused, warnLevel, "bodies of requests not read to the end", []string{"listener", "count", "error"}},
 	{ClientRequestsRefused, warnLevel, "requests of clients refused for lack of memory", []string{"listener", "count", "reason"}},
 	{ClientAnswersNotRead, warnLevel, "answers that clients did not read", []string{"listener", "count"}},
+	{RequestsHeldBack, warnLevel, "target does not read the requests written to it", []string{"target", "outgoingBytes", "heldBytes"}},
 
 	{PeerConnected, debugLevel, "peer connected", []string{"peer", "address"}},
 	{PeerDisconnected, debugLevel, "peer disconnected", []string{"peer", "error"}},
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -75,6 +75,9 @@
 	Load       Load
 	// Close is set if the target closes the connection after the reply.
 	Close bool
+	// UntilClose is set if the body ended with the connection, so that nothing shows
+	// whether the target sent all of it.
+	UntilClose bool
 	// KeepAlive is how long an idle connection stays open; 0 if not stated.
 	KeepAlive time.Duration
 }
--- a/pkg/pool/conn.go
+++ b/pkg/pool/conn.go
@@ -73,6 +73,10 @@
 	abandoned atomic.Bool
 	// memory is what the reply takes of the process's memory for messages.
 	memory membudget.Reservation
+	// outgoing is what the request takes until it is written, and held its bytes, which
+	// are guarded by the mutex of the pool.
+	outgoing membudget.Reservation
+	held     int
 }
 
 // unwanted returns why an attempt that has waited for a connection must not be sent, or
@@ -122,6 +126,8 @@
 	mu sync.Mutex
 	// attempt is the attempt in progress; nil while the connection is idle.
 	attempt *Attempt
+	// sent is when the attempt in progress began.
+	sent time.Time
 	// writing is set while a request is being written.
 	writing bool
 	// releaseAfterWrite is set if the reply arrived before the request was fully
@@ -148,22 +154,23 @@
 		c.mu.Unlock()
 		return false
 	}
-	c.attempt, c.writing = a, true
+	c.attempt, c.writing, c.sent = a, true, time.Now()
 	c.uses.Add(1)
 	a.conn.Store(c)
 	c.mu.Unlock()
 	encoded := c.pool.codec.AppendRequest(make([]byte, 0, requestBytes), a.Request, a.Params)
 	if len(encoded) > inlineWriteBytes {
-		go c.write(encoded)
+		go c.write(a, encoded)
 		return true
 	}
-	c.write(encoded)
+	c.write(a, encoded)
 	return true
 }
 
-func (c *conn) write(encoded []byte) {
+func (c *conn) write(a *Attempt, encoded []byte) {
 	_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := c.net.Write(encoded)
+	c.pool.releaseRequest(a)
 	c.mu.Lock()
 	c.writing = false
 	release := c.releaseAfterWrite
@@ -210,6 +217,11 @@
 		reading.Release()
 		return c.discardForeignReply(reply)
 	}
+	if c.truncated(reply, c.sentAt()) {
+		reading.Release()
+		c.fail(fmt.Errorf("read reply from %s: %w", c.pool.address, errTruncated))
+		return false
+	}
 	return c.finish(a, reply, reading)
 }
 
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -61,6 +61,8 @@
 	ResetGuard *ResetGuard
 	// Memory bounds the replies that are held at a time; nil means without limit.
 	Memory *membudget.Budget
+	// PausedWithin reports whether this process stood still within a time; it may be nil.
+	PausedWithin func(time.Duration) bool
 }
 
 // Pool holds the connections to one target.
@@ -71,8 +73,10 @@
 	dialTarget DialFunc
 	resetGuard *ResetGuard
 	memory     *membudget.Budget
-	opened     *metrics.Counter
-	foreign    *metrics.Counter
+	// pausedWithin is Shared.PausedWithin.
+	pausedWithin func(time.Duration) bool
+	opened       *metrics.Counter
+	foreign      *metrics.Counter
 
 	mu sync.Mutex
 	// limit bounds the number of connections, including those being opened.
@@ -84,6 +88,9 @@
 	// opening counts connections being opened.
 	opening int
 	closed  bool
+	// outgoing is the bytes of long requests that are being written.
+	outgoing      int
+	outgoingEvent time.Time
 }
 
 // New returns an empty pool.
@@ -92,7 +99,7 @@
 		s.Dial = DialTCP
 	}
 	return &Pool{
-		target: target, address: address, codec: s.Codec, dialTarget: s.Dial, resetGuard: s.ResetGuard, memory: s.Memory, limit: limit,
+		target: target, address: address, codec: s.Codec, dialTarget: s.Dial, resetGuard: s.ResetGuard, memory: s.Memory, pausedWithin: s.PausedWithin, limit: limit,
 		open:    make(map[*conn]bool),
 		opened:  metrics.GetOrCreateCounter("radishturn_target_connections_opened_total"),
 		foreign: metrics.GetOrCreateCounter("radishturn_target_replies_foreign_total"),
@@ -108,8 +115,20 @@
 }
 
 // Start sends an attempt over an idle connection, or over a new one if the limit
-// allows. It returns false, and does not call Done, if neither is available.
+// allows. It returns false, and does not call Done, if neither is available, or if the
+// target does not read the requests that are being written to it.
 func (p *Pool) Start(a *Attempt) bool {
+	if !p.holdRequest(a) {
+		return false
+	}
+	if !p.start(a) {
+		p.releaseRequest(a)
+		return false
+	}
+	return true
+}
+
+func (p *Pool) start(a *Attempt) bool {
 	for {
 		c, canOpen := p.take()
 		switch {
@@ -151,6 +170,7 @@
 func (p *Pool) startOnNewConnection(a *Attempt) {
 	c, err := p.dial()
 	if err != nil {
+		p.releaseRequest(a)
 		p.resetGuard.recordError(err)
 		a.Done(Result{Err: connectError(p.target, p.address, err)})
 		return
@@ -158,10 +178,12 @@
 	p.resetGuard.waitForReset()
 	if err := a.unwanted(); err != nil {
 		p.release(c)
+		p.releaseRequest(a)
 		a.Done(Result{Err: connectError(p.target, p.address, err)})
 		return
 	}
 	if !c.start(a) {
+		p.releaseRequest(a)
 		a.Done(Result{Err: connectError(p.target, p.address, errClosedUnused)})
 	}
 }
