Parse the heads of replies strictly

Cause: "HTTP/1.1 000 X" and "HTTP/1.1 000" were decoded as status 200, so that a caller got a success that no target sent; other versions, several spaces, and the statuses 099, 101, 600 and 999 were accepted too, also by net/http for lists, probes and orders. Connections of net/http to targets and to the platform check the status line of each reply, also after interim heads. A malformed reply closes its connection and the attempt may have run.

--- a/pkg/platform/module.go
+++ b/pkg/platform/module.go
@@ -14,6 +14,7 @@
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/settings"
+	"radishturn.example/radishturn/pkg/statusline"
 )
 
 const (
@@ -49,7 +50,7 @@
 // Provision registers the Source. The list is first read by Run.
 func (m *Module) Provision(c *radishturn.Context) error {
 	m.settings = c.Settings.Platform
-	m.client = &http.Client{Timeout: readTimeout}
+	m.client = &http.Client{Timeout: readTimeout, Transport: statusline.Transport()}
 	m.refused = events.NewErrorLog(events.PlatformEntryInvalid)
 	return radishturn.Provide[Source](c, m)
 }
--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -22,6 +22,7 @@
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/statusline"
 	"radishturn.example/radishturn/pkg/targetproto"
 )
 
@@ -141,7 +142,7 @@
 		c.openConnections.Add(-1)
 		return nil, &dialError{err}
 	}
-	return &countedConn{Conn: conn, client: c}, nil
+	return &countedConn{Conn: statusline.NewConn(conn), client: c}, nil
 }
 
 func (c *Client) reserveConnection() error {
--- a/pkg/target/reply.go
+++ b/pkg/target/reply.go
@@ -155,6 +155,11 @@
 
 func (c *Client) verifyHeader(q *Query, response *http.Response) error {
 	h := response.Header
+	for _, name := range []string{targetproto.HeaderRequest, targetproto.HeaderSnapshot, targetproto.HeaderLeaf} {
+		if n := len(h.Values(name)); n > 1 {
+			return fmt.Errorf("reply with %d fields %s", n, name)
+		}
+	}
 	if got := h.Get(targetproto.HeaderRequest); got != string(q.Request) {
 		return fmt.Errorf("reply for request %q", got)
 	}
--- a/pkg/target/spare.go
+++ b/pkg/target/spare.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"time"
+
+	"radishturn.example/radishturn/pkg/statusline"
 )
 
 const (
@@ -58,7 +60,7 @@
 	c.openingSpare = false
 	keep := err == nil && !c.closed
 	if keep {
-		c.spare = spareConnection{conn: &countedConn{Conn: conn, client: c}, opened: time.Now()}
+		c.spare = spareConnection{conn: &countedConn{Conn: statusline.NewConn(conn), client: c}, opened: time.Now()}
 	}
 	c.mu.Unlock()
 	if keep {
