Queue: learned work, fair shares, starvation bound, early refusal

Cause: queries waited by priority and objective only. One kind of request or account could take all starts of an instance, a request overtaken while it waited was refused only when its latest start had passed, and all refused requests were told to return at the same time.

Change: work is learned for each route (mean and deviation) and decides refusals; a waiting request is refused within a quarter of its objective if it is expected to be too late; within a priority, accounts get equal shares by work; a kind or account that is always overtaken gets a quarter of the mean share of starts; refused requests get consecutive times to return. A query that leaves the queue is checked again (Call.Recheck, quarantine). Call gains Caller, Priority and Recheck. Event RT5131.

Tests: Release takes the ticket and Abandon the time, so the existing specs pass these; none of their assertions changed.

--- a/pkg/dispatch/current_test.go
+++ b/pkg/dispatch/current_test.go
@@ -120,14 +120,15 @@
 func (f *memoryFixture) fillStartQueue(route *routing.Route, held time.Duration) {
 	waiting := f.engine.startQueueOf(route.Fanout.Shards)
 	limit := max(minStarting, f.engine.registryState().services[route.Fanout.Shards[0]].maxConnections)
+	var last *queue.Ticket
 	for range limit {
 		now := f.engine.now()
-		waiting.queue.Enqueue(now, limit, queue.Query{Arrived: now, OnTimeStart: now, LatestStart: now + time.Minute})
+		last, _ = waiting.queue.Enqueue(now, limit, queue.Request{Arrived: now, OnTimeStart: now, LatestStart: now + time.Minute})
 	}
 	time.AfterFunc(held, func() {
 		waiting.mu.Lock()
 		defer waiting.mu.Unlock()
-		waiting.queue.Release(f.engine.now(), held, limit)
+		waiting.queue.Release(last, f.engine.now(), limit)
 	})
 }
 
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -20,6 +20,7 @@
 	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/exchange"
+	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/pool"
@@ -103,6 +104,13 @@
 	Timeout time.Duration
 	// Elapsed is the estimated time that the caller had waited before Arrived.
 	Elapsed time.Duration
+	// Caller is the account that sent the request; empty if there is none.
+	Caller model.CallerID
+	// Priority is the effective priority; 0 means that of the route (EffectivePriority).
+	Priority int
+	// Recheck returns why the request must no longer be served, or nil. It is called when
+	// the request has waited; nil means that nothing is to be checked.
+	Recheck func() *failure.Error
 
 	pinned pinnedView
 	stats  *routeStats
--- a/pkg/dispatch/query.go
+++ b/pkg/dispatch/query.go
@@ -9,6 +9,7 @@
 	"radishturn.example/radishturn/pkg/gather"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/pool"
+	"radishturn.example/radishturn/pkg/query/queue"
 	"radishturn.example/radishturn/pkg/shutdown"
 )
 
@@ -62,10 +63,10 @@
 	lateLogged bool
 	// disconnects counts the connections that ended during a request.
 	disconnects int
-	// startQueue is set while the query is starting. leftQueueAt is when it left the
-	// queue, and startLimit the limit of queries starting at a time that applied then.
+	// startQueue is set while the query is starting; startTicket is its ticket, and
+	// startLimit the limit of queries starting at a time that applied then.
 	startQueue  *startQueue
-	leftQueueAt time.Duration
+	startTicket *queue.Ticket
 	startLimit  int
 }
 
--- a/pkg/dispatch/startqueue.go
+++ b/pkg/dispatch/startqueue.go
@@ -56,49 +56,73 @@
 	return max(minStarting, least)
 }
 
+// schedule returns the query as the queue sees it.
+func (q *query) schedule(now time.Duration) queue.Request {
+	minDuration := time.Duration(minRunFactor * float64(q.plan.UsualLatency))
+	return queue.Request{
+		Arrived: now - time.Since(q.call.Arrived), OnTimeStart: q.plan.ObjectiveEnd - minDuration, LatestStart: q.plan.Deadline - minDuration,
+		RefuseBy: q.engine.refuseBy(q.call, now), Priority: q.call.EffectivePriority(), Kind: q.call.kind(),
+		Work: q.plan.UsualLatency, Caller: q.call.Caller,
+	}
+}
+
 // awaitStart waits until the query may start. It returns an error if the query cannot
-// be answered in time or was quarantined meanwhile, and the former if the caller
-// disconnects; no request has been sent then.
+// be answered in time, or must not be served any more after its wait, and the former if
+// the caller disconnects; no request has been sent then.
 func (q *query) awaitStart(ctx context.Context) *failure.Error {
 	s, limit, now := q.engine.startQueueOf(q.call.Route.Fanout.Shards), q.maxStarting(), q.engine.now()
-	minDuration := time.Duration(minRunFactor * float64(q.plan.UsualLatency))
 	s.mu.Lock()
 	waiting := s.queue.Waiting()
-	ticket, wait := s.queue.Enqueue(now, limit, queue.Query{
-		Arrived: now - time.Since(q.call.Arrived), OnTimeStart: q.plan.ObjectiveEnd - minDuration, LatestStart: q.plan.Deadline - minDuration,
-		Priority: q.call.Route.Priority,
-	})
+	ticket, wait := s.queue.Enqueue(now, limit, q.schedule(now))
+	work, workAge := s.queue.Work(&ticket.Request, now)
 	s.mu.Unlock()
-	latest := time.NewTimer(max(0, ticket.LatestStart-now))
-	defer latest.Stop()
-	select {
-	case <-ticket.Decided:
-	case <-ctx.Done():
-		s.abandon(ticket)
-	case <-latest.C:
-		s.abandon(ticket)
-	}
+	s.await(ctx, q.engine, ticket, now)
 	if ticket.Refused {
-		return newRefusal(failure.Overloaded, failure.NotRun, "wait to start", "", max(wait, refusedRetryAfter),
+		q.trace.deferEvent(events.RefusedByScheduler, q.call.Request.ID, q.call.Route.Name, ticket.Priority, (q.engine.now() - now).Milliseconds(),
+			wait.Milliseconds(), waiting, limit, work.Microseconds(), workAge.Milliseconds(), ticket.RetryAfter.Milliseconds())
+		return newRefusal(failure.Overloaded, failure.NotRun, "wait to start", "", max(ticket.RetryAfter, minRetryAfter),
 			"%d queries are ahead, expected wait %s", waiting, wait.Round(time.Millisecond))
 	}
-	q.startQueue, q.leftQueueAt, q.startLimit = s, q.engine.now(), limit
-	if waited := q.leftQueueAt - now; waited >= time.Millisecond && q.engine.logLimiters.progress.Allow() {
+	q.startQueue, q.startTicket, q.startLimit = s, ticket, limit
+	if waited := q.engine.now() - now; waited >= time.Millisecond && q.engine.logLimiters.progress.Allow() {
 		events.Emit(events.CallQueued, q.call.Request.ID, q.call.Route.Name, waited.Milliseconds(), waiting, limit)
 	}
-	// The request may have been quarantined while it waited.
-	if err := refuseQuarantined(q.call, q.engine.current()); err != nil {
+	if err := q.engine.checkAfterWait(q.call); err != nil {
 		q.releaseStart(true)
 		return err
 	}
 	return nil
 }
 
+// await waits until a ticket is decided. It refuses the ticket once its latest start has
+// passed or the caller has disconnected, and has the queue reconsider it when it may soon
+// no longer be refused early.
+func (s *startQueue) await(ctx context.Context, e *Engine, t *queue.Ticket, now time.Duration) {
+	latest := time.NewTimer(max(0, t.LatestStart-now))
+	defer latest.Stop()
+	early := time.NewTimer(max(0, t.RefuseBy-queue.EarlyRefusalMargin-now))
+	defer early.Stop()
+	for {
+		select {
+		case <-t.Decided:
+			return
+		case <-early.C:
+			s.mu.Lock()
+			s.queue.Reconsider(e.now())
+			s.mu.Unlock()
+		case <-ctx.Done():
+			s.abandon(t, e.now())
+		case <-latest.C:
+			s.abandon(t, e.now())
+		}
+	}
+}
+
 // abandon refuses a ticket, unless it was started in the meantime.
-func (s *startQueue) abandon(t *queue.Ticket) {
+func (s *startQueue) abandon(t *queue.Ticket, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.queue.Abandon(t)
+	s.queue.Abandon(t, now)
 }
 
 // releaseStart lets the next query start once this one has startReleaseShare of
@@ -107,9 +131,8 @@
 	if q.startQueue == nil || !ended && float64(q.run.Parts()) < startReleaseShare*float64(len(q.sentByShard)) {
 		return
 	}
-	now := q.engine.now()
 	q.startQueue.mu.Lock()
-	q.startQueue.queue.Release(now, now-q.leftQueueAt, q.startLimit)
+	q.startQueue.queue.Release(q.startTicket, q.engine.now(), q.startLimit)
 	q.startQueue.mu.Unlock()
 	q.startQueue = nil
 }
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -103,6 +103,7 @@
 	CallQueued         Number = 5026
 	TargetPaused       Number = 5027
 	ReplyCut           Number = 5028
+	RefusedByScheduler Number = 5131
 
 	OrderOutcomeUnknown     Number = 6001
 	OrderClaimUnconfirmed   Number = 6002
@@ -236,6 +237,7 @@
 	{CallQueued, infoLevel, "query was queued before its start", []string{"request", "route", "milliseconds", "ahead", "limit"}},
 	{TargetPaused, infoLevel, "target has asked for a pause", []string{"target"}},
 	{ReplyCut, warnLevel, "reading of a reply was ended", []string{"target", "request", "reason", "heldBytes"}},
+	{RefusedByScheduler, infoLevel, "request of a caller refused while others were ahead of it", []string{"request", "route", "priority", "milliseconds", "waitMilliseconds", "ahead", "limit", "workMicroseconds", "workAgeMilliseconds", "retryMilliseconds"}},
 
 	{OrderOutcomeUnknown, warnLevel, "outcome of an order is unknown", []string{"request", "error"}},
 	{OrderClaimUnconfirmed, warnLevel, "claim of an order could not be confirmed", []string{"request", "error"}},
--- a/pkg/query/queue/queue.go
+++ b/pkg/query/queue/queue.go
@@ -1,12 +1,13 @@
-// Package queue schedules queries when more arrive than an instance's
-// connections can carry: it starts them in order, and refuses those that cannot
-// be served in time right away. It does no I/O and does not block; its user,
-// pkg/dispatch, waits on the tickets.
+// Package queue schedules requests when more arrive than an instance's connections
+// can carry: it starts them in order, and refuses those that cannot be served in time
+// right away. It does no I/O and does not block; its user, pkg/dispatch, waits on the
+// tickets. docs/design/scheduling.md states the rules.
 //
-// A query counts as starting from its start until Release. The user calls Release
-// once enough of the query's parts have arrived that many of its connections are
-// free again, or once it has ended. Only a limited number of queries may be
-// starting at a time.
+// A query over shards waits for one of a limited number of places (Enqueue), which it
+// holds from its start until Release. The user calls Release once enough of the
+// query's parts have arrived that many of its connections are free again, or once it
+// has ended. A call to one target waits for a connection, and its user finds out
+// whether one is free (Wait, Next, Start).
 //
 // It is meant for bursts, for example after a power loss, when a hundred queries
 // compete for the same few connections to each shard. If all start at once, each
@@ -16,147 +17,222 @@
 package queue
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
 
-// startDurationWeight is the weight of a sample in the moving average of start
-// durations.
-const startDurationWeight = 0.2
+// EarlyRefusalMargin is the time before RefuseBy in which Reconsider should be called.
+const EarlyRefusalMargin = 2 * time.Millisecond
 
-// Query is a query to be scheduled. All times are on one clock, that of the user
-// of the queue.
-type Query struct {
-	Arrived time.Duration
-	// OnTimeStart is the latest start at which the query meets its latency
-	// objective, and LatestStart the latest one at which it meets its deadline.
-	OnTimeStart, LatestStart time.Duration
-	// Priority 0 is the highest.
-	Priority int
-}
-
-// Ticket is a query in the queue.
-type Ticket struct {
-	Query
-	// Decided is closed when the query is started or refused; Refused tells which.
-	Decided chan struct{}
-	Refused bool
-}
+// maxRetrySpread bounds how much later than the expected wait a refused request is told
+// to return.
+const maxRetrySpread = time.Second
 
-// Queue schedules the queries over one set of shards. It is not safe for
+// Queue schedules the requests to one set of shards or one service. It is not safe for
 // concurrent use: its user guards it with a lock. A ticket's Decided may be received
-// from without the lock; Refused may be read without it once Decided is closed.
+// from without the lock; Refused and RetryAfter may be read without it once Decided is
+// closed.
 type Queue struct {
+	limit    int
 	starting int
-	waiting  []*Ticket
-	// meanStartDuration is the moving average of the time that a query counts as
-	// starting.
-	meanStartDuration time.Duration
+	// charged is the work of the starting requests as expected when they started.
+	charged float64
+	waiting []*Ticket
+	work    workByKind
+	shares  shares
+	credits credits
+	// nextRetry is the next time at which a refused request is told to return.
+	nextRetry time.Duration
 }
 
-// Enqueue adds a query. limit is how many queries may be starting at a time. The
-// ticket is decided at once if there is room, or if the query would start too
-// late. wait is the expected wait.
-func (q *Queue) Enqueue(now time.Duration, limit int, query Query) (t *Ticket, wait time.Duration) {
-	t = &Ticket{Query: query, Decided: make(chan struct{})}
+// Enqueue adds a request. limit is how many may be starting at a time. The ticket is
+// decided at once if there is room, or if the request would start too late. wait is the
+// expected wait.
+func (q *Queue) Enqueue(now time.Duration, limit int, r Request) (t *Ticket, wait time.Duration) {
+	t = q.newTicket(limit, r)
 	if q.starting < limit && len(q.waiting) == 0 {
-		q.start(t)
+		q.begin(t, now)
 		return t, 0
 	}
-	wait = q.expectedWait(t, now, limit)
-	if now+wait > query.LatestStart {
-		t.refuse()
-		return t, wait
+	return t, q.admit(t, now)
+}
+
+// Wait adds a request that waits for one of so many connections. The ticket is refused
+// at once if the request would start too late; it starts by Start. wait is the expected
+// wait.
+func (q *Queue) Wait(now time.Duration, connections int, r Request) (t *Ticket, wait time.Duration) {
+	t = q.newTicket(connections, r)
+	return t, q.admit(t, now)
+}
+
+// Pass records a request that starts without having waited, and returns its ticket.
+func (q *Queue) Pass(now time.Duration, connections int, r Request) *Ticket {
+	t := q.newTicket(connections, r)
+	q.begin(t, now)
+	return t
+}
+
+func (q *Queue) newTicket(limit int, r Request) *Ticket {
+	q.limit = limit
+	t := &Ticket{Request: r, Decided: make(chan struct{}), arrivedVirtual: q.shares.arrive(&r)}
+	t.owed = q.credits.arrive(&t.Request)
+	return t
+}
+
+// admit lets a ticket wait, or refuses it. It returns the expected wait.
+func (q *Queue) admit(t *Ticket, now time.Duration) time.Duration {
+	wait, tail := q.expectedWait(t, now)
+	if now+tail > t.LatestStart {
+		q.refuse(t, now, wait)
+		return wait
 	}
 	q.waiting = append(q.waiting, t)
-	return t, wait
+	q.refuseLate(now)
+	return wait
 }
 
-// expectedWait returns the expected wait of a ticket.
-func (q *Queue) expectedWait(t *Ticket, now time.Duration, limit int) time.Duration {
-	ahead := 0
-	for _, other := range q.waiting {
-		if startsNoLater(other, t, now) {
-			ahead++
+// expectedWait returns the mean and the tail of the wait of a ticket that is not waiting
+// yet.
+func (q *Queue) expectedWait(t *Ticket, now time.Duration) (mean, tail time.Duration) {
+	ahead := q.running()
+	for _, other := range q.ordered(now, t) {
+		if other == t {
+			break
 		}
+		ahead.add(q.work.of(&other.Request))
 	}
-	return time.Duration(float64(q.meanStartDuration) * float64(ahead+1) / float64(max(1, limit)))
+	return ahead.wait(q.limit)
 }
 
-// Release records that a query no longer counts as starting, after it did for
-// startDuration. It refuses the waiting queries that are too late and starts
-// the next ones.
-func (q *Queue) Release(now, startDuration time.Duration, limit int) {
-	q.starting--
-	if q.meanStartDuration == 0 {
-		q.meanStartDuration = startDuration
+// running is the work ahead of the first waiting request: one of those that are running
+// has to end, unless there is room already.
+func (q *Queue) running() backlog {
+	var b backlog
+	if q.starting >= q.limit {
+		b.add(work{mean: q.charged / float64(q.starting)})
+	}
+	return b
+}
+
+// refuseLate refuses the waiting requests whose latest start has passed. While they may
+// be refused early, it also refuses those that are expected to start too late for their
+// deadline, and, at the end of that time, for their objective: they are told when to
+// return, and find room then.
+func (q *Queue) refuseLate(now time.Duration) {
+	ahead := q.running()
+	for _, t := range q.ordered(now, nil) {
+		wait, tail := ahead.wait(q.limit)
+		early := now <= t.RefuseBy && now+tail > t.LatestStart
+		lastChance := now <= t.RefuseBy && now >= t.RefuseBy-EarlyRefusalMargin && now+wait > t.OnTimeStart
+		if now > t.LatestStart || early || lastChance {
+			q.remove(t)
+			q.refuse(t, now, wait)
+			continue
+		}
+		ahead.add(q.work.of(&t.Request))
 	}
-	q.meanStartDuration += time.Duration(startDurationWeight * float64(startDuration-q.meanStartDuration))
-	q.refuseExpired(now)
+}
+
+// Release records that a started request no longer counts as starting. It refuses the
+// waiting requests that are too late and starts the next ones.
+func (q *Queue) Release(t *Ticket, now time.Duration, limit int) {
+	q.end(t, now, limit)
 	for q.starting < limit && len(q.waiting) > 0 {
-		first := slices.MinFunc(q.waiting, func(a, b *Ticket) int { return compare(a, b, now) })
-		q.remove(first)
-		q.start(first)
+		q.Start(q.ordered(now, nil)[0], now)
 	}
 }
 
+// End records that a request which had waited for a connection has ended. The next one
+// starts once its user finds a connection.
+func (q *Queue) End(t *Ticket, now time.Duration, connections int) { q.end(t, now, connections) }
+
+func (q *Queue) end(t *Ticket, now time.Duration, limit int) {
+	q.limit = limit
+	q.starting--
+	q.charged -= t.charged
+	duration := now - t.startedAt
+	q.shares.correct(&t.Request, float64(duration)-t.charged)
+	q.work.add(now, t.Kind, duration)
+	q.refuseLate(now)
+}
+
+// Reconsider refuses the waiting requests that are too late, or are expected to be.
+func (q *Queue) Reconsider(now time.Duration) { q.refuseLate(now) }
+
+// RetryAfter returns when a request should return that was refused for another reason
+// than the length of the queue, and could be served after a time.
+func (q *Queue) RetryAfter(now, after time.Duration) time.Duration { return q.takeRetry(now, after) }
+
+// Next returns the waiting ticket after another one in the order in which they start, or
+// the first one if the other is nil or no longer waits; nil if there is none.
+func (q *Queue) Next(now time.Duration, after *Ticket) *Ticket {
+	tickets := q.ordered(now, nil)
+	if i := slices.Index(tickets, after) + 1; i < len(tickets) {
+		return tickets[i]
+	}
+	return nil
+}
+
+// Start starts a waiting ticket. It returns false if the ticket is decided already.
+func (q *Queue) Start(t *Ticket, now time.Duration) bool {
+	if !q.remove(t) {
+		return false
+	}
+	q.begin(t, now)
+	return true
+}
+
 // Abandon refuses a waiting ticket. It has no effect on a decided one.
-func (q *Queue) Abandon(t *Ticket) {
-	if slices.Contains(q.waiting, t) {
-		q.remove(t)
-		t.refuse()
+func (q *Queue) Abandon(t *Ticket, now time.Duration) {
+	if q.remove(t) {
+		wait, _ := q.expectedWait(t, now)
+		q.refuse(t, now, wait)
 	}
 }
 
-// Waiting returns the number of waiting queries.
+// Waiting returns the number of waiting requests.
 func (q *Queue) Waiting() int { return len(q.waiting) }
 
-// Starting returns the number of queries that count as starting.
+// Starting returns the number of requests that count as starting.
 func (q *Queue) Starting() int { return q.starting }
 
-// refuseExpired refuses the waiting queries whose latest start has passed.
-func (q *Queue) refuseExpired(now time.Duration) {
-	q.waiting = slices.DeleteFunc(q.waiting, func(t *Ticket) bool {
-		if now <= t.LatestStart {
-			return false
-		}
-		t.refuse()
-		return true
-	})
+// Work returns the mean work of a request, and how long ago its kind's was learned; the
+// age is 0 if it was not.
+func (q *Queue) Work(r *Request, now time.Duration) (mean, age time.Duration) {
+	w := q.work.of(r)
+	if w.known {
+		age = now - w.learnedAt
+	}
+	return time.Duration(w.mean), age
 }
 
-func (q *Queue) start(t *Ticket) {
+func (q *Queue) begin(t *Ticket, now time.Duration) {
 	q.starting++
+	t.startedAt, t.charged = now, q.work.of(&t.Request).mean
+	q.charged += t.charged
+	q.shares.charge(t, t.charged)
+	q.credits.decide(&t.Request, true, t.owed)
 	close(t.Decided)
 }
 
-func (q *Queue) remove(t *Ticket) {
+// remove removes a ticket and reports whether it was waiting.
+func (q *Queue) remove(t *Ticket) bool {
+	before := len(q.waiting)
 	q.waiting = slices.DeleteFunc(q.waiting, func(other *Ticket) bool { return other == t })
+	return len(q.waiting) < before
 }
 
-func (t *Ticket) refuse() {
-	t.Refused = true
+func (q *Queue) refuse(t *Ticket, now, wait time.Duration) {
+	q.credits.decide(&t.Request, false, t.owed)
+	t.Refused, t.RetryAfter = true, q.takeRetry(now, wait)
 	close(t.Decided)
 }
 
-// compare orders tickets by priority, then puts those that can still meet their
-// objective before those that are late already. Queries that can still meet their
-// objective are ordered by OnTimeStart, late ones by LatestStart; on a tie the one
-// that arrived first comes first.
-func compare(a, b *Ticket, now time.Duration) int {
-	aLate, bLate := now > a.OnTimeStart, now > b.OnTimeStart
-	switch {
-	case a.Priority != b.Priority:
-		return cmp.Compare(a.Priority, b.Priority)
-	case aLate != bLate && bLate:
-		return -1
-	case aLate != bLate:
-		return 1
-	case aLate:
-		return cmp.Or(cmp.Compare(a.LatestStart, b.LatestStart), cmp.Compare(a.Arrived, b.Arrived))
-	}
-	return cmp.Or(cmp.Compare(a.OnTimeStart, b.OnTimeStart), cmp.Compare(a.Arrived, b.Arrived))
+// takeRetry returns when a refused request should return. Each gets a time one mean
+// start after the one before, so that they return in the order of their refusals and
+// find room.
+func (q *Queue) takeRetry(now, wait time.Duration) time.Duration {
+	at := min(max(now+wait, q.nextRetry), now+wait+maxRetrySpread)
+	q.nextRetry = at + time.Duration(q.work.all.mean)/time.Duration(max(1, q.limit))
+	return at - now
 }
-
-func startsNoLater(a, b *Ticket, now time.Duration) bool { return compare(a, b, now) <= 0 }
--- a/pkg/query/queue/queue_test.go
+++ b/pkg/query/queue/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -31,8 +32,8 @@
 }
 
 var _ = Describe("Queue", func() {
-	queryArrivingAt := func(arrived time.Duration) queue.Query {
-		return queue.Query{Arrived: arrived, OnTimeStart: arrived + 100*ms, LatestStart: arrived + 2*time.Second}
+	queryArrivingAt := func(arrived time.Duration) queue.Request {
+		return queue.Request{Arrived: arrived, OnTimeStart: arrived + 100*ms, LatestStart: arrived + 2*time.Second}
 	}
 
 	It("starts queries at once while there is room, and the rest in order", func() {
@@ -42,30 +43,30 @@
 		third, _ := q.Enqueue(2*ms, 1, queryArrivingAt(2*ms))
 		Expect(started(first)).To(BeTrue())
 		Expect(decided(second)).To(BeFalse())
-		q.Release(30*ms, 30*ms, 1)
+		q.Release(first, 30*ms, 1)
 		Expect(started(second)).To(BeTrue())
 		Expect(decided(third)).To(BeFalse())
 	})
 
 	It("prefers the higher priority, and then queries that can still meet their objective", func() {
 		var q queue.Queue
-		q.Enqueue(0, 1, queryArrivingAt(0))
+		first, _ := q.Enqueue(0, 1, queryArrivingAt(0))
 		late, _ := q.Enqueue(1*ms, 1, queryArrivingAt(1*ms))
 		inTime, _ := q.Enqueue(150*ms, 1, queryArrivingAt(150*ms))
 		low := queryArrivingAt(150 * ms)
 		low.Priority = 1
 		lowest, _ := q.Enqueue(150*ms, 1, low)
-		q.Release(160*ms, 160*ms, 1)
+		q.Release(first, 160*ms, 1)
 		Expect(started(inTime)).To(BeTrue())
-		q.Release(170*ms, 10*ms, 1)
+		q.Release(inTime, 170*ms, 1)
 		Expect(started(late)).To(BeTrue())
 		Expect(decided(lowest)).To(BeFalse())
 	})
 
 	It("refuses at once queries that would wait too long, and returns the expected wait", func() {
 		var q queue.Queue
-		q.Enqueue(0, 1, queryArrivingAt(0))
-		q.Release(100*ms, 100*ms, 1)
+		first, _ := q.Enqueue(0, 1, queryArrivingAt(0))
+		q.Release(first, 100*ms, 1)
 		q.Enqueue(100*ms, 1, queryArrivingAt(100*ms))
 		for range 3 {
 			q.Enqueue(100*ms, 1, queryArrivingAt(100*ms))
@@ -80,9 +81,9 @@
 
 	It("refuses waiting queries whose latest start has passed", func() {
 		var q queue.Queue
-		q.Enqueue(0, 1, queryArrivingAt(0))
+		first, _ := q.Enqueue(0, 1, queryArrivingAt(0))
 		t, _ := q.Enqueue(0, 1, queryArrivingAt(0))
-		q.Release(3*time.Second, 3*time.Second, 1)
+		q.Release(first, 3*time.Second, 1)
 		Expect(t.Refused).To(BeTrue())
 		Expect(q.Starting()).To(BeZero())
 	})
@@ -91,12 +92,13 @@
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			var q queue.Queue
 			var tickets []*queue.Ticket
+			released := make(map[*queue.Ticket]bool)
 			now, limit, left := time.Duration(0), rapid.IntRange(1, 4).Draw(t, "limit"), 0
 			for range rapid.IntRange(1, 60).Draw(t, "steps") {
 				now += time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * ms
 				switch {
 				case rapid.Bool().Draw(t, "enter"):
-					query := queue.Query{
+					query := queue.Request{
 						Arrived: now, OnTimeStart: now + 50*ms, Priority: rapid.IntRange(0, 1).Draw(t, "priority"),
 						LatestStart: now + time.Duration(rapid.IntRange(0, 200).Draw(t, "latest"))*ms,
 					}
@@ -104,9 +106,11 @@
 					tickets = append(tickets, ticket)
 				case q.Starting() > 0:
 					left++
-					q.Release(now, 20*ms, limit)
+					i := slices.IndexFunc(tickets, func(ticket *queue.Ticket) bool { return started(ticket) && !released[ticket] })
+					released[tickets[i]] = true
+					q.Release(tickets[i], now, limit)
 				case len(tickets) > 0:
-					q.Abandon(tickets[len(tickets)-1])
+					q.Abandon(tickets[len(tickets)-1], now)
 				}
 				if q.Starting() > limit {
 					t.Fatalf("%d queries are starting, the limit is %d", q.Starting(), limit)
@@ -202,7 +206,7 @@
 func (r *replay) arrive(now time.Duration, a arrival) *replayedQuery {
 	p := &replayedQuery{arrival: a}
 	if r.useQueue {
-		p.ticket, _ = r.queue.Enqueue(now, connections, queue.Query{
+		p.ticket, _ = r.queue.Enqueue(now, connections, queue.Request{
 			Arrived: a.at, OnTimeStart: a.at + work, LatestStart: a.at + a.patience - work,
 		})
 	}
@@ -228,7 +232,7 @@
 	}
 	if running && r.useQueue && !p.released && (p.ended || p.parts >= shards/2) {
 		p.released = true
-		r.queue.Release(now, now-p.began, connections)
+		r.queue.Release(p.ticket, now, connections)
 	}
 }
 
