Calls wait for a connection by event, in the order of the scheduler

Cause: a call without a free connection looked for one every 5 ms, so a free connection went to whichever call looked next, up to 5 ms late, and a call was refused after 60 ms whatever its objective.

Change: the pool tells when a connection may be free; the first waiting call of the service in the order of pkg/query/queue is woken, and each woken call wakes the next. A call also tries again when a target's pause ends and when its wait ends. The wait stays at 60 ms at most, and ends within a quarter of the objective. A call or query whose key was revoked while it waited for a place or for a new connection gets that error and is not sent. Refusals for lack of a target get consecutive times to return.

--- /dev/null
+++ b/pkg/dispatch/connectionqueue.go
@@ -0,0 +1,140 @@
+package dispatch
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/query/queue"
+)
+
+// connectionQueues holds a queue for each service: the calls that wait for a connection to
+// one of its targets, and those that have one.
+type connectionQueues struct {
+	now func() time.Duration
+	// waiting is the number of waiting calls of all services. While it is 0, a freed
+	// connection costs no more than reading it.
+	waiting atomic.Int64
+
+	mu        sync.Mutex
+	byService map[model.ServiceID]*connectionQueue
+}
+
+// connectionQueue is the queue of one service.
+//
+// A freed connection wakes the first waiting call. Each call that was woken, whether or
+// not it could use the connection, wakes the next one, so that none remains waiting beside
+// a connection that only it may use.
+type connectionQueue struct {
+	all   *connectionQueues
+	mu    sync.Mutex
+	queue queue.Queue
+	// woken holds a channel for each waiting ticket. A value in it means that the call
+	// should try to find a connection.
+	woken map[*queue.Ticket]chan struct{}
+}
+
+func newConnectionQueues(now func() time.Duration) *connectionQueues {
+	return &connectionQueues{now: now, byService: make(map[model.ServiceID]*connectionQueue)}
+}
+
+// of returns the queue of a service.
+func (c *connectionQueues) of(service model.ServiceID) *connectionQueue {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.byService[service]
+	if w == nil {
+		w = &connectionQueue{all: c, queue: queue.Queue{MinRetryAfter: refusedRetryAfter}, woken: make(map[*queue.Ticket]chan struct{})}
+		c.byService[service] = w
+	}
+	return w
+}
+
+// wake has the first waiting call of a service try to find a connection. It may be called
+// with any locks held but those of this file.
+func (c *connectionQueues) wake(service model.ServiceID) {
+	if c.waiting.Load() > 0 {
+		c.of(service).wakeAfter(nil)
+	}
+}
+
+// wakeAfter wakes the call after another one; the first one for nil.
+func (w *connectionQueue) wakeAfter(t *queue.Ticket) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if next := w.queue.Next(w.all.now(), t); next != nil {
+		select {
+		case w.woken[next] <- struct{}{}:
+		default:
+			// It has been woken already.
+		}
+	}
+}
+
+// anyWaiting reports whether calls wait.
+func (w *connectionQueue) anyWaiting() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.queue.Waiting() > 0
+}
+
+// pass records a call that found a connection at once.
+func (w *connectionQueue) pass(connections int, r queue.Request) *queue.Ticket {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.queue.Pass(w.all.now(), connections, r)
+}
+
+// join adds a call that waits, unless its ticket is refused at once. A value on the
+// channel means that it should try to find a connection. wait is how long it is expected
+// to wait, and ahead how many calls wait already.
+func (w *connectionQueue) join(connections int, r queue.Request) (t *queue.Ticket, woken <-chan struct{}, wait time.Duration, ahead int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ahead = w.queue.Waiting()
+	t, wait = w.queue.Wait(w.all.now(), connections, r)
+	if t.Refused {
+		return t, nil, wait, ahead
+	}
+	channel := make(chan struct{}, 1)
+	w.woken[t] = channel
+	w.all.waiting.Add(1)
+	return t, channel, wait, ahead
+}
+
+// leave removes a waiting call: it has found a connection, or gives up. The next one is
+// woken, since it may have been this call's turn.
+func (w *connectionQueue) leave(t *queue.Ticket, found bool) {
+	w.mu.Lock()
+	if found {
+		w.queue.Start(t, w.all.now())
+	} else {
+		w.queue.Abandon(t, w.all.now())
+	}
+	delete(w.woken, t)
+	w.all.waiting.Add(-1)
+	w.mu.Unlock()
+	w.wakeAfter(nil)
+}
+
+// end records that a call which had found a connection has ended.
+func (w *connectionQueue) end(t *queue.Ticket, connections int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.queue.End(t, w.all.now(), connections)
+}
+
+// retryAfter returns the Retry-After time of a call that could be served after a time.
+func (w *connectionQueue) retryAfter(after time.Duration) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.queue.RetryAfter(w.all.now(), after)
+}
+
+// work returns the mean work of a call, and how long ago it was learned.
+func (w *connectionQueue) work(t *queue.Ticket) (mean, age time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.queue.Work(&t.Request, w.all.now())
+}
--- /dev/null
+++ b/pkg/dispatch/connectionqueue_test.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/exchange"
+	"radishturn.example/radishturn/pkg/exchange/exchangetest"
+	"radishturn.example/radishturn/pkg/failure"
+	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/routing"
+)
+
+// call starts a call that may be changed first, and delivers its outcome.
+func (f *memoryFixture) call(route *routing.Route, id string, change func(*Call)) <-chan Outcome {
+	c := &Call{Request: &exchange.Request{ID: model.RequestID(id), Method: "GET"}, Route: route, Arrived: time.Now(), Timeout: 8 * time.Second}
+	if change != nil {
+		change(c)
+	}
+	serve, done := f.engine.Forward, make(chan Outcome, 1)
+	if route.Fanout != nil {
+		serve = f.engine.Query
+	}
+	go func() { done <- serve(context.Background(), c) }()
+	return done
+}
+
+// withoutConnections is a fixture with one target of service "s" that may not be
+// connected to until the returned function is called.
+func withoutConnections(t *testing.T, behave func(int) exchangetest.Behaviour) (*memoryFixture, func()) {
+	f := newMemoryFixture(t)
+	f.add("s", "a", behave)
+	f.publish(nil)
+	pool := f.engine.registryState().targets["i-0"].pool
+	pool.SetLimit(0, 0)
+	return f, func() { pool.SetLimit(1, 0) }
+}
+
+// Waiting calls looked for a connection every 5 ms.
+func TestWaitingCallIsSentAsSoonAsAConnectionIsFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f, free := withoutConnections(t, nil)
+		began := time.Now()
+		out := f.call(longRoute(false), "q", nil)
+		time.AfterFunc(7300*time.Microsecond, free)
+		g.Expect((<-out).Reply).NotTo(BeNil())
+		g.Expect(time.Since(began)).To(Equal(7300 * time.Microsecond))
+	})
+}
+
+// A connection went to the call that looked for one first after it was free.
+func TestFreeConnectionGoesToTheCallsInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f, free := withoutConnections(t, always(exchangetest.Behaviour{Delay: 10 * time.Millisecond}))
+		ended := make(chan string, 3)
+		for i, priority := range []int{3, 2, 1} {
+			out := f.call(longRoute(false), fmt.Sprint(priority), func(c *Call) { c.Priority = priority })
+			go func() {
+				<-out
+				ended <- fmt.Sprint(priority)
+			}()
+			time.Sleep(time.Duration(i+1) * time.Millisecond)
+		}
+		time.Sleep(time.Millisecond / 2)
+		free()
+		g.Expect([]string{<-ended, <-ended, <-ended}).To(Equal([]string{"1", "2", "3"}))
+	})
+}
+
+func TestCallWithoutConnectionIsRefusedWithinAQuarterOfItsObjective(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f, _ := withoutConnections(t, nil)
+		route := longRoute(true)
+		route.Objective = 100 * time.Millisecond
+		began, last := time.Now(), time.Duration(0)
+		var outs []<-chan Outcome
+		for i := range 3 {
+			outs = append(outs, f.call(route, fmt.Sprint(i), nil))
+		}
+		for _, out := range outs {
+			o := <-out
+			g.Expect(o.NotRun()).To(BeTrue())
+			g.Expect(o.Err.RetryAfter).To(BeNumerically(">=", last))
+			last = o.Err.RetryAfter
+		}
+		g.Expect(time.Since(began)).To(BeNumerically("<=", 25*time.Millisecond))
+	})
+}
+
+func TestRequestRevokedWhileItWaitsHasNotRun(t *testing.T) {
+	for name, route := range map[string]*routing.Route{"call": longRoute(true), "query": longQuery("s")} {
+		for _, wait := range []string{"place", "new connection"} {
+			t.Run(name+" waits for "+wait, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					g := NewWithT(t)
+					f, free := withoutConnections(t, nil)
+					if wait == "new connection" {
+						f.dialSlowly(30 * time.Millisecond)
+						f.publish(nil)
+						free = func() {}
+					} else if route.Fanout != nil {
+						f.fillStartQueue(route, 20*time.Millisecond)
+					}
+					var revoked atomic.Bool
+					out := f.call(route, "q", func(c *Call) {
+						c.Recheck = func() *failure.Error {
+							if revoked.Load() {
+								return failure.New(failure.Unauthorized, failure.NotRun, "check key", "", "the key was removed")
+							}
+							return nil
+						}
+					})
+					time.AfterFunc(10*time.Millisecond, func() { revoked.Store(true) })
+					time.AfterFunc(20*time.Millisecond, free)
+					g.Expect((<-out).Err).To(HaveField("Code", failure.Unauthorized))
+					g.Expect(f.requests()).To(BeZero())
+				})
+			})
+		}
+	}
+}
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -55,6 +55,8 @@
 	origin      time.Time
 	registry    *registry
 	logLimiters logLimiters
+	// connectionQueues holds the calls that wait for a connection.
+	connectionQueues *connectionQueues
 
 	mu          sync.Mutex
 	stats       map[string]*routeStats
@@ -79,7 +81,7 @@
 // New returns an Engine.
 func New(o Options) *Engine {
 	shared := pool.Shared{Codec: o.Codec, Dial: o.Dial, ResetGuard: pool.NewResetGuard(), Memory: o.BodyMemory}
-	return &Engine{
+	e := &Engine{
 		opts: o, origin: time.Now(), registry: newRegistry(o.Instance, o.AvailabilityZone, shared), logLimiters: newLogLimiters(),
 		stats:           make(map[string]*routeStats),
 		budgets:         make(map[model.ServiceID]*retry.Budget),
@@ -89,6 +91,9 @@
 		startQueues:     make(map[model.ServiceID]*startQueue),
 		answered:        poison.NewAnsweredSet(),
 	}
+	e.connectionQueues = newConnectionQueues(e.now)
+	e.registry.freed = e.connectionQueues.wake
+	return e
 }
 
 // BodyMemory returns the budget for message bodies; nil means without limit.
--- a/pkg/dispatch/query.go
+++ b/pkg/dispatch/query.go
@@ -1,8 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
-	"slices"
+	"errors"
 	"time"
 
 	"radishturn.example/radishturn/pkg/failure"
@@ -63,6 +64,9 @@
 	lateLogged bool
 	// disconnects counts the connections that ended during a request.
 	disconnects int
+	// revoked is set once the query must no longer be served, if a request was withdrawn
+	// for that reason before it was sent. No further request is sent then.
+	revoked *failure.Error
 	// startQueue is set while the query is starting; startTicket is its ticket, and
 	// startLimit the limit of queries starting at a time that applied then.
 	startQueue  *startQueue
@@ -137,6 +141,9 @@
 		q.sendDue(now)
 		q.logLate(now)
 		q.releaseStart(false)
+		if q.revoked != nil && !q.mayHaveRun() {
+			return Outcome{Err: q.revoked, Trace: q.trace}
+		}
 		switch q.run.Decide(now) {
 		case gather.Answer:
 			return q.finish()
@@ -199,7 +206,7 @@
 		q.run.RecordUnsent(i, now, current.hasUsableTarget(service, now))
 		return
 	}
-	if q.seemsToCrashTargets() || current.quarantines(q.call) {
+	if q.revoked != nil || q.seemsToCrashTargets() || current.quarantines(q.call) {
 		// Recorded like a denial by the retry budget, so that the shard is tried again
 		// after a pause. A part that arrives until then clears the suspicion.
 		q.run.RecordDenied(i, now)
@@ -287,64 +294,9 @@
 		if r.disconnected() {
 			q.disconnects++
 		}
-		q.run.RecordFailure(r.shard, q.engine.now(), r.mayHaveRun)
-	}
-}
-
-func (q *query) finish() Outcome {
-	q.abandon(lingerTime)
-	q.answer.Missing = len(q.call.Route.Fanout.Shards) - q.run.Parts()
-	q.answer.Records = q.top.Bytes()
-	q.traceUnanswered()
-	return Outcome{Answer: &q.answer, Trace: q.trace}
-}
-
-func (q *query) fail(linger time.Duration, code failure.Code, step string) Outcome {
-	q.abandon(linger)
-	q.traceUnanswered()
-	ran := failure.NotRun
-	if slices.ContainsFunc(q.sentByShard, sentRequests.mayHaveRun) {
-		ran = failure.Unknown
-	}
-	err := failure.New(code, ran, step, "", "%d of %d parts received, %d required",
-		q.run.Parts(), len(q.call.Route.Fanout.Shards), q.plan.Required)
-	return Outcome{Err: err, Trace: q.trace}
-}
-
-// maxUnansweredShards is the maximum number of unanswered shards described in a
-// trace; shards without a target are all listed.
-const maxUnansweredShards = 4
-
-// traceUnanswered records the shards without a part, and their requests, in the trace.
-func (q *query) traceUnanswered() {
-	q.trace.Unanswered = append(q.trace.Unanswered, q.unansweredShards()...)
-	lines := 0
-	for i, s := range q.call.Route.Fanout.Shards {
-		if !q.run.Done(i) {
-			q.engine.deferSentEvents(q.call, &q.trace, s, q.sentByShard[i], &lines)
-		}
-	}
-}
-
-// unansweredShards describes the requests to shards that have not answered, for at
-// most maxUnansweredShards of them.
-func (q *query) unansweredShards() []string {
-	var unanswered []string
-	for i, s := range q.call.Route.Fanout.Shards {
-		if !q.run.Done(i) && len(unanswered) < maxUnansweredShards {
-			unanswered = append(unanswered, describeRequests(s, q.sentByShard[i]))
-		}
-	}
-	return unanswered
-}
-
-// abandon abandons the requests in flight.
-func (q *query) abandon(linger time.Duration) {
-	for _, sent := range q.sentByShard {
-		for _, r := range sent {
-			if !r.completed {
-				r.attempt.Abandon(linger)
-			}
+		if errors.Is(r.result.Err, pool.ErrWithdrawn) {
+			q.revoked = cmp.Or(q.revoked, recheck(q.call))
 		}
+		q.run.RecordFailure(r.shard, q.engine.now(), r.mayHaveRun)
 	}
 }
--- a/pkg/dispatch/refuse.go
+++ b/pkg/dispatch/refuse.go
@@ -25,7 +25,8 @@
 	if usable >= q.plan.Required {
 		return nil
 	}
-	return newRefusal(failure.NoTarget, failure.NotRun, "find targets", "", retryAfterPauses(pauses, q.plan.Required-usable),
+	retryAfter := q.engine.startQueueOf(q.call.Route.Fanout.Shards).retryAfter(now, retryAfterPauses(pauses, q.plan.Required-usable))
+	return newRefusal(failure.NoTarget, failure.NotRun, "find targets", "", retryAfter,
 		"%d of %d shards have a usable target, %d required", usable, len(q.call.Route.Fanout.Shards), q.plan.Required)
 }
 
--- a/pkg/dispatch/registry.go
+++ b/pkg/dispatch/registry.go
@@ -38,6 +38,8 @@
 	zone model.AvailabilityZoneID
 	// shared is what the pools of all targets have in common.
 	shared pool.Shared
+	// freed is called when a connection to a target of a service may be free.
+	freed func(model.ServiceID)
 
 	current atomic.Pointer[registryState]
 	mu      sync.Mutex
@@ -65,7 +67,7 @@
 const maxPreconnectQueue = 4096
 
 func newRegistry(self model.InstanceID, zone model.AvailabilityZoneID, shared pool.Shared) *registry {
-	r := &registry{self: self, zone: zone, shared: shared, preconnects: make(chan *target, maxPreconnectQueue)}
+	r := &registry{self: self, zone: zone, shared: shared, freed: func(model.ServiceID) {}, preconnects: make(chan *target, maxPreconnectQueue)}
 	r.current.Store(&registryState{view: &view.View{}})
 	return r
 }
@@ -160,8 +162,10 @@
 	if old != nil {
 		old.pool.Close()
 	}
+	shared := r.shared
+	shared.Freed = func() { r.freed(listed.Service) }
 	t := &target{Target: listed, process: &process{
-		pool:   pool.New(listed.ID, listed.Address.String(), r.shared, minConnectionLimit),
+		pool:   pool.New(listed.ID, listed.Address.String(), shared, minConnectionLimit),
 		health: health{concurrency: listed.Concurrency},
 	}}
 	return t
@@ -275,6 +279,21 @@
 	return least
 }
 
+// usableAt returns when the first of the service's targets that may not get a request now
+// may get one again by the passing of time; 0 if there is none.
+func (rs *registryState) usableAt(service model.ServiceID, now time.Duration) time.Duration {
+	var first time.Duration
+	s := rs.services[service]
+	for _, targets := range [][]*target{s.own, s.onDemand} {
+		for _, t := range targets {
+			if at := t.usableAt(now); at > 0 && (first == 0 || at < first) {
+				first = at
+			}
+		}
+	}
+	return first
+}
+
 // ready reports whether both the routing table and the catalog are known.
 func (rs *registryState) ready() bool { return rs.view.Routing != nil && rs.view.Catalog != nil }
 
--- a/pkg/dispatch/schedule.go
+++ b/pkg/dispatch/schedule.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"time"
 
 	"radishturn.example/radishturn/pkg/failure"
@@ -40,10 +41,13 @@
 // checkAfterWait returns why a call that has waited must no longer be served, by the
 // state in force now, or nil.
 func (e *Engine) checkAfterWait(c *Call) *failure.Error {
-	if c.Recheck != nil {
-		if err := c.Recheck(); err != nil {
-			return err
-		}
+	return cmp.Or(recheck(c), refuseQuarantined(c, e.current()))
+}
+
+// recheck returns why the request must no longer be served, or nil.
+func recheck(c *Call) *failure.Error {
+	if c.Recheck == nil {
+		return nil
 	}
-	return refuseQuarantined(c, e.current())
+	return c.Recheck()
 }
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -9,6 +9,7 @@
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/pool"
+	"radishturn.example/radishturn/pkg/query/queue"
 	"radishturn.example/radishturn/pkg/shutdown"
 )
 
@@ -18,8 +19,6 @@
 	// connectionWait is how long a call waits for a target with a free
 	// connection before it is refused. It is also the minimum delay of a hedge.
 	connectionWait = 60 * time.Millisecond
-	// connectionPoll is how often a waiting call checks for one.
-	connectionPoll = 5 * time.Millisecond
 	// singleHedgeFactor is the delay, in usual latencies, before an idempotent
 	// request is sent to a second target.
 	singleHedgeFactor = 2.5
@@ -51,6 +50,10 @@
 	// lateLogged is set once it is logged that the objective has passed.
 	lateLogged bool
 	trace      Trace
+	// wait is the queue of the service, and ticket the call's place in it once its first
+	// request is sent.
+	wait   *connectionQueue
+	ticket *queue.Ticket
 }
 
 // Forward sends a call to one target of the route's service and returns its reply.
@@ -77,6 +80,7 @@
 	e.recordFirst(service)
 	e.logAdmitted(c, &s.trace)
 	out := s.loop(ctx)
+	s.release()
 	out.attempt = s.sent.attemptOf(out.Reply)
 	s.sent.release(out.attempt)
 	e.checkCrashes(c, s.sent)
@@ -133,23 +137,6 @@
 	}
 }
 
-// sendFirst sends the first request. It waits up to connectionWait for a free
-// connection.
-func (s *singleCall) sendFirst(ctx context.Context) (Outcome, bool) {
-	until := min(s.engine.now()+connectionWait, s.deadline)
-	for !s.send() {
-		if s.engine.now() >= until {
-			return s.refuse("find connection", "no target of %s has a free connection", s.service), false
-		}
-		select {
-		case <-ctx.Done():
-			return s.refuse("find connection", "%w", context.Cause(ctx)), false
-		case <-time.After(connectionPoll):
-		}
-	}
-	return Outcome{}, true
-}
-
 // send sends the request to the best target that was not asked yet. The target may
 // work on it until half of deadlineMargin before the timeout of the call.
 func (s *singleCall) send() bool {
@@ -270,6 +257,9 @@
 	if len(s.inFlight) > 0 {
 		return Outcome{}, false
 	}
+	if final := s.withdrawnFor(err); final != nil {
+		return s.fail(final), true
+	}
 	s.trace.RetriesDue++
 	if s.takeFurtherRequest() && s.send() {
 		return Outcome{}, false
@@ -314,6 +304,10 @@
 	if current, now := s.engine.current(), s.engine.now(); !current.hasUsableTarget(s.service, now) {
 		retryAfter = max(retryAfter, current.pauseLeft(s.service, now))
 	}
+	return s.refuseUntil(s.engine.connectionQueues.of(s.service).retryAfter(retryAfter), step, format, args...)
+}
+
+func (s *singleCall) refuseUntil(retryAfter time.Duration, step, format string, args ...any) Outcome {
 	return s.fail(newRefusal(failure.NoTarget, failure.NotRun, step, string(s.service), retryAfter, format, args...))
 }
 
--- a/pkg/dispatch/startqueue.go
+++ b/pkg/dispatch/startqueue.go
@@ -37,7 +37,7 @@
 	defer e.mu.Unlock()
 	s := e.startQueues[shards[0]]
 	if s == nil {
-		s = &startQueue{}
+		s = &startQueue{queue: queue.Queue{MinRetryAfter: minRetryAfter}}
 		e.startQueues[shards[0]] = s
 	}
 	return s
@@ -80,7 +80,7 @@
 	if ticket.Refused {
 		q.trace.deferEvent(events.RefusedByScheduler, q.call.Request.ID, q.call.Route.Name, ticket.Priority, (q.engine.now() - now).Milliseconds(),
 			wait.Milliseconds(), waiting, limit, work.Microseconds(), workAge.Milliseconds(), ticket.RetryAfter.Milliseconds())
-		return newRefusal(failure.Overloaded, failure.NotRun, "wait to start", "", max(ticket.RetryAfter, minRetryAfter),
+		return newRefusal(failure.Overloaded, failure.NotRun, "wait to start", "", ticket.RetryAfter,
 			"%d queries are ahead, expected wait %s", waiting, wait.Round(time.Millisecond))
 	}
 	q.startQueue, q.startTicket, q.startLimit = s, ticket, limit
@@ -118,6 +118,13 @@
 	}
 }
 
+// retryAfter returns the Retry-After time of a query that could be served after a time.
+func (s *startQueue) retryAfter(now, after time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.RetryAfter(now, after)
+}
+
 // abandon refuses a ticket, unless it was started in the meantime.
 func (s *startQueue) abandon(t *queue.Ticket, now time.Duration) {
 	s.mu.Lock()
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -80,8 +80,7 @@
 
 // withdraws reports whether a request that has waited for a connection must not be sent.
 func (e *Engine) withdraws(c *Call, t *target) bool {
-	current := e.current()
-	return !current.admits(t, e.now()) || current.quarantines(c)
+	return !e.current().admits(t, e.now()) || e.checkAfterWait(c) != nil
 }
 
 // begin records a request, or returns false if the cold limit allows none now.
@@ -210,3 +209,21 @@
 	}
 	return t.health.cost(now), true
 }
+
+// usableAt returns when the target may get a request again by the passing of time; 0 if
+// it may get one now, or nothing is known.
+func (t *target) usableAt(now time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.wrongTarget || t.Leaving || t.notice.leaving(now) || t.coldInterval < 0 {
+		return 0
+	}
+	at := max(t.notice.pausedUntil, t.health.unreachableUntil)
+	if t.coldInterval > 0 && t.coldSent {
+		at = max(at, t.coldLastSent+t.coldInterval)
+	}
+	if at <= now {
+		return 0
+	}
+	return at
+}
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -61,6 +61,9 @@
 	ResetGuard *ResetGuard
 	// Memory bounds the replies that are held at a time; nil means without limit.
 	Memory *membudget.Budget
+	// Freed is called, without locks held, whenever Start may succeed after it failed for
+	// lack of a connection; it may be nil.
+	Freed func()
 }
 
 // Pool holds the connections to one target.
@@ -71,6 +74,7 @@
 	dialTarget DialFunc
 	resetGuard *ResetGuard
 	memory     *membudget.Budget
+	freed      func()
 	opened     *metrics.Counter
 	foreign    *metrics.Counter
 
@@ -91,8 +95,12 @@
 	if s.Dial == nil {
 		s.Dial = DialTCP
 	}
+	if s.Freed == nil {
+		s.Freed = func() {}
+	}
 	return &Pool{
 		target: target, address: address, codec: s.Codec, dialTarget: s.Dial, resetGuard: s.ResetGuard, memory: s.Memory, limit: limit,
+		freed:   s.Freed,
 		open:    make(map[*conn]bool),
 		opened:  metrics.GetOrCreateCounter("radishturn_target_connections_opened_total"),
 		foreign: metrics.GetOrCreateCounter("radishturn_target_replies_foreign_total"),
@@ -103,8 +111,12 @@
 // kept; 0 means without limit. Excess connections are closed as they are released.
 func (p *Pool) SetLimit(limit int, maxIdle time.Duration) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	raised := limit > p.limit
 	p.limit, p.maxIdle = limit, maxIdle
+	p.mu.Unlock()
+	if raised {
+		p.freed()
+	}
 }
 
 // Start sends an attempt over an idle connection, or over a new one if the limit
@@ -187,6 +199,15 @@
 func (p *Pool) dial() (*conn, error) {
 	p.opened.Inc()
 	raw, err := p.dialTarget(p.address, connectTimeout)
+	c, err := p.dialed(raw, err)
+	if err != nil {
+		p.freed()
+	}
+	return c, err
+}
+
+// dialed adds a connection that was opened, or records that none was.
+func (p *Pool) dialed(raw net.Conn, err error) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.opening--
@@ -214,7 +235,9 @@
 	p.mu.Unlock()
 	if surplus {
 		go c.fail(ErrNotSent)
+		return
 	}
+	p.freed()
 }
 
 // expireIdle schedules the close of a connection that stays idle for maxIdle. p.mu
@@ -240,11 +263,12 @@
 
 func (p *Pool) remove(c *conn) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	delete(p.open, c)
 	if i := slices.Index(p.idle, c); i >= 0 {
 		p.idle = slices.Delete(p.idle, i, i+1)
 	}
+	p.mu.Unlock()
+	p.freed()
 }
 
 // Availability states which connection Start would use.
--- a/pkg/query/queue/queue.go
+++ b/pkg/query/queue/queue.go
@@ -33,6 +33,9 @@
 // from without the lock; Refused and RetryAfter may be read without it once Decided is
 // closed.
 type Queue struct {
+	// MinRetryAfter is the minimum time after which a refused request returns.
+	MinRetryAfter time.Duration
+
 	limit    int
 	starting int
 	// charged is the work of the starting requests as expected when they started.
@@ -232,6 +235,7 @@
 // start after the one before, so that they return in the order of their refusals and
 // find room.
 func (q *Queue) takeRetry(now, wait time.Duration) time.Duration {
+	wait = max(wait, q.MinRetryAfter)
 	at := min(max(now+wait, q.nextRetry), now+wait+maxRetrySpread)
 	q.nextRetry = at + time.Duration(q.work.all.mean)/time.Duration(max(1, q.limit))
 	return at - now
