Queue: requests of lower priority overtake only where it costs nothing

Change: the waiting requests that can all meet their objectives, chosen by priority, start in the order of their objectives; the rest stays in the order of priority. Differences of received work between accounts need no quantum any more.

--- a/pkg/query/queue/order.go
+++ b/pkg/query/queue/order.go
@@ -2,15 +2,13 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
 
-// fairnessQuantum is the difference of received work, in nanoseconds, below which accounts
-// count as equal. Within it, remaining time decides: without it, requests of an account
-// that sends the most missed their objectives though all could have met them.
-const fairnessQuantum = float64(50 * time.Millisecond)
+// maxPlanned bounds the requests that are planned to meet their objectives; the others
+// are not far enough in front for their order to matter.
+const maxPlanned = 64
 
 // ordered returns the waiting tickets and another one, which may be nil, in the order in
 // which they start.
@@ -20,17 +18,71 @@
 		tickets = append(tickets, other)
 	}
 	slices.SortStableFunc(tickets, func(a, b *Ticket) int { return cmp.Or(compareClass(a, b, now), compareTime(a, b, now)) })
-	if !q.shares.active {
-		return tickets
+	if q.shares.active {
+		tagger := q.shares.tagger()
+		for _, t := range tickets {
+			t.tag = tagger.tag(t, q.work.of(&t.Request).mean)
+		}
+		slices.SortStableFunc(tickets, func(a, b *Ticket) int {
+			return cmp.Or(compareClass(a, b, now), cmp.Compare(a.tag, b.tag))
+		})
 	}
-	tagger := q.shares.tagger()
-	for _, t := range tickets {
-		t.tag = math.Floor(tagger.tag(t, q.work.of(&t.Request).mean) / fairnessQuantum)
+	return q.plan(now, tickets)
+}
+
+// plan moves the tickets to the front that can all meet their objectives, in the order of
+// their objectives. Tickets are added in the order given, each only if all before it still
+// meet theirs, and none after one of higher priority that was not added.
+func (q *Queue) plan(now time.Duration, tickets []*Ticket) []*Ticket {
+	owed := 0
+	for owed < len(tickets) && tickets[owed].owed {
+		owed++
+	}
+	var planned, rest []*Ticket
+	for _, t := range tickets[owed:] {
+		overtakes := len(rest) > 0 && rest[len(rest)-1].Priority < t.Priority
+		if overtakes || t.late(now) || len(planned) >= maxPlanned || !q.fits(now, tickets[:owed], planned, t) {
+			rest = append(rest, t)
+			continue
+		}
+		planned = slices.Insert(planned, position(planned, t), t)
 	}
-	slices.SortStableFunc(tickets, func(a, b *Ticket) int {
-		return cmp.Or(compareClass(a, b, now), cmp.Compare(a.tag, b.tag))
+	return slices.Concat(tickets[:owed], planned, rest)
+}
+
+// position returns where a ticket belongs among those ordered by their objectives.
+func position(planned []*Ticket, t *Ticket) int {
+	i, _ := slices.BinarySearchFunc(planned, t, func(other, t *Ticket) int {
+		return cmp.Or(cmp.Compare(other.OnTimeStart, t.OnTimeStart), cmp.Compare(other.Arrived, t.Arrived), -1)
 	})
-	return tickets
+	return i
+}
+
+// fits reports whether a ticket can be added to the planned ones such that all meet their
+// objectives, by the tail of the work ahead of them.
+func (q *Queue) fits(now time.Duration, owed, planned []*Ticket, t *Ticket) bool {
+	ahead := q.running()
+	for _, other := range owed {
+		ahead.add(q.work.of(&other.Request))
+	}
+	meets := func(t *Ticket) bool {
+		_, tail := ahead.wait(q.limit)
+		ahead.add(q.work.of(&t.Request))
+		return now+tail <= t.OnTimeStart
+	}
+	at := position(planned, t)
+	for _, other := range planned[:at] {
+		ahead.add(q.work.of(&other.Request))
+	}
+	if !meets(t) {
+		return false
+	}
+	for _, other := range planned[at:] {
+		if !meets(other) {
+			return false
+		}
+	}
+	return true
 }
 
 // compareClass orders tickets that are owed a start first, then by priority, then those
--- a/pkg/query/queue/queue.go
+++ b/pkg/query/queue/queue.go
@@ -125,8 +125,9 @@
 	ahead := q.running()
 	for _, t := range q.ordered(now, nil) {
 		wait, tail := ahead.wait(q.limit)
-		early := now <= t.RefuseBy && now+tail > t.LatestStart
-		lastChance := now <= t.RefuseBy && now >= t.RefuseBy-EarlyRefusalMargin && now+wait > t.OnTimeStart
+		mayRefuse := t.RefuseBy > 0 && now <= t.RefuseBy
+		early := mayRefuse && now+tail > t.LatestStart
+		lastChance := mayRefuse && now >= t.RefuseBy-EarlyRefusalMargin && now+wait > t.OnTimeStart
 		if now > t.LatestStart || early || lastChance {
 			q.remove(t)
 			q.refuse(t, now, wait)
--- a/pkg/query/queue/ticket.go
+++ b/pkg/query/queue/ticket.go
@@ -14,7 +14,7 @@
 	// objective, and LatestStart the latest one at which it meets its deadline.
 	OnTimeStart, LatestStart time.Duration
 	// RefuseBy is until when a waiting request may be refused since it is expected to
-	// start too late. After it, the request waits until LatestStart.
+	// start too late; 0 means never. After it, the request waits until LatestStart.
 	RefuseBy time.Duration
 	// Priority 0 is the highest.
 	Priority int
