--- a/pkg/dispatch/connectionqueue_test.go
+++ b/pkg/dispatch/connectionqueue_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
 
 	"radishturn.example/radishturn/pkg/exchange"
@@ -132,3 +133,16 @@
 		}
 	}
 }
+
+// The priority of an account overrides that of its route, also in the metrics.
+func TestRefusalsAndLateCallsAreCountedByEffectivePriority(t *testing.T) {
+	g := NewWithT(t)
+	route := &routing.Route{Name: "r", Priority: 3, Objective: time.Millisecond}
+	refusals := metrics.GetOrCreateCounter(`radishturn_call_refusals_total{cause="find target",priority="2"}`)
+	late := metrics.GetOrCreateCounter(`radishturn_calls_by_priority_total{priority="3",result="late"}`)
+	refusedBefore, lateBefore := refusals.Get(), late.Get()
+	observePriority(&Call{Route: route, Priority: 2}, Outcome{Err: failure.New(failure.NoTarget, failure.NotRun, "find target", "", "")})
+	observePriority(&Call{Route: route, Arrived: time.Now(), Elapsed: time.Second}, Outcome{Answer: &Answer{}})
+	g.Expect(refusals.Get()).To(Equal(refusedBefore + 1))
+	g.Expect(late.Get()).To(Equal(lateBefore + 1))
+}
--- a/pkg/dispatch/firstrequest.go
+++ b/pkg/dispatch/firstrequest.go
@@ -18,6 +18,7 @@
 	now := s.engine.now()
 	if !s.wait.anyWaiting() && s.send() {
 		s.ticket = s.wait.pass(s.connections(), s.schedule(now))
+		observeWait(s.ticket.Priority, 0)
 		return Outcome{}, true
 	}
 	ticket, woken, wait, ahead := s.wait.join(s.connections(), s.schedule(now))
@@ -26,6 +27,7 @@
 	}
 	err := s.awaitConnection(ctx, ticket, woken, now)
 	s.wait.leave(ticket, err == nil)
+	observeWait(ticket.Priority, s.engine.now()-now)
 	var final *failure.Error
 	switch {
 	case err == nil:
--- a/pkg/dispatch/metrics.go
+++ b/pkg/dispatch/metrics.go
@@ -62,6 +62,7 @@
 	route := routeLabels.label(c.Route.Name)
 	metrics.GetOrCreateCounter(fmt.Sprintf(`radishturn_route_calls_total{route=%q,outcome=%q}`, route, outcome)).Inc()
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`radishturn_route_seconds{route=%q}`, route)).Update(time.Since(c.Arrived).Seconds())
+	observePriority(c, out)
 	if out.Err != nil {
 		metrics.GetOrCreateCounter(fmt.Sprintf(`radishturn_call_failures_total{code=%q,step=%q}`, out.Err.Code, out.Err.Step)).Inc()
 	}
--- a/pkg/dispatch/startqueue.go
+++ b/pkg/dispatch/startqueue.go
@@ -77,6 +77,7 @@
 	work, workAge := s.queue.Work(&ticket.Request, now)
 	s.mu.Unlock()
 	s.await(ctx, q.engine, ticket, now)
+	observeWait(ticket.Priority, q.engine.now()-now)
 	if ticket.Refused {
 		q.trace.deferEvent(events.RefusedByScheduler, q.call.Request.ID, q.call.Route.Name, ticket.Priority, (q.engine.now() - now).Milliseconds(),
 			wait.Milliseconds(), waiting, limit, work.Microseconds(), workAge.Milliseconds(), ticket.RetryAfter.Milliseconds())
