--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -62,6 +62,8 @@
 	registry    *registry
 	logLimiters logLimiters
 	pauses      *boottime.PauseWatch
+	// connectionQueues holds the calls that wait for a connection.
+	connectionQueues *connectionQueues
 
 	mu          sync.Mutex
 	stats       map[string]*routeStats
@@ -89,7 +91,7 @@
 	shared := pool.Shared{
 		Codec: o.Codec, Dial: o.Dial, ResetGuard: pool.NewResetGuard(), Memory: o.BodyMemory, PausedWithin: pauses.PausedWithin,
 	}
-	return &Engine{
+	e := &Engine{
 		opts: o, origin: time.Now(), pauses: pauses, registry: newRegistry(o.Instance, o.AvailabilityZone, shared), logLimiters: newLogLimiters(),
 		stats:           make(map[string]*routeStats),
 		budgets:         make(map[model.ServiceID]*retry.Budget),
@@ -99,6 +101,9 @@
 		startQueues:     make(map[model.ServiceID]*startQueue),
 		answered:        poison.NewAnsweredSet(),
 	}
+	e.connectionQueues = newConnectionQueues(e.now)
+	e.registry.freed = e.connectionQueues.wake
+	return e
 }
 
 // BodyMemory returns the budget for message bodies; nil means without limit.
--- a/pkg/dispatch/query.go
+++ b/pkg/dispatch/query.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/gather"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/pool"
+	"radishturn.example/radishturn/pkg/query/queue"
 	"radishturn.example/radishturn/pkg/shutdown"
 )
 
@@ -57,15 +57,19 @@
 	// sentByShard holds the requests to each shard.
 	sentByShard []sentRequests
 	results     chan *sentRequest
-	trace       Trace
+	// shardWaits holds the waits for connections by shard, and freed the shards to which
+	// one may be free.
+	shardWaits map[int]*shardWait
+	freed      chan int
+	trace      Trace
 	// lateLogged is set once it is logged that the objective has passed.
 	lateLogged bool
 	// disconnects counts the connections that ended during a request.
 	disconnects int
-	// startQueue is set while the query is starting. leftQueueAt is when it left the
-	// queue, and startLimit the limit of queries starting at a time that applied then.
+	// startQueue is set while the query is starting; startTicket is its ticket, and
+	// startLimit the limit of queries starting at a time that applied then.
 	startQueue  *startQueue
-	leftQueueAt time.Duration
+	startTicket *queue.Ticket
 	startLimit  int
 }
 
@@ -88,6 +92,7 @@
 	e.recordFirst(c.Route.Fanout.Shards...)
 	e.logAdmitted(c, &q.trace)
 	out := q.loop(ctx)
+	q.leaveShards()
 	q.releaseStart(true)
 	for _, sent := range q.sentByShard {
 		sent.release(nil)
@@ -116,6 +121,7 @@
 		run:         gather.New(plan, len(f.Shards)),
 		top:         gather.NewTop(f.MaxRecords),
 		results:     make(chan *sentRequest, len(f.Shards)*gather.MaxSends),
+		freed:       make(chan int, 2*len(f.Shards)),
 		sentByShard: make([]sentRequests, len(f.Shards)),
 		trace:       e.newTrace(c),
 	}
@@ -160,6 +166,8 @@
 		case r := <-q.results:
 			q.handleResult(r)
 			q.handleQueuedResults()
+		case i := <-q.freed:
+			q.wakeShard(i)
 		case <-timer.C:
 			// After a delay of this process, replies may have arrived for requests that
 			// seem overdue.
@@ -193,7 +201,11 @@
 	chosen := q.choose(i, current, service, now)
 	t := chosen.target
 	if t == nil {
-		q.run.RecordUnsent(i, now, current.hasUsableTarget(service, now))
+		reachable := current.hasUsableTarget(service, now)
+		q.run.RecordUnsent(i, now, reachable)
+		if reachable {
+			q.awaitShard(i, service, now)
+		}
 		return
 	}
 	if q.seemsToCrashTargets() || current.quarantines(q.call) || q.call.recheck() != nil {
@@ -215,9 +227,14 @@
 	})
 	if !ok {
 		q.run.RecordUnsent(i, now, true)
+		q.awaitShard(i, service, now)
 		return
 	}
 	r.attempt = attempt
+	if w := q.leaveShard(i); w != nil {
+		// The wait ended without a wake-up, so it is the next one's turn.
+		w.queue.wakeAfter(nil)
+	}
 	q.recordSent(i, r)
 	q.run.RecordSent(i, now)
 	q.run.Expect(i, gather.Expectation{Current: chosen.completion, Next: chosen.next})
@@ -281,61 +298,3 @@
 		q.run.RecordFailure(r.shard, q.engine.now(), r.mayHaveRun)
 	}
 }
-
-func (q *query) finish() Outcome {
-	q.abandon(lingerTime)
-	q.answer.Missing = len(q.call.Route.Fanout.Shards) - q.run.Parts()
-	q.answer.Records = q.top.Bytes()
-	q.traceUnanswered()
-	return Outcome{Answer: &q.answer, Trace: q.trace}
-}
-
-func (q *query) fail(linger time.Duration, code failure.Code, step string) Outcome {
-	q.abandon(linger)
-	q.traceUnanswered()
-	ran := failure.NotRun
-	if slices.ContainsFunc(q.sentByShard, sentRequests.mayHaveRun) {
-		ran = failure.Unknown
-	}
-	err := failure.New(code, ran, step, "", "%d of %d parts received, %d required",
-		q.run.Parts(), len(q.call.Route.Fanout.Shards), q.plan.Required)
-	return Outcome{Err: err, Trace: q.trace}
-}
-
-// maxUnansweredShards is the maximum number of unanswered shards described in a
-// trace; shards without a target are all listed.
-const maxUnansweredShards = 4
-
-// traceUnanswered records the shards without a part, and their requests, in the trace.
-func (q *query) traceUnanswered() {
-	q.trace.Unanswered = append(q.trace.Unanswered, q.unansweredShards()...)
-	lines := 0
-	for i, s := range q.call.Route.Fanout.Shards {
-		if !q.run.Done(i) {
-			q.engine.deferSentEvents(q.call, &q.trace, s, q.sentByShard[i], &lines)
-		}
-	}
-}
-
-// unansweredShards describes the requests to shards that have not answered, for at
-// most maxUnansweredShards of them.
-func (q *query) unansweredShards() []string {
-	var unanswered []string
-	for i, s := range q.call.Route.Fanout.Shards {
-		if !q.run.Done(i) && len(unanswered) < maxUnansweredShards {
-			unanswered = append(unanswered, describeRequests(s, q.sentByShard[i]))
-		}
-	}
-	return unanswered
-}
-
-// abandon abandons the requests in flight.
-func (q *query) abandon(linger time.Duration) {
-	for _, sent := range q.sentByShard {
-		for _, r := range sent {
-			if !r.completed {
-				r.attempt.Abandon(linger)
-			}
-		}
-	}
-}
--- a/pkg/dispatch/recheck.go
+++ b/pkg/dispatch/recheck.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"slices"
-
 	"radishturn.example/radishturn/pkg/failure"
 )
 
@@ -17,7 +15,7 @@
 // recheckUnsent returns why the query may no longer run, or nil; also nil if a target
 // may have run a part of it.
 func (q *query) recheckUnsent() *failure.Error {
-	if slices.ContainsFunc(q.sentByShard, sentRequests.mayHaveRun) {
+	if q.mayHaveRun() {
 		return nil
 	}
 	return q.call.recheck()
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -125,6 +125,7 @@
 	ReplyCut           Number = 5028
 	CallerRefused      Number = 5101
 	CallersInForce     Number = 5102
+	RefusedByScheduler Number = 5131
 
 	OrderOutcomeUnknown     Number = 6001
 	OrderClaimUnconfirmed   Number = 6002
@@ -279,6 +280,7 @@
 	{ReplyCut, warnLevel, "reading of a reply was ended", []string{"target", "request", "reason", "heldBytes"}},
 	{CallerRefused, infoLevel, "request was refused because of its key", []string{"request", "caller", "reason", "tableVersion", "renewalMilliseconds"}},
 	{CallersInForce, infoLevel, "accounts of the routing table are in force on this instance", []string{"version", "callers", "keys"}},
+	{RefusedByScheduler, infoLevel, "request of a caller refused while others were ahead of it", []string{"request", "route", "priority", "milliseconds", "waitMilliseconds", "ahead", "limit", "workMicroseconds", "workAgeMilliseconds", "retryMilliseconds"}},
 
 	{OrderOutcomeUnknown, warnLevel, "outcome of an order is unknown", []string{"request", "error"}},
 	{OrderClaimUnconfirmed, warnLevel, "claim of an order could not be confirmed", []string{"request", "error"}},
