control: the key test sets its observer under the lock

Cause: the race detector found that TestKeysReachOnlyTheControlGroup set the fleet's observer while instances were sending. Result: go test -race ./pkg/control/server passes.

--- a/pkg/control/server/fleet_test.go
+++ b/pkg/control/server/fleet_test.go
@@ -115,6 +115,12 @@
 	return b.blocked[[2]model.InstanceID{from, to}]
 }
 
+func (b *fakeNetwork) observer() func(at model.InstanceID, message []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.observe
+}
+
 // Call drops messages between partitioned instances silently, as a network does.
 func (n *fakeMesh) Call(ctx context.Context, to model.InstanceID, kind mesh.Kind, request cbor.RawMessage) (cbor.RawMessage, error) {
 	if to != n.id {
@@ -130,10 +136,10 @@
 		return nil, failure.New(failure.BadRequest, failure.NotRun, string(kind), string(to), "no handler")
 	}
 	reply, err := handler(ctx, n.id, request)
-	if n.network.observe != nil {
-		n.network.observe(to, request)
-		n.network.observe(to, reply)
-		n.network.observe(n.id, reply)
+	if observe := n.network.observer(); observe != nil {
+		observe(to, request)
+		observe(to, reply)
+		observe(n.id, reply)
 	}
 	if n.network.partitioned(to, n.id) {
 		<-ctx.Done()
--- a/pkg/control/server/keys_test.go
+++ b/pkg/control/server/keys_test.go
@@ -19,11 +19,13 @@
 		g := NewWithT(t)
 		var mu sync.Mutex
 		saw := make(map[model.InstanceID]bool)
+		fl.network.mu.Lock()
 		fl.network.observe = func(at model.InstanceID, message []byte) {
 			mu.Lock()
 			defer mu.Unlock()
 			saw[at] = saw[at] || bytes.Contains(message, []byte("s3cret"))
 		}
+		fl.network.mu.Unlock()
 		time.Sleep(settleTime)
 		fl.partition("entry-1", "entry-0")
 		for version := range uint64(20) {
@@ -37,6 +39,8 @@
 			g.Expect(read.Source).To(BeEquivalentTo("s3cret"))
 			time.Sleep(time.Second)
 		}
+		mu.Lock()
+		defer mu.Unlock()
 		for i, n := range fl.instances {
 			g.Expect(n.lease.View().Routing.Caller(routing.DigestKey("s3cret"))).NotTo(BeNil())
 			if i >= memberCount {
