Keys are decided with a current table after freezes and during elections

An unknown key that no renewal confirms is answered with 503, not run, while the newest renewal is at most 3 s old, and with 401 after that. An instance of which no renewal that began within 3 s has ended has stood still: requests that need a key wait for a renewal, and those that had waited are refused as not run. The renewals that requests ask for are limited to a burst of 8 and 4 a second. The tests of this part are shorter: table entries instead of separate specs, and the soak's probe of routes serves for keys too.

--- a/pkg/callerauth/callerauth.go
+++ b/pkg/callerauth/callerauth.go
@@ -41,6 +41,9 @@
 	// or that the accounts were introduced while it waited. Sent again, it is decided
 	// from the start.
 	AccountChanged Reason = "account changed"
+	// KeyUnconfirmed means that no account has the key, but control may have added it
+	// since this instance last was in touch, a moment ago.
+	KeyUnconfirmed Reason = "key not confirmed by control"
 	// OutOfTouch means that this instance may have missed the revocation of a key.
 	OutOfTouch Reason = "out of touch with control"
 )
@@ -61,12 +64,22 @@
 type Contact struct {
 	// MaxAge bounds Age; 0 means that requests are decided with a table of any age.
 	MaxAge time.Duration
-	// Age is the time since the last renewal that succeeded was sent.
-	Age time.Duration
+	// Age is the time since the last renewal that succeeded was sent, and AttemptAge
+	// since the last one that has ended was.
+	Age, AttemptAge time.Duration
 }
 
 func (c Contact) lost() bool { return c.MaxAge > 0 && c.Age > c.MaxAge }
 
+// maxAttemptAge exceeds the time from one renewal to the end of the next, 2.4 s if both
+// run into their time-out of 1 s, and is below the 4 s within which a removed key is
+// refused.
+const maxAttemptAge = 3 * time.Second
+
+// StoodStill reports whether the process or its machine stood still and has not tried to
+// renew the lease since. The table may then be much older than if control were lost.
+func (c Contact) StoodStill() bool { return c.AttemptAge > maxAttemptAge }
+
 // Decide returns the account of a request that has arrived, or why it may not run. The
 // account is nil if the table has no accounts, and on public routes without a key that
 // is known.
@@ -91,11 +104,24 @@
 	return account, Admitted
 }
 
+// UnknownKey returns the reason to refuse a key that no account has after a wait for a
+// newer table. An instance that was in touch until a moment ago, as during an election,
+// leaves open whether the key is known; one that has been out of touch for longer goes by
+// its table.
+func UnknownKey(c Contact, waited time.Duration) Reason {
+	if c.Age > waited && c.Age <= maxAttemptAge {
+		return KeyUnconfirmed
+	}
+	return KeyUnknown
+}
+
 // Recheck returns why a request that was admitted for an account, "" for none, may no
 // longer run. table is the one in force now, and r.Public refers to it.
 func Recheck(table *routing.Index, r Request, admitted model.CallerID, c Contact) Reason {
 	account, reason := Decide(table, r, c)
 	switch {
+	case table.NeedsKeys() && !r.Public && c.StoodStill():
+		return OutOfTouch
 	case reason.Unauthorized() && admitted == "":
 		return AccountChanged
 	case reason.Unauthorized():
--- a/pkg/callerauth/callerauth_test.go
+++ b/pkg/callerauth/callerauth_test.go
@@ -14,8 +14,8 @@
 )
 
 // index returns a table with accounts, given as pairs of a name and a key.
-func index(version uint64, pairs ...string) *routing.Index {
-	t := &routing.Table{Version: version}
+func index(pairs ...string) *routing.Index {
+	t := &routing.Table{}
 	for i := 0; i < len(pairs); i += 2 {
 		t.Callers = append(t.Callers, routing.Caller{Name: model.CallerID(pairs[i]), Keys: []routing.KeyDigest{routing.DigestKey(pairs[i+1])}})
 	}
@@ -24,137 +24,114 @@
 
 const bound = 5 * time.Second
 
-// Guards against requests that run without a key in force, and against refusals of
-// requests that need none.
+// Guards against requests that run without a key in force, and refusals of those that
+// need none.
 func TestDecide(t *testing.T) {
+	none, accounts := index(), index("ralo", "k1", "mira", "k2")
 	inTouch, lost := callerauth.Contact{MaxAge: bound, Age: bound}, callerauth.Contact{MaxAge: bound, Age: bound + 1}
-	none, accounts := index(1), index(2, "ralo", "k1", "mira", "k2")
 	for _, c := range []struct {
-		name    string
 		table   *routing.Index
 		key     string
 		public  bool
 		contact callerauth.Contact
-		caller  string
+		caller  model.CallerID
 		want    callerauth.Reason
 	}{
-		{"no accounts", none, "", false, inTouch, "", callerauth.Admitted},
-		{"no accounts, any key, out of touch", none, "k1", false, lost, "", callerauth.Admitted},
-		{"known key", accounts, "k2", false, inTouch, "mira", callerauth.Admitted},
-		{"no key", accounts, "", false, inTouch, "", callerauth.KeyMissing},
-		{"unknown key", accounts, "k3", false, inTouch, "", callerauth.KeyUnknown},
-		{"out of touch", accounts, "k1", false, lost, "", callerauth.OutOfTouch},
-		{"out of touch, unknown key", accounts, "k3", false, lost, "", callerauth.OutOfTouch},
-		{"table of any age", accounts, "k1", false, callerauth.Contact{Age: lost.Age}, "ralo", callerauth.Admitted},
-		{"public", accounts, "", true, inTouch, "", callerauth.Admitted},
-		{"public, known key", accounts, "k1", true, lost, "ralo", callerauth.Admitted},
-		{"public, unknown key", accounts, "k3", true, lost, "", callerauth.Admitted},
+		{none, "", false, inTouch, "", callerauth.Admitted},
+		{none, "k1", false, lost, "", callerauth.Admitted},
+		{accounts, "k2", false, inTouch, "mira", callerauth.Admitted},
+		{accounts, "", false, inTouch, "", callerauth.KeyMissing},
+		{accounts, "k3", false, inTouch, "", callerauth.KeyUnknown},
+		{accounts, "k1", false, lost, "", callerauth.OutOfTouch},
+		{accounts, "k3", false, lost, "", callerauth.OutOfTouch},
+		{accounts, "k1", false, callerauth.Contact{Age: time.Hour}, "ralo", callerauth.Admitted},
+		{accounts, "", true, inTouch, "", callerauth.Admitted},
+		{accounts, "k1", true, lost, "ralo", callerauth.Admitted},
+		{accounts, "k3", true, lost, "", callerauth.Admitted},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			g := NewWithT(t)
-			caller, reason := callerauth.Decide(c.table, callerauth.Request{Key: callerauth.NewKey(c.key), Public: c.public}, c.contact)
-			g.Expect(reason).To(Equal(c.want))
-			if c.caller == "" {
-				g.Expect(caller).To(BeNil())
-			} else {
-				g.Expect(caller.Name).To(BeEquivalentTo(c.caller))
-			}
-		})
+		caller, reason := callerauth.Decide(c.table, callerauth.Request{Key: callerauth.NewKey(c.key), Public: c.public}, c.contact)
+		NewWithT(t).Expect(reason).To(Equal(c.want), "%+v", c)
+		if caller == nil {
+			caller = &routing.Caller{}
+		}
+		NewWithT(t).Expect(caller.Name).To(Equal(c.caller), "%+v", c)
 	}
 }
 
 // Guards against requests that run with a key that was removed while they waited, and
 // against 401 for a key that the table in force holds.
 func TestRecheck(t *testing.T) {
-	accounts := index(2, "ralo", "k1", "mira", "k2")
-	for _, c := range []struct {
-		name     string
+	accounts, stoodStill := index("ralo", "k1", "mira", "k2"), callerauth.Contact{AttemptAge: 4 * time.Second}
+	for name, c := range map[string]struct {
 		table    *routing.Index
 		key      string
 		public   bool
-		admitted string
+		admitted model.CallerID
+		contact  callerauth.Contact
 		want     callerauth.Reason
 	}{
-		{"still known", accounts, "k1", false, "ralo", callerauth.Admitted},
-		{"removed", accounts, "k0", false, "ralo", callerauth.KeyRevoked},
-		{"moved to another account", accounts, "k2", false, "ralo", callerauth.AccountChanged},
-		{"accounts introduced, key known", accounts, "k1", false, "", callerauth.AccountChanged},
-		{"accounts introduced, no key", accounts, "", false, "", callerauth.AccountChanged},
-		{"accounts removed", index(3), "k1", false, "ralo", callerauth.Admitted},
-		{"public without a key", accounts, "", true, "", callerauth.Admitted},
-		{"public, key removed", accounts, "k0", true, "ralo", callerauth.AccountChanged},
+		"still known":                      {accounts, "k1", false, "ralo", callerauth.Contact{}, callerauth.Admitted},
+		"removed":                          {accounts, "k0", false, "ralo", callerauth.Contact{}, callerauth.KeyRevoked},
+		"moved to another account":         {accounts, "k2", false, "ralo", callerauth.Contact{}, callerauth.AccountChanged},
+		"accounts introduced, key known":   {accounts, "k1", false, "", callerauth.Contact{}, callerauth.AccountChanged},
+		"accounts introduced, no key":      {accounts, "", false, "", callerauth.Contact{}, callerauth.AccountChanged},
+		"accounts removed":                 {index(), "k1", false, "ralo", stoodStill, callerauth.Admitted},
+		"public without a key":             {accounts, "", true, "", stoodStill, callerauth.Admitted},
+		"public, key removed":              {accounts, "k0", true, "ralo", callerauth.Contact{}, callerauth.AccountChanged},
+		"process stood still":              {accounts, "k1", false, "ralo", stoodStill, callerauth.OutOfTouch},
+		"control lost, renewals are tried": {accounts, "k1", false, "ralo", callerauth.Contact{Age: time.Hour, AttemptAge: time.Second}, callerauth.Admitted},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			request := callerauth.Request{Key: callerauth.NewKey(c.key), Public: c.public}
-			got := callerauth.Recheck(c.table, request, model.CallerID(c.admitted), callerauth.Contact{})
-			NewWithT(t).Expect(got).To(Equal(c.want))
-		})
+		request := callerauth.Request{Key: callerauth.NewKey(c.key), Public: c.public}
+		NewWithT(t).Expect(callerauth.Recheck(c.table, request, c.admitted, c.contact)).To(Equal(c.want), name)
 	}
 }
 
-// entry is a simulated entry instance. Its table and the time of its newest renewal are
-// lost when it restarts.
-type entry struct {
-	table   *routing.Index
-	renewed time.Duration
-}
-
-// waiting is a request that was admitted and waits.
-type waiting struct {
-	key    string
-	caller model.CallerID
-}
-
 // No order of configurations, renewals, restarts and requests runs a request with a key
 // that no configuration held, or with a removed key after the bound.
 func TestNoRequestRunsWithoutAKeyInForce(t *testing.T) {
+	type waiting struct {
+		key    string
+		caller model.CallerID
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		var (
-			now     time.Duration
-			version uint64
-			newest  = index(0, "a", "k0")
-			held    = map[string]bool{"k0": true}
-			removed = make(map[string]time.Duration)
-			e       = entry{table: newest}
-			queue   []waiting
+			now, renewed  time.Duration
+			newest        = index("a", "k0")
+			table         = newest
+			held, removed = map[string]bool{"k0": true}, make(map[string]time.Duration)
+			queue         []waiting
 		)
-		contact := func() callerauth.Contact { return callerauth.Contact{MaxAge: bound, Age: now - e.renewed} }
+		contact := func() callerauth.Contact { return callerauth.Contact{MaxAge: bound, Age: now - renewed} }
 		run := func(key string) {
-			at, wasRemoved := removed[key]
-			if !held[key] || wasRemoved && now > at+bound {
+			if at, gone := removed[key]; !held[key] || gone && now > at+bound {
 				t.Fatalf("a request with key %s runs at %s; removed at %s", key, now, at)
 			}
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"time passes": func(t *rapid.T) { now += time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond },
 			"configure": func(t *rapid.T) {
-				version++
-				var pairs []string
-				for i := range 4 {
+				pairs := []string{"a", "k0"}
+				for i := 1; i < 4; i++ {
 					key := fmt.Sprint("k", i)
-					switch {
-					case i == 0 || rapid.Bool().Draw(t, key):
-						pairs = append(pairs, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "account")+key, key)
+					if rapid.Bool().Draw(t, key) {
+						pairs = append(pairs, rapid.SampledFrom([]string{"b", "c"}).Draw(t, "account")+key, key)
 						held[key] = true
 						delete(removed, key)
-					default:
-						if _, known := removed[key]; !known {
-							removed[key] = now
-						}
+					} else if _, gone := removed[key]; !gone {
+						removed[key] = now
 					}
 				}
-				newest = index(version, pairs...)
+				newest = index(pairs...)
 			},
-			"renew":   func(*rapid.T) { e = entry{newest, now} },
-			"restart": func(*rapid.T) { e, queue = entry{newest, now}, nil },
+			"renew":   func(*rapid.T) { table, renewed = newest, now },
+			"restart": func(*rapid.T) { table, renewed, queue = newest, now, nil },
 			"arrive": func(t *rapid.T) {
 				key := fmt.Sprint("k", rapid.IntRange(0, 5).Draw(t, "key"))
-				caller, reason := callerauth.Decide(e.table, callerauth.Request{Key: callerauth.NewKey(key)}, contact())
-				if reason != callerauth.Admitted {
-					return
+				caller, reason := callerauth.Decide(table, callerauth.Request{Key: callerauth.NewKey(key)}, contact())
+				if reason == callerauth.Admitted {
+					run(key)
+					queue = append(queue, waiting{key, caller.Name})
 				}
-				run(key)
-				queue = append(queue, waiting{key, caller.Name})
 			},
 			"end wait": func(t *rapid.T) {
 				if len(queue) == 0 {
@@ -162,7 +139,7 @@
 				}
 				w := queue[0]
 				queue = queue[1:]
-				if callerauth.Recheck(e.table, callerauth.Request{Key: callerauth.NewKey(w.key)}, w.caller, contact()) == callerauth.Admitted {
+				if callerauth.Recheck(table, callerauth.Request{Key: callerauth.NewKey(w.key)}, w.caller, contact()) == callerauth.Admitted {
 					run(w.key)
 				}
 			},
--- a/pkg/control/server/fleet_test.go
+++ b/pkg/control/server/fleet_test.go
@@ -115,12 +115,6 @@
 	return b.blocked[[2]model.InstanceID{from, to}]
 }
 
-func (b *fakeNetwork) observer() func(at model.InstanceID, message []byte) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.observe
-}
-
 // Call drops messages between partitioned instances silently, as a network does.
 func (n *fakeMesh) Call(ctx context.Context, to model.InstanceID, kind mesh.Kind, request cbor.RawMessage) (cbor.RawMessage, error) {
 	if to != n.id {
--- a/pkg/lease/contact_test.go
+++ b/pkg/lease/contact_test.go
@@ -41,10 +41,10 @@
 }
 
 func TestAgeOfARenewalCountsFromWhenItWasSent(t *testing.T) {
-	g, now := NewWithT(t), time.Duration(0)
-	l := lastRenewal{now: func() time.Duration { return now }}
-	now = 3 * time.Second
-	g.Expect(l.age()).To(Equal(3 * time.Second))
-	l.record(2 * time.Second)
-	g.Expect(l.age()).To(Equal(time.Second))
+	g := NewWithT(t)
+	m := Module{lastRenewal: &lastRenewal{now: func() time.Duration { return 3 * time.Second }}}
+	m.lastRenewal.recordSuccess(time.Second)
+	m.lastRenewal.recordEnd(2 * time.Second)
+	g.Expect(m.SinceRenewal()).To(Equal(2 * time.Second))
+	g.Expect(m.SinceAttempt()).To(Equal(time.Second))
 }
--- a/pkg/lease/refresh.go
+++ b/pkg/lease/refresh.go
@@ -4,27 +4,30 @@
 	"context"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
-// minRefreshInterval is the minimum time between renewals that requests ask for, so that
-// requests with unknown keys cannot overload the leader: 78 instances then add 312
-// renewals a second.
-const minRefreshInterval = 250 * time.Millisecond
+// Limits of the renewals that requests ask for, so that requests with unknown keys cannot
+// overload the leader: 78 instances add 312 renewals a second at most after a burst.
+const (
+	refreshesPerSecond = 4
+	refreshBurst       = 8
+)
 
 // refresher lets several requests wait for the same renewal.
 type refresher struct {
-	// wake asks for a renewal.
-	wake chan struct{}
+	// wake asks for a renewal, which limiter delays.
+	wake    chan struct{}
+	limiter *rate.Limiter
 
 	mu sync.Mutex
 	// served is closed once the next renewal has ended; nil if nobody waits.
 	served chan struct{}
-	// began is when the newest renewal began that was waited for.
-	began time.Duration
 }
 
 func newRefresher() *refresher {
-	return &refresher{wake: make(chan struct{}, 1), began: -minRefreshInterval}
+	return &refresher{wake: make(chan struct{}, 1), limiter: rate.NewLimiter(refreshesPerSecond, refreshBurst)}
 }
 
 // request returns a channel that is closed once a renewal that begins later has ended.
@@ -40,23 +43,19 @@
 
 // begin records that a renewal begins. The function that it returns is called once the
 // renewal has ended.
-func (r *refresher) begin(now time.Duration) (end func()) {
+func (r *refresher) begin() (end func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	served := r.served
 	if served == nil {
 		return func() {}
 	}
-	r.served, r.began = nil, now
+	r.served = nil
 	return func() { close(served) }
 }
 
 // delay returns how long the next renewal that was asked for must wait.
-func (r *refresher) delay(now time.Duration) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return max(0, r.began+minRefreshInterval-now)
-}
+func (r *refresher) delay() time.Duration { return r.limiter.Reserve().Delay() }
 
 // Refresh implements view.Contact.
 func (m *Module) Refresh(ctx context.Context) {
--- a/pkg/lease/renew.go
+++ b/pkg/lease/renew.go
@@ -88,7 +88,7 @@
 				return
 			}
 		case <-m.refresher.wake:
-			if !sleep(ctx, m.refresher.delay(m.now())) {
+			if !sleep(ctx, m.refresher.delay()) {
 				return
 			}
 		}
@@ -121,9 +121,10 @@
 func (m *Module) renew(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, m.settings.Duration.Std()/2)
 	defer cancel()
-	defer m.refresher.begin(m.now())()
+	defer m.refresher.begin()()
 	request := m.nextRenewal()
 	sent, sentAt := m.now(), m.lastRenewal.now()
+	defer m.lastRenewal.recordEnd(sentAt)
 	reply, err := m.call(ctx, request)
 	if err != nil {
 		renewalsFailed.Inc()
@@ -138,7 +139,7 @@
 	renewalTime.Update((m.now() - sent).Seconds())
 	m.router.SetReportedMembers(reply.Voters)
 	if m.applyReply(sent, reply) {
-		m.lastRenewal.record(sentAt)
+		m.lastRenewal.recordSuccess(sentAt)
 	}
 }
 
--- a/pkg/view/view.go
+++ b/pkg/view/view.go
@@ -104,6 +104,10 @@
 	// or since the start. It includes time in which the process or its machine stood
 	// still. The view holds what was in force at the leader then.
 	SinceRenewal() time.Duration
+	// SinceAttempt is SinceRenewal for the newest renewal that has ended, whether or not
+	// it succeeded. It exceeds the time between renewals only after the process or its
+	// machine stood still.
+	SinceAttempt() time.Duration
 	// Refresh returns once a renewal that began after the call has ended, whether or not
 	// it succeeded, or once ctx is done.
 	Refresh(ctx context.Context)
--- a/soak/accounts_test.go
+++ b/soak/accounts_test.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -101,68 +100,30 @@
 	p := &routeProbe{fleet: f, entry: entry, client: client}
 	for ctx.Err() == nil {
 		f.mu.Lock()
-		key := max(1, f.sentVersion-3+rand.IntN(5))
+		key, acknowledged := max(1, f.sentVersion-3+rand.IntN(5)), f.acknowledgedVersion
 		f.mu.Unlock()
-		p.sendKey(ctx, key)
+		p.send(ctx, key, "/q/", turnKey(key), func(id string, key, status int, inForce versionRange) {
+			p.checkKey(id, key, status, inForce, acknowledged)
+		})
 		time.Sleep(time.Duration(5+rand.IntN(30)) * time.Millisecond)
 	}
 }
 
-// sendKey sends a request with a key and checks its status.
-func (p *routeProbe) sendKey(ctx context.Context, key int) {
-	id := fmt.Sprintf("k%08x", p.fleet.nextID())
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/q/%s", p.entry.ip, entryPort, id), nil)
-	p.fleet.must(err)
-	r.Host = "h.example"
-	r.Header.Set("X-Radishturn-Request-Id", id)
-	r.Header.Set("X-Radishturn-Deadline-Milliseconds", strconv.Itoa(int(requestTimeout.Milliseconds())))
-	r.Header.Set("Authorization", "Bearer "+turnKey(key))
-	p.fleet.checker.recordEntry(id, p.entry)
-	sent, start, before := time.Now(), p.entry.startCount(), p.fleet.newestAcknowledged()
-	response, err := p.client.Do(r)
-	if err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, response.Body)
-	_ = response.Body.Close()
-	if start != p.entry.startCount() {
-		return
-	}
-	p.fleet.checker.countProbe(response.StatusCode)
-	p.checkKey(id, key, response.StatusCode, p.versionsInForce(sent, start), versionRange{before.version, p.fleet.newestSent()})
-	if response.StatusCode == http.StatusOK && (start != p.seenStart || key > p.seen.version) {
-		p.seen, p.seenStart = acknowledgement{key, time.Now()}, start
-	}
-}
-
-// checkKey checks a status. inForce are the versions that may be in force at the entry,
-// and newest those that may have been the newest one of control meanwhile.
-func (p *routeProbe) checkKey(id string, key, status int, inForce, newest versionRange) {
-	inTouch := p.fleet.checker.contact.binds(p.entry, time.Now().Add(-time.Hour), 0, time.Now())
+// checkKey checks a status. inForce are the versions that may be in force at the entry;
+// acknowledged is the version that was the newest of control when the request was sent.
+func (p *routeProbe) checkKey(id string, key, status int, inForce versionRange, acknowledged int) {
+	p.fleet.mu.Lock()
+	newest := versionRange{acknowledged, p.fleet.sentVersion}
+	p.fleet.mu.Unlock()
+	inTouch := p.fleet.checker.contact.binds(p.entry, time.Time{}, 0, time.Now())
 	switch {
-	case status == http.StatusUnauthorized && newest.allHave(key) && inTouch:
-		p.fleet.addFinding("request %s with key %d got 401 from entry %s, though the newest versions, %d to %d, have it", id, key, p.entry.ip, newest.lowest, newest.highest)
-	case status == http.StatusUnauthorized && inForce.allHave(key):
-		p.fleet.addFinding("request %s with key %d got 401 from entry %s, though versions %d to %d have it", id, key, p.entry.ip, inForce.lowest, inForce.highest)
-	case status == http.StatusOK && inForce.noneHas(key):
-		p.fleet.addFinding("request %s with key %d was served by entry %s, though versions %d to %d lack it", id, key, p.entry.ip, inForce.lowest, inForce.highest)
-	case status == http.StatusNotFound:
-		p.fleet.addFinding("request %s got 404", id)
+	case status == http.StatusUnauthorized && (inForce.allHave(key) || newest.allHave(key) && inTouch):
+		p.fleet.addFinding("request %s with key %d got 401 from entry %s; in force %v, newest %v", id, key, p.entry.ip, inForce, newest)
+	case status == http.StatusOK && inForce.noneHas(key), status == http.StatusNotFound:
+		p.fleet.addFinding("request %s with key %d got %d from entry %s; in force %v", id, key, status, p.entry.ip, inForce)
 	}
 }
 
-func (f *fleet) newestAcknowledged() acknowledgement {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return acknowledgement{version: f.acknowledgedVersion}
-}
-
-func (f *fleet) newestSent() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.sentVersion
-}
-
 // checkSharedKey checks that a configuration in which two accounts share a key is refused,
 // without stating the key.
 func (f *fleet) checkSharedKey(ctx context.Context) {
--- a/soak/routes_test.go
+++ b/soak/routes_test.go
@@ -78,20 +78,24 @@
 		f.mu.Lock()
 		route := max(1, f.sentVersion-3+rand.IntN(5))
 		f.mu.Unlock()
-		p.send(ctx, route)
+		p.send(ctx, route, fmt.Sprintf("/x/%d/", route), "", p.check)
 		time.Sleep(time.Duration(20+rand.IntN(40)) * time.Millisecond)
 	}
 }
 
-// send sends a request on a route and checks its status.
-func (p *routeProbe) send(ctx context.Context, route int) {
+// send sends a request for an item that the configurations with the versions item and
+// item+1 have, a route or a key, and checks its status.
+func (p *routeProbe) send(ctx context.Context, item int, path, key string, check func(id string, item, status int, v versionRange)) {
 	id := fmt.Sprintf("x%08x", p.fleet.nextID())
-	url := fmt.Sprintf("http://%s:%d/x/%d/%s", p.entry.ip, entryPort, route, id)
+	url := fmt.Sprintf("http://%s:%d%s%s", p.entry.ip, entryPort, path, id)
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	p.fleet.must(err)
 	r.Host = "h.example"
 	r.Header.Set("X-Radishturn-Request-Id", id)
 	r.Header.Set("X-Radishturn-Deadline-Milliseconds", strconv.Itoa(int(requestTimeout.Milliseconds())))
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
 	p.fleet.checker.recordEntry(id, p.entry)
 	sent, start := time.Now(), p.entry.startCount()
 	response, err := p.client.Do(r)
@@ -103,9 +107,10 @@
 	if start != p.entry.startCount() {
 		return
 	}
-	p.check(id, route, response.StatusCode, p.versionsInForce(sent, start))
-	if response.StatusCode == http.StatusOK && (start != p.seenStart || route > p.seen.version) {
-		p.seen, p.seenStart = acknowledgement{route, time.Now()}, start
+	p.fleet.checker.countProbe(response.StatusCode)
+	check(id, item, response.StatusCode, p.versionsInForce(sent, start))
+	if response.StatusCode == http.StatusOK && (start != p.seenStart || item > p.seen.version) {
+		p.seen, p.seenStart = acknowledgement{item, time.Now()}, start
 	}
 }
 
@@ -127,7 +132,6 @@
 }
 
 func (p *routeProbe) check(id string, route, status int, v versionRange) {
-	p.fleet.checker.countProbe(status)
 	switch {
 	case status == http.StatusNotFound && v.allHave(route):
 		p.fleet.addFinding("request %s on route %d got 404 from entry %s, though versions %d to %d have it", id, route, p.entry.ip, v.lowest, v.highest)
