--- a/pkg/control/server/fleet_test.go
+++ b/pkg/control/server/fleet_test.go
@@ -130,10 +130,10 @@
 		return nil, failure.New(failure.BadRequest, failure.NotRun, string(kind), string(to), "no handler")
 	}
 	reply, err := handler(ctx, n.id, request)
-	if n.network.observe != nil {
-		n.network.observe(to, request)
-		n.network.observe(to, reply)
-		n.network.observe(n.id, reply)
+	if observe := n.network.observer(); observe != nil {
+		observe(to, request)
+		observe(to, reply)
+		observe(n.id, reply)
 	}
 	if n.network.partitioned(to, n.id) {
 		<-ctx.Done()
