--- a/pkg/control/server/usage.go
+++ b/pkg/control/server/usage.go
@@ -15,7 +15,7 @@
 
 // checkpointInterval is the interval at which the leader saves what it has counted. Counts
 // since the last checkpoint are lost if all machines lose power.
-const checkpointInterval = time.Second
+const checkpointInterval = 300 * time.Millisecond
 
 // usageTerm is what the leader knows in one term about usage and true time.
 type usageTerm struct {
