--- a/pkg/usage/estimator.go
+++ b/pkg/usage/estimator.go
@@ -11,6 +11,9 @@
 	// estimateWait is how long a new leader waits for the wall clocks of half of the
 	// instances before it estimates true time from those that it has.
 	estimateWait = 2 * time.Second
+	// estimateSettle is how long a new leader waits in any case. The first leader of a
+	// group does not know how many instances there are, and the first one may be wrong.
+	estimateSettle = 300 * time.Millisecond
 	// sampleAge is how long the wall clock of an instance counts after its report.
 	sampleAge = 30 * time.Second
 	// medianAge is how long the median is used; sorting the samples of a large fleet for
@@ -47,12 +50,17 @@
 }
 
 // TrueTime returns the estimated true time, since the start of 1970. It returns false
-// until half of the instances have reported, or some in the first estimateWait.
+// until half of the instances have reported within estimateSettle, or some within
+// estimateWait.
 func (e *Estimator) TrueTime(now time.Duration, instances int) (time.Duration, bool) {
 	if len(e.samples) != e.counted || now >= e.medianAt+medianAge {
 		e.update(now)
 	}
-	if e.counted == 0 || 2*e.counted < instances && now < e.started+estimateWait {
+	wait := estimateSettle
+	if 2*e.counted < instances {
+		wait = estimateWait
+	}
+	if e.counted == 0 || now < e.started+wait {
 		return 0, false
 	}
 	return now + e.median, true
