--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	go test -p 1 $(LISTED) $(SKIP)
 
 # Packages in which many goroutines meet; the rest are pure.
-RACE := . ./pkg/burn/... ./pkg/control/... ./pkg/entryapi ./pkg/lease/... \
+RACE := . ./pkg/burn/... ./pkg/control/... ./pkg/entryapi ./pkg/httpserver ./pkg/lease/... \
 	./pkg/load ./pkg/mesh ./pkg/order/... ./pkg/standin ./pkg/pool ./platform/...
 
 race:
--- a/pkg/httpserver/guarded_conn.go
+++ b/pkg/httpserver/guarded_conn.go
@@ -155,6 +155,15 @@
 	return n, err
 }
 
+// CloseWrite tells the client that nothing more comes, as net/http does before it closes a
+// connection on which bytes may arrive.
+func (c *guardedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *guardedConn) Close() error {
 	c.closeOnce.Do(func() {
