Pass over targets that do not read when a long request is sent

Cause: a target with too many unread requests stayed the best choice for another one. Change: the choice of a target asks the pool whether a request of this length has room. A test shows that a malformed reply on a kept connection is not asked for again.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -142,7 +142,7 @@
 // choose returns the target for the next request of a call, or nil. further is set
 // if an earlier request was sent; skip reports targets to leave out.
 func (e *Engine) choose(c *Call, current currentView, service model.ServiceID, now time.Duration, further bool, skip func(*target) bool) *target {
-	criteria := selection{service: service, now: now, usual: c.stats.usual(), skip: skip}
+	criteria := selection{service: service, now: now, usual: c.stats.usual(), request: c.Request, skip: skip}
 	// The fleet's costs may be outdated once the lease has expired.
 	if e.opts.Views.Lease() == view.LeaseHeld && rand.Float64() >= exploreShare {
 		criteria.fleetCosts = current.view.ExpensiveTargets
--- a/pkg/dispatch/registry.go
+++ b/pkg/dispatch/registry.go
@@ -11,6 +11,7 @@
 
 	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/pool"
 	"radishturn.example/radishturn/pkg/routing"
@@ -205,6 +206,8 @@
 	usual time.Duration
 	// fleetCosts are the costs of expensive targets as reported by the fleet.
 	fleetCosts map[model.TargetID]float64
+	// request is what is to be sent; nil if that does not matter.
+	request *exchange.Request
 	// skip reports targets to leave out; nil for none.
 	skip func(*target) bool
 }
@@ -236,6 +239,9 @@
 	if !ok {
 		return 0, false
 	}
+	if c.request != nil && !t.pool.HasRoom(c.request) {
+		return 0, false
+	}
 	cost = max(cost, c.fleetCosts[t.ID])
 	switch t.pool.Availability() {
 	case pool.Full:
--- a/pkg/pool/outgoing.go
+++ b/pkg/pool/outgoing.go
@@ -26,16 +26,39 @@
 
 var outgoingRefused = metrics.GetOrCreateCounter("radishturn_target_requests_held_back_total")
 
+// outgoingBytes returns what a request holds until it is written, or 0 for a short one,
+// of which the number of connections bounds how many there are.
+func outgoingBytes(r *exchange.Request) int {
+	n := len(r.Encoded) + len(r.Body) + fieldsBytes
+	if n <= inlineWriteBytes {
+		return 0
+	}
+	return n
+}
+
+// HasRoom reports whether a request can be written to this target in addition to those
+// that it has not read yet.
+func (p *Pool) HasRoom(r *exchange.Request) bool {
+	n := outgoingBytes(r)
+	if n == 0 {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fits(n)
+}
+
+func (p *Pool) fits(n int) bool { return p.outgoing == 0 || p.outgoing+n <= maxOutgoingBytes }
+
 // holdRequest accounts for a request to this target until it is written. It fails if too
-// much is being written to the target, or the process has no memory for it. Short requests
-// are bounded by the number of connections.
+// much is being written to the target, or the process has no memory for it.
 func (p *Pool) holdRequest(a *Attempt) bool {
-	n := len(a.Request.Encoded) + len(a.Request.Body) + fieldsBytes
-	if n <= inlineWriteBytes {
+	n := outgoingBytes(a.Request)
+	if n == 0 {
 		return true
 	}
 	p.mu.Lock()
-	fits := p.outgoing == 0 || p.outgoing+n <= maxOutgoingBytes
+	fits := p.fits(n)
 	if fits && a.outgoing.Grow(p.memory, int64(n)) != nil {
 		fits = false
 	}
@@ -60,6 +83,9 @@
 // releaseRequest ends what holdRequest began. It is called once the request was written
 // or will not be.
 func (p *Pool) releaseRequest(a *Attempt) {
+	if outgoingBytes(a.Request) == 0 {
+		return
+	}
 	p.mu.Lock()
 	n := a.held
 	a.held = 0
--- a/pkg/statusline/statusline_test.go
+++ b/pkg/statusline/statusline_test.go
@@ -1,12 +1,16 @@
 package statusline_test
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"io"
 	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -67,6 +71,37 @@
 	g.Expect(string(rest)).To(Equal("body"))
 }
 
+// Guards against a request that net/http sends again after a malformed reply, though it
+// may have run: it does so if a kept connection fails before the first byte.
+func TestAMalformedReplyIsNotAskedForAgain(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	var requests atomic.Int64
+	go func() {
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			go func() {
+				br := bufio.NewReader(c)
+				for _, err := http.ReadRequest(br); err == nil; _, err = http.ReadRequest(br) {
+					line := "HTTP/1.1 200 OK"
+					if requests.Add(1) > 1 {
+						line = "HTTP/1.1 000 X"
+					}
+					_, _ = io.WriteString(c, line+"\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+		}
+	}()
+	client := &http.Client{Transport: statusline.Transport(), Timeout: 10 * time.Second}
+	response, err := client.Get("http://" + l.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	_ = response.Body.Close()
+	_, err = client.Get("http://" + l.Addr().String())
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(requests.Load()).To(BeEquivalentTo(2))
+}
+
 // FuzzConn checks that the pieces in which a reply arrives make no difference, and that a
 // reply that passes begins with a valid status line.
 func FuzzConn(f *testing.F) {
