--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -164,7 +164,7 @@
 // choose returns the target for the next request of a call, if there is one. further is set
 // if an earlier request was sent; skip reports targets to leave out.
 func (e *Engine) choose(c *Call, current currentView, service model.ServiceID, now time.Duration, further bool, skip func(*target) bool) choice {
-	criteria := selection{service: service, now: now, usual: c.stats.usual(), work: c.stats.usualWork(), further: further, skip: skip}
+	criteria := selection{service: service, now: now, usual: c.stats.usual(), work: c.stats.usualWork(), request: c.Request, further: further, skip: skip}
 	// The fleet's costs may be outdated once the lease has expired.
 	if e.opts.Views.Lease() == view.LeaseHeld && rand.Float64() >= exploreShare {
 		criteria.fleetCosts = current.view.ExpensiveTargets
--- a/pkg/dispatch/registry.go
+++ b/pkg/dispatch/registry.go
@@ -11,6 +11,7 @@
 
 	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/pool"
 	"radishturn.example/radishturn/pkg/routing"
@@ -216,6 +217,8 @@
 	further bool
 	// fleetCosts are the costs of expensive targets as reported by the fleet.
 	fleetCosts map[model.TargetID]float64
+	// request is what is to be sent; nil if that does not matter.
+	request *exchange.Request
 	// skip reports targets to leave out; nil for none.
 	skip func(*target) bool
 }
@@ -246,6 +249,9 @@
 	if !ok {
 		return price{}, false
 	}
+	if c.request != nil && !t.pool.HasRoom(c.request) {
+		return price{}, false
+	}
 	cost = max(cost, c.fleetCosts[t.ID])
 	var connect time.Duration
 	switch connections {
