--- a/pkg/dispatch/status.go
+++ b/pkg/dispatch/status.go
@@ -31,6 +31,9 @@
 	// cost that the fleet reports for an expensive target, 0 for any other.
 	Cost      float64 `json:"cost"`
 	FleetCost float64 `json:"dear,omitempty"`
+	// Pace is how long work takes at the target, as a multiple of the usual time; 0 if the
+	// target does not report it.
+	Pace float64 `json:"pace,omitempty"`
 	// Unused is why the target gets no requests now; empty if it gets requests.
 	Unused string `json:"unused,omitempty"`
 	Cold   bool   `json:"cold,omitempty"`
@@ -53,6 +56,9 @@
 		}
 		t.mu.Lock()
 		status.Cost, status.InFlight = rounded(t.health.cost(now)), len(t.health.pending)
+		if t.health.expected.Known() {
+			status.Pace = rounded(t.health.expected.Pace(now))
+		}
 		switch {
 		case t.Leaving || t.notice.leaving(now):
 			status.Unused = "leaving"
