Queries wait for a connection to a shard by event, beside the calls

Cause: a shard of a query without a free connection was tried every 8 ms, in no order.

Change: the query joins the queue of the shard's service and is woken in order, or tries again when a paused target may be used or after 60 ms. Shards without any usable target are tried as before.

On the code before, the query was sent after 8 ms instead of 7.3 ms and the connection went to the wrong query.

--- a/pkg/dispatch/connectionqueue.go
+++ b/pkg/dispatch/connectionqueue.go
@@ -30,9 +30,9 @@
 	all   *connectionQueues
 	mu    sync.Mutex
 	queue queue.Queue
-	// woken holds a channel for each waiting ticket. A value in it means that the call
-	// should try to find a connection.
-	woken map[*queue.Ticket]chan struct{}
+	// wakeUps holds a function for each waiting ticket. It has the call try to find a
+	// connection, and does not block.
+	wakeUps map[*queue.Ticket]func()
 }
 
 func newConnectionQueues(now func() time.Duration) *connectionQueues {
@@ -45,7 +45,7 @@
 	defer c.mu.Unlock()
 	w := c.byService[service]
 	if w == nil {
-		w = &connectionQueue{all: c, queue: queue.Queue{MinRetryAfter: refusedRetryAfter}, woken: make(map[*queue.Ticket]chan struct{})}
+		w = &connectionQueue{all: c, queue: queue.Queue{MinRetryAfter: refusedRetryAfter}, wakeUps: make(map[*queue.Ticket]func())}
 		c.byService[service] = w
 	}
 	return w
@@ -64,11 +64,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if next := w.queue.Next(w.all.now(), t); next != nil {
-		select {
-		case w.woken[next] <- struct{}{}:
-		default:
-			// It has been woken already.
-		}
+		w.wakeUps[next]()
 	}
 }
 
@@ -86,21 +82,33 @@
 	return w.queue.Pass(w.all.now(), connections, r)
 }
 
-// join adds a call that waits, unless its ticket is refused at once. A value on the
-// channel means that it should try to find a connection. wait is how long it is expected
-// to wait, and ahead how many calls wait already.
-func (w *connectionQueue) join(connections int, r queue.Request) (t *queue.Ticket, woken <-chan struct{}, wait time.Duration, ahead int) {
+// join adds a call that waits, unless its ticket is refused at once. wakeUp has it try to
+// find a connection; it is called with the lock held. wait is how long the call is expected
+// to wait, and ahead how many wait already.
+func (w *connectionQueue) join(connections int, r queue.Request, wakeUp func()) (t *queue.Ticket, wait time.Duration, ahead int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	ahead = w.queue.Waiting()
 	t, wait = w.queue.Wait(w.all.now(), connections, r)
-	if t.Refused {
-		return t, nil, wait, ahead
+	if !t.Refused {
+		w.wakeUps[t] = wakeUp
+		w.all.waiting.Add(1)
 	}
-	channel := make(chan struct{}, 1)
-	w.woken[t] = channel
-	w.all.waiting.Add(1)
-	return t, channel, wait, ahead
+	return t, wait, ahead
+}
+
+// withdraw removes a waiting ticket that was neither served nor refused.
+func (w *connectionQueue) withdraw(t *queue.Ticket) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.queue.Withdraw(t)
+	w.forget(t)
+}
+
+// forget removes the wake-up of a ticket. The caller holds the lock.
+func (w *connectionQueue) forget(t *queue.Ticket) {
+	delete(w.wakeUps, t)
+	w.all.waiting.Add(-1)
 }
 
 // leave removes a waiting call: it has found a connection, or gives up. The next one is
@@ -112,8 +120,7 @@
 	} else {
 		w.queue.Abandon(t, w.all.now())
 	}
-	delete(w.woken, t)
-	w.all.waiting.Add(-1)
+	w.forget(t)
 	w.mu.Unlock()
 	w.wakeAfter(nil)
 }
--- a/pkg/dispatch/connectionqueue_test.go
+++ b/pkg/dispatch/connectionqueue_test.go
@@ -43,41 +43,49 @@
 	return f, func() { pool.SetLimit(1, 0) }
 }
 
-// Waiting calls looked for a connection every 5 ms.
-func TestWaitingCallIsSentAsSoonAsAConnectionIsFree(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		f, free := withoutConnections(t, nil)
-		began := time.Now()
-		out := f.call(longRoute(false), "q", nil)
-		time.AfterFunc(7300*time.Microsecond, free)
-		g.Expect((<-out).Reply).NotTo(BeNil())
-		g.Expect(time.Since(began)).To(Equal(7300 * time.Microsecond))
-	})
+// Waiting calls looked for a connection every 5 ms, and queries every 8 ms.
+func TestWaitingRequestIsSentAsSoonAsAConnectionIsFree(t *testing.T) {
+	for name, route := range map[string]*routing.Route{"call": longRoute(false), "query": longQuery("s")} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f, free := withoutConnections(t, nil)
+				began := time.Now()
+				out := f.call(route, "q", nil)
+				time.AfterFunc(7300*time.Microsecond, free)
+				g.Expect((<-out).Err).To(BeNil())
+				g.Expect(time.Since(began)).To(Equal(7300 * time.Microsecond))
+			})
+		})
+	}
 }
 
-// A connection went to the call that looked for one first after it was free.
-func TestFreeConnectionGoesToTheCallsInOrder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		f, free := withoutConnections(t, always(exchangetest.Behaviour{Delay: 10 * time.Millisecond}))
-		ended := make(chan string, 3)
-		for i, priority := range []int{3, 2, 1} {
-			out := f.call(longRoute(false), fmt.Sprint(priority), func(c *Call) {
-				c.Priority = priority
-				// The objective has passed, so that no order serves all in time.
-				c.Elapsed = c.Route.Objective
-			})
-			go func() {
-				<-out
-				ended <- fmt.Sprint(priority)
-			}()
-			time.Sleep(time.Duration(i+1) * time.Millisecond)
-		}
-		time.Sleep(time.Millisecond / 2)
-		free()
-		g.Expect([]string{<-ended, <-ended, <-ended}).To(Equal([]string{"1", "2", "3"}))
-	})
+// A connection went to whichever request looked for one first after it was free.
+func TestFreeConnectionGoesToTheRequestsInOrder(t *testing.T) {
+	for name, route := range map[string]*routing.Route{"calls": longRoute(false), "queries": longQuery("s")} {
+		t.Run(name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { freeConnectionGoesInOrder(t, route) }) })
+	}
+}
+
+func freeConnectionGoesInOrder(t *testing.T, route *routing.Route) {
+	g := NewWithT(t)
+	f, free := withoutConnections(t, always(exchangetest.Behaviour{Delay: 10 * time.Millisecond}))
+	ended := make(chan string, 3)
+	for i, priority := range []int{3, 2, 1} {
+		out := f.call(route, fmt.Sprint(priority), func(c *Call) {
+			c.Priority = priority
+			// The objective has passed, so that no order serves all in time.
+			c.Elapsed = c.Route.Objective
+		})
+		go func() {
+			<-out
+			ended <- fmt.Sprint(priority)
+		}()
+		time.Sleep(time.Duration(i+1) * time.Millisecond)
+	}
+	time.Sleep(time.Millisecond / 2)
+	free()
+	g.Expect([]string{<-ended, <-ended, <-ended}).To(Equal([]string{"1", "2", "3"}))
 }
 
 func TestCallWithoutConnectionIsRefusedWithinAQuarterOfItsObjective(t *testing.T) {
--- a/pkg/dispatch/firstrequest.go
+++ b/pkg/dispatch/firstrequest.go
@@ -21,7 +21,14 @@
 		observeWait(s.ticket.Priority, 0)
 		return Outcome{}, true
 	}
-	ticket, woken, wait, ahead := s.wait.join(s.connections(), s.schedule(now))
+	woken := make(chan struct{}, 1)
+	ticket, wait, ahead := s.wait.join(s.connections(), s.schedule(now), func() {
+		select {
+		case woken <- struct{}{}:
+		default:
+			// It has been woken already.
+		}
+	})
 	if ticket.Refused {
 		return s.refuseWaiting(ticket, now, wait, ahead, "%d calls wait already, expected wait %s", ahead, wait.Round(time.Millisecond)), false
 	}
--- a/pkg/dispatch/query.go
+++ b/pkg/dispatch/query.go
@@ -59,7 +59,11 @@
 	// sentByShard holds the requests to each shard.
 	sentByShard []sentRequests
 	results     chan *sentRequest
-	trace       Trace
+	// shardWaits holds the waits for connections by shard, and freed the shards to which
+	// one may be free.
+	shardWaits map[int]*shardWait
+	freed      chan int
+	trace      Trace
 	// lateLogged is set once it is logged that the objective has passed.
 	lateLogged bool
 	// disconnects counts the connections that ended during a request.
@@ -93,6 +97,7 @@
 	e.recordFirst(c.Route.Fanout.Shards...)
 	e.logAdmitted(c, &q.trace)
 	out := q.loop(ctx)
+	q.leaveShards()
 	q.releaseStart(true)
 	for _, sent := range q.sentByShard {
 		sent.release(nil)
@@ -121,6 +126,7 @@
 		run:         gather.New(plan, len(f.Shards)),
 		top:         gather.NewTop(f.MaxRecords),
 		results:     make(chan *sentRequest, len(f.Shards)*gather.MaxSends),
+		freed:       make(chan int, 2*len(f.Shards)),
 		sentByShard: make([]sentRequests, len(f.Shards)),
 		trace:       e.newTrace(c),
 	}
@@ -164,6 +170,8 @@
 		case r := <-q.results:
 			q.handleResult(r)
 			q.handleQueuedResults()
+		case i := <-q.freed:
+			q.wakeShard(i)
 		case <-timer.C:
 		}
 	}
@@ -203,7 +211,11 @@
 	current, service := q.engine.current(), q.call.Route.Fanout.Shards[i]
 	t := q.choose(i, current, service, now)
 	if t == nil {
-		q.run.RecordUnsent(i, now, current.hasUsableTarget(service, now))
+		reachable := current.hasUsableTarget(service, now)
+		q.run.RecordUnsent(i, now, reachable)
+		if reachable {
+			q.awaitShard(i, service, now)
+		}
 		return
 	}
 	if q.revoked != nil || q.seemsToCrashTargets() || current.quarantines(q.call) {
@@ -225,9 +237,14 @@
 	})
 	if !ok {
 		q.run.RecordUnsent(i, now, true)
+		q.awaitShard(i, service, now)
 		return
 	}
 	r.attempt = attempt
+	if w := q.leaveShard(i); w != nil {
+		// The wait ended without a wake-up, so it is the next one's turn.
+		w.queue.wakeAfter(nil)
+	}
 	q.recordSent(i, r)
 	q.run.RecordSent(i, now)
 }
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -101,6 +101,13 @@
 	s.unreachable = !reachable
 }
 
+// RecordWaiting records that shard i, to which no request could be sent, waits for a
+// connection until a time.
+func (r *Run) RecordWaiting(i int, until time.Duration) { r.shards[i].retryAt = until }
+
+// RecordFreed records that a connection to shard i may be free.
+func (r *Run) RecordFreed(i int) { r.shards[i].retryAt = 0 }
+
 // RecordDenied records that the retry budget denied shard i a further request.
 func (r *Run) RecordDenied(i int, now time.Duration) {
 	s := &r.shards[i]
--- a/pkg/query/queue/queue.go
+++ b/pkg/query/queue/queue.go
@@ -194,6 +194,13 @@
 	}
 }
 
+// Withdraw removes a waiting ticket without deciding it.
+func (q *Queue) Withdraw(t *Ticket) {
+	if q.remove(t) && t.owed {
+		q.credits.add(&t.Request, 1)
+	}
+}
+
 // Waiting returns the number of waiting requests.
 func (q *Queue) Waiting() int { return len(q.waiting) }
 
