Calls that cannot have a connection within their wait are refused at once

Cause: with hundreds of waiting calls, each freed connection woke all of them in turn, and each wake-up sorted them.

Change: a call is refused at once if the calls before it need the connections for longer than it waits; a woken call wakes the next one only while a connection is left; at most 64 waiting requests are considered for the order of their objectives.

--- a/pkg/dispatch/connectionqueue.go
+++ b/pkg/dispatch/connectionqueue.go
@@ -23,9 +23,9 @@
 
 // connectionQueue is the queue of one service.
 //
-// A freed connection wakes the first waiting call. Each call that was woken, whether or
-// not it could use the connection, wakes the next one, so that none remains waiting beside
-// a connection that only it may use.
+// A freed connection wakes the first waiting call. A call that was woken wakes the next
+// one while there are connections left, so that none remains waiting beside a connection
+// that only it may use.
 type connectionQueue struct {
 	all   *connectionQueues
 	mu    sync.Mutex
--- a/pkg/dispatch/firstrequest.go
+++ b/pkg/dispatch/firstrequest.go
@@ -81,7 +81,9 @@
 		if s.engine.now() >= until {
 			return errNoConnection
 		}
-		s.wait.wakeAfter(t)
+		if s.engine.current().anyConnection(s.service) {
+			s.wait.wakeAfter(t)
+		}
 	}
 }
 
--- a/pkg/dispatch/registry.go
+++ b/pkg/dispatch/registry.go
@@ -279,6 +279,14 @@
 	return least
 }
 
+// anyConnection reports whether some target of the service has a free connection, or may
+// get another one.
+func (rs *registryState) anyConnection(service model.ServiceID) bool {
+	free := func(t *target) bool { return t.pool.Availability() != pool.Full }
+	s := rs.services[service]
+	return slices.ContainsFunc(s.own, free) || slices.ContainsFunc(s.onDemand, free)
+}
+
 // usableAt returns when the first of the service's targets that may not get a request now
 // may get one again by the passing of time; 0 if there is none.
 func (rs *registryState) usableAt(service model.ServiceID, now time.Duration) time.Duration {
--- a/pkg/dispatch/shardwait.go
+++ b/pkg/dispatch/shardwait.go
@@ -58,6 +58,9 @@
 	}
 	q.run.RecordFreed(i)
 	q.sendDue(q.engine.now())
+	if !q.engine.current().anyConnection(q.call.Route.Fanout.Shards[i]) {
+		return
+	}
 	var after *queue.Ticket
 	if again := q.shardWaits[i]; again != nil {
 		after = again.ticket
--- a/pkg/query/queue/fairness_test.go
+++ b/pkg/query/queue/fairness_test.go
@@ -189,3 +189,24 @@
 		}
 	})
 })
+
+var _ = Describe("A wait for a connection", func() {
+	// Hundreds of waiting calls were sorted at each event though few of them could have
+	// had a connection within their wait.
+	It("begins only if those before leave a connection within it", func() {
+		var q queue.Queue
+		refused := 0
+		for range 400 {
+			t, _ := q.Wait(0, 2, queue.Request{OnTimeStart: time.Second, LatestStart: time.Second, RefuseBy: 60 * ms, Work: 20 * ms})
+			if t.Refused {
+				refused++
+				Expect(t.RetryAfter).To(BeNumerically(">=", 60*ms))
+			}
+		}
+		// Seven by their work, and some that are owed a start by the refusals.
+		Expect(q.Waiting()).To(BeNumerically("~", 9, 2))
+		Expect(refused).To(Equal(400 - q.Waiting()))
+		urgent, _ := q.Wait(0, 2, queue.Request{Priority: -1, OnTimeStart: time.Second, LatestStart: time.Second, RefuseBy: 60 * ms, Work: 20 * ms})
+		Expect(decided(urgent)).To(BeFalse())
+	})
+})
--- a/pkg/query/queue/order.go
+++ b/pkg/query/queue/order.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// maxPlanned bounds the requests that are planned to meet their objectives; the others
-// are not far enough in front for their order to matter.
+// maxPlanned bounds the requests that are considered to be served in the order of their
+// objectives, since each is compared with those before it.
 const maxPlanned = 64
 
 // ordered returns the waiting tickets and another one, which may be nil, in the order in
@@ -39,9 +39,9 @@
 		owed++
 	}
 	var planned, rest []*Ticket
-	for _, t := range tickets[owed:] {
+	for i, t := range tickets[owed:] {
 		overtakes := len(rest) > 0 && rest[len(rest)-1].Priority < t.Priority
-		if overtakes || t.late(now) || len(planned) >= maxPlanned || !q.fits(now, tickets[:owed], planned, t) {
+		if overtakes || t.late(now) || i >= maxPlanned || !q.fits(now, tickets[:owed], planned, t) {
 			rest = append(rest, t)
 			continue
 		}
--- a/pkg/query/queue/queue.go
+++ b/pkg/query/queue/queue.go
@@ -60,11 +60,18 @@
 	return t, q.admit(t, now)
 }
 
-// Wait adds a request that waits for one of so many connections. The ticket is refused
-// at once if the request would start too late; it starts by Start. wait is the expected
-// wait.
+// Wait adds a request that waits for one of so many connections, at most until RefuseBy
+// if that is set. The ticket is refused at once if the request would start too late, or if
+// those before it alone need the connections for longer than it waits; it starts by Start.
+// wait is the expected wait.
 func (q *Queue) Wait(now time.Duration, connections int, r Request) (t *Ticket, wait time.Duration) {
 	t = q.newTicket(connections, r)
+	before, _ := q.before(t, now).wait(connections)
+	if r.RefuseBy > 0 && now+before > r.RefuseBy {
+		wait, _ = q.expectedWait(t, now)
+		q.refuse(t, now, wait)
+		return t, wait
+	}
 	return t, q.admit(t, now)
 }
 
@@ -98,13 +105,22 @@
 // yet.
 func (q *Queue) expectedWait(t *Ticket, now time.Duration) (mean, tail time.Duration) {
 	ahead := q.running()
+	before := q.before(t, now)
+	ahead.add(work{mean: before.mean, variance: before.variance})
+	return ahead.wait(q.limit)
+}
+
+// before is the work of the waiting requests that start before a ticket that is not
+// waiting yet.
+func (q *Queue) before(t *Ticket, now time.Duration) *backlog {
+	b := &backlog{}
 	for _, other := range q.ordered(now, t) {
 		if other == t {
 			break
 		}
-		ahead.add(q.work.of(&other.Request))
+		b.add(q.work.of(&other.Request))
 	}
-	return ahead.wait(q.limit)
+	return b
 }
 
 // running is the work ahead of the first waiting request: one of those that are running
