Queue: bound the spread of Retry-After to 400 ms; what the scheduler leaves open

Cause: refused requests could be told to return up to 1 s after capacity is expected, longer than callers of a route with a timeout of 0.8 s wait.

--- a/pkg/query/queue/queue.go
+++ b/pkg/query/queue/queue.go
@@ -25,8 +25,8 @@
 const EarlyRefusalMargin = 2 * time.Millisecond
 
 // maxRetrySpread bounds how much later than the expected wait a refused request is told
-// to return.
-const maxRetrySpread = time.Second
+// to return: callers do not wait for long, and some never return.
+const maxRetrySpread = 400 * time.Millisecond
 
 // Queue schedules the requests to one set of shards or one service. It is not safe for
 // concurrent use: its user guards it with a lock. A ticket's Decided may be received
