Idle on-demand connections leave room for a restart of the whole fleet

After a loss of power targets still count the connections of the dead processes for seconds. Where the fleet's own connections fit twice into what a service accepts, each instance now bounds its idle on-demand connections, over all services, by its part of the rest; the one that has been idle for longest is closed first.

--- a/pkg/dispatch/registry.go
+++ b/pkg/dispatch/registry.go
@@ -40,6 +40,8 @@
 	// shared is what the pools of all targets have in common.
 	shared pool.Shared
 	delays *zoneDelays
+	// onDemandIdle bounds the idle on-demand connections to all services together.
+	onDemandIdle *pool.IdleBound
 	// freed is called when a connection to a target of a service may be free.
 	freed func(model.ServiceID)
 
@@ -70,7 +72,7 @@
 
 func newRegistry(self model.InstanceID, zone model.AvailabilityZoneID, shared pool.Shared) *registry {
 	r := &registry{
-		self: self, zone: zone, shared: shared, delays: newZoneDelays(zone), freed: func(model.ServiceID) {},
+		self: self, zone: zone, shared: shared, delays: newZoneDelays(zone), onDemandIdle: pool.NewIdleBound(), freed: func(model.ServiceID) {},
 		preconnects: make(chan *target, maxPreconnectQueue),
 	}
 	r.current.Store(&registryState{view: &view.View{}})
@@ -126,6 +128,7 @@
 		}
 	}
 	subsets := newSubsetter(v, r.self, r.zone)
+	r.boundOnDemandIdle(subsets, eligible)
 	for service, targets := range eligible {
 		slices.SortFunc(targets, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
 		next.services[service] = r.applySubset(subsets, service, targets)
@@ -183,14 +186,20 @@
 	own, limit := s.subset(service, targets)
 	p := serviceTargets{own: own, maxConnections: len(own)*limit + (len(targets)-len(own))*minConnectionLimit}
 	maxIdle := s.onDemandIdle(service, len(targets))
+	bound := r.onDemandIdle
+	if _, fits := s.restartRoom(service, len(targets)); !fits {
+		bound = nil
+	}
 	for _, t := range targets {
 		t.setColdInterval(s.coldInterval(t))
 		if !slices.Contains(own, t) {
 			t.pool.SetLimit(minConnectionLimit, maxIdle)
+			t.pool.SetIdleBound(bound)
 			p.onDemand = append(p.onDemand, t)
 			continue
 		}
 		t.pool.SetLimit(limit, 0)
+		t.pool.SetIdleBound(nil)
 		if !t.preconnectRequested.Swap(true) {
 			r.requestPreconnect(t)
 		}
@@ -198,6 +207,23 @@
 	return p
 }
 
+// boundOnDemandIdle bounds the idle on-demand connections by what the services that routes
+// name leave for them.
+func (r *registry) boundOnDemandIdle(s subsetter, eligible map[model.ServiceID][]*target) {
+	if s.view.Routing == nil {
+		return
+	}
+	room := 0.0
+	for service := range s.view.Routing.Table.RoutedServices() {
+		if n := len(eligible[service]); n > 0 {
+			if left, fits := s.restartRoom(service, n); fits {
+				room += left
+			}
+		}
+	}
+	r.onDemandIdle.SetLimit(int(room))
+}
+
 func (r *registry) requestPreconnect(t *target) {
 	select {
 	case r.preconnects <- t:
--- a/pkg/dispatch/subset.go
+++ b/pkg/dispatch/subset.go
@@ -76,11 +76,11 @@
 	if accepted == 0 {
 		return targets, minConnectionLimit
 	}
-	kept := int(subsetConnectionShare * float64(accepted))
-	if int(usableConnectionShare*float64(accepted)) >= sub.instances {
+	kept := keptConnections(accepted)
+	if sub.ownsAll(accepted) {
 		return targets, max(1, kept/sub.instances)
 	}
-	count := max(1, kept*len(targets)/sub.instances)
+	count := sub.ownTargets(accepted, len(targets))
 	room := make([]int, len(targets))
 	for i := range room {
 		room[i] = kept
@@ -132,6 +132,40 @@
 	return time.Duration(min(1, connectionsPerInstance) * float64(maxOnDemandIdle))
 }
 
+// minRestartShare is the least share of a service's connections that must be left for
+// on-demand connections for these to be bounded by it. Below it a restart of the whole
+// fleet does not fit anyway, and bounded ones would be opened for each request.
+const minRestartShare = 0.1
+
+// restartRoom returns how many idle on-demand connections to a service this instance may
+// keep such that, after all processes have ended at once, the targets have room for the
+// fleet's own connections beside all of those that they still count. It returns false if
+// there is no such number.
+func (sub subsetter) restartRoom(service model.ServiceID, targets int) (float64, bool) {
+	accepted := sub.acceptedConnections(service)
+	if accepted == 0 || sub.ownsAll(accepted) {
+		return 0, false
+	}
+	own := min(sub.instances*sub.ownTargets(accepted, targets), keptConnections(accepted)*targets)
+	left := accepted*targets - 2*own
+	return float64(left) / float64(sub.instances), float64(left) >= minRestartShare*float64(accepted*targets)
+}
+
+// ownsAll reports whether a target that accepts so many connections accepts one from every
+// instance, so that all targets are each instance's own.
+func (sub subsetter) ownsAll(accepted int) bool {
+	return int(usableConnectionShare*float64(accepted)) >= sub.instances
+}
+
+// keptConnections returns how many connections to a target the fleet keeps open.
+func keptConnections(accepted int) int { return int(subsetConnectionShare * float64(accepted)) }
+
+// ownTargets returns how many of a service's targets are an instance's own, while there
+// is room.
+func (sub subsetter) ownTargets(accepted, targets int) int {
+	return max(1, keptConnections(accepted)*targets/sub.instances)
+}
+
 // acceptedConnections returns how many connections a target of the service accepts
 // from the fleet; 0 if the routing table does not say.
 func (sub subsetter) acceptedConnections(service model.ServiceID) int {
--- a/pkg/dispatch/subset_test.go
+++ b/pkg/dispatch/subset_test.go
@@ -251,3 +251,32 @@
 		}
 	})
 })
+
+// Guards against a restart of the whole fleet after which targets still count so many
+// connections of the processes before that they reset those of the new ones.
+var _ = Describe("The idle on-demand connections of a fleet", func() {
+	It("leave room for its own connections, once those of ended processes and once new ones", func() {
+		for instances := 1; instances <= 200; instances++ {
+			for _, accepted := range []int{20, 53, 61, 120} {
+				v := viewOf(map[model.AvailabilityZoneID]int{"a": (instances + 2) / 3, "b": (instances + 1) / 3, "c": instances / 3}, accepted)
+				targets := targetsIn("a", "b", "c")
+				room, fits := newSubsetter(v, "1", "a").restartRoom("s", len(targets))
+				if !fits {
+					continue
+				}
+				own := 0
+				for _, i := range v.Instances {
+					subset, limit := newSubsetter(v, i.ID, i.AvailabilityZone).subset("s", targets)
+					own += len(subset) * limit
+				}
+				Expect(2*float64(own)+float64(instances)*room).To(BeNumerically("<=", accepted*len(targets)), "%d instances, %d connections", instances, accepted)
+			}
+		}
+	})
+
+	It("are not bounded where a restart does not fit anyway", func() {
+		v := viewOf(map[model.AvailabilityZoneID]int{"a": 65, "b": 65, "c": 65}, 61)
+		_, fits := newSubsetter(v, "1", "a").restartRoom("s", 3)
+		Expect(fits).To(BeFalse())
+	})
+})
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -87,8 +87,11 @@
 	limit int
 	// maxIdle is how long an idle connection is kept; 0 means without limit.
 	maxIdle time.Duration
-	idle    []*conn
-	open    map[*conn]bool
+	// idleBound bounds the idle connections of this pool and others together; nil means
+	// without limit.
+	idleBound *IdleBound
+	idle      []*conn
+	open      map[*conn]bool
 	// opening counts connections being opened.
 	opening int
 	closed  bool
@@ -126,6 +129,14 @@
 	}
 }
 
+// SetIdleBound bounds the idle connections of this pool and others together; nil means
+// without limit.
+func (p *Pool) SetIdleBound(b *IdleBound) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idleBound = b
+}
+
 // Start sends an attempt over an idle connection, or over a new one if the limit
 // allows. It returns false, and does not call Done, if neither is available, or if the
 // target does not read the requests that are being written to it.
@@ -166,6 +177,7 @@
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
+		p.noLongerIdle(c)
 		if c.usable(now) {
 			return c, false
 		}
@@ -250,11 +262,16 @@
 func (p *Pool) release(c *conn) {
 	p.mu.Lock()
 	surplus := p.closed || len(p.open) > p.limit
+	var bound *IdleBound
 	if !surplus && p.open[c] {
 		p.idle = append(p.idle, c)
 		p.expireIdle(c)
+		bound = p.idleBound
 	}
 	p.mu.Unlock()
+	if bound != nil {
+		bound.add(c)
+	}
 	if surplus {
 		go c.fail(ErrNotSent)
 		return
@@ -275,6 +292,7 @@
 		expired := i >= 0 && c.uses.Load() == used
 		if expired {
 			p.idle = slices.Delete(p.idle, i, i+1)
+			p.noLongerIdle(c)
 		}
 		p.mu.Unlock()
 		if expired {
@@ -283,8 +301,16 @@
 	})
 }
 
+// noLongerIdle records that a connection is not idle any more. p.mu must be held.
+func (p *Pool) noLongerIdle(c *conn) {
+	if p.idleBound != nil {
+		p.idleBound.drop(c)
+	}
+}
+
 func (p *Pool) remove(c *conn) {
 	p.mu.Lock()
+	p.noLongerIdle(c)
 	delete(p.open, c)
 	if i := slices.Index(p.idle, c); i >= 0 {
 		p.idle = slices.Delete(p.idle, i, i+1)
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -99,3 +99,20 @@
 	need := int(math.Ceil(min(max(0, f.MinShardShare), 1) * float64(n)))
 	return max(1, min(need, n))
 }
+
+// RoutedServices returns the services that routes name.
+func (t *Table) RoutedServices() map[model.ServiceID]bool {
+	services := make(map[model.ServiceID]bool)
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		for _, w := range r.Split {
+			services[w.Service] = true
+		}
+		if r.Fanout != nil {
+			for _, s := range r.Fanout.Shards {
+				services[s] = true
+			}
+		}
+	}
+	return services
+}
