--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -48,7 +48,6 @@
 	sent := e.now()
 	usual := call.stats.usual()
 	move, moving := current.moveOf(t.Service)
-	reused := t.pool.Availability() == pool.Idle
 	a := &pool.Attempt{
 		Request:   call.Request,
 		Params:    exchange.TargetParams{Target: t.ID, Timeout: timeout},
@@ -58,7 +57,7 @@
 		now := e.now()
 		t.recordResult(now, sent, usual, timeout, r).log(t.ID, r.Err)
 		e.recordUsage(call, now-sent, r)
-		e.learnCompletion(call.stats, t, now, sent, reused, r)
+		e.learnCompletion(call.stats, t, now, sent, a.Reused(), r)
 		e.recordCost(t.ID, observedCost(r, now-sent, usual))
 		if moving {
 			e.recordVersionOutcome(call, t, move, r, now-sent)
--- a/pkg/pool/conn.go
+++ b/pkg/pool/conn.go
@@ -71,6 +71,8 @@
 	conn atomic.Pointer[conn]
 	// abandoned is set once the attempt must not be sent any more.
 	abandoned atomic.Bool
+	// reused is set if the attempt was started on an idle connection.
+	reused bool
 	// memory is what the reply takes of the process's memory for messages.
 	memory membudget.Reservation
 	// outgoing is what the request takes until it is written, and held its bytes, which
@@ -91,6 +93,10 @@
 	return nil
 }
 
+// Reused reports whether the attempt was sent on a connection that was open already. It
+// may be called from Done on.
+func (a *Attempt) Reused() bool { return a.reused }
+
 // Release returns the memory that the reply takes. It is called once the reply is no
 // longer used, or its result is no longer waited for.
 func (a *Attempt) Release() { a.memory.Release() }
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -154,6 +154,7 @@
 func (p *Pool) start(a *Attempt) bool {
 	for {
 		c, canOpen := p.take()
+		a.reused = c != nil
 		switch {
 		case c != nil && c.start(a):
 			return true
