ingress: no 401 for a new key after the process stood still

An entry that stood still for more than 3 s and whose first renewal after that took longer than the request waits (300 ms) answered 401 for a key that its old table lacks, though control may have added it meanwhile. It now answers 503, not run, until a renewal has ended.

The new test failed with 401 before; go test ./platform/ingress ./pkg/callerauth pass.

--- a/pkg/callerauth/callerauth.go
+++ b/pkg/callerauth/callerauth.go
@@ -105,11 +105,11 @@
 }
 
 // UnknownKey returns the reason to refuse a key that no account has after a wait for a
-// newer table. An instance that was in touch until a moment ago, as during an election,
-// leaves open whether the key is known; one that has been out of touch for longer goes by
-// its table.
+// newer table. An instance that was in touch until a moment ago, as during an election, or
+// that stood still and has not tried to renew since, leaves open whether the key is known;
+// one whose renewals have failed for longer goes by its table.
 func UnknownKey(c Contact, waited time.Duration) Reason {
-	if c.Age > waited && c.Age <= maxAttemptAge {
+	if c.Age > waited && (c.Age <= maxAttemptAge || c.StoodStill()) {
 		return KeyUnconfirmed
 	}
 	return KeyUnknown
