ingress: requests admitted without accounts do not run once there are some

A request on a public route that was admitted by a table without accounts, and waited while a version introduced them, was sent with the client's own Authorization and X-Radishturn-Tenant, which its header fields still held. It is now answered with 503, not run, as requests on other routes are. callerauth.Recheck gets to know what the request was admitted with.

--- a/pkg/callerauth/callerauth.go
+++ b/pkg/callerauth/callerauth.go
@@ -115,20 +115,29 @@
 	return KeyUnknown
 }
 
-// Recheck returns why a request that was admitted for an account, "" for none, may no
-// longer run. table is the one in force now, and r.Public refers to it.
-func Recheck(table *routing.Index, r Request, admitted model.CallerID, c Contact) Reason {
+// Admission is what a request was admitted with.
+type Admission struct {
+	// Accounts is set if the table had accounts, so that the request is forwarded without
+	// its key and the client's own account field.
+	Accounts bool
+	// Caller is the account of the request; empty if it has none.
+	Caller model.CallerID
+}
+
+// Recheck returns why a request that was admitted may no longer run. table is the one in
+// force now, and r.Public refers to it.
+func Recheck(table *routing.Index, r Request, admitted Admission, c Contact) Reason {
 	account, reason := Decide(table, r, c)
 	switch {
 	case table.NeedsKeys() && !r.Public && c.StoodStill():
 		return OutOfTouch
-	case reason.Unauthorized() && admitted == "":
+	case table.NeedsKeys() && !admitted.Accounts, reason.Unauthorized() && admitted.Caller == "":
 		return AccountChanged
 	case reason.Unauthorized():
 		return KeyRevoked
 	case reason != Admitted:
 		return reason
-	case table.NeedsKeys() && nameOf(account) != admitted:
+	case table.NeedsKeys() && nameOf(account) != admitted.Caller:
 		return AccountChanged
 	}
 	return Admitted
--- a/pkg/callerauth/callerauth_test.go
+++ b/pkg/callerauth/callerauth_test.go
@@ -61,25 +61,29 @@
 // Guards against requests that run with a key that was removed while they waited, and
 // against 401 for a key that the table in force holds.
 func TestRecheck(t *testing.T) {
+	admittedFor := func(caller model.CallerID) callerauth.Admission {
+		return callerauth.Admission{Accounts: true, Caller: caller}
+	}
 	accounts, stoodStill := index("ralo", "k1", "mira", "k2"), callerauth.Contact{AttemptAge: 4 * time.Second}
 	for name, c := range map[string]struct {
 		table    *routing.Index
 		key      string
 		public   bool
-		admitted model.CallerID
+		admitted callerauth.Admission
 		contact  callerauth.Contact
 		want     callerauth.Reason
 	}{
-		"still known":                      {accounts, "k1", false, "ralo", callerauth.Contact{}, callerauth.Admitted},
-		"removed":                          {accounts, "k0", false, "ralo", callerauth.Contact{}, callerauth.KeyRevoked},
-		"moved to another account":         {accounts, "k2", false, "ralo", callerauth.Contact{}, callerauth.AccountChanged},
-		"accounts introduced, key known":   {accounts, "k1", false, "", callerauth.Contact{}, callerauth.AccountChanged},
-		"accounts introduced, no key":      {accounts, "", false, "", callerauth.Contact{}, callerauth.AccountChanged},
-		"accounts removed":                 {index(), "k1", false, "ralo", stoodStill, callerauth.Admitted},
-		"public without a key":             {accounts, "", true, "", stoodStill, callerauth.Admitted},
-		"public, key removed":              {accounts, "k0", true, "ralo", callerauth.Contact{}, callerauth.AccountChanged},
-		"process stood still":              {accounts, "k1", false, "ralo", stoodStill, callerauth.OutOfTouch},
-		"control lost, renewals are tried": {accounts, "k1", false, "ralo", callerauth.Contact{Age: time.Hour, AttemptAge: time.Second}, callerauth.Admitted},
+		"still known":                      {accounts, "k1", false, admittedFor("ralo"), callerauth.Contact{}, callerauth.Admitted},
+		"removed":                          {accounts, "k0", false, admittedFor("ralo"), callerauth.Contact{}, callerauth.KeyRevoked},
+		"moved to another account":         {accounts, "k2", false, admittedFor("ralo"), callerauth.Contact{}, callerauth.AccountChanged},
+		"accounts introduced, key known":   {accounts, "k1", false, callerauth.Admission{}, callerauth.Contact{}, callerauth.AccountChanged},
+		"accounts introduced, no key":      {accounts, "", false, callerauth.Admission{}, callerauth.Contact{}, callerauth.AccountChanged},
+		"accounts introduced, public":      {accounts, "", true, callerauth.Admission{}, callerauth.Contact{}, callerauth.AccountChanged},
+		"accounts removed":                 {index(), "k1", false, admittedFor("ralo"), stoodStill, callerauth.Admitted},
+		"public without a key":             {accounts, "", true, admittedFor(""), stoodStill, callerauth.Admitted},
+		"public, key removed":              {accounts, "k0", true, admittedFor("ralo"), callerauth.Contact{}, callerauth.AccountChanged},
+		"process stood still":              {accounts, "k1", false, admittedFor("ralo"), stoodStill, callerauth.OutOfTouch},
+		"control lost, renewals are tried": {accounts, "k1", false, admittedFor("ralo"), callerauth.Contact{Age: time.Hour, AttemptAge: time.Second}, callerauth.Admitted},
 	} {
 		request := callerauth.Request{Key: callerauth.NewKey(c.key), Public: c.public}
 		NewWithT(t).Expect(callerauth.Recheck(c.table, request, c.admitted, c.contact)).To(Equal(c.want), name)
@@ -139,7 +143,7 @@
 				}
 				w := queue[0]
 				queue = queue[1:]
-				if callerauth.Recheck(table, callerauth.Request{Key: callerauth.NewKey(w.key)}, w.caller, contact()) == callerauth.Admitted {
+				if callerauth.Recheck(table, callerauth.Request{Key: callerauth.NewKey(w.key)}, callerauth.Admission{Accounts: true, Caller: w.caller}, contact()) == callerauth.Admitted {
 					run(w.key)
 				}
 			},
