dispatch: a single call is checked again after its body has arrived

The key is checked before the body is read, which may take seconds. A query was checked again before its start, but a single call that found an idle connection was sent without a further check, so it ran with a key that was removed meanwhile, or that could not be confirmed after the process stood still. Forward now makes the same check first.

The new test failed for the call and passed for the query; go test ./pkg/dispatch passes.

--- a/pkg/dispatch/schedule.go
+++ b/pkg/dispatch/schedule.go
@@ -29,8 +29,8 @@
 	return began + time.Duration(refusalShare*float64(c.Route.Objective)) - answerMargin
 }
 
-// checkAfterWait returns why a call that has waited must no longer be served, by the
-// state in force now, or nil.
+// checkAfterWait returns why a call that has waited, also for its body, must no longer be
+// served, by the state in force now, or nil.
 func (e *Engine) checkAfterWait(c *Call) *failure.Error {
 	return cmp.Or(c.recheck(), refuseQuarantined(c, e.current()))
 }
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -68,7 +68,7 @@
 		results:  make(chan *sentRequest, maxSingleRequests),
 		trace:    e.newTrace(c),
 	}
-	if err := refuseQuarantined(c, e.current()); err != nil {
+	if err := e.checkAfterWait(c); err != nil {
 		return observe(c, s.fail(err))
 	}
 	if err := refuseExpired(e.now(), s.deadline); err != nil {
