usage: a checkpoint that was not saved is proposed again

The ledger took its counts for saved once it had built a checkpoint, so after a failed proposal nothing was proposed until something else was counted. With no further requests, a loss of power then lost counts that were seconds old.

The new test failed before; go test ./pkg/usage ./pkg/control/server pass.

--- a/pkg/control/server/usage.go
+++ b/pkg/control/server/usage.go
@@ -164,6 +164,9 @@
 		return
 	}
 	if _, err := n.propose(ctx, "save usage", &state.Command{SaveUsage: &state.SaveUsage{Token: claim.Token, Counts: counts}}); err != nil {
+		u.mu.Lock()
+		u.ledger.CheckpointFailed()
+		u.mu.Unlock()
 		events.Emit(events.UsageNotSaved, err)
 	}
 }
--- a/pkg/usage/checkpoint.go
+++ b/pkg/usage/checkpoint.go
@@ -43,6 +43,9 @@
 	return all, true
 }
 
+// CheckpointFailed records that the newest checkpoint may not have been saved.
+func (l *Ledger) CheckpointFailed() { l.changed = true }
+
 // Restore merges the counts of a checkpoint. Processes that still run report theirs again,
 // which changes nothing.
 func (l *Ledger) Restore(checkpoint []ProcessCounts, decided Window) {
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -236,6 +236,18 @@
 		Expect(Total(next.Counts(1001))).To(BeEquivalentTo(1))
 	})
 
+	// Guards against counts that are lost with all machines since the only proposal to save
+	// them failed.
+	ginkgo.It("has the same checkpoint again if it was not saved", func() {
+		l := NewLedger(1)
+		l.Record(Process{"i", "p"}, &Report{Windows: []WindowCounts{countsOf(1000, 5)}}, 999, 1002)
+		first, _ := l.Checkpoint(999)
+		l.CheckpointFailed()
+		again, changed := l.Checkpoint(999)
+		Expect(changed).To(BeTrue())
+		Expect(again).To(Equal(first))
+	})
+
 	ginkgo.It("has no checkpoint of more counts than the log should take", func() {
 		l := NewLedger(1)
 		l.Record(Process{"i", "p"}, &Report{Windows: []WindowCounts{countsOf(1000, make([]uint64, MaxCheckpointCounts+1)...)}}, 999, 1002)
