--- a/pkg/control/wire/wire.go
+++ b/pkg/control/wire/wire.go
@@ -118,7 +118,7 @@
 	CostPosition catalog.Position `cbor:"15,keyasint"`
 	// CatalogBuckets are set if the leader has asked for them.
 	CatalogBuckets catalog.BucketDigests `cbor:"16,keyasint,omitempty"`
-	// Usage is what targets ran for each caller; nil if no duty to report it is set.
+	// Usage is how many calls of each caller targets ran; nil if no duty to report it is set.
 	Usage *usage.Report `cbor:"17,keyasint,omitempty"`
 	// WallClock is the holder's wall-clock time, since the start of 1970. It is set
 	// together with Usage.
--- a/pkg/duty/duty.go
+++ b/pkg/duty/duty.go
@@ -15,7 +15,7 @@
 // Name names a duty.
 type Name string
 
-// Usage is the duty to report what targets ran for each caller.
+// Usage is the duty to report how many calls of each caller targets ran.
 const Usage Name = "usage"
 
 // Record is the holder of a duty in the replicated state.
--- a/pkg/usage/counter.go
+++ b/pkg/usage/counter.go
@@ -19,7 +19,7 @@
 	settleTime = 2 * time.Second
 )
 
-// Counter counts the requests of one process. It is safe for concurrent use.
+// Counter counts the calls that one process forwards. It is safe for concurrent use.
 type Counter struct {
 	length time.Duration
 	seed   maphash.Seed
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -1,5 +1,5 @@
-// Package usage counts the requests that targets ran for each caller, by windows of true
-// time, and decides what the whole fleet ran in a window. Entry instances keep a Counter
+// Package usage counts the calls of each caller that targets ran, by windows of true time,
+// and decides what the whole fleet ran in a window. Entry instances keep a Counter
 // and report it with their renewals; the leader of the control group merges the reports
 // in a Ledger and estimates true time with an Estimator. The package does no I/O; the
 // caller passes the time.
@@ -19,7 +19,7 @@
 	// MaxWindows bounds the windows that the leader keeps: those that are not decided,
 	// and those that are decided but not accepted.
 	MaxWindows = 64
-	// MaxCallers bounds the callers of one window. Requests of further callers are not
+	// MaxCallers bounds the callers of one window. Calls of further callers are not
 	// counted.
 	MaxCallers = 10_000
 )
@@ -37,14 +37,14 @@
 // minus returns the window n before w, or the first one.
 func (w Window) minus(n Window) Window { return w - min(w, n) }
 
-// Recorder counts requests to targets.
+// Recorder counts calls.
 type Recorder interface {
-	// RecordRun counts a request that a target may have run. sent is when it was sent,
-	// on the clock of boottime.Now.
+	// RecordRun counts a call that a target may have run; it is called once for each. sent
+	// is when the first request that may have run was sent, on the clock of boottime.Now.
 	RecordRun(caller model.CallerID, sent time.Duration)
 }
 
-// Count is the number of requests that targets ran for one caller.
+// Count is the number of calls of one caller that targets ran.
 type Count struct {
 	Caller model.CallerID `cbor:"1,keyasint"`
 	Runs   uint64         `cbor:"2,keyasint"`
