--- a/spec/duty.pml
+++ b/spec/duty.pml
@@ -5,9 +5,9 @@
  * records the holder with its fencing token, and the content of the report. A command that
  * a leader has proposed may be applied at any later time, or never. An instance may stand
  * still at any point, for it need not take a step, or lose its disk and all else that it
- * keeps. A call may be lost, or
- * carried out at any later time; the platform refuses a token lower than the highest that
- * it has seen. Each instance has counts of its own, which differ.
+ * keeps. A call may be lost, or carried out at any later time; the platform refuses a token
+ * lower than the highest that it has seen. Each instance has counts of its own, which
+ * differ.
  *
  * Mutations: LEASE_NOT_CHECKED, STALE_CLAIM_USED, ACQUIRED_AT_ONCE, TOKEN_OF_OWN_COUNTER,
  * OWN_COUNTS_SENT, SENT_BEFORE_DECIDED, DECIDED_AGAIN, ACCEPTED_FORGOTTEN.
