--- a/pkg/callerauth/callerauth.go
+++ b/pkg/callerauth/callerauth.go
@@ -105,30 +105,39 @@
 }
 
 // UnknownKey returns the reason to refuse a key that no account has after a wait for a
-// newer table. An instance that was in touch until a moment ago, as during an election,
-// leaves open whether the key is known; one that has been out of touch for longer goes by
-// its table.
+// newer table. An instance that was in touch until a moment ago, as during an election, or
+// that stood still and has not tried to renew since, leaves open whether the key is known;
+// one whose renewals have failed for longer goes by its table.
 func UnknownKey(c Contact, waited time.Duration) Reason {
-	if c.Age > waited && c.Age <= maxAttemptAge {
+	if c.Age > waited && (c.Age <= maxAttemptAge || c.StoodStill()) {
 		return KeyUnconfirmed
 	}
 	return KeyUnknown
 }
 
-// Recheck returns why a request that was admitted for an account, "" for none, may no
-// longer run. table is the one in force now, and r.Public refers to it.
-func Recheck(table *routing.Index, r Request, admitted model.CallerID, c Contact) Reason {
+// Admission is what a request was admitted with.
+type Admission struct {
+	// Accounts is set if the table had accounts, so that the request is forwarded without
+	// its key and the client's own account field.
+	Accounts bool
+	// Caller is the account of the request; empty if it has none.
+	Caller model.CallerID
+}
+
+// Recheck returns why a request that was admitted may no longer run. table is the one in
+// force now, and r.Public refers to it.
+func Recheck(table *routing.Index, r Request, admitted Admission, c Contact) Reason {
 	account, reason := Decide(table, r, c)
 	switch {
 	case table.NeedsKeys() && !r.Public && c.StoodStill():
 		return OutOfTouch
-	case reason.Unauthorized() && admitted == "":
+	case table.NeedsKeys() && !admitted.Accounts, reason.Unauthorized() && admitted.Caller == "":
 		return AccountChanged
 	case reason.Unauthorized():
 		return KeyRevoked
 	case reason != Admitted:
 		return reason
-	case table.NeedsKeys() && nameOf(account) != admitted:
+	case table.NeedsKeys() && nameOf(account) != admitted.Caller:
 		return AccountChanged
 	}
 	return Admitted
