clientlimit: idle connections beyond half give way before incomplete ones

Cause: with a listener full of kept connections, each new connection evicted the one that was opened just before it, and a head or body that arrived was refused for room that only idle connections held. An address with 690 kept connections could not send one body of 256 KiB to an instance with 184 MB. Change: while more than half of the connections are idle, an idle one is evicted first.

--- a/pkg/clientlimit/evict.go
+++ b/pkg/clientlimit/evict.go
@@ -42,11 +42,13 @@
 func share[T int | int64](limit T) T { return max(1, limit*addressShare/addressParts) }
 
 // victim returns the connection to evict: the one that has not sent a complete request
-// for longest, of one client or of all. If there is none, it is the connection that is
-// idle for longest of the client with the most connections.
+// for longest, of one client or of all. If there is none, or too many are idle, it is the
+// connection that is idle for longest of the client with the most connections.
 func (t *Table) victim(reason Reason, own *client) *Conn {
-	if c := oldest(t.incomplete, own); c != nil || reason == ReasonIncomplete {
-		return c
+	if reason == ReasonIncomplete || !t.tooManyIdle(own) {
+		if c := oldest(t.incomplete, own); c != nil || reason == ReasonIncomplete {
+			return c
+		}
 	}
 	if own == nil {
 		own = t.largestIdle()
@@ -54,6 +56,15 @@
 	return oldest(t.idle, own)
 }
 
+// tooManyIdle reports whether the idle connections of one client, or of all, leave too
+// little room for those that send requests.
+func (t *Table) tooManyIdle(own *client) bool {
+	if own != nil {
+		return own.idle > share(t.limits.Connections)/idleDivisor
+	}
+	return t.idle.Len() > t.limits.Connections/idleDivisor
+}
+
 // oldest returns the first connection in a list, of one client if it is not nil.
 func oldest(l *list.List, own *client) *Conn {
 	for e := l.Front(); e != nil; e = e.Next() {
--- a/pkg/clientlimit/table.go
+++ b/pkg/clientlimit/table.go
@@ -17,6 +17,9 @@
 const (
 	// Connections that have not sent a complete request may be this part of all.
 	incompleteDivisor = 2
+	// Idle connections are evicted after incomplete ones up to this part of a limit, and
+	// before them beyond it, so that kept connections do not make new ones evict each other.
+	idleDivisor = 2
 	// One client address may hold addressShare of addressParts of each limit. Many
 	// clients share an address, such as those behind a load balancer.
 	addressShare, addressParts = 3, 4
@@ -63,9 +66,9 @@
 
 // client is what one client address holds.
 type client struct {
-	address                 netip.Addr
-	connections, incomplete int
-	bytes                   int64
+	address                       netip.Addr
+	connections, incomplete, idle int
+	bytes                         int64
 }
 
 // Eviction is a connection that the caller must close.
@@ -214,6 +217,7 @@
 		t.incomplete.Remove(c.element)
 	}
 	if c.phase == idle {
+		c.client.idle--
 		t.idle.Remove(c.element)
 	}
 	c.phase, c.element = p, nil
@@ -222,6 +226,7 @@
 		c.client.incomplete++
 		c.element = t.incomplete.PushBack(c)
 	case idle:
+		c.client.idle++
 		c.element = t.idle.PushBack(c)
 	}
 }
--- a/pkg/clientlimit/table_test.go
+++ b/pkg/clientlimit/table_test.go
@@ -82,6 +82,25 @@
 	g.Expect(table.Begin(large[1], true)).To(BeTrue())
 }
 
+// Guards against ordinary clients whose requests are cut while they arrive, though kept
+// connections hold most of the room.
+func TestIdleConnectionsGiveWayToRequestsThatArrive(t *testing.T) {
+	g := NewWithT(t)
+	for _, whose := range []netip.Addr{one, other} {
+		table := clientlimit.New(clientlimit.Limits{Connections: 20, Bytes: 20})
+		for range 14 {
+			c := open(g, table, whose)
+			table.Begin(c, true)
+			table.Idle(c, 1)
+		}
+		arriving := []*clientlimit.Conn{open(g, table, one), open(g, table, one)}
+		g.Expect(table.Grow(arriving[0], 6)).To(BeTrue(), "idle connections of %s", whose)
+		for _, c := range arriving {
+			g.Expect(table.Begin(c, true)).To(BeTrue(), "idle connections of %s", whose)
+		}
+	}
+}
+
 // Guards against a sum of what clients hold that passes the limits or is not returned,
 // and against requests that run on connections which were evicted.
 func TestLimitsHoldInAnyOrder(t *testing.T) {
