httpserver: a connection of HTTP/2 is idle only if no request has begun

Cause: the end of the last request and the start of the next one were noted in two steps. In the wrong order the connection counted as idle with a request in progress, so it could be evicted, and the bytes of that request were no longer accounted for. Change: the count of requests is read under the table's lock. Result: the new test failed before (the connection was evicted); go test ./pkg/httpserver passes.

--- a/pkg/httpserver/guarded_conn.go
+++ b/pkg/httpserver/guarded_conn.go
@@ -133,16 +133,23 @@
 	c.guard.update(func(t *clientlimit.Table) { t.Complete(c.entry) })
 }
 
-// becomeIdle notes that no request is in progress.
+// becomeIdle notes that no request is in progress, unless one of HTTP/2 has begun
+// meanwhile: that one is counted before it takes the table's lock.
 func (c *guardedConn) becomeIdle() {
 	base := c.guard.base
 	if c.http2.Load() {
 		base += http2Bytes
 	}
-	c.inRequest.Store(false)
-	c.head.Store(0)
-	c.allowed.Store(bufferBytes)
-	c.guard.update(func(t *clientlimit.Table) { t.Idle(c.entry, base) })
+	c.guard.update(func(t *clientlimit.Table) {
+		if c.requests.Load() > 0 {
+			return
+		}
+		c.inRequest.Store(false)
+		c.partial.Store(false)
+		c.head.Store(0)
+		c.allowed.Store(bufferBytes)
+		t.Idle(c.entry, base)
+	})
 }
 
 // Write implements net.Conn.
