pool: bytes after a reply do not answer the next request

Cause: a connection was released for the next request before it was known whether more bytes had arrived with the reply. The request that started on it was answered with those bytes, if they were a reply without a request ID or with the same one. Change: such a connection takes no request until the bytes are read and discarded.

--- a/pkg/pool/conn.go
+++ b/pkg/pool/conn.go
@@ -270,6 +270,8 @@
 	c.closed = !reusable
 	c.releaseAfterWrite = reusable && c.writing
 	release := reusable && !c.writing
+	// What came after the reply belongs to no request that is yet to start.
+	c.receiving = c.br.Buffered() > 0
 	c.usableUntil = time.Time{}
 	if reply.KeepAlive > 0 {
 		c.usableUntil = time.Now().Add(reply.KeepAlive - keepAliveMargin)
