httpserver: the time in which a client takes an answer grows with its length

Cause: net/http writes a reply of up to 8 MiB at once, and each write had 10 s. Over a link of 20 Mbit/s that several such replies share, one that a client reads steadily was cut. Change: 1 s more for each 256 KiB of the write, or over HTTP/2 of the stated length.

--- a/pkg/httpserver/guarded_conn.go
+++ b/pkg/httpserver/guarded_conn.go
@@ -15,9 +15,21 @@
 // http2Preface begins a connection of HTTP/2.
 var http2Preface = []byte("PRI * HTTP/2.0")
 
-// writeTimeout limits the time in which a client takes the bytes of one write, so that a
-// client that does not read its answer cannot hold it.
-const writeTimeout = 10 * time.Second
+const (
+	// writeTimeout limits the time in which a client takes the bytes of one write, so that
+	// a client that does not read its answer cannot hold it.
+	writeTimeout = 10 * time.Second
+	// minWriteRate, in bytes a second, adds to writeTimeout for long writes: a reply of
+	// 8 MiB may share a link of 20 Mbit/s with others.
+	minWriteRate = 256 << 10
+	// maxTimedBytes bounds the length of a write that adds to its time.
+	maxTimedBytes = 64 << 20
+)
+
+// timeToTake returns the time in which a client takes n bytes.
+func timeToTake(n int) time.Duration {
+	return writeTimeout + time.Duration(min(n, maxTimedBytes))*time.Second/minWriteRate
+}
 
 // guardedConn counts what a client holds through its connection.
 type guardedConn struct {
@@ -154,7 +166,7 @@
 
 // Write implements net.Conn.
 func (c *guardedConn) Write(p []byte) (int, error) {
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(timeToTake(len(p))))
 	n, err := c.Conn.Write(p)
 	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
 		c.guard.report.answerNotRead()
--- a/pkg/httpserver/guarded_request.go
+++ b/pkg/httpserver/guarded_request.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -98,7 +99,7 @@
 }
 
 // deadlineWriter limits the time in which an answer of HTTP/2 is taken, from its
-// beginning on. Flow control can hold a write back that the connection's deadline does
+// beginning on, by its stated length. Flow control can hold a write back that the connection's deadline does
 // not see.
 type deadlineWriter struct {
 	http.ResponseWriter
@@ -110,8 +111,10 @@
 
 func (w *deadlineWriter) limit() {
 	w.once.Do(func() {
+		// A length that is not stated counts as 0.
+		n, _ := strconv.Atoi(w.Header().Get("Content-Length"))
 		// An error means that the request has ended.
-		_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(time.Now().Add(writeTimeout))
+		_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(time.Now().Add(timeToTake(n)))
 	})
 }
 
