Calls refused while they find a connection are counted from then

A call that was woken and found a connection while the queue refused its ticket kept that ticket: its end lowered the number of starting calls without a start, and its work was taken from the start of the process. Later calls were then expected to wait for hours and were refused at once.

It now gets a ticket that has started. The new test fails without this (0 starting calls instead of 1) and passes with it.

--- a/pkg/dispatch/connectionqueue.go
+++ b/pkg/dispatch/connectionqueue.go
@@ -111,18 +111,23 @@
 	w.all.waiting.Add(-1)
 }
 
-// leave removes a waiting call: it has found a connection, or gives up. The next one is
-// woken, since it may have been this call's turn.
-func (w *connectionQueue) leave(t *queue.Ticket, found bool) {
+// leave removes a waiting call: it has found a connection, or gives up. It returns the
+// ticket with which a call that has found one ends. The next call is woken, since it may
+// have been this call's turn.
+func (w *connectionQueue) leave(t *queue.Ticket, connections int, found bool) *queue.Ticket {
 	w.mu.Lock()
-	if found {
-		w.queue.Start(t, w.all.now())
-	} else {
-		w.queue.Abandon(t, w.all.now())
-	}
+	now := w.all.now()
 	w.forget(t)
+	switch {
+	case !found:
+		w.queue.Abandon(t, now)
+	case !w.queue.Start(t, now):
+		// The queue has refused the ticket since the call found a connection.
+		t = w.queue.Pass(now, connections, t.Request)
+	}
 	w.mu.Unlock()
 	w.wakeAfter(nil)
+	return t
 }
 
 // end records that a call which had found a connection has ended.
--- a/pkg/dispatch/connectionqueue_test.go
+++ b/pkg/dispatch/connectionqueue_test.go
@@ -15,6 +15,7 @@
 	"radishturn.example/radishturn/pkg/exchange/exchangetest"
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/query/queue"
 	"radishturn.example/radishturn/pkg/routing"
 )
 
@@ -154,3 +155,29 @@
 	g.Expect(refusals.Get()).To(Equal(refusedBefore + 1))
 	g.Expect(late.Get()).To(Equal(lateBefore + 1))
 }
+
+// A call that found a connection while its ticket was refused ended a ticket that had never
+// started: its work then counted from the start of the process, and later calls were refused
+// for it.
+func TestCallRefusedWhileItFindsAConnectionCountsFromThen(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Hour
+	w := newConnectionQueues(func() time.Duration { return now }).of("s")
+	request := func() queue.Request {
+		return queue.Request{Arrived: now, OnTimeStart: now + time.Second, LatestStart: now + 8*time.Second, RefuseBy: now + connectionWait, Kind: "r"}
+	}
+	other := w.pass(1, request())
+	waiting := request()
+	waiting.LatestStart = now + 10*time.Millisecond
+	ticket, _, _ := w.join(1, waiting, func() {})
+	now += 20 * time.Millisecond
+	w.end(other, 1)
+	g.Expect(ticket.Refused).To(BeTrue())
+	left := w.leave(ticket, 1, true)
+	g.Expect(w.queue.Starting()).To(Equal(1))
+	now += 30 * time.Millisecond
+	w.end(left, 1)
+	g.Expect(w.queue.Starting()).To(BeZero())
+	work, _ := w.work(ticket)
+	g.Expect(work).To(BeNumerically("<", connectionWait))
+}
--- a/pkg/dispatch/firstrequest.go
+++ b/pkg/dispatch/firstrequest.go
@@ -33,12 +33,12 @@
 		return s.refuseWaiting(ticket, now, wait, ahead, "%d calls wait already, expected wait %s", ahead, wait.Round(time.Millisecond)), false
 	}
 	err := s.awaitConnection(ctx, ticket, woken, now)
-	s.wait.leave(ticket, err == nil)
+	left := s.wait.leave(ticket, s.connections(), err == nil)
 	observeWait(ticket.Priority, s.engine.now()-now)
 	var final *failure.Error
 	switch {
 	case err == nil:
-		s.ticket = ticket
+		s.ticket = left
 		return Outcome{}, true
 	case errors.As(err, &final):
 		return s.fail(final), false
