Queries use connections that are freed before they wait for them

A query that found no connection to a shard joined the queue only then. A connection freed in between woke nobody, and the shard was not tried again for 60 ms, more than the shortest objective.

The query now looks once more after it has joined, if a connection is free. The new test fails without this (no request in flight) and passes with it.

--- a/pkg/dispatch/connectionqueue_test.go
+++ b/pkg/dispatch/connectionqueue_test.go
@@ -181,3 +181,23 @@
 	work, _ := w.work(ticket)
 	g.Expect(work).To(BeNumerically("<", connectionWait))
 }
+
+// A connection that was freed after the query had looked for one, and before it was in the
+// queue, was not used for 60 ms.
+func TestConnectionFreedBeforeAQueryWaitsForItIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f, free := withoutConnections(t, nil)
+		c := &Call{Request: &exchange.Request{ID: "q", Method: "GET"}, Route: longQuery("s"), Arrived: time.Now(), Timeout: 8 * time.Second}
+		f.engine.prepare(c)
+		q := f.engine.newQuery(c)
+		now := f.engine.now()
+		g.Expect(q.trySend(0, now)).To(BeFalse())
+		free()
+		q.awaitShard(0, now)
+		g.Expect(q.run.InFlight(0)).To(BeTrue())
+		g.Expect(f.engine.connectionQueues.waiting.Load()).To(BeZero())
+		q.handleResult(<-q.results)
+		g.Expect(q.run.Parts()).To(Equal(1))
+	})
+}
--- a/pkg/dispatch/query.go
+++ b/pkg/dispatch/query.go
@@ -196,29 +196,35 @@
 	}
 }
 
+// send sends the request that is due to a shard, or has the query wait for a connection.
 func (q *query) send(i int, now time.Duration) {
+	if !q.trySend(i, now) {
+		q.awaitShard(i, now)
+	}
+}
+
+// trySend sends the request that is due to a shard, or records why it is not sent. It
+// returns false if only a connection is missing.
+func (q *query) trySend(i int, now time.Duration) bool {
 	current, service := q.engine.current(), q.call.Route.Fanout.Shards[i]
 	chosen := q.choose(i, current, service, now)
 	t := chosen.target
 	if t == nil {
 		reachable := current.hasUsableTarget(service, now)
 		q.run.RecordUnsent(i, now, reachable)
-		if reachable {
-			q.awaitShard(i, service, now)
-		}
-		return
+		return !reachable
 	}
 	if q.seemsToCrashTargets() || current.quarantines(q.call) || q.call.recheck() != nil {
 		// Recorded like a denial by the retry budget, so that the shard is tried again
 		// after a pause. A part that arrives until then clears the suspicion.
 		q.run.RecordDenied(i, now)
-		return
+		return true
 	}
 	if q.sentByShard[i].mayHaveArrived() && !q.engine.takeExtraRequest(service, q.run.NeedsPart(i, now)) {
 		q.trace.Denied++
 		q.engine.deferDeniedEvent(q.call, &q.trace, service, q.sentByShard[i])
 		q.run.RecordDenied(i, now)
-		return
+		return true
 	}
 	r := newSentRequest(q.call, current, i, t, now)
 	attempt, ok := t.send(q.engine, q.call, current, q.partTimeout(now), func(result pool.Result) {
@@ -227,8 +233,7 @@
 	})
 	if !ok {
 		q.run.RecordUnsent(i, now, true)
-		q.awaitShard(i, service, now)
-		return
+		return false
 	}
 	r.attempt = attempt
 	if w := q.leaveShard(i); w != nil {
@@ -238,6 +243,7 @@
 	q.recordSent(i, r)
 	q.run.RecordSent(i, now)
 	q.run.Expect(i, gather.Expectation{Current: chosen.completion, Next: chosen.next})
+	return true
 }
 
 func (q *query) recordSent(i int, r *sentRequest) {
--- a/pkg/dispatch/shardwait.go
+++ b/pkg/dispatch/shardwait.go
@@ -5,7 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/query/queue"
 )
 
@@ -21,13 +20,14 @@
 // awaitShard has the query woken when a connection to a shard may be free. Until then, or
 // until another target may be used or connectionWait has passed, the shard is not tried
 // again.
-func (q *query) awaitShard(i int, service model.ServiceID, now time.Duration) {
+func (q *query) awaitShard(i int, now time.Duration) {
 	if q.run.InFlight(i) || q.shardWaits[i] != nil {
 		return
 	}
 	if q.shardWaits == nil {
 		q.shardWaits = make(map[int]*shardWait)
 	}
+	service := q.call.Route.Fanout.Shards[i]
 	w := &shardWait{queue: q.engine.connectionQueues.of(service)}
 	request := q.schedule(now)
 	// The query is refused as a whole or not at all.
@@ -42,6 +42,10 @@
 		}
 	})
 	q.shardWaits[i] = w
+	// A connection that was freed before the query joined the queue has not woken it.
+	if q.engine.current().anyConnection(service) && q.trySend(i, now) {
+		return
+	}
 	until := now + connectionWait
 	if at := q.engine.current().usableAt(service, now); at > now {
 		until = min(until, at)
