Choosing among targets with a pace takes half of the processor time

For each of 90 shards, a choice among 3 targets took 642 ns with a pace, against 301 ns without: math.Pow for the spread, a second lock for each target to learn whether it reports a pace, and math.Exp for a lateness of 0. The sixth root is taken by math.Cbrt and math.Sqrt, the cost and whether there is a pace are read under one lock, and a lateness of 0 does not decay.

Decisions stay the same.

--- a/pkg/dispatch/completion.go
+++ b/pkg/dispatch/completion.go
@@ -13,14 +13,9 @@
 )
 
 // Targets that report their pace are chosen by expected completion. The others keep
-// their cost, see selectionCost.
+// their cost, see registry.price.
 
 const (
-	// choiceExponent states how sharply a first request prefers the target that will
-	// finish first: the probability of a target falls with this power of its expected
-	// completion. Instances with the same information then spread over targets that
-	// differ little.
-	choiceExponent = 6
 	// maxPacedCost bounds the cost reported to the fleet for a reply with a pace. A pause
 	// of a target that works again is thereby not published as a slow target.
 	maxPacedCost = 4
@@ -113,17 +108,15 @@
 	completion := request.Completion(slowness, connect)
 	cost := float64(completion) / float64(max(c.usual, time.Millisecond))
 	if !c.further {
-		cost *= math.Pow(rand.ExpFloat64(), 1.0/choiceExponent)
+		// The probability of a target falls with the 6th power of its expected completion.
+		// Instances with the same information then spread over targets that differ little.
+		cost *= sixthRoot(rand.ExpFloat64())
 	}
 	return price{cost: cost, completion: completion}
 }
 
-// paced reports whether the target reports its pace.
-func (p *process) paced() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.health.expected.Known()
-}
+// sixthRoot costs a third of math.Pow, which counts for 90 shards of 3 targets each.
+func sixthRoot(x float64) float64 { return math.Cbrt(math.Sqrt(x)) }
 
 // learnCompletion records what the result of a request says about the target, the zone
 // and the route. reused is false if the request had to wait for a new connection, so
--- a/pkg/dispatch/registry.go
+++ b/pkg/dispatch/registry.go
@@ -245,7 +245,7 @@
 // price returns the expected cost of a request to a target, or false if the target must
 // not get one.
 func (r *registry) price(t *target, c selection, connections pool.Availability) (price, bool) {
-	cost, ok := t.cost(c.now)
+	cost, paced, ok := t.cost(c.now)
 	if !ok {
 		return price{}, false
 	}
@@ -260,7 +260,7 @@
 	case pool.CanOpen:
 		connect = connectDelay
 	}
-	if t.paced() {
+	if paced {
 		return r.completionPrice(t, c, cost, connect), true
 	}
 	cost += float64(connect) / float64(max(c.usual, time.Millisecond))
@@ -274,7 +274,7 @@
 // hasUsableTarget reports whether some target of the service may get a request now.
 func (rs *registryState) hasUsableTarget(service model.ServiceID, now time.Duration) bool {
 	usable := func(t *target) bool {
-		_, ok := t.cost(now)
+		_, _, ok := t.cost(now)
 		return ok
 	}
 	s := rs.services[service]
--- a/pkg/dispatch/sent.go
+++ b/pkg/dispatch/sent.go
@@ -40,7 +40,7 @@
 
 // newSentRequest returns a request that is to be sent now.
 func newSentRequest(c *Call, current currentView, shard int, t *target, now time.Duration) *sentRequest {
-	cost, _ := t.cost(now)
+	cost, _, _ := t.cost(now)
 	return &sentRequest{shard: shard, target: t, sentAt: time.Since(c.Arrived), cost: cost, fleetCost: current.view.ExpensiveTargets[t.ID], mayHaveArrived: true, mayHaveRun: true}
 }
 
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -203,14 +203,14 @@
 }
 
 // cost returns the expected cost of another request, or false if the target must not
-// get one.
-func (t *target) cost(now time.Duration) (float64, bool) {
+// get one. paced is set if the target reports its pace.
+func (t *target) cost(now time.Duration) (cost float64, paced, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.wrongTarget || t.Leaving || !t.notice.allows(now) || t.health.unreachable(now) || !t.coldAllowed(now) {
-		return 0, false
+		return 0, false, false
 	}
-	return t.health.cost(now), true
+	return t.health.cost(now), t.health.expected.Known(), true
 }
 
 // usableAt returns when the target may get a request again by the passing of time; 0 if
--- a/pkg/dispatch/target_test.go
+++ b/pkg/dispatch/target_test.go
@@ -42,7 +42,7 @@
 	It("reports no change when a request was abandoned before it was sent", func() {
 		t := newTarget()
 		Expect(end(t, time.Second, pool.Result{Err: errors.Join(pool.ErrNotSent, pool.ErrAbandoned)})).To(Equal(changeNone))
-		_, used := t.cost(time.Second)
+		_, _, used := t.cost(time.Second)
 		Expect(used).To(BeTrue())
 	})
 
--- a/pkg/query/expected/expected.go
+++ b/pkg/query/expected/expected.go
@@ -121,6 +121,9 @@
 }
 
 func (e *Estimate) latenessAt(now time.Duration) float64 {
+	if e.lateness == 0 {
+		return 0
+	}
 	return e.lateness * math.Exp(-float64(max(0, now-e.lastEnd))/float64(latenessDecay))
 }
 
