queue: the work of waiting requests is looked up once for each ordering

Ordering compares each request with those planned before it, and looked the work of each up by its kind for every comparison.

The order stays the same.

--- a/pkg/query/queue/order.go
+++ b/pkg/query/queue/order.go
@@ -17,11 +17,14 @@
 	if other != nil {
 		tickets = append(tickets, other)
 	}
+	for _, t := range tickets {
+		t.work = q.work.of(&t.Request)
+	}
 	slices.SortStableFunc(tickets, func(a, b *Ticket) int { return cmp.Or(compareClass(a, b, now), compareTime(a, b, now)) })
 	if q.shares.active {
 		tagger := q.shares.tagger()
 		for _, t := range tickets {
-			t.tag = tagger.tag(t, q.work.of(&t.Request).mean)
+			t.tag = tagger.tag(t, t.work.mean)
 		}
 		slices.SortStableFunc(tickets, func(a, b *Ticket) int {
 			return cmp.Or(compareClass(a, b, now), cmp.Compare(a.tag, b.tag))
@@ -63,16 +66,16 @@
 func (q *Queue) fits(now time.Duration, owed, planned []*Ticket, t *Ticket) bool {
 	ahead := q.running()
 	for _, other := range owed {
-		ahead.add(q.work.of(&other.Request))
+		ahead.add(other.work)
 	}
 	meets := func(t *Ticket) bool {
 		_, tail := ahead.wait(q.limit)
-		ahead.add(q.work.of(&t.Request))
+		ahead.add(t.work)
 		return now+tail <= t.OnTimeStart
 	}
 	at := position(planned, t)
 	for _, other := range planned[:at] {
-		ahead.add(q.work.of(&other.Request))
+		ahead.add(other.work)
 	}
 	if !meets(t) {
 		return false
--- a/pkg/query/queue/queue.go
+++ b/pkg/query/queue/queue.go
@@ -118,7 +118,7 @@
 		if other == t {
 			break
 		}
-		b.add(q.work.of(&other.Request))
+		b.add(other.work)
 	}
 	return b
 }
@@ -149,7 +149,7 @@
 			q.refuse(t, now, wait)
 			continue
 		}
-		ahead.add(q.work.of(&t.Request))
+		ahead.add(t.work)
 	}
 }
 
--- a/pkg/query/queue/ticket.go
+++ b/pkg/query/queue/ticket.go
@@ -52,6 +52,8 @@
 	// arrivedVirtual is the virtual time at its arrival, and tag the one at which it
 	// begins to use its account's share.
 	arrivedVirtual, tag float64
+	// work is the expected work as of the last time that the queue was ordered.
+	work work
 	// startedAt and charged are when the request started and the work expected then.
 	startedAt time.Duration
 	charged   float64
