queue: requests are refused for their deadline by the mean wait only

A request was refused at once, and again while it waited, if the mean wait and two standard deviations went past its latest start.

The new test fails without this (refused with an expected wait of 320 ms and 450 ms left).

--- a/pkg/query/queue/queue.go
+++ b/pkg/query/queue/queue.go
@@ -68,7 +68,7 @@
 	t = q.newTicket(connections, r)
 	before, _ := q.before(t, now).wait(connections)
 	if r.RefuseBy > 0 && now+before > r.RefuseBy {
-		wait, _ = q.expectedWait(t, now)
+		wait = q.expectedWait(t, now)
 		q.refuse(t, now, wait)
 		return t, wait
 	}
@@ -91,8 +91,8 @@
 
 // admit lets a ticket wait, or refuses it. It returns the expected wait.
 func (q *Queue) admit(t *Ticket, now time.Duration) time.Duration {
-	wait, tail := q.expectedWait(t, now)
-	if now+tail > t.LatestStart {
+	wait := q.expectedWait(t, now)
+	if now+wait > t.LatestStart {
 		q.refuse(t, now, wait)
 		return wait
 	}
@@ -101,13 +101,14 @@
 	return wait
 }
 
-// expectedWait returns the mean and the tail of the wait of a ticket that is not waiting
-// yet.
-func (q *Queue) expectedWait(t *Ticket, now time.Duration) (mean, tail time.Duration) {
+// expectedWait returns the mean wait of a ticket that is not waiting yet. Refusals go by
+// the mean: by the tail, most of the requests refused would have been served.
+func (q *Queue) expectedWait(t *Ticket, now time.Duration) time.Duration {
 	ahead := q.running()
 	before := q.before(t, now)
-	ahead.add(work{mean: before.mean, variance: before.variance})
-	return ahead.wait(q.limit)
+	ahead.add(work{mean: before.mean})
+	wait, _ := ahead.wait(q.limit)
+	return wait
 }
 
 // before is the work of the waiting requests that start before a ticket that is not
@@ -140,9 +141,9 @@
 func (q *Queue) refuseLate(now time.Duration) {
 	ahead := q.running()
 	for _, t := range q.ordered(now, nil) {
-		wait, tail := ahead.wait(q.limit)
+		wait, _ := ahead.wait(q.limit)
 		mayRefuse := t.RefuseBy > 0 && now <= t.RefuseBy
-		early := mayRefuse && now+tail > t.LatestStart
+		early := mayRefuse && now+wait > t.LatestStart
 		lastChance := mayRefuse && now >= t.RefuseBy-EarlyRefusalMargin && now+wait > t.OnTimeStart
 		if now > t.LatestStart || early || lastChance {
 			q.remove(t)
@@ -205,8 +206,7 @@
 // Abandon refuses a waiting ticket. It has no effect on a decided one.
 func (q *Queue) Abandon(t *Ticket, now time.Duration) {
 	if q.remove(t) {
-		wait, _ := q.expectedWait(t, now)
-		q.refuse(t, now, wait)
+		q.refuse(t, now, q.expectedWait(t, now))
 	}
 }
 
--- a/pkg/query/queue/queue_test.go
+++ b/pkg/query/queue/queue_test.go
@@ -48,6 +48,26 @@
 		Expect(decided(third)).To(BeFalse())
 	})
 
+	// Guards against refusals of requests that would probably be served before their
+	// deadlines: they went by the mean and two standard deviations.
+	It("refuses no request that is expected to start in time for its deadline", func() {
+		var q queue.Queue
+		now := time.Duration(0)
+		for i := range 40 {
+			t, _ := q.Enqueue(now, 1, queryArrivingAt(now))
+			now += []time.Duration{10 * ms, 300 * ms}[i%2]
+			q.Release(t, now, 1)
+		}
+		for range 2 {
+			_, _ = q.Enqueue(now, 1, queryArrivingAt(now))
+		}
+		request := queryArrivingAt(now)
+		request.LatestStart = now + 450*ms
+		waiting, wait := q.Enqueue(now, 1, request)
+		Expect(wait).To(BeNumerically("~", 320*ms, 60*ms))
+		Expect(decided(waiting)).To(BeFalse())
+	})
+
 	It("prefers the higher priority, and then queries that can still meet their objective", func() {
 		var q queue.Queue
 		first, _ := q.Enqueue(0, 1, queryArrivingAt(0))
