--- a/pkg/dispatch/registry.go
+++ b/pkg/dispatch/registry.go
@@ -94,6 +94,10 @@
 	if state.view != v {
 		state = r.buildState(state, v)
 		r.current.Store(state)
+		// Requests may wait for targets that are new, or may be used again.
+		for service := range state.services {
+			r.freed(service)
+		}
 	}
 	return state
 }
@@ -271,7 +275,7 @@
 // price returns the expected cost of a request to a target, or false if the target must
 // not get one.
 func (r *registry) price(t *target, c selection, connections pool.Availability) (price, bool) {
-	cost, ok := t.cost(c.now)
+	cost, paced, ok := t.cost(c.now)
 	if !ok {
 		return price{}, false
 	}
@@ -286,7 +290,7 @@
 	case pool.CanOpen:
 		connect = connectDelay
 	}
-	if t.paced() {
+	if paced {
 		return r.completionPrice(t, c, cost, connect), true
 	}
 	cost += float64(connect) / float64(max(c.usual, time.Millisecond))
@@ -300,7 +304,7 @@
 // hasUsableTarget reports whether some target of the service may get a request now.
 func (rs *registryState) hasUsableTarget(service model.ServiceID, now time.Duration) bool {
 	usable := func(t *target) bool {
-		_, ok := t.cost(now)
+		_, _, ok := t.cost(now)
 		return ok
 	}
 	s := rs.services[service]
