flood: the test needs the descriptors of its connections

Cause: with few descriptors allowed for the test itself, connections that could not be opened were passed over, so a smaller flood than stated passed (seen with ulimit -n 1300). Change: it fails at once below 1,500 descriptors, and closes connections that the other side has closed, which took up to 3,000.

--- a/flood/flood_test.go
+++ b/flood/flood_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -21,6 +22,8 @@
 	clientCount = 1000
 	// rounds is how often each client opens a connection in place of one that was closed.
 	rounds = 3
+	// neededDescriptors are those of the connections, and of the targets and files.
+	neededDescriptors = clientCount + 500
 	// replyBytes is the body of the target's reply.
 	replyBytes = 100 << 10
 	// writeWait bounds each write of a client whose bytes are not read.
@@ -66,6 +69,7 @@
 // TestFlood guards against clients that end a process, take its descriptors, or keep
 // others from being answered. It checks no durations and no fractions of requests.
 func TestFlood(t *testing.T) {
+	checkDescriptors(t)
 	for _, flood := range floods {
 		t.Run(flood.name, func(t *testing.T) {
 			control, entry := startFleet(t)
@@ -90,6 +94,16 @@
 	}
 }
 
+// checkDescriptors checks that this process can open all connections of a flood. Without
+// them the flood is smaller than stated, and passes.
+func checkDescriptors(t *testing.T) {
+	var limit syscall.Rlimit
+	must(t, syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit))
+	if limit.Cur < neededDescriptors {
+		t.Fatalf("%d descriptors allowed, %d needed; see ulimit -n", limit.Cur, neededDescriptors)
+	}
+}
+
 // heldConns are the connections of a flood.
 type heldConns struct {
 	mu    sync.Mutex
@@ -114,15 +128,19 @@
 	return held
 }
 
-// send sends bytes and reports whether the connection is still open afterwards.
+// send sends bytes and reports whether the connection is still open afterwards, and held.
 func (h *heldConns) send(c net.Conn, sent []byte) bool {
-	h.mu.Lock()
-	h.conns = append(h.conns, c)
-	h.mu.Unlock()
 	_ = c.SetDeadline(time.Now().Add(writeWait))
 	_, err := io.Copy(c, bytes.NewReader(sent))
 	timeout, ok := err.(net.Error)
-	return err == nil || ok && timeout.Timeout()
+	if err != nil && !(ok && timeout.Timeout()) {
+		_ = c.Close()
+		return false
+	}
+	h.mu.Lock()
+	h.conns = append(h.conns, c)
+	h.mu.Unlock()
+	return true
 }
 
 func (h *heldConns) close() {
