gather: the usual hedge delay is computed once for each query

A query checks after each reply which of its 90 shards are due and when the next one is, and computed the delay of a hedge for each of them.

Decisions stay the same.

--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -52,6 +52,8 @@
 	plan   Plan
 	shards []shard
 	parts  int
+	// hedgeDelay is HedgeDelay, which is needed for each shard after each reply.
+	hedgeDelay time.Duration
 }
 
 type shard struct {
@@ -74,7 +76,10 @@
 
 // New returns a Run over the given number of shards.
 func New(p Plan, shards int) *Run {
-	return &Run{plan: p, shards: make([]shard, shards)}
+	return &Run{
+		plan: p, shards: make([]shard, shards),
+		hedgeDelay: max(minHedgeDelay, time.Duration(hedgeFactor*float64(p.UsualLatency))),
+	}
 }
 
 // RecordSent records a request to shard i.
--- a/pkg/gather/hedge.go
+++ b/pkg/gather/hedge.go
@@ -29,9 +29,7 @@
 
 // HedgeDelay returns how long a request may take before it is hedged, if nothing else is
 // known of its target.
-func (r *Run) HedgeDelay() time.Duration {
-	return max(minHedgeDelay, time.Duration(hedgeFactor*float64(r.plan.UsualLatency)))
-}
+func (r *Run) HedgeDelay() time.Duration { return r.hedgeDelay }
 
 // hedgeAt returns when the request in flight to a shard is hedged, or false if the reply
 // to the hedge would arrive after the answer.
