Memory budget: use the buffers of cut and growing messages again

Cause: specs on replies without an end took more than 0.8 of 184 MB now and then on a busy machine. At the peak it was heap objects (123 of 148 MB; stacks 11 MB; 33 MB of the budget in use), with the live heap at 58 MB and the runtime's limiter of collector time enabled: it counts the time in which the machine ran others as its own, and then no longer delays what allocates. Some 600 MB of buffers were allocated in one spec.

Change: a message gives the buffers that it outgrows, or is cut in, to the budget, which keeps them for other messages within what is left of its limit, and drops them when nothing is reserved.

--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -17,6 +17,8 @@
 type Budget struct {
 	limit int64
 	used  atomic.Int64
+	// free is kept for further messages, in what is left of limit.
+	free freeBuffers
 }
 
 // New returns a budget of limit bytes.
@@ -32,7 +34,10 @@
 
 // Add takes n bytes, or returns -n, whether or not the budget has room for them. The
 // caller bounds what it takes.
-func (b *Budget) Add(n int64) { b.giveBack(-n) }
+func (b *Budget) Add(n int64) {
+	b.giveBack(-n)
+	b.makeRoom()
+}
 
 // Used returns the reserved bytes.
 func (b *Budget) Used() int64 {
@@ -73,15 +78,15 @@
 		return true
 	}
 	if b.used.Add(n) > b.limit {
-		b.used.Add(-n)
+		b.giveBack(n)
 		return false
 	}
 	return true
 }
 
 func (b *Budget) giveBack(n int64) {
-	if b != nil {
-		b.used.Add(-n)
+	if b != nil && b.used.Add(-n) == 0 && n > 0 {
+		b.dropUnused()
 	}
 }
 
@@ -102,6 +107,7 @@
 	if r.released || !b.take(n) {
 		return ErrExhausted
 	}
+	b.makeRoom()
 	r.budget = b
 	r.held += n
 	return nil
--- a/pkg/membudget/read.go
+++ b/pkg/membudget/read.go
@@ -49,9 +49,11 @@
 	return s.Reservation == nil || s.Whole || int64(n) <= s.Budget.share(int64(n))
 }
 
-func (s Space) shrink(n int) {
+// discard gives back a buffer that the message no longer uses.
+func (s Space) discard(b []byte) {
 	if s.Reservation != nil {
-		s.Reservation.Shrink(int64(n))
+		s.Reservation.Shrink(int64(cap(b)))
+		s.Budget.recycle(b)
 	}
 }
 
@@ -61,6 +63,16 @@
 // ErrTooLong, one without room, or whose share others need by now, with ErrExhausted; the
 // caller then releases the reservation.
 func ReadAll(r io.Reader, length, limit int, s Space) ([]byte, error) {
+	b, err := readAll(r, length, limit, s)
+	if err != nil {
+		s.discard(b)
+		return nil, err
+	}
+	return b, nil
+}
+
+// readAll is like ReadAll, and returns the buffer also if it fails.
+func readAll(r io.Reader, length, limit int, s Space) ([]byte, error) {
 	if length > limit {
 		return nil, ErrTooLong
 	}
@@ -87,9 +99,9 @@
 	}
 	switch {
 	case !errors.Is(err, io.EOF):
-		return nil, err
+		return b, err
 	case length >= 0 && len(b) < length:
-		return nil, io.ErrUnexpectedEOF
+		return b, io.ErrUnexpectedEOF
 	}
 	return b, nil
 }
@@ -104,10 +116,10 @@
 // enlarge returns b in a buffer of size bytes.
 func enlarge(b []byte, size int, s Space) ([]byte, error) {
 	if err := s.grow(size); err != nil {
-		return nil, err
+		return b, err
 	}
-	larger := append(make([]byte, 0, size), b...)
-	s.shrink(cap(b))
+	larger := append(s.Budget.buffer(size), b...)
+	s.discard(b)
 	return larger, nil
 }
 
