exchangetest: a stopped target closes connections that it is accepting

Specs on a virtual clock failed now and then under the race detector with blocked goroutines: Stop missed a connection that was accepted and not yet recorded.

--- a/pkg/exchange/exchangetest/exchangetest.go
+++ b/pkg/exchange/exchangetest/exchangetest.go
@@ -84,6 +84,8 @@
 	requests []model.RequestID
 	conns    map[net.Conn]bool
 	accepted int
+	// stopped is set once Stop has closed the connections.
+	stopped bool
 }
 
 // Start starts a fake target. It calls behave with the number of each request,
@@ -128,21 +130,35 @@
 	_ = t.listener.Close()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.stopped = true
 	for c := range t.conns {
 		_ = c.Close()
 	}
 }
 
+// register records a connection, and reports false if the target was stopped while it was
+// accepted.
+func (t *Target) register(c net.Conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped {
+		return false
+	}
+	t.conns[c] = true
+	t.accepted++
+	return true
+}
+
 func (t *Target) accept() {
 	for {
 		c, err := t.listener.Accept()
 		if err != nil {
 			return
 		}
-		t.mu.Lock()
-		t.conns[c] = true
-		t.accepted++
-		t.mu.Unlock()
+		if !t.register(c) {
+			_ = c.Close()
+			return
+		}
 		go t.serve(c)
 	}
 }
