pool: close a connection that received bytes before its first request

Cause: a connection on which a target had sent something before the request was neither used, kept nor closed. A new one stayed counted, so that each took a place of the pool's limit until the target closed it; an idle one was no longer counted, but open. Change: both are closed.

--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -147,7 +147,7 @@
 		case c != nil && c.start(a):
 			return true
 		case c != nil:
-			p.remove(c)
+			c.fail(ErrNotSent)
 		case canOpen:
 			go p.startOnNewConnection(a)
 			return true
@@ -195,6 +195,8 @@
 		return
 	}
 	if !c.start(a) {
+		// A connection that already receives bytes is still open, and takes no request.
+		c.fail(ErrNotSent)
 		p.releaseRequest(a)
 		a.Done(Result{Err: connectError(p.target, p.address, errClosedUnused)})
 	}
