--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -97,6 +97,9 @@
 	budget   *Budget
 	held     int64
 	released bool
+	// left is the buffer of a message that was not read whole. It is reserved, and nobody
+	// uses it.
+	left []byte
 }
 
 // Grow reserves n more bytes of the budget, which is the same in all calls. It fails if
@@ -154,6 +157,18 @@
 	r.held -= n
 }
 
+// leave keeps the buffer of a message that was not read whole until the reservation is
+// released, and then for other messages of b.
+func (r *Reservation) leave(b *Budget, buffer []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.released {
+		b.recycle(buffer)
+		return
+	}
+	r.left = buffer
+}
+
 // Adopt takes over all bytes that from holds. If this reservation was released, they are
 // returned.
 func (r *Reservation) Adopt(from *Reservation) {
@@ -178,4 +193,8 @@
 	r.released = true
 	r.budget.giveBack(r.held)
 	r.held = 0
+	if r.left != nil {
+		r.budget.recycle(r.left)
+		r.left = nil
+	}
 }
--- a/pkg/membudget/read.go
+++ b/pkg/membudget/read.go
@@ -65,7 +65,9 @@
 func ReadAll(r io.Reader, length, limit int, s Space) ([]byte, error) {
 	b, err := readAll(r, length, limit, s)
 	if err != nil {
-		s.discard(b)
+		if s.Reservation != nil {
+			s.Reservation.leave(s.Budget, b)
+		}
 		return nil, err
 	}
 	return b, nil
--- a/pkg/membudget/recycle_test.go
+++ b/pkg/membudget/recycle_test.go
@@ -83,3 +83,20 @@
 	g.Expect(first).To(BeEmpty())
 	g.Expect(&first[:1][0]).NotTo(BeIdenticalTo(&second[:1][0]))
 }
+
+// A refused caller must hold its bytes until its request has ended, and a buffer that is
+// reserved must not be kept beside.
+func TestTheBufferOfACutMessageIsKeptOnceItIsReleased(t *testing.T) {
+	g := NewWithT(t)
+	b := New(1 << 20)
+	g.Expect(b.take(1)).To(BeTrue())
+	var r Reservation
+	_, err := ReadAll(noEnd{}, UnknownLength, 1<<20, Space{Budget: b, Reservation: &r})
+	g.Expect(err).To(MatchError(ErrExhausted))
+	held := r.held
+	g.Expect(held).To(BeNumerically(">", 0))
+	g.Expect(b.Used()).To(Equal(held + 1))
+	kept := b.free.bytes.Load()
+	r.Release()
+	g.Expect(b.free.bytes.Load()).To(Equal(kept + held))
+}
