--- a/pkg/cli/root.go
+++ b/pkg/cli/root.go
@@ -130,6 +130,7 @@
 		targetsCommand(o),
 		explainCommand(o),
 		callersCommand(o),
+		dutiesCommand(o),
 	)
 	return root
 }
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"radishturn.example/radishturn/pkg/boottime"
 	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/exchange"
@@ -49,10 +50,9 @@
 	Reporter view.Reporter
 	// RetryBudget bounds the extra requests of the fleet to each service.
 	RetryBudget retry.Bound
-	// Usage counts the requests that targets may have run for each caller, by UsageRule.
-	// It may be nil.
-	Usage     usage.Recorder
-	UsageRule UsageRule
+	// Usage counts the calls of each caller that targets may have run; nil means that they
+	// are not counted.
+	Usage usage.Recorder
 }
 
 // Engine forwards requests to targets.
@@ -61,6 +61,9 @@
 	origin      time.Time
 	registry    *registry
 	logLimiters logLimiters
+	pauses      *boottime.PauseWatch
+	// connectionQueues holds the calls that wait for a connection.
+	connectionQueues *connectionQueues
 
 	mu          sync.Mutex
 	stats       map[string]*routeStats
@@ -84,9 +87,12 @@
 
 // New returns an Engine.
 func New(o Options) *Engine {
-	shared := pool.Shared{Codec: o.Codec, Dial: o.Dial, ResetGuard: pool.NewResetGuard(), Memory: o.BodyMemory}
-	return &Engine{
-		opts: o, origin: time.Now(), registry: newRegistry(o.Instance, o.AvailabilityZone, shared), logLimiters: newLogLimiters(),
+	pauses := new(boottime.PauseWatch)
+	shared := pool.Shared{
+		Codec: o.Codec, Dial: o.Dial, ResetGuard: pool.NewResetGuard(), Memory: o.BodyMemory, PausedWithin: pauses.PausedWithin,
+	}
+	e := &Engine{
+		opts: o, origin: time.Now(), pauses: pauses, registry: newRegistry(o.Instance, o.AvailabilityZone, shared), logLimiters: newLogLimiters(),
 		stats:           make(map[string]*routeStats),
 		budgets:         make(map[model.ServiceID]*retry.Budget),
 		roundRobins:     make(map[string]*roundRobin),
@@ -95,6 +101,9 @@
 		startQueues:     make(map[model.ServiceID]*startQueue),
 		answered:        poison.NewAnsweredSet(),
 	}
+	e.connectionQueues = newConnectionQueues(e.now)
+	e.registry.freed = e.connectionQueues.wake
+	return e
 }
 
 // BodyMemory returns the budget for message bodies; nil means without limit.
@@ -119,7 +128,7 @@
 	// means that the call always may.
 	Recheck func() *failure.Error
 
-	// usageCounted is set once the call was counted under the rule CountCalls.
+	// usageCounted is set once the call was counted for its caller.
 	usageCounted atomic.Bool
 
 	pinned pinnedView
@@ -152,10 +161,10 @@
 // so that a target that has recovered is noticed.
 const exploreShare = 0.04
 
-// choose returns the target for the next request of a call, or nil. further is set
+// choose returns the target for the next request of a call, if there is one. further is set
 // if an earlier request was sent; skip reports targets to leave out.
-func (e *Engine) choose(c *Call, current currentView, service model.ServiceID, now time.Duration, further bool, skip func(*target) bool) *target {
-	criteria := selection{service: service, now: now, usual: c.stats.usual(), skip: skip}
+func (e *Engine) choose(c *Call, current currentView, service model.ServiceID, now time.Duration, further bool, skip func(*target) bool) choice {
+	criteria := selection{service: service, now: now, usual: c.stats.usual(), work: c.stats.usualWork(), request: c.Request, further: further, skip: skip}
 	// The fleet's costs may be outdated once the lease has expired.
 	if e.opts.Views.Lease() == view.LeaseHeld && rand.Float64() >= exploreShare {
 		criteria.fleetCosts = current.view.ExpensiveTargets
@@ -168,11 +177,11 @@
 		criteria.skip = func(t *target) bool {
 			return rank(t) > worst || skip != nil && skip(t)
 		}
-		if t := e.registry.choose(current.registryState, criteria); t != nil {
-			return t
+		if chosen := e.registry.choose(current.registryState, criteria); chosen.target != nil {
+			return chosen
 		}
 	}
-	return nil
+	return choice{}
 }
 
 // UsualLatency returns the usual latency of a route's requests to targets; 0 means
@@ -245,6 +254,7 @@
 // Run opens connections before they are needed, takes over the latest view and
 // reports evidence at a fixed interval. It returns when ctx is done.
 func (e *Engine) Run(ctx context.Context) error {
+	go e.pauses.Run(ctx)
 	// After a start, the other instances must be known before the targets can be
 	// divided among them.
 	select {
--- a/pkg/dispatch/registry.go
+++ b/pkg/dispatch/registry.go
@@ -11,6 +11,7 @@
 
 	"radishturn.example/radishturn/pkg/catalog"
 	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/pool"
 	"radishturn.example/radishturn/pkg/routing"
@@ -38,6 +39,11 @@
 	zone model.AvailabilityZoneID
 	// shared is what the pools of all targets have in common.
 	shared pool.Shared
+	delays *zoneDelays
+	// onDemandIdle bounds the idle on-demand connections to all services together.
+	onDemandIdle *pool.IdleBound
+	// freed is called when a connection to a target of a service may be free.
+	freed func(model.ServiceID)
 
 	current atomic.Pointer[registryState]
 	mu      sync.Mutex
@@ -65,7 +71,10 @@
 const maxPreconnectQueue = 4096
 
 func newRegistry(self model.InstanceID, zone model.AvailabilityZoneID, shared pool.Shared) *registry {
-	r := &registry{self: self, zone: zone, shared: shared, preconnects: make(chan *target, maxPreconnectQueue)}
+	r := &registry{
+		self: self, zone: zone, shared: shared, delays: newZoneDelays(zone), onDemandIdle: pool.NewIdleBound(), freed: func(model.ServiceID) {},
+		preconnects: make(chan *target, maxPreconnectQueue),
+	}
 	r.current.Store(&registryState{view: &view.View{}})
 	return r
 }
@@ -85,6 +94,10 @@
 	if state.view != v {
 		state = r.buildState(state, v)
 		r.current.Store(state)
+		// Requests may wait for targets that are new, or may be used again.
+		for service := range state.services {
+			r.freed(service)
+		}
 	}
 	return state
 }
@@ -119,6 +132,7 @@
 		}
 	}
 	subsets := newSubsetter(v, r.self, r.zone)
+	r.boundOnDemandIdle(subsets, eligible)
 	for service, targets := range eligible {
 		slices.SortFunc(targets, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
 		next.services[service] = r.applySubset(subsets, service, targets)
@@ -160,8 +174,10 @@
 	if old != nil {
 		old.pool.Close()
 	}
+	shared := r.shared
+	shared.Freed = func() { r.freed(listed.Service) }
 	t := &target{Target: listed, process: &process{
-		pool:   pool.New(listed.ID, listed.Address.String(), r.shared, minConnectionLimit),
+		pool:   pool.New(listed.ID, listed.Address.String(), shared, minConnectionLimit),
 		health: health{concurrency: listed.Concurrency},
 	}}
 	return t
@@ -174,14 +190,20 @@
 	own, limit := s.subset(service, targets)
 	p := serviceTargets{own: own, maxConnections: len(own)*limit + (len(targets)-len(own))*minConnectionLimit}
 	maxIdle := s.onDemandIdle(service, len(targets))
+	bound := r.onDemandIdle
+	if _, fits := s.restartRoom(service, len(targets)); !fits {
+		bound = nil
+	}
 	for _, t := range targets {
 		t.setColdInterval(s.coldInterval(t))
 		if !slices.Contains(own, t) {
 			t.pool.SetLimit(minConnectionLimit, maxIdle)
+			t.pool.SetIdleBound(bound)
 			p.onDemand = append(p.onDemand, t)
 			continue
 		}
 		t.pool.SetLimit(limit, 0)
+		t.pool.SetIdleBound(nil)
 		if !t.preconnectRequested.Swap(true) {
 			r.requestPreconnect(t)
 		}
@@ -189,6 +211,23 @@
 	return p
 }
 
+// boundOnDemandIdle bounds the idle on-demand connections by what the services that routes
+// name leave for them.
+func (r *registry) boundOnDemandIdle(s subsetter, eligible map[model.ServiceID][]*target) {
+	if s.view.Routing == nil {
+		return
+	}
+	room := 0.0
+	for service := range s.view.Routing.Table.RoutedServices() {
+		if n := len(eligible[service]); n > 0 {
+			if left, fits := s.restartRoom(service, n); fits {
+				room += left
+			}
+		}
+	}
+	r.onDemandIdle.SetLimit(int(room))
+}
+
 func (r *registry) requestPreconnect(t *target) {
 	select {
 	case r.preconnects <- t:
@@ -201,59 +240,71 @@
 type selection struct {
 	service model.ServiceID
 	now     time.Duration
-	// usual is the usual latency of the route.
-	usual time.Duration
+	// usual is the usual latency of the route, and work its usual work at targets that
+	// report their pace.
+	usual, work time.Duration
+	// further is set for a hedge or retry.
+	further bool
 	// fleetCosts are the costs of expensive targets as reported by the fleet.
 	fleetCosts map[model.TargetID]float64
+	// request is what is to be sent; nil if that does not matter.
+	request *exchange.Request
 	// skip reports targets to leave out; nil for none.
 	skip func(*target) bool
 }
 
-// choose returns the target with the least expected cost, or nil.
-func (r *registry) choose(state *registryState, c selection) *target {
-	var best *target
-	var leastCost float64
+// choose returns the target with the least expected cost, if there is one.
+func (r *registry) choose(state *registryState, c selection) choice {
+	var chosen chooser
 	consider := func(targets []*target, extra float64) {
 		for _, t := range targets {
 			if c.skip != nil && c.skip(t) {
 				continue
 			}
-			cost, ok := r.selectionCost(t, c)
-			if ok && (best == nil || cost+extra < leastCost) {
-				best, leastCost = t, cost+extra
+			if p, ok := r.price(t, c, t.pool.Availability()); ok {
+				p.cost += extra
+				chosen.consider(t, p)
 			}
 		}
 	}
 	consider(state.services[c.service].own, 0)
 	consider(state.services[c.service].onDemand, onDemandCost)
-	return best
+	return chosen.choice()
 }
 
-// selectionCost returns the expected cost of a request to a target, in usual
-// latencies, or false if the target must not get one.
-func (r *registry) selectionCost(t *target, c selection) (float64, bool) {
-	cost, ok := t.cost(c.now)
+// price returns the expected cost of a request to a target, or false if the target must
+// not get one.
+func (r *registry) price(t *target, c selection, connections pool.Availability) (price, bool) {
+	cost, paced, ok := t.cost(c.now)
 	if !ok {
-		return 0, false
+		return price{}, false
+	}
+	if c.request != nil && !t.pool.HasRoom(c.request) {
+		return price{}, false
 	}
 	cost = max(cost, c.fleetCosts[t.ID])
-	switch t.pool.Availability() {
+	var connect time.Duration
+	switch connections {
 	case pool.Full:
-		return 0, false
+		return price{}, false
 	case pool.CanOpen:
-		cost += float64(connectDelay) / float64(max(c.usual, time.Millisecond))
+		connect = connectDelay
+	}
+	if paced {
+		return r.completionPrice(t, c, cost, connect), true
 	}
+	cost += float64(connect) / float64(max(c.usual, time.Millisecond))
 	if t.AvailabilityZone != r.zone {
 		cost += crossZoneCost
 	}
 	// A small random term spreads requests over targets of equal cost.
-	return cost + 0.05*rand.Float64(), true
+	return price{cost: cost + 0.05*rand.Float64()}, true
 }
 
 // hasUsableTarget reports whether some target of the service may get a request now.
 func (rs *registryState) hasUsableTarget(service model.ServiceID, now time.Duration) bool {
 	usable := func(t *target) bool {
-		_, ok := t.cost(now)
+		_, _, ok := t.cost(now)
 		return ok
 	}
 	s := rs.services[service]
@@ -275,6 +326,29 @@
 	return least
 }
 
+// anyConnection reports whether some target of the service has a free connection, or may
+// get another one.
+func (rs *registryState) anyConnection(service model.ServiceID) bool {
+	free := func(t *target) bool { return t.pool.Availability() != pool.Full }
+	s := rs.services[service]
+	return slices.ContainsFunc(s.own, free) || slices.ContainsFunc(s.onDemand, free)
+}
+
+// usableAt returns when the first of the service's targets that may not get a request now
+// may get one again by the passing of time; 0 if there is none.
+func (rs *registryState) usableAt(service model.ServiceID, now time.Duration) time.Duration {
+	var first time.Duration
+	s := rs.services[service]
+	for _, targets := range [][]*target{s.own, s.onDemand} {
+		for _, t := range targets {
+			if at := t.usableAt(now); at > 0 && (first == 0 || at < first) {
+				first = at
+			}
+		}
+	}
+	return first
+}
+
 // ready reports whether both the routing table and the catalog are known.
 func (rs *registryState) ready() bool { return rs.view.Routing != nil && rs.view.Catalog != nil }
 
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"radishturn.example/radishturn/pkg/boottime"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/model"
@@ -46,7 +45,7 @@
 // the target may not get a request now or no connection is available. done is called
 // after the result is recorded.
 func (t *target) send(e *Engine, call *Call, current currentView, timeout time.Duration, done func(pool.Result)) (*pool.Attempt, bool) {
-	sent, sentBoot := e.now(), boottime.Now()
+	sent := e.now()
 	usual := call.stats.usual()
 	move, moving := current.moveOf(t.Service)
 	a := &pool.Attempt{
@@ -57,7 +56,8 @@
 	a.Done = func(r pool.Result) {
 		now := e.now()
 		t.recordResult(now, sent, usual, timeout, r).log(t.ID, r.Err)
-		e.recordUsage(call, sentBoot, r)
+		e.recordUsage(call, now-sent, r)
+		e.learnCompletion(call.stats, t, now, sent, a.Reused(), r)
 		e.recordCost(t.ID, observedCost(r, now-sent, usual))
 		if moving {
 			e.recordVersionOutcome(call, t, move, r, now-sent)
@@ -82,8 +82,7 @@
 
 // withdraws reports whether a request that has waited for a connection must not be sent.
 func (e *Engine) withdraws(c *Call, t *target) bool {
-	current := e.current()
-	return !current.admits(t, e.now()) || current.quarantines(c) || c.recheck() != nil
+	return !e.current().admits(t, e.now()) || e.checkAfterWait(c) != nil
 }
 
 // begin records a request, or returns false if the cold limit allows none now.
@@ -108,6 +107,10 @@
 	h := &t.health
 	failuresBefore, wrongBefore := h.connectFailures, t.wrongTarget
 	h.end(sent)
+	// The report explains the latency of its reply.
+	if r.Reply != nil && r.Reply.Load.Known {
+		h.loadReported(now, r.Reply.Load)
+	}
 	switch {
 	case neverTried(r.Err):
 	case errors.Is(r.Err, pool.ErrNotSent):
@@ -137,10 +140,6 @@
 	}
 	noticeBefore := t.notice
 	t.notice.record(now, r)
-	if r.Reply != nil && r.Reply.Load.Known {
-		l := r.Reply.Load
-		h.loadReported(now, l.Running, l.Waiting, l.MaxRunning)
-	}
 	switch {
 	case t.wrongTarget && !wrongBefore:
 		return changeWrongTarget
@@ -203,12 +202,30 @@
 }
 
 // cost returns the expected cost of another request, or false if the target must not
-// get one.
-func (t *target) cost(now time.Duration) (float64, bool) {
+// get one. paced is set if the target reports its pace.
+func (t *target) cost(now time.Duration) (cost float64, paced, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.wrongTarget || t.Leaving || !t.notice.allows(now) || t.health.unreachable(now) || !t.coldAllowed(now) {
-		return 0, false
+		return 0, false, false
+	}
+	return t.health.cost(now), t.health.expected.Known(), true
+}
+
+// usableAt returns when the target may get a request again by the passing of time; 0 if
+// it may get one now, or nothing is known.
+func (t *target) usableAt(now time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.wrongTarget || t.Leaving || t.notice.leaving(now) || t.coldInterval < 0 {
+		return 0
+	}
+	at := max(t.notice.pausedUntil, t.health.unreachableUntil)
+	if t.coldInterval > 0 && t.coldSent {
+		at = max(at, t.coldLastSent+t.coldInterval)
+	}
+	if at <= now {
+		return 0
 	}
-	return t.health.cost(now), true
+	return at
 }
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -25,6 +25,14 @@
 	LogLinesDropped      Number = 1104
 	MetricsUnavailable   Number = 1105
 
+	ClientConnectionsRefused Number = 1201
+	ClientConnectionsEvicted Number = 1202
+	ClientHeadsRefused       Number = 1203
+	ClientBodiesRefused      Number = 1204
+	ClientRequestsRefused    Number = 1205
+	ClientAnswersNotRead     Number = 1206
+	RequestsHeldBack         Number = 1207
+
 	PeerConnected      Number = 2001
 	PeerDisconnected   Number = 2002
 	SmallUDPBuffer     Number = 2003
@@ -69,6 +77,8 @@
 	UsageAccepted   Number = 3207
 	UsageCallFailed Number = 3208
 	UsageSkipped    Number = 3209
+	UsageIncomplete Number = 3210
+	UsageNotSaved   Number = 3211
 
 	LeaseGranted       Number = 4001
 	LeaseControlLost   Number = 4003
@@ -115,6 +125,7 @@
 	ReplyCut           Number = 5028
 	CallerRefused      Number = 5101
 	CallersInForce     Number = 5102
+	RefusedByScheduler Number = 5131
 
 	OrderOutcomeUnknown     Number = 6001
 	OrderClaimUnconfirmed   Number = 6002
@@ -171,6 +182,13 @@
 	{PlatformEntryInvalid, warnLevel, "entry of the platform list is malformed", []string{"error"}},
 	{LogLinesDropped, warnLevel, "log lines dropped", []string{"lines"}},
 	{MetricsUnavailable, warnLevel, "metrics are not served", []string{"address", "error"}},
+	{ClientConnectionsRefused, warnLevel, "connections of clients refused", []string{"listener", "count", "reason"}},
+	{ClientConnectionsEvicted, warnLevel, "connections of clients closed to make room", []string{"listener", "count", "reason", "connections", "heldBytes"}},
+	{ClientHeadsRefused, warnLevel, "heads of requests refused", []string{"listener", "count", "reason"}},
+	{ClientBodiesRefused, warnLevel, "bodies of requests not read to the end", []string{"listener", "count", "error"}},
+	{ClientRequestsRefused, warnLevel, "requests of clients refused for lack of memory", []string{"listener", "count", "reason"}},
+	{ClientAnswersNotRead, warnLevel, "answers that clients did not read", []string{"listener", "count"}},
+	{RequestsHeldBack, warnLevel, "target does not read the requests written to it", []string{"target", "outgoingBytes", "heldBytes"}},
 
 	{PeerConnected, debugLevel, "peer connected", []string{"peer", "address"}},
 	{PeerDisconnected, debugLevel, "peer disconnected", []string{"peer", "error"}},
@@ -215,6 +233,8 @@
 	{UsageAccepted, infoLevel, "report on a window accepted", []string{"window", "token"}},
 	{UsageCallFailed, warnLevel, "report on a window not accepted; it is tried again", []string{"window", "token", "answer", "detail"}},
 	{UsageSkipped, warnLevel, "windows passed over: no instance has counted them", []string{"first", "last"}},
+	{UsageIncomplete, warnLevel, "more requests counted than were reported for a window", []string{"window", "reported", "counted"}},
+	{UsageNotSaved, warnLevel, "usage that is not decided cannot be saved", []string{"error"}},
 
 	{LeaseGranted, infoLevel, "lease granted", []string{"leader", "revision"}},
 	{LeaseControlLost, warnLevel, "connection to control lost; queries continue, orders are refused", []string{"reached", "known"}},
@@ -260,6 +280,7 @@
 	{ReplyCut, warnLevel, "reading of a reply was ended", []string{"target", "request", "reason", "heldBytes"}},
 	{CallerRefused, infoLevel, "request was refused because of its key", []string{"request", "caller", "reason", "tableVersion", "renewalMilliseconds"}},
 	{CallersInForce, infoLevel, "accounts of the routing table are in force on this instance", []string{"version", "callers", "keys"}},
+	{RefusedByScheduler, infoLevel, "request of a caller refused while others were ahead of it", []string{"request", "route", "priority", "milliseconds", "waitMilliseconds", "ahead", "limit", "workMicroseconds", "workAgeMilliseconds", "retryMilliseconds"}},
 
 	{OrderOutcomeUnknown, warnLevel, "outcome of an order is unknown", []string{"request", "error"}},
 	{OrderClaimUnconfirmed, warnLevel, "claim of an order could not be confirmed", []string{"request", "error"}},
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -49,6 +49,9 @@
 	// Running and Waiting count requests; MaxRunning is the target's limit of
 	// Running.
 	Running, Waiting, MaxRunning int
+	// Pace is how long work takes at the target now, as a multiple of the usual time; 0
+	// if not stated.
+	Pace float64
 }
 
 // Reply is a target's reply.
@@ -75,6 +78,9 @@
 	Load       Load
 	// Close is set if the target closes the connection after the reply.
 	Close bool
+	// UntilClose is set if the body ended with the connection, so that nothing shows
+	// whether the target sent all of it.
+	UntilClose bool
 	// KeepAlive is how long an idle connection stays open; 0 if not stated.
 	KeepAlive time.Duration
 }
--- a/pkg/lease/renew.go
+++ b/pkg/lease/renew.go
@@ -88,7 +88,7 @@
 				return
 			}
 		case <-m.refresher.wake:
-			if !sleep(ctx, m.refresher.delay(m.now())) {
+			if !sleep(ctx, m.refresher.delay()) {
 				return
 			}
 		}
@@ -121,9 +121,10 @@
 func (m *Module) renew(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, m.settings.Duration.Std()/2)
 	defer cancel()
-	defer m.refresher.begin(m.now())()
+	defer m.refresher.begin()()
 	request := m.nextRenewal()
 	sent, sentAt, sentBoot := m.now(), m.lastRenewal.now(), m.usage.add(request)
+	defer m.lastRenewal.recordEnd(sentAt)
 	reply, err := m.call(ctx, request)
 	if err != nil {
 		renewalsFailed.Inc()
@@ -141,7 +142,7 @@
 		notify(m.renewSoon)
 	}
 	if m.applyReply(sent, reply) {
-		m.lastRenewal.record(sentAt)
+		m.lastRenewal.recordSuccess(sentAt)
 	}
 }
 
@@ -299,6 +300,10 @@
 // Modules that need the lease have shut down before.
 func (m *Module) Drain(ctx context.Context) error {
 	m.stopLoops()
+	if m.usage != nil {
+		// The newest counts would be lost with the process.
+		m.renew(ctx)
+	}
 	m.mu.Lock()
 	m.holder.times.returned = true
 	m.publishTimes()
--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -17,11 +17,28 @@
 type Budget struct {
 	limit int64
 	used  atomic.Int64
+	// free is kept for further messages, in what is left of limit.
+	free freeBuffers
 }
 
 // New returns a budget of limit bytes.
 func New(limit int64) *Budget { return &Budget{limit: limit} }
 
+// Limit returns the size of the budget, or 0 if it is unlimited.
+func (b *Budget) Limit() int64 {
+	if b == nil {
+		return 0
+	}
+	return b.limit
+}
+
+// Add takes n bytes, or returns -n, whether or not the budget has room for them. The
+// caller bounds what it takes.
+func (b *Budget) Add(n int64) {
+	b.giveBack(-n)
+	b.makeRoom()
+}
+
 // Used returns the reserved bytes.
 func (b *Budget) Used() int64 {
 	if b == nil {
@@ -61,15 +78,15 @@
 		return true
 	}
 	if b.used.Add(n) > b.limit {
-		b.used.Add(-n)
+		b.giveBack(n)
 		return false
 	}
 	return true
 }
 
 func (b *Budget) giveBack(n int64) {
-	if b != nil {
-		b.used.Add(-n)
+	if b != nil && b.used.Add(-n) == 0 && n > 0 {
+		b.dropUnused()
 	}
 }
 
@@ -80,6 +97,9 @@
 	budget   *Budget
 	held     int64
 	released bool
+	// left is the buffer of a message that was not read whole. It is reserved, and nobody
+	// uses it.
+	left []byte
 }
 
 // Grow reserves n more bytes of the budget, which is the same in all calls. It fails if
@@ -90,6 +110,7 @@
 	if r.released || !b.take(n) {
 		return ErrExhausted
 	}
+	b.makeRoom()
 	r.budget = b
 	r.held += n
 	return nil
@@ -136,6 +157,18 @@
 	r.held -= n
 }
 
+// leave keeps the buffer of a message that was not read whole until the reservation is
+// released, and then for other messages of b.
+func (r *Reservation) leave(b *Budget, buffer []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.released {
+		b.recycle(buffer)
+		return
+	}
+	r.left = buffer
+}
+
 // Adopt takes over all bytes that from holds. If this reservation was released, they are
 // returned.
 func (r *Reservation) Adopt(from *Reservation) {
@@ -160,4 +193,8 @@
 	r.released = true
 	r.budget.giveBack(r.held)
 	r.held = 0
+	if r.left != nil {
+		r.budget.recycle(r.left)
+		r.left = nil
+	}
 }
--- a/pkg/pool/conn.go
+++ b/pkg/pool/conn.go
@@ -71,8 +71,14 @@
 	conn atomic.Pointer[conn]
 	// abandoned is set once the attempt must not be sent any more.
 	abandoned atomic.Bool
+	// reused is set if the attempt was started on an idle connection.
+	reused bool
 	// memory is what the reply takes of the process's memory for messages.
 	memory membudget.Reservation
+	// outgoing is what the request takes until it is written, and held its bytes, which
+	// are guarded by the mutex of the pool.
+	outgoing membudget.Reservation
+	held     int
 }
 
 // unwanted returns why an attempt that has waited for a connection must not be sent, or
@@ -87,6 +93,10 @@
 	return nil
 }
 
+// Reused reports whether the attempt was sent on a connection that was open already. It
+// may be called from Done on.
+func (a *Attempt) Reused() bool { return a.reused }
+
 // Release returns the memory that the reply takes. It is called once the reply is no
 // longer used, or its result is no longer waited for.
 func (a *Attempt) Release() { a.memory.Release() }
@@ -122,6 +132,8 @@
 	mu sync.Mutex
 	// attempt is the attempt in progress; nil while the connection is idle.
 	attempt *Attempt
+	// sent is when the attempt in progress began.
+	sent time.Time
 	// writing is set while a request is being written.
 	writing bool
 	// releaseAfterWrite is set if the reply arrived before the request was fully
@@ -148,22 +160,23 @@
 		c.mu.Unlock()
 		return false
 	}
-	c.attempt, c.writing = a, true
+	c.attempt, c.writing, c.sent = a, true, time.Now()
 	c.uses.Add(1)
 	a.conn.Store(c)
 	c.mu.Unlock()
 	encoded := c.pool.codec.AppendRequest(make([]byte, 0, requestBytes), a.Request, a.Params)
 	if len(encoded) > inlineWriteBytes {
-		go c.write(encoded)
+		go c.write(a, encoded)
 		return true
 	}
-	c.write(encoded)
+	c.write(a, encoded)
 	return true
 }
 
-func (c *conn) write(encoded []byte) {
+func (c *conn) write(a *Attempt, encoded []byte) {
 	_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := c.net.Write(encoded)
+	c.pool.releaseRequest(a)
 	c.mu.Lock()
 	c.writing = false
 	release := c.releaseAfterWrite
@@ -210,6 +223,11 @@
 		reading.Release()
 		return c.discardForeignReply(reply)
 	}
+	if c.truncated(reply, c.sentAt()) {
+		reading.Release()
+		c.fail(fmt.Errorf("read reply from %s: %w", c.pool.address, errTruncated))
+		return false
+	}
 	return c.finish(a, reply, reading)
 }
 
@@ -258,6 +276,8 @@
 	c.closed = !reusable
 	c.releaseAfterWrite = reusable && c.writing
 	release := reusable && !c.writing
+	// What came after the reply belongs to no request that is yet to start.
+	c.receiving = c.br.Buffered() > 0
 	c.usableUntil = time.Time{}
 	if reply.KeepAlive > 0 {
 		c.usableUntil = time.Now().Add(reply.KeepAlive - keepAliveMargin)
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -61,6 +61,11 @@
 	ResetGuard *ResetGuard
 	// Memory bounds the replies that are held at a time; nil means without limit.
 	Memory *membudget.Budget
+	// PausedWithin reports whether this process stood still within a time; it may be nil.
+	PausedWithin func(time.Duration) bool
+	// Freed is called, without locks held, whenever Start may succeed after it failed for
+	// lack of a connection; it may be nil.
+	Freed func()
 }
 
 // Pool holds the connections to one target.
@@ -71,19 +76,28 @@
 	dialTarget DialFunc
 	resetGuard *ResetGuard
 	memory     *membudget.Budget
-	opened     *metrics.Counter
-	foreign    *metrics.Counter
+	// pausedWithin is Shared.PausedWithin, and freed is Shared.Freed.
+	pausedWithin func(time.Duration) bool
+	freed        func()
+	opened       *metrics.Counter
+	foreign      *metrics.Counter
 
 	mu sync.Mutex
 	// limit bounds the number of connections, including those being opened.
 	limit int
 	// maxIdle is how long an idle connection is kept; 0 means without limit.
 	maxIdle time.Duration
-	idle    []*conn
-	open    map[*conn]bool
+	// idleBound bounds the idle connections of this pool and others together; nil means
+	// without limit.
+	idleBound *IdleBound
+	idle      []*conn
+	open      map[*conn]bool
 	// opening counts connections being opened.
 	opening int
 	closed  bool
+	// outgoing is the bytes of long requests that are being written.
+	outgoing      int
+	outgoingEvent time.Time
 }
 
 // New returns an empty pool.
@@ -91,8 +105,12 @@
 	if s.Dial == nil {
 		s.Dial = DialTCP
 	}
+	if s.Freed == nil {
+		s.Freed = func() {}
+	}
 	return &Pool{
-		target: target, address: address, codec: s.Codec, dialTarget: s.Dial, resetGuard: s.ResetGuard, memory: s.Memory, limit: limit,
+		target: target, address: address, codec: s.Codec, dialTarget: s.Dial, resetGuard: s.ResetGuard, memory: s.Memory, pausedWithin: s.PausedWithin, limit: limit,
+		freed:   s.Freed,
 		open:    make(map[*conn]bool),
 		opened:  metrics.GetOrCreateCounter("radishturn_target_connections_opened_total"),
 		foreign: metrics.GetOrCreateCounter("radishturn_target_replies_foreign_total"),
@@ -103,20 +121,45 @@
 // kept; 0 means without limit. Excess connections are closed as they are released.
 func (p *Pool) SetLimit(limit int, maxIdle time.Duration) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	raised := limit > p.limit
 	p.limit, p.maxIdle = limit, maxIdle
+	p.mu.Unlock()
+	if raised {
+		p.freed()
+	}
+}
+
+// SetIdleBound bounds the idle connections of this pool and others together; nil means
+// without limit.
+func (p *Pool) SetIdleBound(b *IdleBound) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idleBound = b
 }
 
 // Start sends an attempt over an idle connection, or over a new one if the limit
-// allows. It returns false, and does not call Done, if neither is available.
+// allows. It returns false, and does not call Done, if neither is available, or if the
+// target does not read the requests that are being written to it.
 func (p *Pool) Start(a *Attempt) bool {
+	if !p.holdRequest(a) {
+		return false
+	}
+	if !p.start(a) {
+		p.releaseRequest(a)
+		return false
+	}
+	return true
+}
+
+func (p *Pool) start(a *Attempt) bool {
 	for {
 		c, canOpen := p.take()
+		a.reused = c != nil
 		switch {
 		case c != nil && c.start(a):
 			return true
 		case c != nil:
-			p.remove(c)
+			c.fail(ErrNotSent)
 		case canOpen:
 			go p.startOnNewConnection(a)
 			return true
@@ -135,6 +178,7 @@
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
+		p.noLongerIdle(c)
 		if c.usable(now) {
 			return c, false
 		}
@@ -151,6 +195,7 @@
 func (p *Pool) startOnNewConnection(a *Attempt) {
 	c, err := p.dial()
 	if err != nil {
+		p.releaseRequest(a)
 		p.resetGuard.recordError(err)
 		a.Done(Result{Err: connectError(p.target, p.address, err)})
 		return
@@ -158,10 +203,14 @@
 	p.resetGuard.waitForReset()
 	if err := a.unwanted(); err != nil {
 		p.release(c)
+		p.releaseRequest(a)
 		a.Done(Result{Err: connectError(p.target, p.address, err)})
 		return
 	}
 	if !c.start(a) {
+		// A connection that already receives bytes is still open, and takes no request.
+		c.fail(ErrNotSent)
+		p.releaseRequest(a)
 		a.Done(Result{Err: connectError(p.target, p.address, errClosedUnused)})
 	}
 }
@@ -187,6 +236,15 @@
 func (p *Pool) dial() (*conn, error) {
 	p.opened.Inc()
 	raw, err := p.dialTarget(p.address, connectTimeout)
+	c, err := p.dialed(raw, err)
+	if err != nil {
+		p.freed()
+	}
+	return c, err
+}
+
+// dialed adds a connection that was opened, or records that none was.
+func (p *Pool) dialed(raw net.Conn, err error) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.opening--
@@ -207,14 +265,21 @@
 func (p *Pool) release(c *conn) {
 	p.mu.Lock()
 	surplus := p.closed || len(p.open) > p.limit
+	var bound *IdleBound
 	if !surplus && p.open[c] {
 		p.idle = append(p.idle, c)
 		p.expireIdle(c)
+		bound = p.idleBound
 	}
 	p.mu.Unlock()
+	if bound != nil {
+		bound.add(c)
+	}
 	if surplus {
 		go c.fail(ErrNotSent)
+		return
 	}
+	p.freed()
 }
 
 // expireIdle schedules the close of a connection that stays idle for maxIdle. p.mu
@@ -230,6 +295,7 @@
 		expired := i >= 0 && c.uses.Load() == used
 		if expired {
 			p.idle = slices.Delete(p.idle, i, i+1)
+			p.noLongerIdle(c)
 		}
 		p.mu.Unlock()
 		if expired {
@@ -238,13 +304,22 @@
 	})
 }
 
+// noLongerIdle records that a connection is not idle any more. p.mu must be held.
+func (p *Pool) noLongerIdle(c *conn) {
+	if p.idleBound != nil {
+		p.idleBound.drop(c)
+	}
+}
+
 func (p *Pool) remove(c *conn) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.noLongerIdle(c)
 	delete(p.open, c)
 	if i := slices.Index(p.idle, c); i >= 0 {
 		p.idle = slices.Delete(p.idle, i, i+1)
 	}
+	p.mu.Unlock()
+	p.freed()
 }
 
 // Availability states which connection Start would use.
