A reset of a new connection means no capacity for connections, not a failure

Cause: a target above its connection limit accepts a connection and resets it. Each unsent request also used one of the six requests to its shard, and three resets of written requests stopped a query until its deadline, though no target had ended.

Change: pool.ErrNoCapacity marks such a reset. It changes neither health nor cost nor the evidence on a version. A limiter for each target pauses new connections (80 to 800 ms, random within half of it) and then opens one at a time. A request that was not written goes to another target, and waits while all targets are paused; calls to one service are refused as not run when no reply is possible before the deadline. A written request counts as possibly run, as before. It counts as a sign of a crash unless the connection limit is known to be reached, which a connection opened after the pause finds out. Resets of connections that the target seemed to have accepted are excused twice in a row.

--- a/pkg/dispatch/calllog.go
+++ b/pkg/dispatch/calllog.go
@@ -113,3 +113,17 @@
 
 // rounded rounds to two decimal places.
 func rounded(v float64) float64 { return math.Round(v*100) / 100 }
+
+// objectiveEnd returns when the call's latency objective ends.
+func (s *singleCall) objectiveEnd() time.Duration {
+	return s.arrived + s.call.Route.Objective - s.call.Elapsed
+}
+
+// logLate logs, once per call, that the objective has passed.
+func (s *singleCall) logLate() {
+	if s.lateLogged || s.call.Route.Objective == 0 || s.engine.now() < s.objectiveEnd() {
+		return
+	}
+	s.lateLogged = true
+	s.engine.logLate(s.call, 1, []string{describeRequests(s.service, s.sent)})
+}
--- a/pkg/dispatch/costs.go
+++ b/pkg/dispatch/costs.go
@@ -38,7 +38,7 @@
 // result says nothing about the target.
 func observedCost(r pool.Result, latency, usual time.Duration) float32 {
 	switch {
-	case usual <= 0, neverTried(r.Err):
+	case usual <= 0, neverTried(r.Err), errors.Is(r.Err, pool.ErrNoCapacity):
 		return 0
 	case r.Err != nil && !errors.Is(r.Err, pool.ErrAbandoned), r.Reply != nil && !r.Reply.OK():
 		return 1 + failureCost
--- a/pkg/dispatch/moves.go
+++ b/pkg/dispatch/moves.go
@@ -79,7 +79,7 @@
 // was in progress when the request was sent. An abandoned request counts as a success with the time
 // until it was abandoned as its latency.
 func (e *Engine) recordVersionOutcome(c *Call, t *target, move view.Move, r pool.Result, latency time.Duration) {
-	if errors.Is(r.Err, pool.ErrNotSent) || r.Reply != nil && (r.Reply.NotRun || r.Reply.WrongTarget) {
+	if errors.Is(r.Err, pool.ErrNotSent) || errors.Is(r.Err, pool.ErrNoCapacity) || r.Reply != nil && (r.Reply.NotRun || r.Reply.WrongTarget) {
 		return
 	}
 	good := errors.Is(r.Err, pool.ErrAbandoned) || r.Reply != nil && r.Reply.OK()
--- a/pkg/dispatch/quarantine.go
+++ b/pkg/dispatch/quarantine.go
@@ -53,11 +53,28 @@
 	return r.completed && r.result.Err != nil && !isNotSent(r.result.Err) && !errors.Is(r.result.Err, pool.ErrAbandoned)
 }
 
-// disconnectedTargets returns the targets whose connection ended during a request.
-func (s sentRequests) disconnectedTargets() []*target {
+// seemsToCrashTargets reports whether the query seems to crash the targets that run
+// it: maxDisconnects connections ended during its requests, which the targets' connection
+// limits do not explain, and no target has answered.
+func (q *query) seemsToCrashTargets() bool {
+	if len(q.disconnected) < maxDisconnects || q.run.Parts() > 0 {
+		return false
+	}
+	unexplained := 0
+	for _, r := range q.disconnected {
+		if !q.engine.explainsReset(r) {
+			unexplained++
+		}
+	}
+	return unexplained >= maxDisconnects
+}
+
+// disconnectedTargets returns the targets whose connection ended during a request, unless
+// their connection limit explains it.
+func (e *Engine) disconnectedTargets(s sentRequests) []*target {
 	var disconnected []*target
 	for _, r := range s {
-		if r.disconnected() {
+		if r.disconnected() && !e.explainsReset(r) {
 			disconnected = append(disconnected, r.target)
 		}
 	}
@@ -76,7 +93,7 @@
 			e.mu.Unlock()
 			return
 		}
-		disconnected = append(disconnected, sent.disconnectedTargets()...)
+		disconnected = append(disconnected, e.disconnectedTargets(sent)...)
 	}
 	if len(disconnected) == 0 || e.opts.Reporter == nil {
 		return
--- a/pkg/dispatch/query.go
+++ b/pkg/dispatch/query.go
@@ -60,8 +60,8 @@
 	trace       Trace
 	// lateLogged is set once it is logged that the objective has passed.
 	lateLogged bool
-	// disconnects counts the connections that ended during a request.
-	disconnects int
+	// disconnected are the requests during which the connection ended.
+	disconnected sentRequests
 	// startQueue is set while the query is starting. leftQueueAt is when it left the
 	// queue, and startLimit the limit of queries starting at a time that applied then.
 	startQueue  *startQueue
@@ -233,13 +233,6 @@
 	q.sentByShard[i] = append(q.sentByShard[i], r)
 }
 
-// seemsToCrashTargets reports whether the query seems to crash the targets that run
-// it: maxDisconnects connections ended during its requests, and no target has
-// answered.
-func (q *query) seemsToCrashTargets() bool {
-	return q.disconnects >= maxDisconnects && q.run.Parts() == 0
-}
-
 // choose returns the target for the next request to a shard, or nil. It prefers a
 // target that was not asked yet. A target is asked again only if no request to the
 // shard is in flight. The route limits how many targets may run the request.
@@ -282,9 +275,11 @@
 			q.answer.Signatures = append(q.answer.Signatures, reply.Signature)
 			q.top.Add(reply.Body)
 		}
+	case r.noConnection():
+		q.run.RecordNoConnection(r.shard)
 	default:
 		if r.disconnected() {
-			q.disconnects++
+			q.disconnected = append(q.disconnected, r)
 		}
 		q.run.RecordFailure(r.shard, q.engine.now(), r.mayHaveRun)
 	}
--- a/pkg/dispatch/sent.go
+++ b/pkg/dispatch/sent.go
@@ -55,6 +55,8 @@
 	r.targetEnded = r.targetEnded || errors.Is(r.result.Err, syscall.ETIMEDOUT)
 }
 
+func isNotSent(err error) bool { return errors.Is(err, pool.ErrNotSent) }
+
 // sentRequests are the requests to one shard of a query, or those of a call to one
 // service.
 type sentRequests []*sentRequest
@@ -70,6 +72,18 @@
 	return slices.ContainsFunc(s, func(r *sentRequest) bool { return r.mayHaveRun })
 }
 
+// requests returns how many of the requests were sent, or not sent for another reason than
+// that the target accepted no connection.
+func (s sentRequests) requests() int {
+	n := 0
+	for _, r := range s {
+		if !r.noConnection() {
+			n++
+		}
+	}
+	return n
+}
+
 // attemptOf returns the attempt that got a reply, or nil.
 func (s sentRequests) attemptOf(reply *exchange.Reply) *pool.Attempt {
 	for _, r := range s {
@@ -101,12 +115,12 @@
 	return len(targets)
 }
 
-// targets returns the targets that requests were sent to, and those that may have
-// run one.
+// targets returns the targets that requests were sent to, without those that accepted no
+// connection for it, and those that may have run one.
 func (s sentRequests) targets() (asked, mayHaveRun map[model.TargetID]bool) {
 	asked, mayHaveRun = make(map[model.TargetID]bool), make(map[model.TargetID]bool)
 	for _, r := range s {
-		asked[r.target.ID] = true
+		asked[r.target.ID] = asked[r.target.ID] || !r.noConnection()
 		if r.mayHaveRun {
 			mayHaveRun[r.target.ID] = true
 		}
@@ -116,10 +130,12 @@
 
 // Results of a request to a target, as logged.
 const (
-	resultPending     = "pending"
-	resultUnreached   = "unreached"
-	resultWithdrawn   = "withdrawn"
-	resultAbandoned   = "abandoned"
+	resultPending   = "pending"
+	resultUnreached = "unreached"
+	resultWithdrawn = "withdrawn"
+	resultAbandoned = "abandoned"
+	// resultNoCapacity: the target reset the connection before its first reply.
+	resultNoCapacity  = "no-connection"
 	resultBroken      = "broken"
 	resultShed        = "shed"
 	resultWrongTarget = "wrong-target"
@@ -135,6 +151,8 @@
 	switch {
 	case errors.Is(err, pool.ErrWithdrawn):
 		return resultWithdrawn
+	case errors.Is(err, pool.ErrNoCapacity):
+		return resultNoCapacity
 	case isNotSent(err):
 		return resultUnreached
 	case errors.Is(err, pool.ErrAbandoned):
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"radishturn.example/radishturn/pkg/exchange"
@@ -30,8 +29,6 @@
 	refusedRetryAfter = 150 * time.Millisecond
 )
 
-func isNotSent(err error) bool { return errors.Is(err, pool.ErrNotSent) }
-
 // singleCall is one call to one service in progress.
 type singleCall struct {
 	engine  *Engine
@@ -50,7 +47,10 @@
 	lastSent time.Duration
 	// lateLogged is set once it is logged that the objective has passed.
 	lateLogged bool
-	trace      Trace
+	// awaitsConnection is set while no request is in flight since the targets accept no
+	// further connections.
+	awaitsConnection bool
+	trace            Trace
 }
 
 // Forward sends a call to one target of the route's service and returns its reply.
@@ -110,6 +110,9 @@
 		if now >= s.deadline {
 			return s.timedOut("no reply before the deadline")
 		}
+		if s.awaitsConnection && !s.trySend(now) && now >= s.latestConnection() {
+			return s.giveUp()
+		}
 		timer.Reset(max(0, s.nextWakeup(now)-now))
 		select {
 		case <-ctx.Done():
@@ -138,7 +141,7 @@
 func (s *singleCall) sendFirst(ctx context.Context) (Outcome, bool) {
 	until := min(s.engine.now()+connectionWait, s.deadline)
 	for !s.send() {
-		if s.engine.now() >= until {
+		if now := s.engine.now(); now >= until && (now >= s.latestConnection() || !s.engine.current().limitsConnections(s.service, now)) {
 			return s.refuse("find connection", "no target of %s has a free connection", s.service), false
 		}
 		select {
@@ -154,8 +157,7 @@
 // work on it until half of deadlineMargin before the timeout of the call.
 func (s *singleCall) send() bool {
 	current, now := s.engine.current(), s.engine.now()
-	asked, _ := s.sent.targets()
-	t := s.engine.choose(s.call, current, s.service, now, len(asked) > 0, func(t *target) bool { return asked[t.ID] })
+	t := s.choose(current, now)
 	if t == nil {
 		return false
 	}
@@ -182,7 +184,7 @@
 // request against the retry budget if an earlier one may have arrived, and counts and
 // logs a denial by the budget.
 func (s *singleCall) takeFurtherRequest() bool {
-	if s.trace.Sent >= maxSingleRequests || s.sent.attempts() >= max(1, s.call.Route.MaxAttempts) {
+	if s.sent.requests() >= maxSingleRequests || s.sent.attempts() >= max(1, s.call.Route.MaxAttempts) {
 		return false
 	}
 	if s.sent.mayHaveRun() && !s.call.Route.Idempotent || s.engine.current().quarantines(s.call) {
@@ -208,21 +210,10 @@
 	if s.call.Route.Idempotent {
 		wakeup = min(wakeup, now+endedCheckInterval)
 	}
-	return wakeup
-}
-
-// objectiveEnd returns when the call's latency objective ends.
-func (s *singleCall) objectiveEnd() time.Duration {
-	return s.arrived + s.call.Route.Objective - s.call.Elapsed
-}
-
-// logLate logs, once per call, that the objective has passed.
-func (s *singleCall) logLate() {
-	if s.lateLogged || s.call.Route.Objective == 0 || s.engine.now() < s.objectiveEnd() {
-		return
+	if s.awaitsConnection {
+		wakeup = min(wakeup, now+connectionPoll)
 	}
-	s.lateLogged = true
-	s.engine.logLate(s.call, 1, []string{describeRequests(s.service, s.sent)})
+	return wakeup
 }
 
 func (s *singleCall) hedgeAt() time.Duration { return s.lastSent + s.hedgeDelay() }
@@ -274,6 +265,9 @@
 	if s.takeFurtherRequest() && s.send() {
 		return Outcome{}, false
 	}
+	if s.awaitsConnection = r.noConnection(); s.awaitsConnection {
+		return Outcome{}, false
+	}
 	return s.giveUp(), true
 }
 
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -107,7 +107,7 @@
 	failuresBefore, wrongBefore := h.connectFailures, t.wrongTarget
 	h.end(sent)
 	switch {
-	case neverTried(r.Err):
+	case neverTried(r.Err), errors.Is(r.Err, pool.ErrNoCapacity):
 	case errors.Is(r.Err, pool.ErrNotSent):
 		h.connectFailed(now)
 	case errors.Is(r.Err, pool.ErrAbandoned):
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -104,6 +104,9 @@
 	TargetPaused       Number = 5027
 	ReplyCut           Number = 5028
 
+	TargetConnectionsLimited  Number = 5151
+	TargetConnectionsAccepted Number = 5152
+
 	OrderOutcomeUnknown     Number = 6001
 	OrderClaimUnconfirmed   Number = 6002
 	OrderOutcomeNotRecorded Number = 6003
@@ -237,6 +240,9 @@
 	{TargetPaused, infoLevel, "target has asked for a pause", []string{"target"}},
 	{ReplyCut, warnLevel, "reading of a reply was ended", []string{"target", "request", "reason", "heldBytes"}},
 
+	{TargetConnectionsLimited, infoLevel, "target has reset a new connection; new ones are opened one at a time", []string{"target", "pauseMilliseconds", "error"}},
+	{TargetConnectionsAccepted, infoLevel, "target accepts new connections again", []string{"target"}},
+
 	{OrderOutcomeUnknown, warnLevel, "outcome of an order is unknown", []string{"request", "error"}},
 	{OrderClaimUnconfirmed, warnLevel, "claim of an order could not be confirmed", []string{"request", "error"}},
 	{OrderOutcomeNotRecorded, warnLevel, "outcome of an order could not be recorded", []string{"request", "error"}},
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -144,6 +144,16 @@
 	}
 }
 
+// RecordNoConnection records that a request to shard i was not sent, since its target
+// accepted no further connection. It counts neither as a request nor as a failure: the
+// target accepts no other request until a pause is over, so another one is asked at once.
+func (r *Run) RecordNoConnection(i int) {
+	s := &r.shards[i]
+	s.inFlight--
+	s.sends--
+	s.retryAt = 0
+}
+
 // maxBackoffDoublings bounds the pause between retries.
 const maxBackoffDoublings = 3
 
--- a/pkg/pool/conn.go
+++ b/pkg/pool/conn.go
@@ -116,8 +116,10 @@
 	reader *replyReader
 	// uses counts the attempts that were started.
 	uses atomic.Int64
-	// replied is set by the first reply.
-	replied atomic.Bool
+	// trial is what the connection has shown of the target's connection limit.
+	trial trialState
+	// ended is closed once the connection has failed.
+	ended chan struct{}
 
 	mu sync.Mutex
 	// attempt is the attempt in progress; nil while the connection is idle.
@@ -135,6 +137,8 @@
 	// reading is what the reply that is being read takes of the process's memory.
 	reading *membudget.Reservation
 	closed  bool
+	// endErr is why the connection failed.
+	endErr error
 	// usableUntil is when the idle connection must no longer be used, because the
 	// target may close it; zero if the target has stated no time.
 	usableUntil time.Time
@@ -186,6 +190,7 @@
 			c.fail(fmt.Errorf("read reply from %s: %w", c.pool.address, err))
 			return
 		}
+		c.prove()
 		if !c.readReply() {
 			return
 		}
@@ -245,7 +250,6 @@
 // connection.
 func (c *conn) finish(a *Attempt, reply *exchange.Reply, reading *membudget.Reservation) bool {
 	c.foreign = 0
-	c.replied.Store(true)
 	c.mu.Lock()
 	if c.attempt != a {
 		c.mu.Unlock()
@@ -304,16 +308,18 @@
 	wasClosed := c.closed
 	c.attempt, c.closed = nil, true
 	reading := c.reading
+	if !wasClosed {
+		c.endErr = err
+	}
 	c.mu.Unlock()
 	if reading != nil {
 		reading.Release()
 	}
+	c.pool.remove(c)
 	if !wasClosed {
 		_ = c.net.Close()
-	}
-	c.pool.remove(c)
-	if !c.replied.Load() {
-		c.pool.resetGuard.recordError(err)
+		err = c.endTrial(err, a == nil)
+		close(c.ended)
 	}
 	if a != nil {
 		a.Done(Result{Err: err})
--- /dev/null
+++ b/pkg/pool/open.go
@@ -0,0 +1,72 @@
+package pool
+
+import (
+	"bufio"
+	"net"
+	"time"
+)
+
+// openConnection opens a connection; the caller has already called beginOpening. While
+// resets are expected, it returns once the connection has outlived the time within which
+// one arrives.
+func (p *Pool) openConnection() (*conn, error) {
+	p.opened.Inc()
+	began := time.Now()
+	raw, err := p.dialTarget(p.address, connectTimeout)
+	opening := time.Since(began)
+	c, limited, err := p.addConnection(raw, err)
+	if err != nil {
+		return nil, p.openFailed(err)
+	}
+	if !limited && !p.resetGuard.active() {
+		c.leaveTrial()
+		return c, nil
+	}
+	wait := time.NewTimer(resetWait(opening))
+	defer wait.Stop()
+	select {
+	case <-c.ended:
+		return nil, c.endedUnused()
+	case <-wait.C:
+	}
+	c.accept()
+	if limited {
+		p.resetGuard.recordLimit()
+	}
+	return c, nil
+}
+
+// testAfter opens a connection after a pause if the pool has none then. It shows whether a
+// target that has reset a connection on which a request was sent is alive or has ended,
+// perhaps by the request.
+func (p *Pool) testAfter(pause time.Duration) {
+	time.AfterFunc(pause, func() {
+		if p.Connections() > 0 {
+			p.resetGuard.recordLimit()
+			return
+		}
+		// The result is recorded by openConnection.
+		_ = p.Preconnect()
+	})
+}
+
+// addConnection adds a connection that was opened to the pool. limited is set if the
+// target has reset connections.
+func (p *Pool) addConnection(raw net.Conn, dialErr error) (c *conn, limited bool, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opening--
+	if dialErr != nil {
+		return nil, false, dialErr
+	}
+	if p.closed {
+		_ = raw.Close()
+		return nil, false, net.ErrClosed
+	}
+	reader := &replyReader{conn: raw}
+	c = &conn{pool: p, net: raw, reader: reader, br: bufio.NewReaderSize(reader, readBufferBytes), ended: make(chan struct{})}
+	c.trial.opened = time.Now()
+	p.open[c] = true
+	go c.readLoop()
+	return c, p.limiter.limited(), nil
+}
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -4,7 +4,6 @@
 package pool
 
 import (
-	"bufio"
 	"errors"
 	"net"
 	"slices"
@@ -32,6 +31,11 @@
 // used.
 var errClosedUnused = errors.New("new connection was closed before use")
 
+// ErrNoCapacity means that the target reset a connection that had carried no reply, as it
+// does above its connection limit. It says nothing about the target's health. Unless the
+// error also wraps ErrNotSent, the request may have run.
+var ErrNoCapacity = errors.New("target accepts no further connections")
+
 // DialFunc opens a connection to an address within a timeout.
 type DialFunc func(address string, timeout time.Duration) (net.Conn, error)
 
@@ -83,6 +87,8 @@
 	open    map[*conn]bool
 	// opening counts connections being opened.
 	opening int
+	// limiter decides when new connections may be opened.
+	limiter openLimiter
 	closed  bool
 }
 
@@ -141,41 +147,50 @@
 		delete(p.open, c)
 		go c.fail(ErrNotSent)
 	}
-	if p.closed || len(p.open)+p.opening >= p.limit {
+	if !p.canOpen(now) {
 		return nil, false
 	}
-	p.opening++
+	p.beginOpening()
 	return nil, true
 }
 
+// canOpen reports whether a new connection may be opened. p.mu must be held.
+func (p *Pool) canOpen(now time.Time) bool {
+	return !p.closed && len(p.open)+p.opening < p.limit && p.limiter.allows(now)
+}
+
+// beginOpening counts a connection as opening. p.mu must be held.
+func (p *Pool) beginOpening() {
+	p.opening++
+	p.limiter.begin()
+}
+
 func (p *Pool) startOnNewConnection(a *Attempt) {
-	c, err := p.dial()
+	c, err := p.openConnection()
 	if err != nil {
-		p.resetGuard.recordError(err)
 		a.Done(Result{Err: connectError(p.target, p.address, err)})
 		return
 	}
-	p.resetGuard.waitForReset()
 	if err := a.unwanted(); err != nil {
 		p.release(c)
 		a.Done(Result{Err: connectError(p.target, p.address, err)})
 		return
 	}
 	if !c.start(a) {
-		a.Done(Result{Err: connectError(p.target, p.address, errClosedUnused)})
+		a.Done(Result{Err: connectError(p.target, p.address, c.endedUnused())})
 	}
 }
 
 // Preconnect opens a connection before the first request if the pool has none.
 func (p *Pool) Preconnect() error {
 	p.mu.Lock()
-	if p.closed || len(p.open)+p.opening > 0 || p.limit == 0 {
+	if len(p.open)+p.opening > 0 || !p.canOpen(time.Now()) {
 		p.mu.Unlock()
 		return nil
 	}
-	p.opening++
+	p.beginOpening()
 	p.mu.Unlock()
-	c, err := p.dial()
+	c, err := p.openConnection()
 	if err != nil {
 		return connectError(p.target, p.address, err)
 	}
@@ -183,27 +198,6 @@
 	return nil
 }
 
-// dial opens a connection; the caller has already incremented opening.
-func (p *Pool) dial() (*conn, error) {
-	p.opened.Inc()
-	raw, err := p.dialTarget(p.address, connectTimeout)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.opening--
-	if err != nil {
-		return nil, err
-	}
-	if p.closed {
-		_ = raw.Close()
-		return nil, net.ErrClosed
-	}
-	reader := &replyReader{conn: raw}
-	c := &conn{pool: p, net: raw, reader: reader, br: bufio.NewReaderSize(reader, readBufferBytes)}
-	p.open[c] = true
-	go c.readLoop()
-	return c, nil
-}
-
 func (p *Pool) release(c *conn) {
 	p.mu.Lock()
 	surplus := p.closed || len(p.open) > p.limit
@@ -269,12 +263,24 @@
 		return Full
 	case len(p.idle) > 0:
 		return Idle
-	case len(p.open)+p.opening < p.limit:
+	case p.canOpen(time.Now()):
 		return CanOpen
 	}
 	return Full
 }
 
+// OpenPause returns how long no new connection may be opened since the target has reset
+// one; 0 if one may be opened.
+func (p *Pool) OpenPause() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if p.limiter.allows(now) {
+		return 0
+	}
+	return max(p.limiter.pauseLeft(now), minResetWait)
+}
+
 // Connections returns the number of open connections.
 func (p *Pool) Connections() int {
 	p.mu.Lock()
