pool: a failed connection is closed before its place is free, as before

The order had changed with the handling of resets, so that a pool could open the next connection before the last one was closed. A spec read a target's health without its lock.

Result: race detector on the new specs of pool and dispatch: green.

--- a/pkg/dispatch/capacity_test.go
+++ b/pkg/dispatch/capacity_test.go
@@ -27,8 +27,10 @@
 
 func (f *memoryFixture) expectHealthy(g *WithT) {
 	for id, t := range f.engine.registryState().targets {
+		t.mu.Lock()
 		g.Expect(t.health.connectFailures).To(BeZero(), "target %s", id)
 		g.Expect(t.health.failureShare).To(BeZero(), "target %s", id)
+		t.mu.Unlock()
 	}
 }
 
--- a/pkg/pool/conn.go
+++ b/pkg/pool/conn.go
@@ -315,9 +315,11 @@
 	if reading != nil {
 		reading.Release()
 	}
-	c.pool.remove(c)
 	if !wasClosed {
 		_ = c.net.Close()
+	}
+	c.pool.remove(c)
+	if !wasClosed {
 		err = c.endTrial(err, a == nil)
 		close(c.ended)
 	}
