A call is refused at once if connections can be opened only after its objective

Cause: while all targets of a service or of too many shards pause new connections, a call waited for one until its deadline, and was answered late, although a caller that is refused at once and returns is served in time.

Change: before anything is sent, a call is refused as not run if the pauses of targets without an open connection outlast its objective, less the usual latency. Retry-After is the pause left plus up to half of it at random. Calls that can still be in time wait as before.

New spec: refused at once, and answered when repeated after Retry-After.

--- a/pkg/dispatch/capacity.go
+++ b/pkg/dispatch/capacity.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/model"
 	"radishturn.example/radishturn/pkg/pool"
 )
@@ -36,6 +38,52 @@
 	return slices.ContainsFunc(s.own, limited) || slices.ContainsFunc(s.onDemand, limited)
 }
 
+// connectionWait returns how long it takes, at least, until a request can be sent to some
+// target of the service, if all that may get one pause new connections and have none open; 0
+// otherwise.
+func (rs *registryState) connectionWait(service model.ServiceID, now time.Duration) time.Duration {
+	s := rs.services[service]
+	var least time.Duration
+	for _, targets := range [][]*target{s.own, s.onDemand} {
+		for _, t := range targets {
+			if _, usable := t.cost(now); !usable {
+				continue
+			}
+			left := t.pool.OpenPause()
+			if left == 0 || t.pool.Connections() > 0 {
+				return 0
+			}
+			if least == 0 || left < least {
+				least = left
+			}
+		}
+	}
+	return least
+}
+
+// retrySpread is the share of a wait for connections by which the Retry-After times of
+// refused calls differ, so that the callers do not all return when the first connection can
+// be opened.
+const retrySpread = 0.5
+
+// spreadRetry returns the Retry-After time of a call for which a connection can be opened
+// after a wait.
+func spreadRetry(wait time.Duration) time.Duration {
+	return wait + time.Duration(retrySpread*rand.Float64()*float64(wait))
+}
+
+// refuseUnconnected refuses a call at once if no connection can be opened early enough for it
+// to meet its objective.
+func (s *singleCall) refuseUnconnected() (Outcome, bool) {
+	now := s.engine.now()
+	wait := s.engine.current().connectionWait(s.service, now)
+	if wait == 0 || s.call.Route.Objective == 0 || now+wait+s.trace.Usual <= s.objectiveEnd() {
+		return Outcome{}, false
+	}
+	return s.fail(newRefusal(failure.NoTarget, failure.NotRun, "find connection", string(s.service), max(spreadRetry(wait), refusedRetryAfter),
+		"no target of %s accepts connections for %s", s.service, wait.Round(time.Millisecond))), true
+}
+
 // latestConnection returns until when the call waits for a connection while targets accept
 // no new ones: a reply is possible before the deadline then.
 func (s *singleCall) latestConnection() time.Duration {
--- a/pkg/dispatch/capacity_test.go
+++ b/pkg/dispatch/capacity_test.go
@@ -110,3 +110,32 @@
 		f.expectHealthy(g)
 	})
 }
+
+// Guards against calls that are answered late, though a caller that is refused at once would
+// be served in time.
+func TestCallIsRefusedAtOnceIfConnectionsCanBeOpenedTooLate(t *testing.T) {
+	for name, route := range map[string]*routing.Route{"call": singleRoute(false), "query": queryRoute("s")} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, f := NewWithT(t), newMemoryFixture(t)
+				f.add("s", "a", nil)
+				f.limitConnections(1, time.Millisecond, 3*time.Second)
+				f.engine.registry.shared.ResetGuard.ExpectResets(time.Hour)
+				f.publish(nil)
+				listed := f.engine.registryState().targets["i-0"]
+				for range 3 {
+					_ = listed.pool.Preconnect()
+					time.Sleep(listed.pool.OpenPause())
+				}
+				_ = listed.pool.Preconnect()
+				began := time.Now()
+				out := f.doWithin(2*time.Second, route, "q")
+				g.Expect(out.NotRun()).To(BeTrue())
+				g.Expect(time.Since(began)).To(BeZero())
+				g.Expect(out.Err.RetryAfter).To(BeNumerically(">=", listed.pool.OpenPause()))
+				time.Sleep(out.Err.RetryAfter)
+				g.Expect(f.doWithin(2*time.Second, route, "r").Err).To(BeNil())
+			})
+		})
+	}
+}
--- a/pkg/dispatch/refuse.go
+++ b/pkg/dispatch/refuse.go
@@ -13,10 +13,15 @@
 	current, now, usable := q.engine.current(), q.engine.now(), 0
 	var pauses []time.Duration
 	for _, s := range q.call.Route.Fanout.Shards {
-		if current.hasUsableTarget(s, now) {
+		wait := current.connectionWait(s, now)
+		if current.hasUsableTarget(s, now) && now+wait <= q.latestUseful() {
 			usable++
 			continue
 		}
+		if wait > 0 {
+			pauses = append(pauses, spreadRetry(wait))
+			continue
+		}
 		q.trace.Unanswered = append(q.trace.Unanswered, string(s))
 		if left := current.pauseLeft(s, now); left > 0 {
 			pauses = append(pauses, left)
@@ -29,6 +34,13 @@
 		"%d of %d shards have a usable target, %d required", usable, len(q.call.Route.Fanout.Shards), q.plan.Required)
 }
 
+// latestUseful returns when the requests of the query are to be sent at the latest, so that it
+// can meet its objective. Later ones are not worth waiting for: a caller that is refused at
+// once is served sooner.
+func (q *query) latestUseful() time.Duration {
+	return max(q.engine.now(), q.plan.ObjectiveEnd-q.plan.UsualLatency)
+}
+
 // retryAfterPauses returns the Retry-After time of a query that lacks so many shards:
 // when that many of those whose targets are paused can be asked again.
 func retryAfterPauses(pauses []time.Duration, missing int) time.Duration {
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -74,6 +74,9 @@
 	if !e.current().hasUsableTarget(service, e.now()) {
 		return observe(c, s.refuse("find target", "no target of %s is usable", service))
 	}
+	if out, refused := s.refuseUnconnected(); refused {
+		return observe(c, out)
+	}
 	e.recordFirst(service)
 	e.logAdmitted(c, &s.trace)
 	out := s.loop(ctx)
