--- a/pkg/dispatch/capacity.go
+++ b/pkg/dispatch/capacity.go
@@ -84,6 +84,25 @@
 		"no target of %s accepts connections for %s", s.service, wait.Round(time.Millisecond))), true
 }
 
+// maxConnectionPoll is how often a call checks for a connection at least, while new ones are
+// paused. A connection in use may be free before the pause is over.
+const maxConnectionPoll = 25 * time.Millisecond
+
+// recordUnsent records that there is no target for a request to shard i.
+func (q *query) recordUnsent(i int, current currentView, service model.ServiceID, now time.Duration) {
+	if wait := current.connectionWait(service, now); wait > 0 {
+		q.run.RecordPaused(i, now, now+min(wait, maxConnectionPoll))
+		return
+	}
+	q.run.RecordUnsent(i, now, current.hasUsableTarget(service, now))
+}
+
+// connectionPoll returns when a call that awaits a connection checks for one again.
+func (s *singleCall) connectionPoll(now time.Duration) time.Duration {
+	wait := s.engine.current().connectionWait(s.service, now)
+	return min(max(wait, connectionPoll), maxConnectionPoll)
+}
+
 // latestConnection returns until when the call waits for a connection while targets accept
 // no new ones: a reply is possible before the deadline then.
 func (s *singleCall) latestConnection() time.Duration {
--- a/pkg/dispatch/query.go
+++ b/pkg/dispatch/query.go
@@ -195,7 +195,7 @@
 	current, service := q.engine.current(), q.call.Route.Fanout.Shards[i]
 	t := q.choose(i, current, service, now)
 	if t == nil {
-		q.run.RecordUnsent(i, now, current.hasUsableTarget(service, now))
+		q.recordUnsent(i, current, service, now)
 		return
 	}
 	if q.seemsToCrashTargets() || current.quarantines(q.call) {
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -150,7 +150,7 @@
 		select {
 		case <-ctx.Done():
 			return s.refuse("find connection", "%w", context.Cause(ctx)), false
-		case <-time.After(connectionPoll):
+		case <-time.After(s.connectionPoll(s.engine.now())):
 		}
 	}
 	return Outcome{}, true
@@ -214,7 +214,7 @@
 		wakeup = min(wakeup, now+endedCheckInterval)
 	}
 	if s.awaitsConnection {
-		wakeup = min(wakeup, now+connectionPoll)
+		wakeup = min(wakeup, now+s.connectionPoll(now))
 	}
 	return wakeup
 }
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -101,6 +101,13 @@
 	s.unreachable = !reachable
 }
 
+// RecordPaused records that no request could be sent to shard i, since its targets open no
+// connections before a time.
+func (r *Run) RecordPaused(i int, now, until time.Duration) {
+	r.RecordUnsent(i, now, true)
+	r.shards[i].retryAt = max(until, now+noTargetPause)
+}
+
 // RecordDenied records that the retry budget denied shard i a further request.
 func (r *Run) RecordDenied(i int, now time.Duration) {
 	s := &r.shards[i]
--- a/pkg/gather/gather_test.go
+++ b/pkg/gather/gather_test.go
@@ -110,6 +110,21 @@
 		Expect(now).To(BeNumerically(">", 300*ms))
 	})
 
+	// After a power loss a shard had used its six requests, none of which was sent, and the
+	// query failed while time remained.
+	It("does not count requests for which there was no connection, and waits out a pause", func() {
+		for range 2 * gather.MaxSends {
+			r.RecordNoConnection(0)
+			Expect(r.Due(ms)).To(ContainElement(0))
+			r.RecordSent(0, ms)
+		}
+		r.RecordNoConnection(0)
+		r.RecordPaused(0, 2*ms, 40*ms)
+		Expect(r.Due(39 * ms)).NotTo(ContainElement(0))
+		Expect(r.Due(40 * ms)).To(ContainElement(0))
+		Expect(r.Decide(40 * ms)).To(Equal(gather.Wait))
+	})
+
 	It("counts a part once if two requests return it", func() {
 		r.RecordSent(0, r.HedgeDelay())
 		Expect(r.RecordPart(0)).To(BeTrue())
