--- a/pkg/dispatch/recovery.go
+++ b/pkg/dispatch/recovery.go
@@ -1,10 +1,12 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
+	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/pool"
-	"radishturn.example/radishturn/pkg/view"
+	"radishturn.example/radishturn/pkg/routing"
 )
 
 const (
@@ -23,10 +25,14 @@
 
 // restarted reports whether so many instances have restarted uncleanly that targets may
 // count more connections of processes that have ended than the fleet leaves unused.
-func (v currentView) restarted(now time.Time) bool { return fleetRestarted(v.view.Restarts, now) }
+func (rs *registryState) restarted(now time.Time) bool {
+	r := rs.view.Restarts
+	return r.Share >= minRestartedShare && now.Before(r.Until) && rs.limited
+}
 
-func fleetRestarted(r view.Restarts, now time.Time) bool {
-	return r.Share >= minRestartedShare && now.Before(r.Until)
+// limitsConnections reports whether a table states how many connections targets accept.
+func limitsConnections(x *routing.Index) bool {
+	return x != nil && slices.ContainsFunc(x.Table.Services, func(s routing.Service) bool { return s.Connections > 0 })
 }
 
 // restrained reports whether this instance opens connections outside its subset only for
@@ -38,10 +44,12 @@
 
 // prepareForResets makes new connections wait for a reset from the first view on which
 // shows that the fleet has restarted.
-func prepareForResets(guard *pool.ResetGuard, old, next *view.View, now time.Time) {
-	if guard != nil && fleetRestarted(next.Restarts, now) && !fleetRestarted(old.Restarts, now) {
-		guard.ExpectResets(startCaution)
+func prepareForResets(guard *pool.ResetGuard, old, next *registryState, now time.Time) {
+	if guard == nil || !next.restarted(now) || old.restarted(now) {
+		return
 	}
+	guard.ExpectResets(startCaution)
+	events.Emit(events.FleetRestarted, next.view.Restarts.Share, next.view.Restarts.Until.Sub(now).Milliseconds())
 }
 
 func (e *Engine) preconnectInterval() time.Duration {
--- a/pkg/dispatch/registry.go
+++ b/pkg/dispatch/registry.go
@@ -50,6 +50,8 @@
 	view     *view.View
 	targets  map[model.TargetID]*target
 	services map[model.ServiceID]serviceTargets
+	// limited is set if the table states how many connections targets accept.
+	limited bool
 }
 
 // serviceTargets divides the targets of a service. own is this instance's subset, to
@@ -83,8 +85,9 @@
 	// A newer view may have been put in force before the lock was held.
 	v := latest()
 	if state.view != v {
-		prepareForResets(r.shared.ResetGuard, state.view, v, time.Now())
-		state = r.buildState(state, v)
+		old := state
+		state = r.buildState(old, v)
+		prepareForResets(r.shared.ResetGuard, old, state, time.Now())
 		r.current.Store(state)
 	}
 	return state
@@ -101,7 +104,7 @@
 	}
 	var added []*target
 	eligible := make(map[model.ServiceID][]*target)
-	next := &registryState{view: v, targets: make(map[model.TargetID]*target), services: make(map[model.ServiceID]serviceTargets)}
+	next := &registryState{view: v, targets: make(map[model.TargetID]*target), services: make(map[model.ServiceID]serviceTargets), limited: limitsConnections(v.Routing)}
 	for id, listed := range listedTargets(v.Catalog) {
 		t := old.targets[id]
 		if t == nil || t.Target != listed {
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -106,6 +106,7 @@
 
 	TargetConnectionsLimited  Number = 5151
 	TargetConnectionsAccepted Number = 5152
+	FleetRestarted            Number = 5153
 
 	OrderOutcomeUnknown     Number = 6001
 	OrderClaimUnconfirmed   Number = 6002
@@ -242,6 +243,7 @@
 
 	{TargetConnectionsLimited, infoLevel, "target has reset a new connection; new ones are opened one at a time", []string{"target", "pauseMilliseconds", "error"}},
 	{TargetConnectionsAccepted, infoLevel, "target accepts new connections again", []string{"target"}},
+	{FleetRestarted, warnLevel, "many instances have restarted without returning their leases", []string{"share", "milliseconds"}},
 
 	{OrderOutcomeUnknown, warnLevel, "outcome of an order is unknown", []string{"request", "error"}},
 	{OrderClaimUnconfirmed, warnLevel, "claim of an order could not be confirmed", []string{"request", "error"}},
