dispatch: whether targets limit connections is noted with their subsets

The race detector reported that the state of the registry read the table's list of services, which specs replace in place; it now uses the index, as all else does. The spec of a call that is refused at once depended on random pauses: targets now release their connections when it says so, and the call that follows Retry-After is answered.

--- a/pkg/dispatch/capacity_test.go
+++ b/pkg/dispatch/capacity_test.go
@@ -119,7 +119,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				g, f := NewWithT(t), newMemoryFixture(t)
 				f.add("s", "a", nil)
-				f.limitConnections(1, time.Millisecond, 3*time.Second)
+				l := f.limitConnections(1, time.Millisecond, time.Hour)
 				f.engine.registry.shared.ResetGuard.ExpectResets(time.Hour)
 				f.publish(nil)
 				listed := f.engine.registryState().targets["i-0"]
@@ -133,6 +133,7 @@
 				g.Expect(out.NotRun()).To(BeTrue())
 				g.Expect(time.Since(began)).To(BeZero())
 				g.Expect(out.Err.RetryAfter).To(BeNumerically(">=", listed.pool.OpenPause()))
+				l.Release()
 				time.Sleep(out.Err.RetryAfter)
 				g.Expect(f.doWithin(2*time.Second, route, "r").Err).To(BeNil())
 			})
--- a/pkg/dispatch/recovery.go
+++ b/pkg/dispatch/recovery.go
@@ -1,12 +1,10 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/pool"
-	"radishturn.example/radishturn/pkg/routing"
 )
 
 const (
@@ -30,11 +28,6 @@
 	return r.Share >= minRestartedShare && now.Before(r.Until) && rs.limited
 }
 
-// limitsConnections reports whether a table states how many connections targets accept.
-func limitsConnections(x *routing.Index) bool {
-	return x != nil && slices.ContainsFunc(x.Table.Services, func(s routing.Service) bool { return s.Connections > 0 })
-}
-
 // restrained reports whether this instance opens connections outside its subset only for
 // want of others: the fleet has restarted, and targets may still be at their limits. The
 // subsets of all instances together take half of what the targets accept.
--- a/pkg/dispatch/registry.go
+++ b/pkg/dispatch/registry.go
@@ -104,7 +104,7 @@
 	}
 	var added []*target
 	eligible := make(map[model.ServiceID][]*target)
-	next := &registryState{view: v, targets: make(map[model.TargetID]*target), services: make(map[model.ServiceID]serviceTargets), limited: limitsConnections(v.Routing)}
+	next := &registryState{view: v, targets: make(map[model.TargetID]*target), services: make(map[model.ServiceID]serviceTargets)}
 	for id, listed := range listedTargets(v.Catalog) {
 		t := old.targets[id]
 		if t == nil || t.Target != listed {
@@ -126,6 +126,7 @@
 	for service, targets := range eligible {
 		slices.SortFunc(targets, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
 		next.services[service] = r.applySubset(subsets, service, targets)
+		next.limited = next.limited || subsets.acceptedConnections(service) > 0
 	}
 	logListed(added, len(next.targets))
 	return next
--- a/pkg/exchange/exchangetest/connlimit.go
+++ b/pkg/exchange/exchangetest/connlimit.go
@@ -39,6 +39,13 @@
 	l.held[address] = append(l.held[address], heldConnections{n: n, until: time.Now().Add(d)})
 }
 
+// Release makes all targets count no connections of ended processes any more.
+func (l *ConnectionLimit) Release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.held)
+}
+
 // Resets returns when a target reset a connection.
 func (l *ConnectionLimit) Resets(address string) []time.Time {
 	l.mu.Lock()
