--- a/pkg/control/wire/wire.go
+++ b/pkg/control/wire/wire.go
@@ -154,6 +154,16 @@
 	// TrueTime is the leader's estimate of true time, since the start of 1970; 0 if it
 	// has none yet.
 	TrueTime time.Duration `cbor:"12,keyasint,omitempty"`
+	// Restarts is nil if no process has recently ended without returning its lease.
+	Restarts *Restarts `cbor:"13,keyasint,omitempty"`
+}
+
+// Restarts describes the processes that have recently ended without returning their lease.
+type Restarts struct {
+	// Share is the share of the instances with such a process, from 0 to 1.
+	Share float64 `cbor:"1,keyasint"`
+	// Left is how long targets may still count the connections of these processes.
+	Left time.Duration `cbor:"2,keyasint"`
 }
 
 // Release gives up a lease before it expires.
--- a/pkg/dispatch/firstrequest.go
+++ b/pkg/dispatch/firstrequest.go
@@ -54,7 +54,8 @@
 // awaitConnection waits until the first request is sent. It returns a *failure.Error if
 // the call must no longer be served.
 func (s *singleCall) awaitConnection(ctx context.Context, t *queue.Ticket, woken <-chan struct{}, now time.Duration) error {
-	until := s.waitUntil(now)
+	patience := s.patienceEnd(now)
+	until := s.extendWait(patience)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	s.wait.wakeAfter(nil)
@@ -67,6 +68,8 @@
 			return errNoConnection
 		case <-woken:
 		case <-timer.C:
+			// Targets may have begun to limit connections, or accept them again.
+			until = s.extendWait(patience)
 			if s.engine.now() < until {
 				s.wait.wakeAfter(nil)
 				continue
@@ -78,6 +81,7 @@
 		if s.send() {
 			return nil
 		}
+		until = s.extendWait(patience)
 		if s.engine.now() >= until {
 			return errNoConnection
 		}
@@ -87,9 +91,18 @@
 	}
 }
 
-// waitUntil returns until when the call waits for a connection: connectionWait, and not
-// past the share of its objective within which it should be refused.
-func (s *singleCall) waitUntil(now time.Duration) time.Duration {
+// extendWait returns until when a call waits for a connection that usually waits until
+// patienceEnd: as long as a reply is possible, while targets limit new connections.
+func (s *singleCall) extendWait(patienceEnd time.Duration) time.Duration {
+	if s.engine.current().limitsConnections(s.service, s.engine.now()) {
+		return max(patienceEnd, s.latestConnection())
+	}
+	return patienceEnd
+}
+
+// patienceEnd returns until when the call usually waits for a connection: connectionWait, and
+// not past the share of its objective within which it should be refused.
+func (s *singleCall) patienceEnd(now time.Duration) time.Duration {
 	until := min(now+connectionWait, s.deadline)
 	if by := s.engine.refuseBy(s.call, now); by > now {
 		until = min(until, by)
@@ -98,9 +111,10 @@
 }
 
 // nextTry returns when the call tries again at the latest: when some target may be used
-// again by the passing of time, or at the end of its wait.
+// again by the passing of time, at the end of its wait, or after connectionWait.
 func (s *singleCall) nextTry(until time.Duration) time.Duration {
 	now := s.engine.now()
+	until = min(until, now+connectionWait)
 	if at := s.engine.current().usableAt(s.service, now); at > now {
 		return min(until, at)
 	}
@@ -120,7 +134,7 @@
 		onTime = min(onTime, s.objectiveEnd())
 	}
 	return queue.Request{
-		Arrived: s.arrived, OnTimeStart: onTime - minDuration, LatestStart: s.deadline - minDuration, RefuseBy: s.waitUntil(now),
+		Arrived: s.arrived, OnTimeStart: onTime - minDuration, LatestStart: s.deadline - minDuration, RefuseBy: s.extendWait(s.patienceEnd(now)),
 		Priority: s.call.Priority, Kind: s.call.kind(), Work: s.trace.Usual, Caller: s.call.Caller,
 	}
 }
@@ -136,6 +150,7 @@
 
 // release records that the call has ended.
 func (s *singleCall) release() {
+	s.endFurtherWait()
 	if s.ticket != nil {
 		s.wait.end(s.ticket, s.connections())
 	}
--- a/pkg/dispatch/query.go
+++ b/pkg/dispatch/query.go
@@ -64,8 +64,8 @@
 	trace      Trace
 	// lateLogged is set once it is logged that the objective has passed.
 	lateLogged bool
-	// disconnects counts the connections that ended during a request.
-	disconnects int
+	// disconnected are the requests during which the connection ended.
+	disconnected sentRequests
 	// startQueue is set while the query is starting; startTicket is its ticket, and
 	// startLimit the limit of queries starting at a time that applied then.
 	startQueue  *startQueue
@@ -291,9 +291,11 @@
 			q.answer.Signatures = append(q.answer.Signatures, reply.Signature)
 			q.top.Add(reply.Body)
 		}
+	case r.noConnection():
+		q.run.RecordNoConnection(r.shard)
 	default:
 		if r.disconnected() {
-			q.disconnects++
+			q.disconnected = append(q.disconnected, r)
 		}
 		q.run.RecordFailure(r.shard, q.engine.now(), r.mayHaveRun)
 	}
--- a/pkg/dispatch/registry.go
+++ b/pkg/dispatch/registry.go
@@ -54,6 +54,8 @@
 	view     *view.View
 	targets  map[model.TargetID]*target
 	services map[model.ServiceID]serviceTargets
+	// limited is set if the table states how many connections targets accept.
+	limited bool
 }
 
 // serviceTargets divides the targets of a service. own is this instance's subset, to
@@ -90,7 +92,9 @@
 	// A newer view may have been put in force before the lock was held.
 	v := latest()
 	if state.view != v {
-		state = r.buildState(state, v)
+		old := state
+		state = r.buildState(old, v)
+		prepareForResets(r.shared.ResetGuard, old, state, time.Now())
 		r.current.Store(state)
 	}
 	return state
@@ -129,6 +133,7 @@
 	for service, targets := range eligible {
 		slices.SortFunc(targets, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
 		next.services[service] = r.applySubset(subsets, service, targets)
+		next.limited = next.limited || subsets.acceptedConnections(service) > 0
 	}
 	logListed(added, len(next.targets))
 	return next
@@ -219,6 +224,9 @@
 	fleetCosts map[model.TargetID]float64
 	// request is what is to be sent; nil if that does not matter.
 	request *exchange.Request
+	// ownFirst is set if a connection outside the subset is opened only if no other
+	// connection is available; see currentView.restrained.
+	ownFirst bool
 	// skip reports targets to leave out; nil for none.
 	skip func(*target) bool
 }
@@ -226,19 +234,26 @@
 // choose returns the target with the least expected cost, if there is one.
 func (r *registry) choose(state *registryState, c selection) choice {
 	var chosen chooser
-	consider := func(targets []*target, extra float64) {
+	consider := func(targets []*target, extra float64, opens bool) {
 		for _, t := range targets {
 			if c.skip != nil && c.skip(t) {
 				continue
 			}
-			if p, ok := r.price(t, c, t.pool.Availability()); ok {
+			connections := t.pool.Availability()
+			if !opens && connections != pool.Idle {
+				continue
+			}
+			if p, ok := r.price(t, c, connections); ok {
 				p.cost += extra
 				chosen.consider(t, p)
 			}
 		}
 	}
-	consider(state.services[c.service].own, 0)
-	consider(state.services[c.service].onDemand, onDemandCost)
+	consider(state.services[c.service].own, 0, true)
+	consider(state.services[c.service].onDemand, onDemandCost, !c.ownFirst)
+	if chosen.best == nil && c.ownFirst {
+		consider(state.services[c.service].onDemand, onDemandCost, true)
+	}
 	return chosen.choice()
 }
 
--- a/pkg/dispatch/shardwait.go
+++ b/pkg/dispatch/shardwait.go
@@ -19,12 +19,26 @@
 }
 
 // awaitShard has the query woken when a connection to a shard may be free. Until then, or
-// until another target may be used or connectionWait has passed, the shard is not tried
-// again.
+// until another target may be used or connectionWait has passed, or the targets' pause of new
+// connections if it is longer, the shard is not tried again.
 func (q *query) awaitShard(i int, service model.ServiceID, now time.Duration) {
-	if q.run.InFlight(i) || q.shardWaits[i] != nil {
+	current := q.engine.current()
+	pause := current.connectionWait(service, now)
+	if q.run.InFlight(i) || q.shardWaits[i] != nil && pause == 0 {
 		return
 	}
+	if q.shardWaits[i] == nil {
+		q.joinShard(i, service, now)
+	}
+	until := now + max(connectionWait, pause)
+	if at := current.usableAt(service, now); at > now {
+		until = min(until, at)
+	}
+	q.run.RecordWaiting(i, until)
+}
+
+// joinShard adds the query to those that wait for a connection to a shard.
+func (q *query) joinShard(i int, service model.ServiceID, now time.Duration) {
 	if q.shardWaits == nil {
 		q.shardWaits = make(map[int]*shardWait)
 	}
@@ -42,11 +56,6 @@
 		}
 	})
 	q.shardWaits[i] = w
-	until := now + connectionWait
-	if at := q.engine.current().usableAt(service, now); at > now {
-		until = min(until, at)
-	}
-	q.run.RecordWaiting(i, until)
 }
 
 // wakeShard lets a shard be tried again, and sends what is due. Then it wakes the next one
--- a/pkg/dispatch/single.go
+++ b/pkg/dispatch/single.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"radishturn.example/radishturn/pkg/exchange"
@@ -27,8 +26,6 @@
 	refusedRetryAfter = 150 * time.Millisecond
 )
 
-func isNotSent(err error) bool { return errors.Is(err, pool.ErrNotSent) }
-
 // singleCall is one call to one service in progress.
 type singleCall struct {
 	engine  *Engine
@@ -54,6 +51,9 @@
 	// request is sent.
 	wait   *connectionQueue
 	ticket *queue.Ticket
+	// furtherWait is set while no request is in flight since the targets accept no further
+	// connections.
+	furtherWait *furtherWait
 }
 
 // Forward sends a call to one target of the route's service and returns its reply.
@@ -77,6 +77,9 @@
 	if !e.current().hasUsableTarget(service, e.now()) {
 		return observe(c, s.refuse("find target", "no target of %s is usable", service))
 	}
+	if out, refused := s.refuseUnconnected(); refused {
+		return observe(c, out)
+	}
 	e.recordFirst(service)
 	e.logAdmitted(c, &s.trace)
 	out := s.loop(ctx)
@@ -114,6 +117,9 @@
 		if now >= s.deadline {
 			return s.timedOut("no reply before the deadline")
 		}
+		if out, done := s.tryFurther(now); done {
+			return out
+		}
 		timer.Reset(max(0, s.nextWakeup(now)-now))
 		select {
 		case <-ctx.Done():
@@ -129,6 +135,7 @@
 				s.abandon(0)
 				return out
 			}
+		case <-s.furtherWakeUp():
 		case <-timer.C:
 			s.logLate()
 			s.hedge()
@@ -141,8 +148,7 @@
 // work on it until half of deadlineMargin before the timeout of the call.
 func (s *singleCall) send() bool {
 	current, now := s.engine.current(), s.engine.now()
-	asked, _ := s.sent.targets()
-	chosen := s.engine.choose(s.call, current, s.service, now, len(asked) > 0, func(t *target) bool { return asked[t.ID] })
+	chosen := s.choose(current, now)
 	t := chosen.target
 	if t == nil {
 		return false
@@ -170,7 +176,7 @@
 // request against the retry budget if an earlier one may have arrived, and counts and
 // logs a denial by the budget.
 func (s *singleCall) takeFurtherRequest() bool {
-	if s.trace.Sent >= maxSingleRequests || s.sent.attempts() >= max(1, s.call.Route.MaxAttempts) {
+	if s.sent.requests() >= maxSingleRequests || s.sent.attempts() >= max(1, s.call.Route.MaxAttempts) {
 		return false
 	}
 	if s.sent.mayHaveRun() && !s.call.Route.Idempotent || s.engine.current().quarantines(s.call) || s.call.recheck() != nil {
@@ -196,21 +202,10 @@
 	if s.call.Route.Idempotent {
 		wakeup = min(wakeup, now+endedCheckInterval)
 	}
-	return wakeup
-}
-
-// objectiveEnd returns when the call's latency objective ends.
-func (s *singleCall) objectiveEnd() time.Duration {
-	return s.arrived + s.call.Route.Objective - s.call.Elapsed
-}
-
-// logLate logs, once per call, that the objective has passed.
-func (s *singleCall) logLate() {
-	if s.lateLogged || s.call.Route.Objective == 0 || s.engine.now() < s.objectiveEnd() {
-		return
+	if s.furtherWait != nil {
+		wakeup = min(wakeup, s.nextTry(s.latestConnection()))
 	}
-	s.lateLogged = true
-	s.engine.logLate(s.call, 1, []string{describeRequests(s.service, s.sent)})
+	return wakeup
 }
 
 // handleResult handles the result of a request. It reports whether the call has
@@ -245,6 +240,10 @@
 	if s.takeFurtherRequest() && s.send() {
 		return Outcome{}, false
 	}
+	if r.noConnection() {
+		s.awaitFurther()
+		return Outcome{}, false
+	}
 	return s.giveUp(), true
 }
 
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -127,6 +127,10 @@
 	CallersInForce     Number = 5102
 	RefusedByScheduler Number = 5131
 
+	TargetConnectionsLimited  Number = 5151
+	TargetConnectionsAccepted Number = 5152
+	FleetRestarted            Number = 5153
+
 	OrderOutcomeUnknown     Number = 6001
 	OrderClaimUnconfirmed   Number = 6002
 	OrderOutcomeNotRecorded Number = 6003
@@ -282,6 +286,10 @@
 	{CallersInForce, infoLevel, "accounts of the routing table are in force on this instance", []string{"version", "callers", "keys"}},
 	{RefusedByScheduler, infoLevel, "request of a caller refused while others were ahead of it", []string{"request", "route", "priority", "milliseconds", "waitMilliseconds", "ahead", "limit", "workMicroseconds", "workAgeMilliseconds", "retryMilliseconds"}},
 
+	{TargetConnectionsLimited, infoLevel, "target has reset a new connection; new ones are opened one at a time", []string{"target", "pauseMilliseconds", "error"}},
+	{TargetConnectionsAccepted, infoLevel, "target accepts new connections again", []string{"target"}},
+	{FleetRestarted, warnLevel, "many instances have restarted without returning their leases", []string{"share", "milliseconds"}},
+
 	{OrderOutcomeUnknown, warnLevel, "outcome of an order is unknown", []string{"request", "error"}},
 	{OrderClaimUnconfirmed, warnLevel, "claim of an order could not be confirmed", []string{"request", "error"}},
 	{OrderOutcomeNotRecorded, warnLevel, "outcome of an order could not be recorded", []string{"request", "error"}},
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -4,7 +4,6 @@
 package pool
 
 import (
-	"bufio"
 	"errors"
 	"net"
 	"slices"
@@ -32,6 +31,11 @@
 // used.
 var errClosedUnused = errors.New("new connection was closed before use")
 
+// ErrNoCapacity means that the target reset a connection that had carried no reply, as it
+// does above its connection limit. It says nothing about the target's health. Unless the
+// error also wraps ErrNotSent, the request may have run.
+var ErrNoCapacity = errors.New("target accepts no further connections")
+
 // DialFunc opens a connection to an address within a timeout.
 type DialFunc func(address string, timeout time.Duration) (net.Conn, error)
 
@@ -91,6 +95,8 @@
 	open    map[*conn]bool
 	// opening counts connections being opened.
 	opening int
+	// limiter decides when new connections may be opened.
+	limiter openLimiter
 	closed  bool
 	// outgoing is the bytes of long requests that are being written.
 	outgoing      int
@@ -172,22 +178,20 @@
 		delete(p.open, c)
 		go c.fail(ErrNotSent)
 	}
-	if p.closed || len(p.open)+p.opening >= p.limit {
+	if !p.canOpen(now) {
 		return nil, false
 	}
-	p.opening++
+	p.beginOpening()
 	return nil, true
 }
 
 func (p *Pool) startOnNewConnection(a *Attempt) {
-	c, err := p.dial()
+	c, err := p.openConnection()
 	if err != nil {
 		p.releaseRequest(a)
-		p.resetGuard.recordError(err)
 		a.Done(Result{Err: connectError(p.target, p.address, err)})
 		return
 	}
-	p.resetGuard.waitForReset()
 	if err := a.unwanted(); err != nil {
 		p.release(c)
 		p.releaseRequest(a)
@@ -196,20 +200,20 @@
 	}
 	if !c.start(a) {
 		p.releaseRequest(a)
-		a.Done(Result{Err: connectError(p.target, p.address, errClosedUnused)})
+		a.Done(Result{Err: connectError(p.target, p.address, c.endedUnused())})
 	}
 }
 
 // Preconnect opens a connection before the first request if the pool has none.
 func (p *Pool) Preconnect() error {
 	p.mu.Lock()
-	if p.closed || len(p.open)+p.opening > 0 || p.limit == 0 {
+	if len(p.open)+p.opening > 0 || !p.canOpen(time.Now()) {
 		p.mu.Unlock()
 		return nil
 	}
-	p.opening++
+	p.beginOpening()
 	p.mu.Unlock()
-	c, err := p.dial()
+	c, err := p.openConnection()
 	if err != nil {
 		return connectError(p.target, p.address, err)
 	}
@@ -217,36 +221,6 @@
 	return nil
 }
 
-// dial opens a connection; the caller has already incremented opening.
-func (p *Pool) dial() (*conn, error) {
-	p.opened.Inc()
-	raw, err := p.dialTarget(p.address, connectTimeout)
-	c, err := p.dialed(raw, err)
-	if err != nil {
-		p.freed()
-	}
-	return c, err
-}
-
-// dialed adds a connection that was opened, or records that none was.
-func (p *Pool) dialed(raw net.Conn, err error) (*conn, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.opening--
-	if err != nil {
-		return nil, err
-	}
-	if p.closed {
-		_ = raw.Close()
-		return nil, net.ErrClosed
-	}
-	reader := &replyReader{conn: raw}
-	c := &conn{pool: p, net: raw, reader: reader, br: bufio.NewReaderSize(reader, readBufferBytes)}
-	p.open[c] = true
-	go c.readLoop()
-	return c, nil
-}
-
 func (p *Pool) release(c *conn) {
 	p.mu.Lock()
 	surplus := p.closed || len(p.open) > p.limit
@@ -273,6 +247,11 @@
 		p.mu.Lock()
 		i := slices.Index(p.idle, c)
 		expired := i >= 0 && c.uses.Load() == used
+		if expired && p.limiter.limited() {
+			// The target would accept no other connection in its place.
+			p.expireIdle(c)
+			expired = false
+		}
 		if expired {
 			p.idle = slices.Delete(p.idle, i, i+1)
 		}
@@ -315,17 +294,24 @@
 		return Full
 	case len(p.idle) > 0:
 		return Idle
-	case len(p.open)+p.opening < p.limit:
+	case p.canOpen(time.Now()):
 		return CanOpen
 	}
 	return Full
 }
 
-// Connections returns the number of open connections.
+// Connections returns the number of open connections, without those that still wait for a
+// reset.
 func (p *Pool) Connections() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.open)
+	n := 0
+	for c := range p.open {
+		if c.trial.ended.Load() {
+			n++
+		}
+	}
+	return n
 }
 
 // probeTimeout bounds the probe of RefusesConnections.
