--- a/pkg/dispatch/capacity.go
+++ b/pkg/dispatch/capacity.go
@@ -30,7 +30,7 @@
 // it accepted new connections, which are limited since it has reset one.
 func (rs *registryState) limitsConnections(service model.ServiceID, now time.Duration) bool {
 	limited := func(t *target) bool {
-		_, usable := t.cost(now)
+		_, _, usable := t.cost(now)
 		return usable && t.pool.OpenPause() > 0
 	}
 	s := rs.services[service]
@@ -45,7 +45,7 @@
 	var least time.Duration
 	for _, targets := range [][]*target{s.own, s.onDemand} {
 		for _, t := range targets {
-			if _, usable := t.cost(now); !usable {
+			if _, _, usable := t.cost(now); !usable {
 				continue
 			}
 			left := t.pool.OpenPause()
--- a/pkg/dispatch/connectionqueue_test.go
+++ b/pkg/dispatch/connectionqueue_test.go
@@ -15,7 +15,9 @@
 	"radishturn.example/radishturn/pkg/exchange/exchangetest"
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/model"
+	"radishturn.example/radishturn/pkg/query/queue"
 	"radishturn.example/radishturn/pkg/routing"
+	"radishturn.example/radishturn/pkg/view"
 )
 
 // call starts a call that may be changed first, and delivers its outcome.
@@ -154,3 +156,75 @@
 	g.Expect(refusals.Get()).To(Equal(refusedBefore + 1))
 	g.Expect(late.Get()).To(Equal(lateBefore + 1))
 }
+
+// A call that found a connection while its ticket was refused ended a ticket that had never
+// started: its work then counted from the start of the process, and later calls were refused
+// for it.
+func TestCallRefusedWhileItFindsAConnectionCountsFromThen(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Hour
+	w := newConnectionQueues(func() time.Duration { return now }).of("s")
+	request := func() queue.Request {
+		return queue.Request{Arrived: now, OnTimeStart: now + time.Second, LatestStart: now + 8*time.Second, RefuseBy: now + connectionWait, Kind: "r"}
+	}
+	other := w.pass(1, request())
+	waiting := request()
+	waiting.LatestStart = now + 10*time.Millisecond
+	ticket, _, _ := w.join(1, waiting, func() {})
+	now += 20 * time.Millisecond
+	w.end(other, 1)
+	g.Expect(ticket.Refused).To(BeTrue())
+	left := w.leave(ticket, 1, true)
+	g.Expect(w.queue.Starting()).To(Equal(1))
+	now += 30 * time.Millisecond
+	w.end(left, 1)
+	g.Expect(w.queue.Starting()).To(BeZero())
+	work, _ := w.work(ticket)
+	g.Expect(work).To(BeNumerically("<", connectionWait))
+}
+
+// A connection that was freed after the query had looked for one, and before it was in the
+// queue, was not used for 60 ms.
+func TestConnectionFreedBeforeAQueryWaitsForItIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f, free := withoutConnections(t, nil)
+		c := &Call{Request: &exchange.Request{ID: "q", Method: "GET"}, Route: longQuery("s"), Arrived: time.Now(), Timeout: 8 * time.Second}
+		f.engine.prepare(c)
+		q := f.engine.newQuery(c)
+		now := f.engine.now()
+		g.Expect(q.trySend(0, now)).To(BeFalse())
+		free()
+		q.awaitShard(0, now)
+		g.Expect(q.run.InFlight(0)).To(BeTrue())
+		g.Expect(f.engine.connectionQueues.waiting.Load()).To(BeZero())
+		q.handleResult(<-q.results)
+		g.Expect(q.run.Parts()).To(Equal(1))
+	})
+}
+
+// Requests that wait were not tried again for 60 ms when a target might be used again.
+func TestWaitingRequestIsSentOnceAnAvailabilityZoneIsUsedAgain(t *testing.T) {
+	for name, route := range map[string]*routing.Route{"call": longRoute(false), "query": longQuery("s")} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f := newMemoryFixture(t)
+				f.add("s", "a", nil)
+				f.add("s", "b", nil)
+				f.publish(func(v *view.View) { delete(v.Catalog.Targets, "i-0") })
+				f.engine.registryState()
+				f.publish(func(v *view.View) { v.Evacuated = map[model.AvailabilityZoneID]bool{"b": true} })
+				f.engine.registryState().targets["i-0"].pool.SetLimit(0, 0)
+				began := time.Now()
+				out := f.call(route, "q", nil)
+				time.AfterFunc(7*time.Millisecond, func() {
+					f.publish(func(v *view.View) { delete(v.Catalog.Targets, "i-0") })
+					f.engine.registryState()
+				})
+				g.Expect((<-out).Err).To(BeNil())
+				g.Expect(time.Since(began)).To(Equal(7 * time.Millisecond))
+			})
+		})
+	}
+}
--- a/pkg/dispatch/shardwait.go
+++ b/pkg/dispatch/shardwait.go
@@ -21,14 +21,18 @@
 // awaitShard has the query woken when a connection to a shard may be free. Until then, or
 // until another target may be used or connectionWait has passed, or the targets' pause of new
 // connections if it is longer, the shard is not tried again.
-func (q *query) awaitShard(i int, service model.ServiceID, now time.Duration) {
-	current := q.engine.current()
+func (q *query) awaitShard(i int, now time.Duration) {
+	current, service := q.engine.current(), q.call.Route.Fanout.Shards[i]
 	pause := current.connectionWait(service, now)
 	if q.run.InFlight(i) || q.shardWaits[i] != nil && pause == 0 {
 		return
 	}
 	if q.shardWaits[i] == nil {
 		q.joinShard(i, service, now)
+		// A connection that was freed before the query joined the queue has not woken it.
+		if current.anyConnection(service) && q.trySend(i, now) {
+			return
+		}
 	}
 	until := now + max(connectionWait, pause)
 	if at := current.usableAt(service, now); at > now {
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -48,7 +48,6 @@
 	sent := e.now()
 	usual := call.stats.usual()
 	move, moving := current.moveOf(t.Service)
-	reused := t.pool.Availability() == pool.Idle
 	a := &pool.Attempt{
 		Request:   call.Request,
 		Params:    exchange.TargetParams{Target: t.ID, Timeout: timeout},
@@ -58,7 +57,7 @@
 		now := e.now()
 		t.recordResult(now, sent, usual, timeout, r).log(t.ID, r.Err)
 		e.recordUsage(call, now-sent, r)
-		e.learnCompletion(call.stats, t, now, sent, reused, r)
+		e.learnCompletion(call.stats, t, now, sent, a.Reused(), r)
 		e.recordCost(t.ID, observedCost(r, now-sent, usual))
 		if moving {
 			e.recordVersionOutcome(call, t, move, r, now-sent)
@@ -203,14 +202,14 @@
 }
 
 // cost returns the expected cost of another request, or false if the target must not
-// get one.
-func (t *target) cost(now time.Duration) (float64, bool) {
+// get one. paced is set if the target reports its pace.
+func (t *target) cost(now time.Duration) (cost float64, paced, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.wrongTarget || t.Leaving || !t.notice.allows(now) || t.health.unreachable(now) || !t.coldAllowed(now) {
-		return 0, false
+		return 0, false, false
 	}
-	return t.health.cost(now), true
+	return t.health.cost(now), t.health.expected.Known(), true
 }
 
 // usableAt returns when the target may get a request again by the passing of time; 0 if
