--- a/pkg/dispatch/registry.go
+++ b/pkg/dispatch/registry.go
@@ -211,23 +211,6 @@
 	return p
 }
 
-// boundOnDemandIdle bounds the idle on-demand connections by what the services that routes
-// name leave for them.
-func (r *registry) boundOnDemandIdle(s subsetter, eligible map[model.ServiceID][]*target) {
-	if s.view.Routing == nil {
-		return
-	}
-	room := 0.0
-	for service := range s.view.Routing.Table.RoutedServices() {
-		if n := len(eligible[service]); n > 0 {
-			if left, fits := s.restartRoom(service, n); fits {
-				room += left
-			}
-		}
-	}
-	r.onDemandIdle.SetLimit(int(room))
-}
-
 func (r *registry) requestPreconnect(t *target) {
 	select {
 	case r.preconnects <- t:
--- a/pkg/dispatch/subset.go
+++ b/pkg/dispatch/subset.go
@@ -178,3 +178,20 @@
 	}
 	return s.Connections
 }
+
+// boundOnDemandIdle bounds the idle on-demand connections by what the services that routes
+// name leave for them.
+func (r *registry) boundOnDemandIdle(s subsetter, eligible map[model.ServiceID][]*target) {
+	if s.view.Routing == nil {
+		return
+	}
+	room := 0.0
+	for service := range s.view.Routing.Table.RoutedServices() {
+		if n := len(eligible[service]); n > 0 {
+			if left, fits := s.restartRoom(service, n); fits {
+				room += left
+			}
+		}
+	}
+	r.onDemandIdle.SetLimit(int(room))
+}
--- a/pkg/pool/conn.go
+++ b/pkg/pool/conn.go
@@ -11,7 +11,6 @@
 
 	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/membudget"
-	"radishturn.example/radishturn/pkg/model"
 )
 
 const (
@@ -346,8 +345,3 @@
 	defer c.mu.Unlock()
 	return !c.closed && !c.receiving && c.attempt == nil && (c.usableUntil.IsZero() || now.Before(c.usableUntil))
 }
-
-// connectError returns err, a failure to connect, wrapped with ErrNotSent.
-func connectError(id model.TargetID, address string, err error) error {
-	return fmt.Errorf("connect to %s at %s: %w: %w", id, address, ErrNotSent, err)
-}
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -4,54 +4,23 @@
 package pool
 
 import (
-	"bufio"
 	"errors"
-	"net"
 	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"golang.org/x/sys/unix"
 
 	"radishturn.example/radishturn/pkg/exchange"
 	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/model"
 )
 
-const (
-	// connectTimeout bounds the time to open a connection.
-	connectTimeout = time.Second
-	// tcpUserTimeout is the TCP_USER_TIMEOUT: how long sent data may remain
-	// unacknowledged before the connection counts as lost.
-	tcpUserTimeout = 2 * time.Second
-)
-
 // errClosedUnused means that the target closed a new connection before it was
 // used.
 var errClosedUnused = errors.New("new connection was closed before use")
 
-// DialFunc opens a connection to an address within a timeout.
-type DialFunc func(address string, timeout time.Duration) (net.Conn, error)
-
-// DialTCP opens a TCP connection.
-func DialTCP(address string, timeout time.Duration) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: setTCPUserTimeout}
-	return dialer.Dial("tcp4", address)
-}
-
-func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var option error
-	err := raw.Control(func(fd uintptr) {
-		option = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return option
-}
-
 // Shared is what the pools of an instance have in common.
 type Shared struct {
 	Codec exchange.Codec
@@ -232,36 +201,6 @@
 	return nil
 }
 
-// dial opens a connection; the caller has already incremented opening.
-func (p *Pool) dial() (*conn, error) {
-	p.opened.Inc()
-	raw, err := p.dialTarget(p.address, connectTimeout)
-	c, err := p.dialed(raw, err)
-	if err != nil {
-		p.freed()
-	}
-	return c, err
-}
-
-// dialed adds a connection that was opened, or records that none was.
-func (p *Pool) dialed(raw net.Conn, err error) (*conn, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.opening--
-	if err != nil {
-		return nil, err
-	}
-	if p.closed {
-		_ = raw.Close()
-		return nil, net.ErrClosed
-	}
-	reader := &replyReader{conn: raw}
-	c := &conn{pool: p, net: raw, reader: reader, br: bufio.NewReaderSize(reader, readBufferBytes)}
-	p.open[c] = true
-	go c.readLoop()
-	return c, nil
-}
-
 func (p *Pool) release(c *conn) {
 	p.mu.Lock()
 	surplus := p.closed || len(p.open) > p.limit
