consensus: heartbeats do not have entries under way sent again

Entries that were sent now count as under way for the time that they take at 1 MiB/s, ten election timeouts at most; until then heartbeats name no entry, and a probe is answered only by an acknowledgement of what it carried. Small entries arrive within a heartbeat's interval, for them nothing changes.

--- a/pkg/consensus/leader.go
+++ b/pkg/consensus/leader.go
@@ -9,6 +9,10 @@
 // for the reply to a snapshot before it resends it.
 const snapshotRetryTimeouts = 10
 
+// maxTransferTimeouts is the number of election timeouts after which entries that were
+// sent and not acknowledged count as lost, however many they are.
+const maxTransferTimeouts = 10
+
 // Propose appends commands to the leader's log and returns the term and the index
 // of the first one; the others have consecutive indexes.
 func (r *Raft) Propose(now time.Duration, commands [][]byte) (term, first uint64, err error) {
@@ -91,13 +95,19 @@
 }
 
 // heartbeat renews the lease and detects lost messages: it names the entry before
-// next, so a member that lacks this entry rejects the request and is probed again.
+// next, so a member that lacks this entry rejects the request and is probed again. While
+// entries are on their way it names none, since it may overtake them, and the member would
+// be sent the same entries again and again.
 func (r *Raft) heartbeat(now time.Duration, m Member, p *progress) {
-	p.paused = false
 	if p.state == installing {
 		r.heartbeatDuringSnapshot(now, m, p)
 		return
 	}
+	if p.underWay(now) {
+		r.sendEarly(Message{To: m, Append: &AppendRequest{SentAt: now}})
+		return
+	}
+	p.paused = false
 	if p.state == probing {
 		r.replicate(now, m, p)
 		return
@@ -126,8 +136,15 @@
 	r.sendEarly(Message{To: m, Append: &AppendRequest{
 		PrevIndex: prev, PrevTerm: prevTerm, Entries: entries, Commit: r.commit, SentAt: now,
 	}})
+	if len(entries) > 0 {
+		p.recordSent(now, r.transferTime(entries), maxTransferTimeouts*r.cfg.ElectionTimeout)
+	}
 	if p.state == probing {
 		p.paused = true
+		p.probeLast = 0
+		if len(entries) > 0 {
+			p.probeLast = entries[len(entries)-1].Index
+		}
 		return
 	}
 	if len(entries) > 0 {
@@ -136,6 +153,16 @@
 	}
 }
 
+// transferTime returns how long entries take to a member at the slowest pace at which they
+// do not count as lost.
+func (r *Raft) transferTime(entries []Entry) time.Duration {
+	bytes := 0
+	for _, e := range entries {
+		bytes += e.size()
+	}
+	return time.Duration(float64(bytes) / float64(r.cfg.MinTransferRate) * float64(time.Second))
+}
+
 func (r *Raft) sendSnapshot(now time.Duration, m Member, p *progress) {
 	p.state = installing
 	p.snapshotSentAt = now
@@ -155,7 +182,7 @@
 		return
 	}
 	advanced := p.recordAck(reply.Index)
-	if p.state == probing && reply.Index+1 >= p.next || p.state == installing && reply.Index >= r.log.base && reply.Index > 0 {
+	if p.answersProbe(reply.Index) || p.state == installing && reply.Index >= r.log.base && reply.Index > 0 {
 		p.stream()
 	}
 	if advanced {
--- a/pkg/consensus/progress.go
+++ b/pkg/consensus/progress.go
@@ -37,13 +37,28 @@
 	ackedAt time.Duration
 	// snapshotSentAt is when the last snapshot was sent.
 	snapshotSentAt time.Duration
+	// arriveBy is until when the entries that were sent are assumed to be on their way. A
+	// heartbeat may overtake them.
+	arriveBy time.Duration
+	// probeLast is the last index of the entries in the current probe, 0 without any.
+	probeLast uint64
 }
 
+// recordSent records that entries were sent which take a time to arrive, up to limit from
+// now on with those before.
+func (p *progress) recordSent(now, transfer, limit time.Duration) {
+	p.arriveBy = min(max(now, p.arriveBy)+transfer, now+limit)
+}
+
+// underWay reports whether entries are on their way to the member.
+func (p *progress) underWay(now time.Duration) bool { return now < p.arriveBy }
+
 func (p *progress) probe(next uint64) {
 	p.state = probing
 	p.next = max(next, p.match+1)
 	p.paused = false
 	p.inFlight = nil
+	p.arriveBy, p.probeLast = 0, 0
 }
 
 func (p *progress) stream() {
@@ -51,6 +66,12 @@
 	p.next = p.match + 1
 	p.paused = false
 	p.inFlight = nil
+	p.arriveBy, p.probeLast = 0, 0
+}
+
+// answersProbe reports whether an acknowledgement up to index answers the current probe.
+func (p *progress) answersProbe(index uint64) bool {
+	return p.state == probing && index+1 >= p.next && index >= p.probeLast
 }
 
 // recordAck records that the member's log is durable up to index, and reports
@@ -62,6 +83,9 @@
 	}
 	p.match = index
 	p.next = max(p.next, index+1)
+	if p.state == streaming && len(p.inFlight) == 0 {
+		p.arriveBy = 0
+	}
 	return true
 }
 
--- a/pkg/consensus/raft.go
+++ b/pkg/consensus/raft.go
@@ -13,6 +13,9 @@
 	// after which a follower campaigns; the maximum is a quarter more.
 	ElectionTimeout time.Duration
 	Heartbeat       time.Duration
+	// MinTransferRate is the rate, in bytes per second, at which entries reach a member at
+	// least. Entries that take longer are sent again.
+	MinTransferRate int
 	// MaxAppendBytes limits the size of the entries in one message.
 	MaxAppendBytes int
 	// Window limits the unacknowledged messages with entries per member.
@@ -25,15 +28,19 @@
 
 // Defaults for zero fields of a Config.
 const (
-	DefaultMaxAppendBytes = 1 << 20
-	DefaultWindow         = 32
-	DefaultMaxUncommitted = 1 << 14
+	DefaultMaxAppendBytes  = 1 << 20
+	DefaultMinTransferRate = 1 << 20
+	DefaultWindow          = 32
+	DefaultMaxUncommitted  = 1 << 14
 )
 
 // jitterDivisor sets the election jitter: up to ElectionTimeout/jitterDivisor.
 const jitterDivisor = 4
 
 func (c *Config) setDefaults() {
+	if c.MinTransferRate == 0 {
+		c.MinTransferRate = DefaultMinTransferRate
+	}
 	if c.MaxAppendBytes == 0 {
 		c.MaxAppendBytes = DefaultMaxAppendBytes
 	}
--- a/pkg/consensus/simulation_test.go
+++ b/pkg/consensus/simulation_test.go
@@ -18,7 +18,9 @@
 	maxClockDrift        = 0.03
 	testSnapshotInterval = 20
 	testSnapshotKeep     = 5
-	maxPending           = 400
+	// slowTransferRate is a few entries in a heartbeat.
+	slowTransferRate = 4 << 10
+	maxPending       = 400
 	// spares is the number of instances outside the initial group.
 	spares = 2
 )
@@ -62,6 +64,9 @@
 	blocked     map[[2]model.InstanceID]bool
 	diskCount   int
 	faults      bool
+	// transferRate is slow enough in half of the simulations that heartbeats overtake
+	// entries.
+	transferRate int
 
 	// leaders holds the leader of each term.
 	leaders map[uint64]Member
@@ -79,13 +84,14 @@
 
 func newSimulation(seed uint64, voters int) *simulation {
 	sim := &simulation{
-		rand:        rand.New(rand.NewPCG(seed, seed)),
-		blocked:     make(map[[2]model.InstanceID]bool),
-		leaders:     make(map[uint64]Member),
-		entries:     make(map[position]string),
-		applied:     make(map[uint64]position),
-		stateHashes: make(map[uint64]uint64),
-		faults:      true,
+		transferRate: []int{DefaultMinTransferRate, slowTransferRate}[seed%2],
+		rand:         rand.New(rand.NewPCG(seed, seed)),
+		blocked:      make(map[[2]model.InstanceID]bool),
+		leaders:      make(map[uint64]Member),
+		entries:      make(map[position]string),
+		applied:      make(map[uint64]position),
+		stateHashes:  make(map[uint64]uint64),
+		faults:       true,
 	}
 	for i := range voters {
 		sim.nodes = append(sim.nodes, &node{member: sim.newMember(model.InstanceID(rune('a' + i)))})
@@ -125,6 +131,7 @@
 		Heartbeat:       testHeartbeat,
 		MaxAppendBytes:  256,
 		Window:          4,
+		MinTransferRate: sim.transferRate,
 		Jitter: func(limit time.Duration) time.Duration {
 			return time.Duration(sim.rand.Int64N(int64(limit)))
 		},
