--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -5,8 +5,8 @@
 // It is meant for targets that stall independently of each other for longer than
 // the latency objective, so that with many shards nearly every query meets a
 // stalled target. A hedge is sent once a request is overdue, as measured by the
-// usual latency or by what is expected of its target, and the end of the latency objective ends the wait for the
-// remaining shards.
+// usual latency or by what is expected of its target, and the end of the latency
+// objective ends the wait for the remaining shards.
 //
 // A part is the reply of one shard, a list of records. pkg/query and pkg/fanout
 // have other terms for the same things: a shard corresponds to a leaf there, a
--- a/pkg/httpserver/guarded_request.go
+++ b/pkg/httpserver/guarded_request.go
@@ -99,8 +99,8 @@
 }
 
 // deadlineWriter limits the time in which an answer of HTTP/2 is taken, from its
-// beginning on, by its stated length. Flow control can hold a write back that the connection's deadline does
-// not see.
+// beginning on, by its stated length. Flow control can hold a write back that the
+// connection's deadline does not see.
 type deadlineWriter struct {
 	http.ResponseWriter
 	once sync.Once
--- a/pkg/query/expected/expected.go
+++ b/pkg/query/expected/expected.go
@@ -43,8 +43,8 @@
 	// and queue explain.
 	pace, residual usual
 	// lateness is the moving average, as of lastEnd, of the ratio of late replies to the
-	// explained latency, less 1; 0 without late replies. lastRatio is the last such ratio, and lastEnd when
-	// its result arrived.
+	// explained latency, less 1; 0 without late replies. lastRatio is the last such ratio,
+	// and lastEnd when its result arrived.
 	lateness, lastRatio float64
 	lastEnd             time.Duration
 }
--- a/pkg/statusline/conn.go
+++ b/pkg/statusline/conn.go
@@ -26,8 +26,9 @@
 const maxLineBytes = prefixBytes + len(" \n")
 
 // Conn is a client's connection that carries one request at a time. It checks the status
-// line of the reply to each request. A malformed reply is replaced by bytes that no HTTP client accepts, since an error before
-// the first byte would make net/http send the request again.
+// line of the reply to each request. A malformed reply is replaced by bytes that no HTTP
+// client accepts, since an error before the first byte would make net/http send the
+// request again.
 type Conn struct {
 	net.Conn
 	// requested is set when a request begins, and cleared when its reply does.
