REPLICA: a missing leader is logged with each voter's answer

A VoteReply now states why a vote is refused, and a voter that hears a leader replies instead of staying silent. Such a reply has the sender's own term, so that it changes nothing at a receiver of this or of an earlier build. RT3016 tells after a second without a leader, and then ever more rarely, what the member believes in and what each voter answered; two metrics go with it.

--- a/pkg/consensus/election.go
+++ b/pkg/consensus/election.go
@@ -28,6 +28,7 @@
 	}
 	r.lastLeaderContact = now
 	r.electionAttempts = 0
+	r.answers = nil
 	r.resetElectionDeadline(now)
 }
 
@@ -85,8 +86,12 @@
 
 func (r *Raft) requestVotes(term uint64, v VoteRequest) {
 	v.LastIndex, v.LastTerm = r.log.lastIndex(), r.log.lastTerm()
+	if r.answers == nil {
+		r.answers = make(voteAnswers)
+	}
 	for _, m := range r.membership.Voters {
 		if m != r.cfg.Self {
+			r.answers.recordRequest(m)
 			r.send(Message{To: m, Term: term, Vote: &v})
 		}
 	}
@@ -109,26 +114,55 @@
 	// Leader lease: a member that heard from the leader within the election
 	// timeout ignores the request and does not adopt the higher term.
 	if !m.Vote.Transfer && r.hasRecentLeader(now) {
+		r.refuseInSenderTerm(m, RecentLeader)
 		return
 	}
 	if m.Vote.Pre {
 		granted := m.Term > r.term && r.isUpToDate(m.Vote)
-		term := r.term
-		if granted {
-			term = m.Term
+		reply, term := &VoteReply{Granted: granted, Pre: true}, m.Term
+		if !granted {
+			reply.Refusal, term = r.refusal(m), r.term
 		}
-		r.send(Message{To: m.From, Term: term, VoteReply: &VoteReply{Granted: granted, Pre: true}})
+		r.send(Message{To: m.From, Term: term, VoteReply: reply})
 		return
 	}
 	if m.Term > r.term {
 		r.becomeFollower(now, m.Term, Member{})
 	}
 	granted := m.Term == r.term && r.canVoteFor(m.From) && r.isUpToDate(m.Vote)
+	reply := &VoteReply{Granted: granted}
 	if granted {
 		r.vote = m.From
 		r.resetElectionDeadline(now)
+	} else {
+		reply.Refusal = r.refusal(m)
+	}
+	r.send(Message{To: m.From, VoteReply: reply})
+}
+
+// refusal returns why the vote that m requests is not granted.
+func (r *Raft) refusal(m Message) Refusal {
+	switch {
+	case m.Term < r.term || m.Vote.Pre && m.Term == r.term:
+		return OlderTerm
+	case !r.isUpToDate(m.Vote):
+		return LogBehind
+	}
+	return VotedForOther
+}
+
+// refuseInSenderTerm tells the sender of a vote request why it is ignored. The reply
+// has the sender's term, not the one of this member: it must not change the sender's
+// state.
+func (r *Raft) refuseInSenderTerm(m Message, why Refusal) {
+	term := m.Term
+	if m.Vote.Pre {
+		term--
+	}
+	if term == 0 {
+		return // send would fill in this member's term
 	}
-	r.send(Message{To: m.From, VoteReply: &VoteReply{Granted: granted}})
+	r.send(Message{To: m.From, Term: term, VoteReply: &VoteReply{Pre: m.Vote.Pre, Refusal: why}})
 }
 
 // hasRecentLeader reports whether this member is the leader or has heard from one
@@ -185,6 +219,7 @@
 	r.role = Leader
 	r.leader = r.cfg.Self
 	r.votes = nil
+	r.answers = nil
 	r.leaderSince = now
 	r.transferee = Member{}
 	r.progress = make(map[Member]*progress)
--- a/pkg/consensus/message.go
+++ b/pkg/consensus/message.go
@@ -38,6 +38,40 @@
 type VoteReply struct {
 	Granted bool `cbor:"1,keyasint,omitempty"`
 	Pre     bool `cbor:"2,keyasint,omitempty"`
+	// Refusal says why the vote was not granted. It is only recorded; no decision
+	// depends on it.
+	Refusal Refusal `cbor:"3,keyasint,omitempty"`
+}
+
+// Refusal is the reason for which a member does not grant a vote.
+type Refusal uint8
+
+// Reasons of a refusal.
+const (
+	// RefusalUnknown is the reason of members that do not state one.
+	RefusalUnknown Refusal = iota
+	// RecentLeader means that the member has heard from a leader within the election
+	// timeout, or has started within it.
+	RecentLeader
+	// LogBehind means that the candidate lacks entries that the member has.
+	LogBehind
+	// VotedForOther means that the member has voted for another candidate in this term,
+	// or knows its leader.
+	VotedForOther
+	// OlderTerm means that the member has seen a higher term than the candidate's.
+	OlderTerm
+	// OtherGroup means that the candidate belongs to another group.
+	OtherGroup
+)
+
+var refusalTexts = [...]string{"unknown", "recent leader", "log behind", "voted for another", "older term", "other group"}
+
+// String returns the reason as text.
+func (r Refusal) String() string {
+	if int(r) < len(refusalTexts) {
+		return refusalTexts[r]
+	}
+	return refusalTexts[RefusalUnknown]
 }
 
 // AppendRequest carries entries, or none as a heartbeat.
--- a/pkg/consensus/raft.go
+++ b/pkg/consensus/raft.go
@@ -109,6 +109,8 @@
 	stepTime, stepEnd time.Duration
 
 	votes map[Member]bool
+	// answers are those to the vote requests since the last contact with a leader.
+	answers voteAnswers
 	// transferRequested is set if the leader requested the current election.
 	transferRequested bool
 
@@ -201,7 +203,16 @@
 
 // Step handles a received message. Messages may be lost, duplicated and reordered.
 func (r *Raft) Step(now time.Duration, m Message) {
-	if m.To != r.cfg.Self || m.From == r.cfg.Self || r.isFromOtherGroup(m) {
+	if m.To != r.cfg.Self || m.From == r.cfg.Self {
+		return
+	}
+	if m.VoteReply != nil {
+		r.answers.recordReply(m)
+	}
+	if r.isFromOtherGroup(m) {
+		if m.Vote != nil {
+			r.refuseInSenderTerm(m, OtherGroup)
+		}
 		return
 	}
 	if m.Vote != nil {
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -54,6 +54,7 @@
 	ReplicaNotInGroup      Number = 3013
 	DataFolderOccupied     Number = 3014
 	MemberPromoted         Number = 3015
+	NoLeader               Number = 3016
 	LeaderReady            Number = 3101
 	LeaderNotReady         Number = 3102
 
@@ -211,6 +212,7 @@
 	{ReplicaNotInGroup, warnLevel, "this disk is not a member of the control group", []string{"disk"}},
 	{DataFolderOccupied, errorLevel, "data folder is in use by another process", []string{"folder"}},
 	{MemberPromoted, infoLevel, "learner promoted to voter", []string{"member"}},
+	{NoLeader, warnLevel, "no leader of the control group is known", []string{"self", "role", "term", "milliseconds", "canCampaign", "lastIndex", "lastTerm", "voters", "learners", "answers"}},
 	{LeaderReady, infoLevel, "leader is ready to serve", []string{"term"}},
 	{LeaderNotReady, warnLevel, "leader is not ready to serve yet", []string{"term", "error"}},
 	{MembershipChanging, infoLevel, "membership change of the control group started", []string{"old", "new", "reason"}},
--- a/pkg/replica/metrics.go
+++ b/pkg/replica/metrics.go
@@ -1,9 +1,12 @@
 package replica
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"radishturn.example/radishturn/pkg/consensus"
 )
 
 // nodeMetrics are the metrics of one process; a process has one node.
@@ -16,6 +19,8 @@
 	leadershipLosses *metrics.Counter
 	snapshots        *metrics.Counter
 	droppedMessages  *metrics.Counter
+	// withoutLeader is for how many seconds no leader has been known.
+	withoutLeader *metrics.Gauge
 }
 
 func newMetrics() *nodeMetrics {
@@ -27,6 +32,16 @@
 		leadershipLosses: metrics.GetOrCreateCounter("radishturn_control_leadership_losses_total"),
 		snapshots:        metrics.GetOrCreateCounter("radishturn_control_snapshots_total"),
 		droppedMessages:  metrics.GetOrCreateCounter("radishturn_control_messages_dropped_total"),
+		withoutLeader:    metrics.GetOrCreateGauge("radishturn_control_seconds_without_leader", nil),
+	}
+}
+
+// countRefusals counts the refused votes among messages of peers by their reason.
+func (m *nodeMetrics) countRefusals(messages []consensus.Message) {
+	for _, message := range messages {
+		if reply := message.VoteReply; reply != nil && !reply.Granted {
+			metrics.GetOrCreateCounter(fmt.Sprintf("radishturn_control_votes_refused_total{reason=%q}", reply.Refusal)).Inc()
+		}
 	}
 }
 
--- a/pkg/replica/node.go
+++ b/pkg/replica/node.go
@@ -98,6 +98,8 @@
 	leaderLeaseUntil atomic.Int64
 	// reported is the state that the latest log events describe.
 	reported reportedState
+	// leaderless spaces the events about a missing leader.
+	leaderless events.Recurrence
 }
 
 var _ Group = (*Node)(nil)
@@ -221,6 +223,7 @@
 
 func (n *Node) handleMessages(messages []consensus.Message) {
 	now := n.options.Clock()
+	n.metrics.countRefusals(messages)
 	for _, m := range messages {
 		n.raft.Step(now, m)
 	}
--- a/pkg/replica/status.go
+++ b/pkg/replica/status.go
@@ -42,6 +42,7 @@
 		Learners: s.Membership.Learners,
 	})
 	n.report(s)
+	n.reportMissingLeader(now, s)
 }
 
 func roleOf(s consensus.Status, self Member) Role {
