--- a/pkg/consensus/status.go
+++ b/pkg/consensus/status.go
@@ -11,13 +11,20 @@
 	Membership Membership
 	// Snapshot is the index of the newest durable snapshot.
 	Snapshot uint64
+	// TermStart is the index of the first entry of the leader's term. It is 0 at other
+	// members.
+	TermStart uint64
 }
 
 // Status returns the current state.
 func (r *Raft) Status() Status {
-	return Status{
+	s := Status{
 		Role: r.role, Term: r.term, Leader: r.leader,
 		Commit: r.commit, Applied: r.applied, LastIndex: r.log.lastIndex(),
 		Membership: r.membership.clone(), Snapshot: r.snapshot.Index,
 	}
+	if r.role == Leader {
+		s.TermStart = r.termStart
+	}
+	return s
 }
--- a/pkg/control/server/module.go
+++ b/pkg/control/server/module.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -181,7 +182,7 @@
 func (s *Server) activeTerm() (*leaderTerm, error) {
 	status := s.group.Status()
 	if !s.group.IsLeader() {
-		return nil, failure.New(failure.NotLeader, failure.NotRun, "lead", string(status.Leader.Instance), "%s does not lead", s.mesh.Self())
+		return nil, failure.New(failure.NotLeader, failure.NotRun, "lead", string(status.Leader.Instance), "%s does not lead: %s", s.mesh.Self(), notLeading(status))
 	}
 	s.mu.Lock()
 	current := s.currentTerm
@@ -192,6 +193,19 @@
 	return current, nil
 }
 
+// notLeading returns why a member without a leader lease does not lead.
+func notLeading(status replica.Status) string {
+	switch {
+	case status.Role == replica.RoleLeader && status.Applied < status.TermStart:
+		return "it is elected, and has not applied the entries of earlier terms"
+	case status.Role == replica.RoleLeader:
+		return "it is elected, and holds no lease"
+	case status.Leader.Instance != "":
+		return fmt.Sprintf("it follows %s", status.Leader.Instance)
+	}
+	return "it knows no leader"
+}
+
 // Reload updates the instances that may lead.
 func (s *Server) Reload(next *settings.Settings) error {
 	s.mu.Lock()
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -47,6 +47,9 @@
 	Applied  uint64   `json:"applied"`
 	Voters   []Member `json:"voters"`
 	Learners []Member `json:"learners"`
+	// TermStart is the index of the first entry of the term at the leader, 0 elsewhere. The
+	// leader has the entries of earlier leaders once it has applied this one.
+	TermStart uint64 `json:"termStart,omitempty"`
 }
 
 // Group is the group of members that replicates the log, as one instance accesses
--- a/pkg/replica/status.go
+++ b/pkg/replica/status.go
@@ -40,6 +40,8 @@
 		Applied:  s.Applied,
 		Voters:   s.Membership.Voters,
 		Learners: s.Membership.Learners,
+
+		TermStart: s.TermStart,
 	})
 	n.report(s)
 	n.reportMissingLeader(now, s)
