REPLICA: the leader says how many more voters may be lost

The new spec stops one of three voters, expects one RT3017 that names it, and one RT3018 after its return; it passes.

--- a/pkg/cli/process_status.go
+++ b/pkg/cli/process_status.go
@@ -39,6 +39,7 @@
 	if c := s.Control; c != nil {
 		printf(w, "leader %s, term %d, commit %d, %d voters, %d learners, %d instances", c.Member.Leader.Instance,
 			c.Member.Term, c.Member.Commit, len(c.Member.Voters), len(c.Member.Learners), c.Instances)
+		renderLossesTolerated(w, &c.Member)
 		printf(w, "routing table %d", c.TableVersion)
 		if l := c.Leader; l != nil {
 			printf(w, "leads: %d leases, %d targets listed (change %d), %d dear", l.Leases, l.CatalogTargets, l.CatalogSequence, l.HighCostTargets)
--- a/pkg/cli/status.go
+++ b/pkg/cli/status.go
@@ -84,6 +84,7 @@
 	if s.Control != nil {
 		printf(w, "leader %s, term %d, commit %d, %d voters, %d learners", s.Control.Leader.Instance,
 			s.Control.Term, s.Control.Commit, len(s.Control.Voters), len(s.Control.Learners))
+		renderLossesTolerated(w, s.Control)
 	}
 	printf(w, "INSTANCE\tZONE\tADDRESS\tLEASE LEFT\tREVISION")
 	for _, h := range s.Holders {
@@ -92,6 +93,12 @@
 	}
 }
 
+func renderLossesTolerated(w *tabwriter.Writer, s *replica.Status) {
+	if s.LossesTolerated != nil {
+		printf(w, "%d more voters may be lost before nothing can be changed", *s.LossesTolerated)
+	}
+}
+
 func membersCommand(o *options) *cobra.Command {
 	command := &cobra.Command{Use: "members", Short: "Manage the members of the control group"}
 	command.AddCommand(
--- a/pkg/consensus/membership.go
+++ b/pkg/consensus/membership.go
@@ -62,6 +62,25 @@
 	return active
 }
 
+// LossesTolerated returns how many of the voters that replied within the election timeout
+// may be lost before the group has no majority. It is negative without a majority, and 0
+// if this member is not the leader.
+func (r *Raft) LossesTolerated(now time.Duration) int {
+	if r.role != Leader {
+		return 0
+	}
+	return r.activeVoters(now, r.membership) - r.membership.quorum()
+}
+
+// SilentVoters returns the voters that have not replied to this leader within the election
+// timeout.
+func (r *Raft) SilentVoters(now time.Duration) []Member {
+	if r.role != Leader {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(r.membership.Voters), func(m Member) bool { return r.isActive(now, m) })
+}
+
 func (r *Raft) isActive(now time.Duration, m Member) bool {
 	p := r.progress[m]
 	return m == r.cfg.Self || p != nil && now-p.ackedAt < r.cfg.ElectionTimeout
--- a/pkg/consensus/types.go
+++ b/pkg/consensus/types.go
@@ -51,6 +51,9 @@
 // Contains reports whether member is a voter or a learner.
 func (m Membership) Contains(member Member) bool { return m.IsVoter(member) || m.IsLearner(member) }
 
+// LossesTolerated returns how many voters may be lost if all of them work.
+func (m Membership) LossesTolerated() int { return len(m.Voters) - m.quorum() }
+
 func (m Membership) quorum() int { return len(m.Voters)/2 + 1 }
 
 func (m Membership) clone() Membership {
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -55,6 +55,8 @@
 	DataFolderOccupied     Number = 3014
 	MemberPromoted         Number = 3015
 	NoLeader               Number = 3016
+	LossesToleratedFell    Number = 3017
+	LossesToleratedUsual   Number = 3018
 	LeaderReady            Number = 3101
 	LeaderNotReady         Number = 3102
 
@@ -213,6 +215,8 @@
 	{DataFolderOccupied, errorLevel, "data folder is in use by another process", []string{"folder"}},
 	{MemberPromoted, infoLevel, "learner promoted to voter", []string{"member"}},
 	{NoLeader, warnLevel, "no leader of the control group is known", []string{"self", "role", "term", "milliseconds", "canCampaign", "lastIndex", "lastTerm", "voters", "learners", "answers"}},
+	{LossesToleratedFell, warnLevel, "control group tolerates the loss of fewer voters than usual", []string{"tolerated", "usual", "voters", "silent", "learners"}},
+	{LossesToleratedUsual, infoLevel, "control group tolerates the loss of as many voters as usual", []string{"tolerated", "voters"}},
 	{LeaderReady, infoLevel, "leader is ready to serve", []string{"term"}},
 	{LeaderNotReady, warnLevel, "leader is not ready to serve yet", []string{"term", "error"}},
 	{MembershipChanging, infoLevel, "membership change of the control group started", []string{"old", "new", "reason"}},
--- /dev/null
+++ b/pkg/replica/losses_test.go
@@ -0,0 +1,38 @@
+package replica_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"radishturn.example/radishturn/pkg/events"
+	"radishturn.example/radishturn/pkg/model"
+)
+
+var _ = Describe("A leader", Serial, func() {
+	// Guards against a group that is one loss away from standing still without a sign of it.
+	It("logs how many more voters may be lost, once when it falls and once when it recovers", func() {
+		log := collectEvents()
+		g := newGroup("a", "b", "c")
+		g.start("a", "b", "c")
+		g.propose("c0")
+		leader := g.leader().Status().Self
+		var silent model.InstanceID
+		for id := range g.members {
+			if id != leader.Instance {
+				silent = id
+			}
+		}
+		stopped := g.members[silent].Status().Self
+		g.stop(silent)
+		Eventually(func() []map[string]any { return log.with(events.LossesToleratedFell) }, waitTimeout, heartbeat).Should(HaveLen(1))
+		Expect(log.with(events.LossesToleratedFell)[0]).To(And(
+			HaveKeyWithValue("tolerated", BeEquivalentTo(0)),
+			HaveKeyWithValue("usual", BeEquivalentTo(1)),
+			HaveKeyWithValue("silent", ConsistOf(stopped.String())),
+		))
+		Expect(*g.leader().Status().LossesTolerated).To(Equal(0))
+		g.start(silent)
+		Eventually(func() []map[string]any { return log.with(events.LossesToleratedUsual) }, waitTimeout, heartbeat).Should(HaveLen(1))
+		Expect(log.with(events.LossesToleratedFell)).To(HaveLen(1))
+	})
+})
--- a/pkg/replica/metrics.go
+++ b/pkg/replica/metrics.go
@@ -21,6 +21,8 @@
 	droppedMessages  *metrics.Counter
 	// withoutLeader is for how many seconds no leader has been known.
 	withoutLeader *metrics.Gauge
+	// lossesTolerated is NaN unless this member is the leader.
+	lossesTolerated *metrics.Gauge
 }
 
 func newMetrics() *nodeMetrics {
@@ -32,6 +34,7 @@
 		leadershipLosses: metrics.GetOrCreateCounter("radishturn_control_leadership_losses_total"),
 		snapshots:        metrics.GetOrCreateCounter("radishturn_control_snapshots_total"),
 		droppedMessages:  metrics.GetOrCreateCounter("radishturn_control_messages_dropped_total"),
+		lossesTolerated:  metrics.GetOrCreateGauge("radishturn_control_losses_tolerated", nil),
 		withoutLeader:    metrics.GetOrCreateGauge("radishturn_control_seconds_without_leader", nil),
 	}
 }
--- a/pkg/replica/node.go
+++ b/pkg/replica/node.go
@@ -100,6 +100,8 @@
 	reported reportedState
 	// leaderless spaces the events about a missing leader.
 	leaderless events.Recurrence
+	// lossLog spaces the events about the losses of voters that the group tolerates.
+	lossLog lossLog
 }
 
 var _ Group = (*Node)(nil)
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -50,6 +50,9 @@
 	// TermStart is the index of the first entry of the term at the leader, 0 elsewhere. The
 	// leader has the entries of earlier leaders once it has applied this one.
 	TermStart uint64 `json:"termStart,omitempty"`
+	// LossesTolerated is how many of the voters that answer the leader may be lost before
+	// the group has no majority. It is nil at other members.
+	LossesTolerated *int `json:"lossesTolerated,omitempty"`
 }
 
 // Group is the group of members that replicates the log, as one instance accesses
--- a/pkg/replica/status.go
+++ b/pkg/replica/status.go
@@ -41,10 +41,12 @@
 		Voters:   s.Membership.Voters,
 		Learners: s.Membership.Learners,
 
-		TermStart: s.TermStart,
+		TermStart:       s.TermStart,
+		LossesTolerated: n.lossesTolerated(now, s),
 	})
 	n.report(s)
 	n.reportMissingLeader(now, s)
+	n.reportLossesTolerated(now, s)
 }
 
 func roleOf(s consensus.Status, self Member) Role {
