--- a/pkg/consensus/membership.go
+++ b/pkg/consensus/membership.go
@@ -109,6 +109,39 @@
 	return Change{}, false
 }
 
+// hasCaughtUp reports whether a learner has enough of the log to become a voter.
+func (r *Raft) hasCaughtUp(m Member) bool {
+	p := r.progress[m]
+	return p != nil && p.state == streaming && p.match+maxPromotionLag >= r.log.lastIndex()
+}
+
+// LearnerProgress is how far a learner has come.
+type LearnerProgress struct {
+	Member Member
+	// Index is the last index that it has acknowledged.
+	Index uint64
+	// CaughtUp reports whether it may become a voter.
+	CaughtUp bool
+	// ReceivesSnapshot is set while it is sent a snapshot, not entries.
+	ReceivesSnapshot bool
+}
+
+// LearnerProgress returns the progress of each learner, and nothing if this member is not
+// the leader.
+func (r *Raft) LearnerProgress() []LearnerProgress {
+	if r.role != Leader {
+		return nil
+	}
+	var all []LearnerProgress
+	for _, m := range r.membership.Learners {
+		p := r.progress[m]
+		all = append(all, LearnerProgress{
+			Member: m, Index: p.match, CaughtUp: r.hasCaughtUp(m), ReceivesSnapshot: p.state == installing,
+		})
+	}
+	return all
+}
+
 // membershipAfter returns the membership that results from change.
 func (r *Raft) membershipAfter(change Change) (Membership, error) {
 	next := r.membership.clone()
@@ -123,7 +156,7 @@
 		if !next.IsLearner(m) {
 			return next, ErrNotMember
 		}
-		if r.progress[m].match+maxPromotionLag < r.log.lastIndex() || r.progress[m].state != streaming {
+		if !r.hasCaughtUp(m) {
 			return next, ErrNotCaughtUp
 		}
 		next.Learners = removeMember(next.Learners, m)
--- a/pkg/control/server/leader_term.go
+++ b/pkg/control/server/leader_term.go
@@ -44,6 +44,8 @@
 	// a membership change is in progress.
 	offers   map[model.InstanceID]reconfig.Offer
 	changing atomic.Bool
+	// learnerLog spaces the events about learners that have not caught up.
+	learnerLog learnerLog
 	// catalog is the list of targets that the leader distributes to instances.
 	catalog *catalog.Catalog
 	// refusedTargets logs targets that the catalog does not take.
@@ -60,7 +62,7 @@
 
 func newLeaderTerm(s *Server, term uint64) *leaderTerm {
 	n := &leaderTerm{Server: s, term: term, started: s.now(), warmth: grant.NewWarmUp(), catalog: catalog.New(term), costs: catalog.NewCostTracker(term),
-		refusedTargets: events.NewErrorLog(events.PlatformEntryInvalid), offers: make(map[model.InstanceID]reconfig.Offer), lags: make(lags), removing: make(map[model.InstanceID]bool)}
+		refusedTargets: events.NewErrorLog(events.PlatformEntryInvalid), offers: make(map[model.InstanceID]reconfig.Offer), lags: make(lags), learnerLog: make(learnerLog), removing: make(map[model.InstanceID]bool)}
 	var known []table.KnownInstance
 	s.machine.Read(func(st *state.State) {
 		n.clock = st.Clock()
--- a/pkg/control/server/offers.go
+++ b/pkg/control/server/offers.go
@@ -8,6 +8,7 @@
 	"radishturn.example/radishturn/pkg/control/wire"
 	"radishturn.example/radishturn/pkg/events"
 	"radishturn.example/radishturn/pkg/reconfig"
+	"radishturn.example/radishturn/pkg/replica"
 )
 
 const (
@@ -28,16 +29,11 @@
 
 // reconcileMembers starts the next membership change unless one is in progress.
 func (n *leaderTerm) reconcileMembers(ctx context.Context) {
+	n.logLearners()
 	if n.changing.Load() {
 		return
 	}
-	status := n.group.Status()
-	n.termMu.Lock()
-	change := reconfig.Decide(n.now(), reconfig.Input{
-		Voters: status.Voters, Learners: status.Learners,
-		DesiredVoters: n.settings.Control.Voters, Offers: n.offers, ListeningSince: n.started,
-	})
-	n.termMu.Unlock()
+	change := n.decideChange()
 	if change.Kind == reconfig.None {
 		return
 	}
@@ -48,6 +44,31 @@
 	}()
 }
 
+func (n *leaderTerm) decideChange() reconfig.Change {
+	status := n.group.Status()
+	n.termMu.Lock()
+	defer n.termMu.Unlock()
+	return reconfig.Decide(n.now(), n.decisionInput(status))
+}
+
+// decisionInput returns the input of a decision on members. The caller holds termMu.
+func (n *leaderTerm) decisionInput(status replica.Status) reconfig.Input {
+	return reconfig.Input{
+		Voters: status.Voters, Learners: status.Learners,
+		DesiredVoters: n.settings.Control.Voters, Offers: n.offers, ListeningSince: n.started,
+	}
+}
+
+// logLearners writes events for learners that have not caught up.
+func (n *leaderTerm) logLearners() {
+	status := n.group.Status()
+	now := n.now()
+	n.termMu.Lock()
+	defer n.termMu.Unlock()
+	waiting := reconfig.VotersToReplace(now, n.decisionInput(status))
+	n.learnerLog.observe(now, status, waiting)
+}
+
 // runChange makes one membership change and emits events for its start and its
 // failure.
 func (n *leaderTerm) runChange(ctx context.Context, c reconfig.Change) {
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -70,6 +70,7 @@
 	ChangeAnswered         Number = 3110
 	EvacuationApplied      Number = 3111
 	TableRead              Number = 3112
+	LearnerBehind          Number = 3113
 
 	DutyAcquired    Number = 3201
 	DutyNotAcquired Number = 3202
@@ -229,6 +230,7 @@
 	{ChangeAnswered, infoLevel, "operator's call for a change answered", []string{"call", "milliseconds", "error"}},
 	{EvacuationApplied, infoLevel, "command of an evacuation applied", []string{"availabilityZone", "evacuated", "call", "index", "refusal"}},
 	{TableRead, infoLevel, "routing table read for an operator", []string{"version", "milliseconds", "error"}},
+	{LearnerBehind, warnLevel, "learner has not caught up", []string{"learner", "index", "leaderIndex", "receives", "idleMilliseconds", "milliseconds", "replaces"}},
 
 	{DutyAcquired, infoLevel, "duty acquired", []string{"duty", "token", "term"}},
 	{DutyNotAcquired, warnLevel, "duty cannot be acquired", []string{"duty", "term", "error"}},
--- a/pkg/reconfig/reconfig.go
+++ b/pkg/reconfig/reconfig.go
@@ -108,6 +108,30 @@
 	return Change{}, false
 }
 
+// VoterToReplace is a voter that should give its place to another member.
+type VoterToReplace struct {
+	Voter  Member
+	Reason string
+}
+
+// VotersToReplace returns the voters that should be replaced: first those whose disk was
+// replaced, then those that timed out, then those that leave.
+func VotersToReplace(now time.Duration, g Input) []VoterToReplace {
+	var newDisk, timedOut, leaving []VoterToReplace
+	for _, v := range g.Voters {
+		o := g.Offers[v.Instance]
+		switch {
+		case now-max(o.ReceivedAt, g.ListeningSince) > VoterTimeout:
+			timedOut = append(timedOut, VoterToReplace{v, "the voter timed out"})
+		case o.Member.Instance != "" && o.Member != v:
+			newDisk = append(newDisk, VoterToReplace{v, "the disk of the voter was replaced"})
+		case o.Leaving:
+			leaving = append(leaving, VoterToReplace{v, "the voter is leaving"})
+		}
+	}
+	return slices.Concat(newDisk, timedOut, leaving)
+}
+
 // replaceLostVoter replaces a voter that timed out or is leaving by an eligible member.
 func replaceLostVoter(now time.Duration, g Input) (Change, bool) {
 	replacement, ok := eligibleMember(now, g)
--- a/pkg/replica/node.go
+++ b/pkg/replica/node.go
@@ -100,6 +100,7 @@
 	reported reportedState
 	// leaderless spaces the events about a missing leader.
 	leaderless events.Recurrence
+	learners   learnerTracker
 	// lossLog spaces the events about the losses of voters that the group tolerates.
 	lossLog lossLog
 }
@@ -128,6 +129,7 @@
 		snapshots: make(chan writtenSnapshot, 1),
 		stopped:   make(chan struct{}),
 		waiters:   make(waiters),
+		learners:  make(learnerTracker),
 		metrics:   newMetrics(),
 	}
 	if err := n.restore(restored, started); err != nil {
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -47,6 +47,10 @@
 	Applied  uint64   `json:"applied"`
 	Voters   []Member `json:"voters"`
 	Learners []Member `json:"learners"`
+	// LastIndex is the index of the last entry in this member's log.
+	LastIndex uint64 `json:"lastIndex"`
+	// LearnerProgress has an element for each learner at the leader, and none elsewhere.
+	LearnerProgress []LearnerProgress `json:"learnerProgress,omitempty"`
 	// TermStart is the index of the first entry of the term at the leader, 0 elsewhere. The
 	// leader has the entries of earlier leaders once it has applied this one.
 	TermStart uint64 `json:"termStart,omitempty"`
@@ -55,6 +59,19 @@
 	LossesTolerated *int `json:"lossesTolerated,omitempty"`
 }
 
+// LearnerProgress is how far a learner has come, as the leader knows it.
+type LearnerProgress struct {
+	Member Member `json:"member"`
+	// Index is the last index that the learner has acknowledged.
+	Index uint64 `json:"index"`
+	// CaughtUp reports whether it may become a voter.
+	CaughtUp bool `json:"caughtUp"`
+	// ReceivesSnapshot is set while it is sent a snapshot, not entries.
+	ReceivesSnapshot bool `json:"receivesSnapshot"`
+	// IdleMilliseconds is the time since Index last advanced.
+	IdleMilliseconds int64 `json:"idleMilliseconds"`
+}
+
 // Group is the group of members that replicates the log, as one instance accesses
 // it: it accepts commands, changes the members and reports the status.
 type Group interface {
--- a/pkg/replica/status.go
+++ b/pkg/replica/status.go
@@ -41,6 +41,8 @@
 		Voters:   s.Membership.Voters,
 		Learners: s.Membership.Learners,
 
+		LastIndex:       s.LastIndex,
+		LearnerProgress: n.learners.observe(now, n.raft.LearnerProgress()),
 		TermStart:       s.TermStart,
 		LossesTolerated: n.lossesTolerated(now, s),
 	})
