--- a/pkg/consensus/membership.go
+++ b/pkg/consensus/membership.go
@@ -62,6 +62,25 @@
 	return active
 }
 
+// LossesTolerated returns how many of the voters that replied within the election timeout
+// may be lost before the group has no majority. It is negative without a majority, and 0
+// if this member is not the leader.
+func (r *Raft) LossesTolerated(now time.Duration) int {
+	if r.role != Leader {
+		return 0
+	}
+	return r.activeVoters(now, r.membership) - r.membership.quorum()
+}
+
+// SilentVoters returns the voters that have not replied to this leader within the election
+// timeout.
+func (r *Raft) SilentVoters(now time.Duration) []Member {
+	if r.role != Leader {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(r.membership.Voters), func(m Member) bool { return r.isActive(now, m) })
+}
+
 func (r *Raft) isActive(now time.Duration, m Member) bool {
 	p := r.progress[m]
 	return m == r.cfg.Self || p != nil && now-p.ackedAt < r.cfg.ElectionTimeout
@@ -90,6 +109,39 @@
 	return Change{}, false
 }
 
+// hasCaughtUp reports whether a learner has enough of the log to become a voter.
+func (r *Raft) hasCaughtUp(m Member) bool {
+	p := r.progress[m]
+	return p != nil && p.state == streaming && p.match+maxPromotionLag >= r.log.lastIndex()
+}
+
+// LearnerProgress is how far a learner has come.
+type LearnerProgress struct {
+	Member Member
+	// Index is the last index that it has acknowledged.
+	Index uint64
+	// CaughtUp reports whether it may become a voter.
+	CaughtUp bool
+	// ReceivesSnapshot is set while it is sent a snapshot, not entries.
+	ReceivesSnapshot bool
+}
+
+// LearnerProgress returns the progress of each learner, and nothing if this member is not
+// the leader.
+func (r *Raft) LearnerProgress() []LearnerProgress {
+	if r.role != Leader {
+		return nil
+	}
+	var all []LearnerProgress
+	for _, m := range r.membership.Learners {
+		p := r.progress[m]
+		all = append(all, LearnerProgress{
+			Member: m, Index: p.match, CaughtUp: r.hasCaughtUp(m), ReceivesSnapshot: p.state == installing,
+		})
+	}
+	return all
+}
+
 // membershipAfter returns the membership that results from change.
 func (r *Raft) membershipAfter(change Change) (Membership, error) {
 	next := r.membership.clone()
@@ -104,7 +156,7 @@
 		if !next.IsLearner(m) {
 			return next, ErrNotMember
 		}
-		if r.progress[m].match+maxPromotionLag < r.log.lastIndex() || r.progress[m].state != streaming {
+		if !r.hasCaughtUp(m) {
 			return next, ErrNotCaughtUp
 		}
 		next.Learners = removeMember(next.Learners, m)
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -54,6 +54,9 @@
 	ReplicaNotInGroup      Number = 3013
 	DataFolderOccupied     Number = 3014
 	MemberPromoted         Number = 3015
+	NoLeader               Number = 3016
+	LossesToleratedFell    Number = 3017
+	LossesToleratedUsual   Number = 3018
 	LeaderReady            Number = 3101
 	LeaderNotReady         Number = 3102
 
@@ -67,6 +70,7 @@
 	ChangeAnswered         Number = 3110
 	EvacuationApplied      Number = 3111
 	TableRead              Number = 3112
+	LearnerBehind          Number = 3113
 
 	DutyAcquired    Number = 3201
 	DutyNotAcquired Number = 3202
@@ -211,6 +215,9 @@
 	{ReplicaNotInGroup, warnLevel, "this disk is not a member of the control group", []string{"disk"}},
 	{DataFolderOccupied, errorLevel, "data folder is in use by another process", []string{"folder"}},
 	{MemberPromoted, infoLevel, "learner promoted to voter", []string{"member"}},
+	{NoLeader, warnLevel, "no leader of the control group is known", []string{"self", "role", "term", "milliseconds", "canCampaign", "lastIndex", "lastTerm", "voters", "learners", "answers"}},
+	{LossesToleratedFell, warnLevel, "control group tolerates the loss of fewer voters than usual", []string{"tolerated", "usual", "voters", "silent", "learners"}},
+	{LossesToleratedUsual, infoLevel, "control group tolerates the loss of as many voters as usual", []string{"tolerated", "voters"}},
 	{LeaderReady, infoLevel, "leader is ready to serve", []string{"term"}},
 	{LeaderNotReady, warnLevel, "leader is not ready to serve yet", []string{"term", "error"}},
 	{MembershipChanging, infoLevel, "membership change of the control group started", []string{"old", "new", "reason"}},
@@ -223,6 +230,7 @@
 	{ChangeAnswered, infoLevel, "operator's call for a change answered", []string{"call", "milliseconds", "error"}},
 	{EvacuationApplied, infoLevel, "command of an evacuation applied", []string{"availabilityZone", "evacuated", "call", "index", "refusal"}},
 	{TableRead, infoLevel, "routing table read for an operator", []string{"version", "milliseconds", "error"}},
+	{LearnerBehind, warnLevel, "learner has not caught up", []string{"learner", "index", "leaderIndex", "receives", "idleMilliseconds", "milliseconds", "replaces"}},
 
 	{DutyAcquired, infoLevel, "duty acquired", []string{"duty", "token", "term"}},
 	{DutyNotAcquired, warnLevel, "duty cannot be acquired", []string{"duty", "term", "error"}},
--- a/pkg/replica/node.go
+++ b/pkg/replica/node.go
@@ -98,6 +98,11 @@
 	leaderLeaseUntil atomic.Int64
 	// reported is the state that the latest log events describe.
 	reported reportedState
+	// leaderless spaces the events about a missing leader.
+	leaderless events.Recurrence
+	learners   learnerTracker
+	// lossLog spaces the events about the losses of voters that the group tolerates.
+	lossLog lossLog
 }
 
 var _ Group = (*Node)(nil)
@@ -124,6 +129,7 @@
 		snapshots: make(chan writtenSnapshot, 1),
 		stopped:   make(chan struct{}),
 		waiters:   make(waiters),
+		learners:  make(learnerTracker),
 		metrics:   newMetrics(),
 	}
 	if err := n.restore(restored, started); err != nil {
@@ -221,6 +227,7 @@
 
 func (n *Node) handleMessages(messages []consensus.Message) {
 	now := n.options.Clock()
+	n.metrics.countRefusals(messages)
 	for _, m := range messages {
 		n.raft.Step(now, m)
 	}
--- a/pkg/replica/status.go
+++ b/pkg/replica/status.go
@@ -40,8 +40,15 @@
 		Applied:  s.Applied,
 		Voters:   s.Membership.Voters,
 		Learners: s.Membership.Learners,
+
+		LastIndex:       s.LastIndex,
+		LearnerProgress: n.learners.observe(now, n.raft.LearnerProgress()),
+		TermStart:       s.TermStart,
+		LossesTolerated: n.lossesTolerated(now, s),
 	})
 	n.report(s)
+	n.reportMissingLeader(now, s)
+	n.reportLossesTolerated(now, s)
 }
 
 func roleOf(s consensus.Status, self Member) Role {
