Soak: a process is started once the former one has exited

The run started the next one after a fixed time; on a disk with syncs of 10 s, three control members then ended with status 1, "listen udp: bind: address already in use" (RT1004), and the run reported processes that ended by themselves. The start now waits for the exit of the former process, as a supervisor does.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -76,6 +76,7 @@
 
 	mu          sync.Mutex
 	process     *exec.Cmd
+	exited      chan struct{}
 	keepRunning bool
 	starts      int
 }
@@ -157,6 +158,7 @@
 // start starts the process and restarts it whenever it exits, as a supervisor
 // does.
 func (n *instance) start() {
+	n.awaitExit()
 	file := filepath.Join(n.fleet.folder, n.ip+".conf")
 	n.fleet.must(os.WriteFile(file, []byte(n.settings()), 0o600))
 	log, err := os.OpenFile(filepath.Join(n.fleet.folder, n.ip+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -168,11 +170,13 @@
 	defer n.mu.Unlock()
 	n.keepRunning = true
 	n.fleet.must(p.Start())
-	n.process = p
+	exited := make(chan struct{})
+	n.process, n.exited = p, exited
 	n.starts++
 	ended := n.fleet.checker.contact.started(n)
 	go func() {
 		_ = p.Wait()
+		close(exited)
 		_ = log.Close()
 		if !ended() {
 			n.fleet.addFinding("the process of %s ended by itself: %s", n.ip, p.ProcessState)
@@ -187,6 +191,17 @@
 	}()
 }
 
+// awaitExit waits until the process that was started last has exited. A killed process
+// keeps its ports until a sync of its journal has returned.
+func (n *instance) awaitExit() {
+	n.mu.Lock()
+	exited := n.exited
+	n.mu.Unlock()
+	if exited != nil {
+		<-exited
+	}
+}
+
 // signal sends a signal to the instance's current process.
 func (n *instance) signal(s syscall.Signal) {
 	n.mu.Lock()
