--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 capacity: build
 	go test -tags proofs -count=1 -timeout 30m -v ./proofs -ginkgo.label-filter=capacity
 
-# SOAK_SEED, SOAK_SEEDS, SOAK_SECONDS and SOAK_LOGS set what is run; see docs/SOAK.md.
+# SOAK_SEED, SOAK_SEEDS, SOAK_SECONDS, SOAK_LOGS and SOAK_NETWORK set what is run; see docs/SOAK.md.
 soak: build
 	mkdir -p $(BIN)/keys
 	test -f $(BIN)/keys/authority.key || $(BIN)/radishturn keys init $(BIN)/keys
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -104,7 +105,7 @@
 		f.startTarget("orders", zone)
 	}
 	for i := range controlCount + entryCount {
-		n := &instance{fleet: f, ip: fmt.Sprintf("127.0.1.%d", i+1), member: i < controlCount, bootstrap: true}
+		n := &instance{fleet: f, ip: instanceIP(i), member: i < controlCount, bootstrap: true}
 		f.instances = append(f.instances, n)
 		n.start()
 	}
@@ -112,6 +113,12 @@
 	return f
 }
 
+// instanceIP returns the address of an instance. SOAK_NETWORK is the first three numbers
+// of all addresses, which runs at the same time must not share.
+func instanceIP(index int) string {
+	return fmt.Sprintf("%s.%d", cmp.Or(os.Getenv("SOAK_NETWORK"), "127.0.1"), index+1)
+}
+
 func (f *fleet) stopAll() {
 	for _, n := range f.instances {
 		n.stop()
@@ -135,7 +142,7 @@
 	set("ip-address", n.ip)
 	set("zone", n.zone())
 	set("internal-port-range", fmt.Sprintf("%d,%d", meshPort, meshPort+10))
-	set("seeds", fmt.Sprintf("127.0.1.1:%d,127.0.1.2:%d,127.0.1.3:%d", controlPort, controlPort, controlPort))
+	set("seeds", fmt.Sprintf("%s:%d,%s:%d,%s:%d", instanceIP(0), controlPort, instanceIP(1), controlPort, instanceIP(2), controlPort))
 	set("bootstrap", fmt.Sprint(n.bootstrap))
 	set("fault-tolerance.machines", "2")
 	set("bounds.drain-ms", "3000")
