--- a/soak/routes_test.go
+++ b/soak/routes_test.go
@@ -39,6 +39,16 @@
 	return text
 }
 
+// fixedRoutes returns routes that get no requests and make the configuration larger.
+func fixedRoutes(count int) string {
+	text := ""
+	for route := range count {
+		text += fmt.Sprintf(`,
+{"name":"fixed-%d","host":"h.example","path-prefix":"/fixed/%d/","kind":"safe","timeout-ms":1500,"target-latency-ms":300,"max-attempts":2,"service":"orders"}`, route, route)
+	}
+	return text
+}
+
 // versionRange is the versions that may be in force, both ends included.
 type versionRange struct{ lowest, highest int }
 
