--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -57,6 +58,8 @@
 	lostDisks int
 	// accounts is set if the configurations have accounts.
 	accounts bool
+	// fixedRoutes is the number of further routes that each configuration has.
+	fixedRoutes int
 }
 
 func (f *fleet) nextID() int64 { return f.ids.Add(1) }
@@ -73,9 +76,12 @@
 	ip        string
 	member    bool
 	bootstrap bool
+	// meshPort is the first port for internal use.
+	meshPort int
 
 	mu          sync.Mutex
 	process     *exec.Cmd
+	exited      chan struct{}
 	keepRunning bool
 	starts      int
 }
@@ -103,7 +109,7 @@
 		f.startTarget("orders", zone)
 	}
 	for i := range controlCount + entryCount {
-		n := &instance{fleet: f, ip: fmt.Sprintf("127.0.1.%d", i+1), member: i < controlCount, bootstrap: true}
+		n := &instance{fleet: f, ip: instanceIP(i), member: i < controlCount, bootstrap: true, meshPort: meshPort}
 		f.instances = append(f.instances, n)
 		n.start()
 	}
@@ -111,6 +117,12 @@
 	return f
 }
 
+// instanceIP returns the address of an instance. SOAK_NETWORK is the first three numbers
+// of all addresses, which runs at the same time must not share.
+func instanceIP(index int) string {
+	return fmt.Sprintf("%s.%d", cmp.Or(os.Getenv("SOAK_NETWORK"), "127.0.1"), index+1)
+}
+
 func (f *fleet) stopAll() {
 	for _, n := range f.instances {
 		n.stop()
@@ -133,8 +145,8 @@
 	set := func(k, v string) { fmt.Fprintf(&b, "%s=%s\n", k, v) }
 	set("ip-address", n.ip)
 	set("zone", n.zone())
-	set("internal-port-range", fmt.Sprintf("%d,%d", meshPort, meshPort+10))
-	set("seeds", fmt.Sprintf("127.0.1.1:%d,127.0.1.2:%d,127.0.1.3:%d", controlPort, controlPort, controlPort))
+	set("internal-port-range", fmt.Sprintf("%d,%d", n.meshPort, n.meshPort+10))
+	set("seeds", fmt.Sprintf("%s:%d,%s:%d,%s:%d", instanceIP(0), controlPort, instanceIP(1), controlPort, instanceIP(2), controlPort))
 	set("bootstrap", fmt.Sprint(n.bootstrap))
 	set("fault-tolerance.machines", "2")
 	set("bounds.drain-ms", "3000")
@@ -157,6 +169,7 @@
 // start starts the process and restarts it whenever it exits, as a supervisor
 // does.
 func (n *instance) start() {
+	n.awaitExit()
 	file := filepath.Join(n.fleet.folder, n.ip+".conf")
 	n.fleet.must(os.WriteFile(file, []byte(n.settings()), 0o600))
 	log, err := os.OpenFile(filepath.Join(n.fleet.folder, n.ip+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -168,11 +181,13 @@
 	defer n.mu.Unlock()
 	n.keepRunning = true
 	n.fleet.must(p.Start())
-	n.process = p
+	exited := make(chan struct{})
+	n.process, n.exited = p, exited
 	n.starts++
 	ended := n.fleet.checker.contact.started(n)
 	go func() {
 		_ = p.Wait()
+		close(exited)
 		_ = log.Close()
 		if !ended() {
 			n.fleet.addFinding("the process of %s ended by itself: %s", n.ip, p.ProcessState)
@@ -187,6 +202,17 @@
 	}()
 }
 
+// awaitExit waits until the process that was started last has exited. A killed process
+// keeps its ports until a sync of its journal has returned.
+func (n *instance) awaitExit() {
+	n.mu.Lock()
+	exited := n.exited
+	n.mu.Unlock()
+	if exited != nil {
+		<-exited
+	}
+}
+
 // signal sends a signal to the instance's current process.
 func (n *instance) signal(s syscall.Signal) {
 	n.mu.Lock()
@@ -246,7 +272,7 @@
 	return fmt.Sprintf(`{"version":%d,"routes":[
 {"name":"q","host":"h.example","path-prefix":"/q/","kind":"safe","timeout-ms":1500,"target-latency-ms":150,"max-attempts":2,"top-k":%d,"minimum-shard-share":0.6,"gather":[%s]},
 {"name":"o","host":"h.example","path-prefix":"/o/","kind":"unsafe","timeout-ms":1500,"target-latency-ms":300,"max-attempts":2,"service":"orders"}%s],
-"services":[%s],"limits":{"max-body-bytes":10000}%s}`, version, topK, list[1:], variableRoutes(version), services, accounts)
+"services":[%s],"limits":{"max-body-bytes":10000}%s}`, version, topK, list[1:], variableRoutes(version)+fixedRoutes(f.fixedRoutes), services, accounts)
 }
 
 // replaceConfiguration sends a new version to random control instances until one
