Mesh: limit the time without progress of a message, not its total time

A receiver gave up any request after 30 s in all, and a caller could limit a call only in total, so a large message on a slow path was abandoned while it moved and then sent again in full.

The receiver's limit of 30 s now applies to the time in which no part of a request arrives, to serving it, and to the time in which no part of the reply can be sent. WithProgress tells a caller of each part that was taken or received. Calls without it end with their context as before.

--- a/pkg/mesh/messages.go
+++ b/pkg/mesh/messages.go
@@ -12,20 +12,22 @@
 	"radishturn.example/radishturn/pkg/membudget"
 )
 
-// exchange sends e and reads the reply, for whose bytes memory has to have room. It cancels the stream when ctx is done.
+// exchange sends e and reads the reply, for whose bytes memory has to have room. It cancels
+// the stream when ctx is done, and reports progress as WithProgress describes.
 func exchange(ctx context.Context, stream *quic.Stream, e *requestMessage, memory *membudget.Budget) (*replyMessage, error) {
 	stop := context.AfterFunc(ctx, func() {
 		stream.CancelRead(streamCancelled)
 		stream.CancelWrite(streamCancelled)
 	})
 	defer stop()
-	if err := writeMessage(stream, e); err != nil {
+	progress := progressOf(ctx)
+	if err := writeMessage(stream, e, progress); err != nil {
 		return nil, errors.Join(err, ctx.Err())
 	}
 	r := new(replyMessage)
 	reserved := new(membudget.Reservation)
 	defer reserved.Release()
-	if err := readMessage(stream, r, messageSpace(memory, reserved)); err != nil {
+	if err := readMessage(progressReader{stream, progress}, r, messageSpace(memory, reserved)); err != nil {
 		return nil, errors.Join(err, ctx.Err())
 	}
 	return r, nil
@@ -38,12 +40,12 @@
 	return r.Payload, nil
 }
 
-func writeMessage(stream *quic.Stream, message any) error {
+func writeMessage(stream *quic.Stream, message any, progress func()) error {
 	payload, err := cbor.Marshal(message)
 	if err != nil {
 		return fmt.Errorf("encode message: %w", err)
 	}
-	if _, err := stream.Write(payload); err != nil {
+	if err := writePieces(stream, payload, progress); err != nil {
 		return fmt.Errorf("write message: %w", err)
 	}
 	return stream.Close()
--- a/pkg/mesh/quic.go
+++ b/pkg/mesh/quic.go
@@ -35,7 +35,8 @@
 	// resetSecretLabel is the label of the derived secret with which a restarted
 	// process tells peers that connections to the previous process are closed.
 	resetSecretLabel = "radishturn stateless reset"
-	// serveTimeout limits the time to serve a peer's request.
+	// serveTimeout limits the time in which no part of a peer's request arrives, the time
+	// to serve it, and the time in which no part of the reply can be sent.
 	serveTimeout = 30 * time.Second
 )
 
--- a/pkg/mesh/serve.go
+++ b/pkg/mesh/serve.go
@@ -42,22 +42,28 @@
 }
 
 func (m *QUIC) serveStream(ctx context.Context, from model.InstanceID, stream *quic.Stream) {
-	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
-	defer cancel()
-	_ = stream.SetDeadline(time.Now().Add(serveTimeout))
+	// A slow path may take long for a large message, so only the time without progress is
+	// limited.
+	extendRead := func() { _ = stream.SetReadDeadline(time.Now().Add(serveTimeout)) }
+	extendWrite := func() { _ = stream.SetWriteDeadline(time.Now().Add(serveTimeout)) }
+	extendRead()
 	e := new(requestMessage)
 	reserved := new(membudget.Reservation)
 	defer reserved.Release()
-	if err := readMessage(stream, e, messageSpace(m.memory, reserved)); err != nil {
+	if err := readMessage(progressReader{stream, extendRead}, e, messageSpace(m.memory, reserved)); err != nil {
 		m.recordRefused(from, err)
 		stream.CancelRead(streamCancelled)
 		stream.CancelWrite(streamCancelled)
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+	defer cancel()
 	// The context of the write side ends when the peer cancels the stream.
 	stop := context.AfterFunc(stream.Context(), cancel)
 	defer stop()
-	if err := writeMessage(stream, m.dispatcher.serve(ctx, from, e)); err != nil {
+	reply := m.dispatcher.serve(ctx, from, e)
+	extendWrite()
+	if err := writeMessage(stream, reply, extendWrite); err != nil {
 		stream.CancelWrite(streamCancelled)
 	}
 }
