Replicate in units that the path to a member can carry

A message with up to 1 MiB of entries was given up after one election timeout for each started MiB, and entries counted as lost at a fixed smallest rate. On a slower path each attempt was as large as the one before and ended in the same way, so a new member received no entry and a replacement was not completed.

The leader now estimates for each member a rate, which halves when entries are late and doubles when they are early, and a window of bytes. Both the size of a message and the time after which it counts as lost follow from them. Heartbeats ask for the oldest message on its way, so that a lost reply costs one heartbeat.

--- a/pkg/consensus/election.go
+++ b/pkg/consensus/election.go
@@ -205,7 +205,7 @@
 	}
 	for _, m := range append(append([]Member{r.cfg.Self}, r.membership.Voters...), r.membership.Learners...) {
 		if r.progress[m] == nil {
-			r.progress[m] = &progress{next: r.log.lastIndex() + 1, ackedAt: neverAcked}
+			r.progress[m] = r.newProgress()
 		}
 	}
 }
--- a/pkg/consensus/follower.go
+++ b/pkg/consensus/follower.go
@@ -44,23 +44,24 @@
 func (r *Raft) installSnapshot(s Snapshot) {
 	r.log.reset(s.Meta)
 	r.commit, r.applied = s.Meta.Index, s.Meta.Index
-	r.snapshot = s.Meta
+	r.snapshot, r.snapshotBytes = s.Meta, len(s.Data)
 	r.effects.Snapshot = &s
 	r.effects.Entries = nil
 	r.recomputeMembership()
 }
 
-// Compact records that the snapshot described by meta is durable, and discards the
-// log entries before it except for the last keep ones, or as many of them as
-// maxRetainedBytes allows. Members that need a discarded entry receive the snapshot.
-func (r *Raft) Compact(meta SnapshotMeta, keep uint64) {
+// Compact records that the snapshot described by meta, with data of the given size in
+// bytes, is durable. It discards the log entries before it except for the last keep ones,
+// or as many of them as maxRetainedBytes allows. Members that need a discarded entry
+// receive the snapshot.
+func (r *Raft) Compact(meta SnapshotMeta, bytes int, keep uint64) {
 	if meta.Index > r.applied {
 		panic(fmt.Sprintf("consensus: snapshot at %d beyond applied %d", meta.Index, r.applied))
 	}
 	if meta.Index <= r.snapshot.Index {
 		return
 	}
-	r.snapshot = meta
+	r.snapshot, r.snapshotBytes = meta, bytes
 	r.log.compact(r.log.retainedFrom(meta.Index, keep, maxRetainedBytes))
 }
 
@@ -69,3 +70,6 @@
 	term, _ := r.log.term(r.applied)
 	return SnapshotMeta{Index: r.applied, Term: term, Membership: r.membershipAt(r.applied)}
 }
+
+// SnapshotBytes returns the size of the data of the newest durable snapshot.
+func (r *Raft) SnapshotBytes() int { return r.snapshotBytes }
--- a/pkg/consensus/leader.go
+++ b/pkg/consensus/leader.go
@@ -5,13 +5,14 @@
 	"time"
 )
 
-// snapshotRetryTimeouts is the number of election timeouts that the leader waits
-// for the reply to a snapshot before it resends it.
-const snapshotRetryTimeouts = 10
-
-// maxTransferTimeouts is the number of election timeouts after which entries that were
-// sent and not acknowledged count as lost, however many they are.
-const maxTransferTimeouts = 10
+const (
+	// snapshotRetryTimeouts is the number of election timeouts that the leader waits at
+	// least for the reply to a snapshot before it resends it.
+	snapshotRetryTimeouts = 10
+	// latencyDivisor sets the time that a message without entries may take, and that a
+	// window of entries may take besides: an election timeout divided by it.
+	latencyDivisor = 2
+)
 
 // Propose appends commands to the leader's log and returns the term and the index
 // of the first one; the others have consecutive indexes.
@@ -86,39 +87,90 @@
 		if p.next > r.log.lastIndex() && p.state == streaming {
 			return
 		}
-		if _, ok := r.log.term(p.next - 1); !ok {
+		if r.needsSnapshot(p) {
 			r.sendSnapshot(now, m, p)
 			return
 		}
-		r.sendAppend(now, m, p, r.log.batch(p.next, r.cfg.MaxAppendBytes))
+		size := min(p.path.window-p.unacknowledged(), r.cfg.MaxAppendBytes)
+		r.sendAppend(now, m, p, r.log.batch(p.next, size))
+	}
+}
+
+// needsSnapshot reports whether the member needs entries that were discarded.
+func (r *Raft) needsSnapshot(p *progress) bool {
+	_, ok := r.log.term(p.next - 1)
+	return !ok
+}
+
+// newProgress returns the progress of a member of which the leader knows nothing yet.
+func (r *Raft) newProgress() *progress {
+	path := newPathEstimate(r.cfg.MaxTransferRate, r.cfg.ElectionTimeout/latencyDivisor)
+	return &progress{next: r.log.lastIndex() + 1, ackedAt: neverAcked, path: path}
+}
+
+// messageLatency returns the time that a message without entries and its reply may take.
+func (r *Raft) messageLatency() time.Duration {
+	return r.cfg.ElectionTimeout/latencyDivisor + stepsPerExchange*r.stepTime
+}
+
+// ReportLost records that a message with entries or a snapshot did not reach a member. It
+// is sent again with one of the next heartbeats.
+func (r *Raft) ReportLost(m Message) {
+	p := r.progress[m.To]
+	if r.role != Leader || p == nil || m.Term != r.term {
+		return
+	}
+	if m.Snapshot != nil {
+		p.snapshotFailed = true
+		return
+	}
+	if p.sentEntriesAt(m.Append.SentAt) {
+		p.arriveBy = 0
 	}
 }
 
 // heartbeat renews the lease and detects lost messages: it names the entry before
 // next, so a member that lacks this entry rejects the request and is probed again. While
-// entries are on their way it names none, since it may overtake them, and the member would
-// be sent the same entries again and again.
+// entries are on their way, which it may overtake, a rejection is ignored.
 func (r *Raft) heartbeat(now time.Duration, m Member, p *progress) {
 	if p.state == installing {
 		r.heartbeatDuringSnapshot(now, m, p)
 		return
 	}
 	if p.underWay(now) {
-		r.sendEarly(Message{To: m, Append: &AppendRequest{SentAt: now}})
+		r.inquire(now, m, p)
 		return
 	}
+	if p.arriveBy > 0 && r.isActive(now, m) {
+		p.path.lower()
+	}
+	p.arriveBy = 0
 	p.paused = false
-	if p.state == probing {
+	if p.state == probing && r.isActive(now, m) {
+		p.inFlight = nil
 		r.replicate(now, m, p)
 		return
 	}
+	// A member that does not answer is sent no entries until it does.
 	r.sendAppend(now, m, p, nil)
 }
 
+// inquire sends a heartbeat that names the last entry of the oldest message on its way, so
+// that the leader learns of the arrival although the reply was lost.
+func (r *Raft) inquire(now time.Duration, m Member, p *progress) {
+	request := &AppendRequest{SentAt: now}
+	oldest := p.inFlight[0].last
+	if term, ok := r.log.term(oldest); ok {
+		request.PrevIndex, request.PrevTerm, request.Commit = oldest, term, r.commit
+	}
+	r.sendEarly(Message{To: m, Append: request})
+}
+
 // heartbeatDuringSnapshot keeps the member from campaigning and retries a snapshot
 // that was not acknowledged in time.
 func (r *Raft) heartbeatDuringSnapshot(now time.Duration, m Member, p *progress) {
-	if now-p.snapshotSentAt >= snapshotRetryTimeouts*r.cfg.ElectionTimeout {
+	timeout := max(snapshotRetryTimeouts*r.cfg.ElectionTimeout, p.path.transferTime(r.snapshotBytes))
+	if p.snapshotFailed && r.isActive(now, m) || now-p.snapshotSentAt >= timeout {
 		p.probe(p.match + 1)
 		r.replicate(now, m, p)
 		return
@@ -137,7 +189,8 @@
 		PrevIndex: prev, PrevTerm: prevTerm, Entries: entries, Commit: r.commit, SentAt: now,
 	}})
 	if len(entries) > 0 {
-		p.recordSent(now, r.transferTime(entries), maxTransferTimeouts*r.cfg.ElectionTimeout)
+		sent := sentEntries{last: entries[len(entries)-1].Index, sentAt: now, bytes: totalSize(entries)}
+		p.recordSent(now, r.messageLatency(), sent)
 	}
 	if p.state == probing {
 		p.paused = true
@@ -149,24 +202,21 @@
 	}
 	if len(entries) > 0 {
 		p.next += uint64(len(entries))
-		p.inFlight = append(p.inFlight, p.next-1)
 	}
 }
 
-// transferTime returns how long entries take to a member at the slowest pace at which they
-// do not count as lost.
-func (r *Raft) transferTime(entries []Entry) time.Duration {
+func totalSize(entries []Entry) int {
 	bytes := 0
 	for _, e := range entries {
 		bytes += e.size()
 	}
-	return time.Duration(float64(bytes) / float64(r.cfg.MinTransferRate) * float64(time.Second))
+	return bytes
 }
 
 func (r *Raft) sendSnapshot(now time.Duration, m Member, p *progress) {
 	p.state = installing
-	p.snapshotSentAt = now
-	p.inFlight = nil
+	p.snapshotSentAt, p.snapshotIndex, p.snapshotFailed = now, r.snapshot.Index, false
+	p.inFlight, p.arriveBy = nil, 0
 	r.sendEarly(Message{To: m, Snapshot: &SnapshotRequest{Snapshot: Snapshot{Meta: r.snapshot}, SentAt: now}})
 }
 
@@ -181,8 +231,9 @@
 		r.stepRejection(now, m.From, p, reply)
 		return
 	}
-	advanced := p.recordAck(reply.Index)
-	if p.answersProbe(reply.Index) || p.state == installing && reply.Index >= r.log.base && reply.Index > 0 {
+	p.recordArrival(now, r.messageLatency(), reply)
+	advanced := p.recordAck(now, r.messageLatency(), reply.Index)
+	if p.answersProbe(reply.Index) || p.state == installing && reply.Index >= p.snapshotIndex {
 		p.stream()
 	}
 	if advanced {
@@ -198,7 +249,8 @@
 // ignored.
 func (r *Raft) stepRejection(now time.Duration, m Member, p *progress, reply *AppendReply) {
 	stale := p.state == installing || reply.Index <= p.match ||
-		p.state == probing && reply.Index != p.next-1
+		p.state == probing && reply.Index != p.next-1 ||
+		p.underWay(now) && !p.sentEntriesAt(reply.SentAt)
 	if stale {
 		return
 	}
@@ -212,7 +264,7 @@
 		return
 	}
 	p.ackedAt = max(p.ackedAt, m.SnapshotReply.SentAt)
-	advanced := p.recordAck(m.SnapshotReply.Index)
+	advanced := p.recordAck(now, r.messageLatency(), m.SnapshotReply.Index)
 	if p.state == installing {
 		p.probe(p.match + 1)
 	}
--- a/pkg/consensus/progress.go
+++ b/pkg/consensus/progress.go
@@ -30,24 +30,66 @@
 	state replicationState
 	// paused suspends probing until a reply or the next heartbeat.
 	paused bool
-	// inFlight holds the last index of each unacknowledged message with entries,
-	// in ascending order.
-	inFlight []uint64
+	// inFlight holds the unacknowledged messages with entries, in ascending order.
+	inFlight []sentEntries
+	// path is the estimate of how fast entries reach the member.
+	path pathEstimate
 	// ackedAt is the latest send time (SentAt) that the member has acknowledged.
 	ackedAt time.Duration
-	// snapshotSentAt is when the last snapshot was sent.
+	// snapshotSentAt is when the last snapshot was sent, and snapshotIndex the last entry
+	// that it covers.
 	snapshotSentAt time.Duration
-	// arriveBy is until when the entries that were sent are assumed to be on their way. A
-	// heartbeat may overtake them.
+	snapshotIndex  uint64
+	// snapshotFailed is set if the last snapshot is known not to have arrived.
+	snapshotFailed bool
+	// arriveBy is until when the entries that were sent are assumed to be on their way, 0
+	// without any. A heartbeat may overtake them.
 	arriveBy time.Duration
 	// probeLast is the last index of the entries in the current probe, 0 without any.
 	probeLast uint64
 }
 
-// recordSent records that entries were sent which take a time to arrive, up to limit from
-// now on with those before.
-func (p *progress) recordSent(now, transfer, limit time.Duration) {
-	p.arriveBy = min(max(now, p.arriveBy)+transfer, now+limit)
+// sentEntries describes a message with entries.
+type sentEntries struct {
+	// last is the index of the last entry.
+	last   uint64
+	sentAt time.Duration
+	bytes  int
+	// backlog is the number of unacknowledged bytes once this message was sent.
+	backlog int
+}
+
+// unacknowledged returns the number of bytes in messages that are not acknowledged.
+func (p *progress) unacknowledged() int {
+	total := 0
+	for _, s := range p.inFlight {
+		total += s.bytes
+	}
+	return total
+}
+
+// recordSent records a message with entries, and until when it counts as on its way.
+// latency is the time that a message without entries may take.
+func (p *progress) recordSent(now, latency time.Duration, s sentEntries) {
+	s.backlog = p.unacknowledged() + s.bytes
+	p.inFlight = append(p.inFlight, s)
+	p.arriveBy = now + latency + p.path.transferTime(s.backlog)
+}
+
+// sentEntriesAt reports whether a message on its way was sent at this time.
+func (p *progress) sentEntriesAt(t time.Duration) bool {
+	return slices.ContainsFunc(p.inFlight, func(s sentEntries) bool { return s.sentAt == t })
+}
+
+// recordArrival raises the estimate of the path if the acknowledged message arrived in
+// less than half of the time that it was given.
+func (p *progress) recordArrival(now, latency time.Duration, reply *AppendReply) {
+	for _, s := range p.inFlight {
+		answered := s.last == reply.Index && s.sentAt == reply.SentAt
+		if answered && now-s.sentAt < (latency+p.path.transferTime(s.backlog))/2 {
+			p.path.raise(s.backlog)
+		}
+	}
 }
 
 // underWay reports whether entries are on their way to the member.
@@ -75,17 +117,20 @@
 }
 
 // recordAck records that the member's log is durable up to index, and reports
-// whether match advanced.
-func (p *progress) recordAck(index uint64) (advanced bool) {
-	p.inFlight = slices.DeleteFunc(p.inFlight, func(last uint64) bool { return last <= index })
+// whether match advanced. What follows is given its time from now on.
+func (p *progress) recordAck(now, latency time.Duration, index uint64) (advanced bool) {
+	before := len(p.inFlight)
+	p.inFlight = slices.DeleteFunc(p.inFlight, func(s sentEntries) bool { return s.last <= index })
+	if len(p.inFlight) == 0 {
+		p.arriveBy = 0
+	} else if len(p.inFlight) < before {
+		p.arriveBy = now + latency + p.path.transferTime(p.unacknowledged())
+	}
 	if index <= p.match {
 		return false
 	}
 	p.match = index
 	p.next = max(p.next, index+1)
-	if p.state == streaming && len(p.inFlight) == 0 {
-		p.arriveBy = 0
-	}
 	return true
 }
 
@@ -95,7 +140,7 @@
 	case probing:
 		return !p.paused
 	case streaming:
-		return len(p.inFlight) < window
+		return len(p.inFlight) == 0 || len(p.inFlight) < window && p.unacknowledged() < p.path.window
 	}
 	return false
 }
--- a/pkg/consensus/raft.go
+++ b/pkg/consensus/raft.go
@@ -13,9 +13,10 @@
 	// after which a follower campaigns; the maximum is a quarter more.
 	ElectionTimeout time.Duration
 	Heartbeat       time.Duration
-	// MinTransferRate is the rate, in bytes per second, at which entries reach a member at
-	// least. Entries that take longer are sent again.
-	MinTransferRate int
+	// MaxTransferRate is the greatest rate, in bytes per second, at which entries are
+	// assumed to reach a member. The estimate for each member starts there and falls
+	// when entries arrive late.
+	MaxTransferRate int
 	// MaxAppendBytes limits the size of the entries in one message.
 	MaxAppendBytes int
 	// Window limits the unacknowledged messages with entries per member.
@@ -29,7 +30,7 @@
 // Defaults for zero fields of a Config.
 const (
 	DefaultMaxAppendBytes  = 1 << 20
-	DefaultMinTransferRate = 1 << 20
+	DefaultMaxTransferRate = 1 << 20
 	DefaultWindow          = 32
 	DefaultMaxUncommitted  = 1 << 14
 )
@@ -38,8 +39,8 @@
 const jitterDivisor = 4
 
 func (c *Config) setDefaults() {
-	if c.MinTransferRate == 0 {
-		c.MinTransferRate = DefaultMinTransferRate
+	if c.MaxTransferRate == 0 {
+		c.MaxTransferRate = DefaultMaxTransferRate
 	}
 	if c.MaxAppendBytes == 0 {
 		c.MaxAppendBytes = DefaultMaxAppendBytes
@@ -70,6 +71,8 @@
 type PersistentState struct {
 	HardState HardState
 	Snapshot  SnapshotMeta
+	// SnapshotBytes is the size of the snapshot's data.
+	SnapshotBytes int
 	// Entries are contiguous and start at Snapshot.Index+1.
 	Entries []Entry
 }
@@ -90,6 +93,8 @@
 	// snapshot is the newest durable snapshot. It is sent to members that need
 	// entries which were compacted.
 	snapshot SnapshotMeta
+	// snapshotBytes is the size of its data.
+	snapshotBytes int
 	// membership is the latest in the log, committed or not. It takes effect
 	// as soon as it is appended.
 	membership      Membership
@@ -132,6 +137,7 @@
 func New(cfg Config, s PersistentState, now time.Duration) *Raft {
 	cfg.setDefaults()
 	r := &Raft{cfg: cfg, term: s.HardState.Term, vote: s.HardState.Vote, snapshot: s.Snapshot}
+	r.snapshotBytes = s.SnapshotBytes
 	r.log.reset(s.Snapshot)
 	if len(s.Entries) > 0 {
 		r.log.append(s.Entries)
@@ -306,7 +312,7 @@
 	if r.role != Leader || mark.Term != r.term {
 		return
 	}
-	if p := r.progress[r.cfg.Self]; p != nil && p.recordAck(mark.Index) {
+	if p := r.progress[r.cfg.Self]; p != nil && p.recordAck(now, 0, mark.Index) {
 		r.advanceCommit(now)
 	}
 }
--- a/pkg/journal/open.go
+++ b/pkg/journal/open.go
@@ -145,6 +145,7 @@
 		}
 		first = s.FirstSegment
 		restored.State.Snapshot, restored.SnapshotData = s.Snapshot.Meta, s.Snapshot.Data
+		restored.State.SnapshotBytes = len(s.Snapshot.Data)
 		j.snapshotIndex = s.Snapshot.Meta.Index
 	}
 	replayed, err := j.readSegments(contents.segments, first)
--- a/pkg/replica/snapshots.go
+++ b/pkg/replica/snapshots.go
@@ -56,7 +56,7 @@
 		n.fatalErr = s.err
 		return
 	}
-	n.raft.Compact(s.prepared.Meta(), uint64(n.options.SnapshotEvery/2))
+	n.raft.Compact(s.prepared.Meta(), s.prepared.Bytes(), uint64(n.options.SnapshotEvery/2))
 	n.metrics.snapshots.Inc()
 	events.Emit(events.StateSnapshotWritten, s.prepared.Meta().Index, s.prepared.Bytes())
 }
--- a/pkg/replica/transport.go
+++ b/pkg/replica/transport.go
@@ -15,20 +15,21 @@
 const stepKind mesh.Kind = "replica.step"
 
 const (
-	// sendQueueSize limits the messages that wait for one peer. Further messages
+	// sendQueueSize limits the messages that wait in one lane of a peer. Further messages
 	// are dropped, as a network may do.
 	sendQueueSize = 256
 	// sendBatchBytes is the size at which a batch accepts no further message.
 	// With the largest message added, a batch stays below the mesh's size limit.
 	sendBatchBytes = 8 << 20
-	// maxConcurrentSends limits the batches in flight to one peer.
+	// maxConcurrentSends limits the batches in flight in one lane of a peer.
 	maxConcurrentSends = 4
-	// sendElectionTimeouts is the timeout for sending a batch, in election timeouts,
-	// and for each sendTimeoutBytes of commands in it.
-	sendElectionTimeouts = 1
-	sendTimeoutBytes     = 1 << 20
-	// snapshotElectionTimeouts is the same for a snapshot.
-	snapshotElectionTimeouts = 10
+	// shortElectionTimeouts is the timeout for sending messages without entries, in
+	// election timeouts.
+	shortElectionTimeouts = 1
+	// stallElectionTimeouts is the time without progress after which sending entries or a
+	// snapshot is given up, in election timeouts. Packets that are lost several times in a
+	// row delay the rest for a multiple of the round trip.
+	stallElectionTimeouts = 4
 )
 
 type stepRequest struct {
@@ -37,9 +38,7 @@
 
 type stepReply struct{}
 
-// transport has one sender for each peer. Messages that queue up while all send
-// slots of the peer are in use are sent together in the next batch. Batches may
-// arrive out of order, which the consensus protocol tolerates.
+// transport has one sender for each peer.
 type transport struct {
 	node   *Node
 	ctx    context.Context
@@ -50,16 +49,33 @@
 	goroutines sync.WaitGroup
 }
 
+// sender sends to one peer. Messages without entries, such as heartbeats and votes, have a
+// lane of their own, so that they do not wait behind entries.
 type sender struct {
 	transport *transport
 	to        model.InstanceID
-	queue     chan consensus.Message
-	// sendSlots limits the batches in flight.
-	sendSlots chan struct{}
+	short     lane
+	entries   lane
 	// snapshotSlot allows one snapshot at a time.
 	snapshotSlot chan struct{}
 }
 
+// lane is a queue of messages to one peer. Messages that queue up while all send slots are
+// in use are sent together in the next batch. Batches may arrive out of order, which the
+// consensus protocol tolerates.
+type lane struct {
+	queue chan consensus.Message
+	// slots limits the batches in flight.
+	slots chan struct{}
+}
+
+func newLane() lane {
+	return lane{
+		queue: make(chan consensus.Message, sendQueueSize),
+		slots: make(chan struct{}, maxConcurrentSends),
+	}
+}
+
 func newTransport(n *Node) *transport {
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &transport{node: n, ctx: ctx, cancel: cancel, senders: make(map[model.InstanceID]*sender)}
@@ -93,7 +109,7 @@
 			continue
 		}
 		select {
-		case s.queue <- m:
+		case s.laneOf(m).queue <- m:
 		default:
 			t.node.metrics.droppedMessages.Inc()
 		}
@@ -107,13 +123,13 @@
 	s := &sender{
 		transport:    t,
 		to:           to,
-		queue:        make(chan consensus.Message, sendQueueSize),
-		sendSlots:    make(chan struct{}, maxConcurrentSends),
+		short:        newLane(),
+		entries:      newLane(),
 		snapshotSlot: make(chan struct{}, 1),
 	}
 	t.senders[to] = s
-	t.goroutines.Add(1)
-	go s.run()
+	t.goroutines.Go(func() { s.run(s.short, s.sendShort) })
+	t.goroutines.Go(func() { s.run(s.entries, s.sendLarge) })
 	return s
 }
 
@@ -122,45 +138,36 @@
 	t.goroutines.Wait()
 }
 
-func (s *sender) run() {
-	defer s.transport.goroutines.Done()
+func (s *sender) laneOf(m consensus.Message) *lane {
+	if m.Append != nil && len(m.Append.Entries) > 0 {
+		return &s.entries
+	}
+	return &s.short
+}
+
+// run sends the messages of a lane in batches until the transport stops.
+func (s *sender) run(l lane, send func([]consensus.Message)) {
 	for {
 		select {
 		case <-s.transport.ctx.Done():
 			return
-		case m := <-s.queue:
-			s.sendSlots <- struct{}{}
-			s.sendBatchAsync(s.collectBatch(m))
+		case m := <-l.queue:
+			l.slots <- struct{}{}
+			messages := l.collectBatch(m)
+			s.transport.goroutines.Go(func() {
+				defer func() { <-l.slots }()
+				send(messages)
+			})
 		}
 	}
 }
 
-// sendBatchAsync sends a batch in a goroutine that releases the send slot
-// afterwards.
-func (s *sender) sendBatchAsync(messages []consensus.Message) {
-	s.transport.goroutines.Add(1)
-	go func() {
-		defer s.transport.goroutines.Done()
-		defer func() { <-s.sendSlots }()
-		s.sendBatch(messages, batchElectionTimeouts(messages))
-	}()
-}
-
-// batchElectionTimeouts returns the timeout for sending a batch, in election timeouts.
-func batchElectionTimeouts(messages []consensus.Message) int {
-	size := 0
-	for _, m := range messages {
-		size += commandBytes(m)
-	}
-	return sendElectionTimeouts * (1 + size/sendTimeoutBytes)
-}
-
-func (s *sender) collectBatch(m consensus.Message) []consensus.Message {
+func (l lane) collectBatch(m consensus.Message) []consensus.Message {
 	messages := []consensus.Message{m}
 	size := commandBytes(m)
 	for len(messages) < sendQueueSize && size < sendBatchBytes {
 		select {
-		case m := <-s.queue:
+		case m := <-l.queue:
 			messages = append(messages, m)
 			size += commandBytes(m)
 		default:
@@ -182,34 +189,65 @@
 	return size
 }
 
-// sendBatch calls the peer. If the call fails, the messages are lost; the
+// sendShort sends messages without entries. If the call fails, they are lost; the
 // consensus protocol resends what is needed.
-func (s *sender) sendBatch(messages []consensus.Message, timeouts int) {
-	node := s.transport.node
-	ctx, cancel := context.WithTimeout(s.transport.ctx, time.Duration(timeouts)*node.options.ElectionTimeout)
+func (s *sender) sendShort(messages []consensus.Message) {
+	ctx, cancel := context.WithTimeout(s.transport.ctx, shortElectionTimeouts*s.transport.node.options.ElectionTimeout)
+	defer cancel()
+	_ = s.call(ctx, messages)
+}
+
+// sendLarge sends messages with entries or a snapshot. It takes as long as the call makes
+// progress, and reports the messages as lost if the call fails.
+func (s *sender) sendLarge(messages []consensus.Message) {
+	ctx, cancel := context.WithCancel(s.transport.ctx)
 	defer cancel()
-	_, _ = mesh.Call[stepRequest, stepReply](ctx, node.options.Mesh, s.to, stepKind, &stepRequest{Messages: messages})
+	timeout := stallElectionTimeouts * s.transport.node.options.ElectionTimeout
+	stalled := time.AfterFunc(timeout, cancel)
+	defer stalled.Stop()
+	ctx = mesh.WithProgress(ctx, func() { stalled.Reset(timeout) })
+	if err := s.call(ctx, messages); err != nil {
+		s.reportLost(messages)
+	}
+}
+
+func (s *sender) call(ctx context.Context, messages []consensus.Message) error {
+	_, err := mesh.Call[stepRequest, stepReply](ctx, s.transport.node.options.Mesh, s.to, stepKind, &stepRequest{Messages: messages})
+	return err
+}
+
+// reportLost tells the event loop that messages did not reach the peer.
+func (s *sender) reportLost(messages []consensus.Message) {
+	node := s.transport.node
+	report := func(time.Duration) {
+		for _, m := range messages {
+			node.raft.ReportLost(m)
+		}
+	}
+	select {
+	case node.loopCalls <- report:
+	case <-s.transport.ctx.Done():
+	}
 }
 
-// sendSnapshot reads the current snapshot and sends it in a separate goroutine,
-// so that it delays no heartbeat.
+// sendSnapshot reads the current snapshot and sends it in a separate goroutine. It does
+// nothing while another snapshot is on its way to the peer.
 func (s *sender) sendSnapshot(m consensus.Message) {
 	select {
 	case s.snapshotSlot <- struct{}{}:
 	default:
 		return
 	}
-	s.transport.goroutines.Add(1)
-	go func() {
-		defer s.transport.goroutines.Done()
+	s.transport.goroutines.Go(func() {
 		defer func() { <-s.snapshotSlot }()
 		snapshot, err := s.transport.node.journal.ReadSnapshot()
 		if err != nil {
+			s.reportLost([]consensus.Message{m})
 			return
 		}
 		request := *m.Snapshot
 		request.Snapshot = snapshot
 		m.Snapshot = &request
-		s.sendBatch([]consensus.Message{m}, snapshotElectionTimeouts)
-	}()
+		s.sendLarge([]consensus.Message{m})
+	})
 }
