Consensus: slow steps no longer put off a campaign without end

RecordStep added the time of two steps to the election deadline of a candidate at each slow step. Steps that follow each other moved the deadline further away than they took, so on slow disks a candidate did not campaign again until the slow steps ended. The time is now added once, to the start of the wait.

--- a/pkg/consensus/election.go
+++ b/pkg/consensus/election.go
@@ -50,7 +50,7 @@
 		return
 	}
 	r.requestVotes(r.term+1, VoteRequest{Pre: true})
-	r.electionDeadline = now + r.cfg.Heartbeat + r.cfg.Jitter(r.cfg.Heartbeat)
+	r.waitForElection(now, r.cfg.Heartbeat+r.cfg.Jitter(r.cfg.Heartbeat))
 }
 
 // canCampaign reports whether this member may become leader. A voter whose removal
@@ -75,7 +75,7 @@
 	}
 	r.requestVotes(r.term, VoteRequest{Transfer: r.transferRequested})
 	timeout := min(r.cfg.Heartbeat<<min(r.electionAttempts, maxBackoffDoublings), r.cfg.ElectionTimeout)
-	r.electionDeadline = now + timeout + r.cfg.Jitter(timeout)
+	r.waitForElection(now, timeout+r.cfg.Jitter(timeout))
 	r.electionAttempts++
 }
 
--- a/pkg/consensus/raft.go
+++ b/pkg/consensus/raft.go
@@ -106,6 +106,8 @@
 	// heard from a leader.
 	lastLeaderContact time.Duration
 	electionDeadline  time.Duration
+	// electionWaitUntil is the election deadline without the time for slow steps.
+	electionWaitUntil time.Duration
 	// electionAttempts counts the elections started since the last contact with a leader.
 	electionAttempts int
 	nextHeartbeat    time.Duration
@@ -185,7 +187,9 @@
 	case Follower:
 		r.resetElectionDeadline(now)
 	case PreCandidate, Candidate:
-		r.electionDeadline += stepsPerExchange * took
+		// The time is added to the start of the wait: were it added to the deadline, steps
+		// that follow each other would move the deadline further than they take.
+		r.electionDeadline = max(r.electionDeadline, r.electionWaitUntil+stepsPerExchange*took)
 	case Leader:
 	}
 }
@@ -202,7 +206,13 @@
 }
 
 func (r *Raft) resetElectionDeadline(now time.Duration) {
-	r.electionDeadline = now + r.cfg.ElectionTimeout + r.cfg.Jitter(r.cfg.ElectionTimeout/jitterDivisor)
+	r.waitForElection(now, r.cfg.ElectionTimeout+r.cfg.Jitter(r.cfg.ElectionTimeout/jitterDivisor))
+}
+
+// waitForElection sets the election deadline to a time from now on.
+func (r *Raft) waitForElection(now, wait time.Duration) {
+	r.electionWaitUntil = now + wait
+	r.electionDeadline = r.electionWaitUntil
 }
 
 // Step handles a received message. Messages may be lost, duplicated and reordered.
--- a/pkg/consensus/raft_test.go
+++ b/pkg/consensus/raft_test.go
@@ -106,6 +106,28 @@
 		Expect(r.role).To(Equal(PreCandidate))
 	})
 
+	// Guards against a deadline that each slow step moves further away than the step took.
+	ginkgo.It("campaigns again although one slow step follows the other", func() {
+		const step = 4 * testElectionTimeout
+		r := startMember(bootstrapState(), 0)
+		now := testElectionTimeout
+		r.Tick(now)
+		r.TakeEffects()
+		campaigns := 0
+		for range 20 {
+			now += step
+			r.RecordStep(now, step)
+			r.Tick(now)
+			for _, m := range r.TakeEffects().Messages {
+				if m.Vote != nil && m.To == memberOf("b") {
+					campaigns++
+				}
+			}
+		}
+		// An exchange takes a step of each side.
+		Expect(campaigns).To(BeNumerically(">=", 20/(stepsPerExchange+1)))
+	})
+
 	ginkgo.It("makes a vote durable even if it already knew the term", func() {
 		r := startMember(bootstrapState(), 0)
 		shorter := voteRequest("c", 5)
