--- a/pkg/consensus/leader.go
+++ b/pkg/consensus/leader.go
@@ -12,6 +12,9 @@
 	// latencyDivisor sets the time that a message without entries may take, and that a
 	// window of entries may take besides: an election timeout divided by it.
 	latencyDivisor = 2
+	// minSnapshotSaving is how many times larger than a snapshot the entries must be that
+	// it is sent in place of.
+	minSnapshotSaving = 2
 )
 
 // Propose appends commands to the leader's log and returns the term and the index
@@ -96,10 +99,14 @@
 	}
 }
 
-// needsSnapshot reports whether the member needs entries that were discarded.
+// needsSnapshot reports whether the member needs entries that were discarded, or more
+// entries than the window holds that a much smaller snapshot replaces.
 func (r *Raft) needsSnapshot(p *progress) bool {
-	_, ok := r.log.term(p.next - 1)
-	return !ok
+	if _, ok := r.log.term(p.next - 1); !ok {
+		return true
+	}
+	limit := max(minSnapshotSaving*r.snapshotBytes, p.path.window)
+	return r.log.exceeds(p.next, r.snapshot.Index, limit)
 }
 
 // newProgress returns the progress of a member of which the leader knows nothing yet.
--- a/pkg/consensus/log.go
+++ b/pkg/consensus/log.go
@@ -62,6 +62,15 @@
 	return l.slice(from, to-1)
 }
 
+// exceeds reports whether the entries in [from, to] have more than limit bytes.
+func (l *raftLog) exceeds(from, to uint64, limit int) bool {
+	size := 0
+	for index := from; index <= to && size <= limit; index++ {
+		size += l.at(index).size()
+	}
+	return size > limit
+}
+
 // append truncates the log before the index of the first entry and adds entries.
 func (l *raftLog) append(entries []Entry) {
 	first := entries[0].Index
--- a/pkg/consensus/transfer_test.go
+++ b/pkg/consensus/transfer_test.go
@@ -154,6 +154,28 @@
 	})
 })
 
+// Guards against a new member that is sent hundreds of versions of a state in place of the
+// state.
+var _ = ginkgo.DescribeTable("A member that lacks 50 entries of 10 kB that a snapshot covers",
+	func(snapshotBytes, wantSnapshots int) {
+		r := electLeader(bootstrapState(), lateTime)
+		r.Synced(lateTime, r.TakeEffects().Mark)
+		for range 50 {
+			_, _, err := r.Propose(lateTime, [][]byte{make([]byte, 10_000)})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		r.Synced(lateTime, r.TakeEffects().Mark)
+		r.Step(lateTime, appendReply("c", r.term, r.log.lastIndex(), lateTime))
+		r.TakeEffects()
+		r.Compact(r.SnapshotMeta(), snapshotBytes, 100)
+		Expect(r.log.base).To(Equal(uint64(BootstrapIndex)))
+		r.Step(lateTime, appendReply("b", r.term, BootstrapIndex+1, lateTime))
+		Expect(snapshotsOf(r.TakeEffects())).To(HaveLen(wantSnapshots))
+	},
+	ginkgo.Entry("is sent a small snapshot", 20_000, 1),
+	ginkgo.Entry("is sent the entries if the snapshot is not much smaller", 300_000, 0),
+)
+
 func snapshotsOf(e Effects) []Message {
 	var sent []Message
 	for _, m := range append(e.EarlyMessages, e.Messages...) {
--- a/pkg/replica/logsize_test.go
+++ b/pkg/replica/logsize_test.go
@@ -49,6 +49,38 @@
 		wantedBytes = 48 << 20
 	)
 
+	// Guards against a log of versions of the state that is much larger than the state.
+	It("stays small if the state is small", func() {
+		const (
+			versions     = 600
+			versionBytes = 10_000
+			// wantedBytes holds the log up to a snapshot, what is added while it is written, and
+			// the snapshot twice.
+			wantedBytes = 3 << 20
+		)
+		disk := &journaltest.Disk{}
+		n, err := replica.Open(replica.Options{
+			Mesh: newNetwork().join("a"), StateMachine: &lastMachine{},
+			Journal:        journal.Options{Folder: "/data", FileSystem: disk},
+			InitialMembers: []model.InstanceID{"a"}, ElectionTimeout: electionTimeout, Heartbeat: heartbeat,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- n.Run(ctx) }()
+		Eventually(n.IsLeader, waitTimeout, heartbeat).Should(BeTrue())
+		most := 0
+		for i := range versions {
+			_, err := n.Propose(ctx, slices.Repeat([]byte{byte(i)}, versionBytes))
+			Expect(err).NotTo(HaveOccurred())
+			most = max(most, disk.Size())
+		}
+		cancel()
+		Expect(<-done).To(Succeed())
+		Expect(n.Close()).To(Succeed())
+		Expect(most).To(BeNumerically("<=", wantedBytes))
+	})
+
 	// Changes of a configuration of 1,480 routes filled the disks of all members.
 	It("stays small however large the commands are, also after a restart", func() {
 		disk := &journaltest.Disk{}
--- a/pkg/replica/node.go
+++ b/pkg/replica/node.go
@@ -26,9 +26,6 @@
 	defaultMaxBatch = 1024
 	// defaultSnapshotEvery is the number of entries between snapshots.
 	defaultSnapshotEvery = 4096
-	// snapshotLogBytes is the size of the log after which a snapshot is taken although
-	// there are fewer entries: a few commands of the largest size.
-	snapshotLogBytes = 16 << 20
 )
 
 // Options configure a Node.
@@ -42,7 +39,7 @@
 	ElectionTimeout time.Duration
 	Heartbeat       time.Duration
 	// SnapshotEvery is the number of log entries between snapshots; a snapshot is taken
-	// sooner if the log gets large, see snapshotLogBytes.
+	// sooner if the log gets large compared to the state, see snapshotLogBytes.
 	SnapshotEvery int
 	// MaxBatch limits the number of proposals that share one sync.
 	MaxBatch int
--- a/pkg/replica/snapshots.go
+++ b/pkg/replica/snapshots.go
@@ -36,12 +36,31 @@
 	return nil
 }
 
+const (
+	// logPerSnapshotByte is the size of the log, in multiples of the last snapshot, after
+	// which the next one is taken. It bounds what snapshots add to the bytes written.
+	logPerSnapshotByte = 4
+	// minSnapshotLogBytes is the size of the log that is kept however small the state is.
+	minSnapshotLogBytes = 1 << 20
+	// maxSnapshotLogBytes is the size of the log after which a snapshot is taken however
+	// large the state is: a few commands of the largest size.
+	maxSnapshotLogBytes = 16 << 20
+)
+
 // snapshotDue reports whether the log is long enough for a snapshot, by entries or by
-// bytes. A few large commands would otherwise fill the disk before they are many.
+// bytes. A few large commands would otherwise fill the disk before they are many, and a
+// new member would be sent the versions of the state that they replaced.
 func (n *Node) snapshotDue() bool {
 	s := n.raft.Status()
 	return s.Applied-s.Snapshot >= uint64(n.options.SnapshotEvery) ||
-		s.Applied > s.Snapshot && n.journal.LogBytes() >= snapshotLogBytes
+		s.Applied > s.Snapshot && n.journal.LogBytes() >= n.snapshotLogBytes()
+}
+
+// snapshotLogBytes returns the size of the log after which a snapshot is taken although
+// there are fewer entries than Options.SnapshotEvery.
+func (n *Node) snapshotLogBytes() int64 {
+	bytes := int64(logPerSnapshotByte * n.raft.SnapshotBytes())
+	return min(max(bytes, minSnapshotLogBytes), maxSnapshotLogBytes)
 }
 
 // commitSnapshot makes a written snapshot the current one and truncates the log
