REPLICA: a lost voter keeps its place until its replacement has caught up

A replacement of a voter that didn't respond removed it first and then waited for the new member to catch up. If that never came, the group stood with four voters of five for good, and a voter that came back with its disk had no vote.

No voter changes now until the new member has caught up, which includes that it replies; a step is chosen and proposed in one step of the event loop, so that it suits the state on which it was decided. The order stays: the lost voter out, then the new one in, one commit apart. Promote, which only the automatic changes use, no longer waits for a learner, and ReplaceByLearner is a replacement that doesn't either.

--- a/pkg/consensus/membership.go
+++ b/pkg/consensus/membership.go
@@ -41,6 +41,9 @@
 	if err != nil {
 		return 0, 0, err
 	}
+	if change.Kind == Promote && !r.hasCaughtUp(now, change.Member) {
+		return 0, 0, ErrNotCaughtUp
+	}
 	if r.activeVoters(now, next) < next.quorum() {
 		return 0, 0, ErrNoMajority
 	}
@@ -87,7 +90,9 @@
 }
 
 // ReplacementStep returns the next change in the replacement of the voter old by
-// next, or false if the replacement is complete. It adds next as a learner first.
+// next, or false if the replacement is complete. It adds next as a learner first, and
+// changes no voter until next has caught up: the step is then its promotion, which fails
+// with ErrNotCaughtUp.
 // If old responds, it is removed after the promotion of next: until then the
 // group has one more voter and tolerates the loss of any one. If old does not
 // respond, it is removed before the promotion: otherwise a group of four voters
@@ -101,7 +106,7 @@
 		return Change{Kind: AddLearner, Member: next}, true
 	case !hasNext && (!hasOld || r.isActive(now, old) || len(r.membership.Voters) == 1):
 		return promote, true
-	case hasOld:
+	case hasOld && (hasNext || r.hasCaughtUp(now, next)):
 		return remove, true
 	case !hasNext:
 		return promote, true
@@ -109,10 +114,11 @@
 	return Change{}, false
 }
 
-// hasCaughtUp reports whether a learner has enough of the log to become a voter.
-func (r *Raft) hasCaughtUp(m Member) bool {
+// hasCaughtUp reports whether a learner replies, and has enough of the log to become a
+// voter.
+func (r *Raft) hasCaughtUp(now time.Duration, m Member) bool {
 	p := r.progress[m]
-	return p != nil && p.state == streaming && p.match+maxPromotionLag >= r.log.lastIndex()
+	return p != nil && r.isActive(now, m) && p.state == streaming && p.match+maxPromotionLag >= r.log.lastIndex()
 }
 
 // LearnerProgress is how far a learner has come.
@@ -128,7 +134,7 @@
 
 // LearnerProgress returns the progress of each learner, and nothing if this member is not
 // the leader.
-func (r *Raft) LearnerProgress() []LearnerProgress {
+func (r *Raft) LearnerProgress(now time.Duration) []LearnerProgress {
 	if r.role != Leader {
 		return nil
 	}
@@ -136,7 +142,7 @@
 	for _, m := range r.membership.Learners {
 		p := r.progress[m]
 		all = append(all, LearnerProgress{
-			Member: m, Index: p.match, CaughtUp: r.hasCaughtUp(m), ReceivesSnapshot: p.state == installing,
+			Member: m, Index: p.match, CaughtUp: r.hasCaughtUp(now, m), ReceivesSnapshot: p.state == installing,
 		})
 	}
 	return all
@@ -156,9 +162,6 @@
 		if !next.IsLearner(m) {
 			return next, ErrNotMember
 		}
-		if !r.hasCaughtUp(m) {
-			return next, ErrNotCaughtUp
-		}
 		next.Learners = removeMember(next.Learners, m)
 		next.Voters = append(next.Voters, m)
 	case Remove:
--- a/pkg/control/server/fleet_test.go
+++ b/pkg/control/server/fleet_test.go
@@ -228,6 +228,9 @@
 func (m *fakeMember) Promote(context.Context, replica.Member) error                 { return nil }
 func (m *fakeMember) Replace(context.Context, replica.Member, replica.Member) error { return nil }
 func (m *fakeMember) Remove(context.Context, replica.Member) error                  { return nil }
+func (m *fakeMember) ReplaceByLearner(context.Context, replica.Member, replica.Member) error {
+	return nil
+}
 
 // elect starts a new term with an instance as leader; an empty ID means none.
 func (g *fakeGroup) elect(id model.InstanceID) {
--- a/pkg/replica/members.go
+++ b/pkg/replica/members.go
@@ -25,9 +25,11 @@
 	return nil
 }
 
-// Promote makes a learner a voter once it has caught up.
+// Promote makes a learner a voter. It fails with consensus.ErrNotCaughtUp if the learner
+// has not caught up.
 func (n *Node) Promote(ctx context.Context, m Member) error {
-	if err := n.change(ctx, consensus.Change{Kind: consensus.Promote, Member: m}); err != nil {
+	change := consensus.Change{Kind: consensus.Promote, Member: m}
+	if err := n.change(ctx, change); err != nil {
 		return err
 	}
 	events.Emit(events.MemberPromoted, m.String())
@@ -36,43 +38,57 @@
 
 // Replace makes next a voter in place of old, in the order that
 // consensus.Raft.ReplacementStep gives; next is added as a learner if necessary.
+// No voter changes until next has caught up, which Replace waits for.
 // After a failure it may be called again and continues where it stopped.
 func (n *Node) Replace(ctx context.Context, old, next Member) error {
-	for {
-		step, ok, err := n.replacementStep(ctx, old, next)
-		if err != nil {
+	return n.replace(ctx, old, next, isPendingOrBehind)
+}
+
+// ReplaceByLearner is Replace by a learner that has caught up. It fails with
+// consensus.ErrNotCaughtUp at once if next has not.
+func (n *Node) ReplaceByLearner(ctx context.Context, old, next Member) error {
+	return n.replace(ctx, old, next, isPending)
+}
+
+// replace carries out the steps of a replacement. A step is tried again after the errors
+// that passes reports.
+func (n *Node) replace(ctx context.Context, old, next Member, passes func(error) bool) error {
+	for complete := false; !complete; {
+		err := n.retry(ctx, passes, func() (err error) {
+			complete, err = n.tryReplacementStep(ctx, old, next)
 			return err
-		}
-		if !ok {
-			break
-		}
-		if err := n.change(ctx, step); err != nil {
+		})
+		if err != nil {
 			return err
 		}
-		// A leader that removed itself is no longer the leader and has no next step.
-		if step.Kind == consensus.Remove && slices.Contains(n.Status().Voters, next) {
-			break
-		}
 	}
 	events.Emit(events.MemberReplaced, old.String(), next.String())
 	return nil
 }
 
-// replacementStep asks the event loop for the next change in the replacement of
-// old by next.
-func (n *Node) replacementStep(ctx context.Context, old, next Member) (step consensus.Change, ok bool, err error) {
-	err = n.runInLoop(ctx, "replace member", func(now time.Duration) error {
+// tryReplacementStep makes the next change in the replacement of old by next, and reports
+// whether the replacement is complete.
+func (n *Node) tryReplacementStep(ctx context.Context, old, next Member) (complete bool, err error) {
+	var step consensus.Change
+	err = n.tryChange(ctx, func(now time.Duration) (consensus.Change, error) {
 		s := n.raft.Status()
 		if s.Role != consensus.Leader {
-			return n.errNotLeader("replace member")
+			return step, n.errNotLeader("replace member")
 		}
 		if err := checkReplacement(s.Membership, old, next); err != nil {
-			return err
+			return step, err
 		}
-		step, ok = n.raft.ReplacementStep(now, old, next)
-		return nil
+		var more bool
+		if step, more = n.raft.ReplacementStep(now, old, next); !more {
+			return step, errReplaced
+		}
+		return step, nil
 	})
-	return step, ok, err
+	if errors.Is(err, errReplaced) {
+		return true, nil
+	}
+	// A leader that removed itself is no longer the leader and has no next step.
+	return err == nil && step.Kind == consensus.Remove && slices.Contains(n.Status().Voters, next), err
 }
 
 // checkReplacement rejects an old member that is not a voter, unless an earlier
@@ -112,13 +128,31 @@
 }
 
 // change proposes one membership change and waits until it is committed. It
-// retries while an earlier change is pending or a learner has not caught up.
+// retries while an earlier change is pending.
 func (n *Node) change(ctx context.Context, c consensus.Change) error {
+	return n.retry(ctx, isPending, func() error {
+		return n.tryChange(ctx, func(time.Duration) (consensus.Change, error) { return c, nil })
+	})
+}
+
+// isPending reports whether an earlier change is not committed yet.
+func isPending(err error) bool { return errors.Is(err, consensus.ErrChangePending) }
+
+// isPendingOrBehind is isPending, or reports whether a learner has not caught up.
+func isPendingOrBehind(err error) bool {
+	return isPending(err) || errors.Is(err, consensus.ErrNotCaughtUp)
+}
+
+// errReplaced ends a replacement that has no further step.
+var errReplaced = errors.New("the replacement is complete")
+
+// retry calls try until it succeeds or fails with an error that passes does not report.
+func (n *Node) retry(ctx context.Context, passes func(error) bool, try func() error) error {
 	pause := time.NewTicker(n.options.Heartbeat)
 	defer pause.Stop()
 	for {
-		err := n.tryChange(ctx, c)
-		if !errors.Is(err, consensus.ErrChangePending) && !errors.Is(err, consensus.ErrNotCaughtUp) {
+		err := try()
+		if err == nil || !passes(err) {
 			return err
 		}
 		select {
@@ -131,10 +165,16 @@
 	}
 }
 
-func (n *Node) tryChange(ctx context.Context, c consensus.Change) error {
+// tryChange proposes the change that choose returns, and waits until it is committed.
+// choose runs in the event loop, so that the state it decides on is that of the proposal.
+func (n *Node) tryChange(ctx context.Context, choose func(now time.Duration) (consensus.Change, error)) error {
 	done := make(chan outcome, 1)
 	err := n.runInLoop(ctx, "change members", func(now time.Duration) error {
-		term, index, err := n.raft.ProposeChange(now, c)
+		change, err := choose(now)
+		if err != nil {
+			return err
+		}
+		term, index, err := n.raft.ProposeChange(now, change)
 		if err != nil {
 			return n.proposalError("change members", err)
 		}
--- a/pkg/replica/nodisk.go
+++ b/pkg/replica/nodisk.go
@@ -40,6 +40,11 @@
 // Replace returns an error.
 func (noDisk) Replace(context.Context, Member, Member) error { return errNoDisk("replace member") }
 
+// ReplaceByLearner returns an error.
+func (noDisk) ReplaceByLearner(context.Context, Member, Member) error {
+	return errNoDisk("replace member")
+}
+
 // Remove returns an error.
 func (noDisk) Remove(context.Context, Member) error { return errNoDisk("remove member") }
 
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -84,12 +84,16 @@
 	Status() Status
 	// AddLearner adds a non-voting member that receives the log.
 	AddLearner(ctx context.Context, m Member) error
-	// Promote makes a learner a voter once it has caught up.
+	// Promote makes a learner a voter. It fails with consensus.ErrNotCaughtUp if the
+	// learner has not caught up.
 	Promote(ctx context.Context, m Member) error
 	// Replace makes next a voter in place of old, one change at a time: next is
-	// added as a learner unless it is a member, and becomes a voter only after
-	// it has caught up.
+	// added as a learner unless it is a member. Until it has caught up, old keeps its
+	// place.
 	Replace(ctx context.Context, old, next Member) error
+	// ReplaceByLearner is Replace by a learner that has caught up. It fails with
+	// consensus.ErrNotCaughtUp at once if next has not.
+	ReplaceByLearner(ctx context.Context, old, next Member) error
 	// Remove removes a voter or learner from the group.
 	Remove(ctx context.Context, m Member) error
 	// IsLeader reports whether this member holds a valid leader lease: it leads, has
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -147,6 +147,29 @@
 		Expect(leader.Status().Learners).To(BeEmpty())
 	})
 
+	// Guards against a group that gives a lost voter up for one that never catches up.
+	It("keeps a lost voter until its replacement has caught up", func() {
+		g := newGroup("a", "b", "c")
+		g.start("a", "b", "c", "d")
+		g.propose("c0")
+		lost := g.followers()[0].Status().Self
+		leader, next := g.leader(), g.members["d"].Status().Self
+		voters := leader.Status().Voters
+		g.stop(lost.Instance)
+		Eventually(func() *int { return leader.Status().LossesTolerated }, waitTimeout, heartbeat).Should(HaveValue(BeZero()))
+		g.network.setIsolated("d", true)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*electionTimeout)
+		defer cancel()
+		Expect(leader.Replace(ctx, lost, next)).NotTo(Succeed())
+		Expect(leader.Status().Voters).To(Equal(voters))
+
+		g.network.setIsolated("d", false)
+		ctx, cancel = context.WithTimeout(context.Background(), waitTimeout)
+		defer cancel()
+		Expect(leader.Replace(ctx, lost, next)).To(Succeed())
+		Expect(leader.Status().Voters).To(And(HaveLen(3), ContainElement(next), Not(ContainElement(lost))))
+	})
+
 	It("continues after its leader was removed from the group", func() {
 		g := newGroup("a", "b", "c")
 		g.start("a", "b", "c", "d")
--- a/pkg/replica/status.go
+++ b/pkg/replica/status.go
@@ -42,7 +42,7 @@
 		Learners: s.Membership.Learners,
 
 		LastIndex:       s.LastIndex,
-		LearnerProgress: n.learners.observe(now, n.raft.LearnerProgress()),
+		LearnerProgress: n.learners.observe(now, n.raft.LearnerProgress(now)),
 		TermStart:       s.TermStart,
 		LossesTolerated: n.lossesTolerated(now, s),
 	})
