RECONFIG: voters change only for learners that have caught up

The decision on members chose a replacement by its offer alone: an instance that offered its disk and never caught up was chosen again and again, each time for four seconds, while a lost voter whose new disk would have caught up was not even added as a learner. One change at a time thus held up all that followed.

Each live instance with a disk now becomes a learner before anything else, and a lost or leaving voter is replaced by whichever learner has caught up; until then it keeps its place. A lost voter of an even group goes at once, since the others tolerate as many losses without it, and so does a lost or leaving voter of a group that has more than the desired number, which an earlier leader left between two steps. After a failed change the next waits for half a second.

Specs of Decide that failed before: a voter given up for a learner that had not caught up, the first learner chosen instead of the one that had, the disk of a second lost voter not added, a lost voter of an even group kept.

Four specs of Decide assumed that a learner is promoted, or a voter removed, before the learner has caught up. They now state which learners have, and expect no change until then.

go test and go test -race of pkg/reconfig and pkg/replica, and go test of pkg/control/server, pkg/consensus and pkg/events pass.

--- a/pkg/control/server/leader_term.go
+++ b/pkg/control/server/leader_term.go
@@ -44,6 +44,8 @@
 	// a membership change is in progress.
 	offers   map[model.InstanceID]reconfig.Offer
 	changing atomic.Bool
+	// nextChange is the earliest time of the next membership change.
+	nextChange time.Duration
 	// learnerLog spaces the events about learners that have not caught up.
 	learnerLog learnerLog
 	// catalog is the list of targets that the leader distributes to instances.
--- a/pkg/control/server/offers.go
+++ b/pkg/control/server/offers.go
@@ -17,6 +17,8 @@
 	offerInterval = 400 * time.Millisecond
 	// changeTimeout bounds one membership change.
 	changeTimeout = 4 * time.Second
+	// changeRetryDelay is the delay after a membership change that failed.
+	changeRetryDelay = 500 * time.Millisecond
 )
 
 // recordOffer stores the newest offer of an instance with a disk.
@@ -48,13 +50,23 @@
 	status := n.group.Status()
 	n.termMu.Lock()
 	defer n.termMu.Unlock()
-	return reconfig.Decide(n.now(), n.decisionInput(status))
+	now := n.now()
+	if now < n.nextChange {
+		return reconfig.Change{}
+	}
+	return reconfig.Decide(now, n.decisionInput(status))
 }
 
 // decisionInput returns the input of a decision on members. The caller holds termMu.
 func (n *leaderTerm) decisionInput(status replica.Status) reconfig.Input {
+	var caughtUp []replica.Member
+	for _, l := range status.LearnerProgress {
+		if l.CaughtUp {
+			caughtUp = append(caughtUp, l.Member)
+		}
+	}
 	return reconfig.Input{
-		Voters: status.Voters, Learners: status.Learners,
+		Voters: status.Voters, Learners: status.Learners, CaughtUp: caughtUp,
 		DesiredVoters: n.settings.Control.Voters, Offers: n.offers, ListeningSince: n.started,
 	}
 }
@@ -77,9 +89,16 @@
 	events.Emit(events.MembershipChanging, c.Old.String(), c.New.String(), c.Reason)
 	if err := n.applyChange(ctx, c); err != nil {
 		events.Emit(events.MembershipChangeFailed, c.Old.String(), c.New.String(), err)
+		n.delayNextChange()
 	}
 }
 
+func (n *leaderTerm) delayNextChange() {
+	n.termMu.Lock()
+	defer n.termMu.Unlock()
+	n.nextChange = n.now() + changeRetryDelay
+}
+
 func (n *leaderTerm) applyChange(ctx context.Context, c reconfig.Change) error {
 	switch c.Kind {
 	case reconfig.AddLearner:
@@ -87,7 +106,7 @@
 	case reconfig.Promote:
 		return n.group.Promote(ctx, c.New)
 	case reconfig.ReplaceVoter:
-		return n.group.Replace(ctx, c.Old, c.New)
+		return n.group.ReplaceByLearner(ctx, c.Old, c.New)
 	default:
 		return n.group.Remove(ctx, c.Old)
 	}
--- a/pkg/reconfig/reconfig.go
+++ b/pkg/reconfig/reconfig.go
@@ -1,6 +1,6 @@
 // Package reconfig decides on automatic membership changes of the control group: it
-// adds voters up to the desired number, and replaces voters that are lost, that
-// leave, or whose disk was replaced. Each instance regularly offers the leader its disk
+// adds each live instance with a disk as a learner, adds voters up to the desired number,
+// and replaces voters that are lost, that leave, or whose disk was replaced. Each instance regularly offers the leader its disk
 // for a copy of the replicated log. The decision is a pure function of the offers that
 // the leader has received.
 package reconfig
@@ -40,6 +40,8 @@
 type Input struct {
 	Voters   []Member
 	Learners []Member
+	// CaughtUp are the learners that have enough of the log to become voters.
+	CaughtUp []Member
 	// DesiredVoters is the desired number of voters; 0 disables automatic changes.
 	DesiredVoters int
 	Offers        map[model.InstanceID]Offer
@@ -61,6 +63,8 @@
 	ReplaceVoter
 	// RemoveLearner removes the learner Old.
 	RemoveLearner
+	// RemoveVoter removes the voter Old without a replacement.
+	RemoveVoter
 )
 
 // Change is one membership change.
@@ -71,13 +75,16 @@
 	Reason string
 }
 
-// Decide returns the next membership change, or one of kind None.
+// Decide returns the next membership change, or one of kind None. Learners are added
+// first, since that waits for nothing: which of them catches up, and when, shows later.
+// Voters change only if a learner has caught up, or if the others tolerate as many losses
+// without the voter that goes.
 func Decide(now time.Duration, g Input) Change {
 	if g.DesiredVoters == 0 {
 		return Change{}
 	}
 	for _, rule := range []func(time.Duration, Input) (Change, bool){
-		removeStaleLearner, replaceVoterWithNewDisk, replaceLostVoter, addVoter, addStandbyLearner, removeUnreachableLearner,
+		removeStaleLearner, addLearner, removeSurplusVoter, replaceVoter, removeVoterOfEvenGroup, addVoter, removeUnreachableLearner,
 	} {
 		if c, ok := rule(now, g); ok {
 			return c
@@ -96,21 +103,26 @@
 	return Change{}, false
 }
 
-// replaceVoterWithNewDisk replaces a voter by the member on the new disk of the same
-// instance.
-func replaceVoterWithNewDisk(now time.Duration, g Input) (Change, bool) {
-	for _, v := range g.Voters {
-		o, ok := g.Offers[v.Instance]
-		if ok && o.Member != v && now-o.ReceivedAt < VoterTimeout && !slices.Contains(g.Voters, o.Member) {
-			return Change{Kind: ReplaceVoter, Old: v, New: o.Member, Reason: "the disk of the voter was replaced"}, true
+// addLearner adds a live member that is neither a voter nor a learner, so that it has the
+// log when a voter is lost.
+func addLearner(now time.Duration, g Input) (Change, bool) {
+	var first Member
+	for _, o := range g.Offers {
+		if !isLive(now, o) || slices.Contains(g.Voters, o.Member) || slices.Contains(g.Learners, o.Member) {
+			continue
+		}
+		if first.Instance == "" || o.Member.Instance < first.Instance {
+			first = o.Member
 		}
 	}
-	return Change{}, false
+	return Change{Kind: AddLearner, New: first, Reason: "standby for a voter"}, first.Instance != ""
 }
 
 // VoterToReplace is a voter that should give its place to another member.
 type VoterToReplace struct {
-	Voter  Member
+	Voter Member
+	// Lost is set unless the voter still works and is only leaving.
+	Lost   bool
 	Reason string
 }
 
@@ -122,58 +134,70 @@
 		o := g.Offers[v.Instance]
 		switch {
 		case now-max(o.ReceivedAt, g.ListeningSince) > VoterTimeout:
-			timedOut = append(timedOut, VoterToReplace{v, "the voter timed out"})
+			timedOut = append(timedOut, VoterToReplace{v, true, "the voter timed out"})
 		case o.Member.Instance != "" && o.Member != v:
-			newDisk = append(newDisk, VoterToReplace{v, "the disk of the voter was replaced"})
+			newDisk = append(newDisk, VoterToReplace{v, true, "the disk of the voter was replaced"})
 		case o.Leaving:
-			leaving = append(leaving, VoterToReplace{v, "the voter is leaving"})
+			leaving = append(leaving, VoterToReplace{v, false, "the voter is leaving"})
 		}
 	}
 	return slices.Concat(newDisk, timedOut, leaving)
 }
 
-// replaceLostVoter replaces a voter that timed out or is leaving by an eligible member.
-func replaceLostVoter(now time.Duration, g Input) (Change, bool) {
-	replacement, ok := eligibleMember(now, g)
-	if !ok {
+// removeSurplusVoter removes a voter that is lost or leaves from a group with more voters
+// than desired. An earlier leader may have promoted its replacement already.
+func removeSurplusVoter(now time.Duration, g Input) (Change, bool) {
+	voters := VotersToReplace(now, g)
+	if len(voters) == 0 || len(g.Voters) <= g.DesiredVoters {
 		return Change{}, false
 	}
-	for _, v := range g.Voters {
-		o := g.Offers[v.Instance]
-		switch {
-		case now-max(o.ReceivedAt, g.ListeningSince) > VoterTimeout:
-			return Change{Kind: ReplaceVoter, Old: v, New: replacement, Reason: "the voter timed out"}, true
-		case o.Leaving:
-			return Change{Kind: ReplaceVoter, Old: v, New: replacement, Reason: "the voter is leaving"}, true
-		}
-	}
-	return Change{}, false
+	return Change{Kind: RemoveVoter, Old: voters[0].Voter, Reason: voters[0].Reason}, true
 }
 
-// addVoter adds a voter if the group has fewer than desired. The new voter is a
-// learner first.
-func addVoter(now time.Duration, g Input) (Change, bool) {
-	newVoter, ok := eligibleMember(now, g)
-	if !ok || len(g.Voters) >= g.DesiredVoters {
+// replaceVoter replaces a voter by a learner that has caught up, preferably by the new disk
+// of the same instance.
+func replaceVoter(now time.Duration, g Input) (Change, bool) {
+	voters, learners := VotersToReplace(now, g), readyLearners(now, g)
+	if len(voters) == 0 || len(learners) == 0 {
 		return Change{}, false
 	}
-	if !slices.Contains(g.Learners, newVoter) {
-		return Change{Kind: AddLearner, New: newVoter, Reason: "the group has too few voters"}, true
+	for _, v := range voters {
+		for _, l := range learners {
+			if l.Instance == v.Voter.Instance {
+				return Change{Kind: ReplaceVoter, Old: v.Voter, New: l, Reason: v.Reason}, true
+			}
+		}
 	}
-	return Change{Kind: Promote, New: newVoter, Reason: "the group has too few voters"}, true
+	return Change{Kind: ReplaceVoter, Old: voters[0].Voter, New: learners[0], Reason: voters[0].Reason}, true
 }
 
-// addStandbyLearner adds an eligible member as a learner, so that it already has the log
-// when it replaces a voter.
-func addStandbyLearner(now time.Duration, g Input) (Change, bool) {
-	for _, m := range eligibleMembers(now, g) {
-		if !slices.Contains(g.Learners, m) {
-			return Change{Kind: AddLearner, New: m, Reason: "standby for a voter"}, true
+// minEvenVoters is the least number of voters of which removeVoterOfEvenGroup removes one.
+const minEvenVoters = 4
+
+// removeVoterOfEvenGroup removes a lost voter without a replacement from a group with an
+// even number of voters. The quorum of the others is one less, so that they tolerate the
+// loss of one more.
+func removeVoterOfEvenGroup(now time.Duration, g Input) (Change, bool) {
+	if len(g.Voters) < minEvenVoters || len(g.Voters)%2 != 0 {
+		return Change{}, false
+	}
+	for _, v := range VotersToReplace(now, g) {
+		if v.Lost {
+			return Change{Kind: RemoveVoter, Old: v.Voter, Reason: v.Reason}, true
 		}
 	}
 	return Change{}, false
 }
 
+// addVoter promotes a learner that has caught up if the group has fewer voters than desired.
+func addVoter(now time.Duration, g Input) (Change, bool) {
+	learners := readyLearners(now, g)
+	if len(learners) == 0 || len(g.Voters) >= g.DesiredVoters {
+		return Change{}, false
+	}
+	return Change{Kind: Promote, New: learners[0], Reason: "the group has too few voters"}, true
+}
+
 func removeUnreachableLearner(now time.Duration, g Input) (Change, bool) {
 	for _, l := range g.Learners {
 		if now-max(g.Offers[l.Instance].ReceivedAt, g.ListeningSince) > LearnerTimeout {
@@ -183,31 +207,19 @@
 	return Change{}, false
 }
 
-// eligibleMember returns the preferred member to become a voter.
-func eligibleMember(now time.Duration, g Input) (Member, bool) {
-	all := eligibleMembers(now, g)
-	if len(all) == 0 {
-		return Member{}, false
+// readyLearners returns the live learners that have caught up, ordered by instance.
+func readyLearners(now time.Duration, g Input) []Member {
+	var ready []Member
+	for _, m := range g.CaughtUp {
+		if o := g.Offers[m.Instance]; o.Member == m && isLive(now, o) && slices.Contains(g.Learners, m) {
+			ready = append(ready, m)
+		}
 	}
-	return all[0], true
+	slices.SortFunc(ready, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
+	return ready
 }
 
-// eligibleMembers returns the live members without a vote, learners first.
-func eligibleMembers(now time.Duration, g Input) []Member {
-	var all []Member
-	for _, o := range g.Offers {
-		if !o.Leaving && now-o.ReceivedAt < VoterTimeout && !slices.Contains(g.Voters, o.Member) {
-			all = append(all, o.Member)
-		}
-	}
-	slices.SortFunc(all, func(a, b Member) int {
-		if l := slices.Contains(g.Learners, a); l != slices.Contains(g.Learners, b) {
-			if l {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(a.Instance, b.Instance)
-	})
-	return all
+// isLive reports whether an instance offered its disk lately, and stays.
+func isLive(now time.Duration, o Offer) bool {
+	return !o.Leaving && now-o.ReceivedAt < VoterTimeout
 }
--- a/pkg/reconfig/reconfig_test.go
+++ b/pkg/reconfig/reconfig_test.go
@@ -36,9 +36,115 @@
 	g.Offers[m.Instance] = reconfig.Offer{Member: m, ReceivedAt: receivedAt}
 }
 
+func addCaughtUp(g *reconfig.Input, m reconfig.Member) {
+	g.Learners = append(g.Learners, m)
+	g.CaughtUp = append(g.CaughtUp, m)
+}
+
 var _ = Describe("Decide", func() {
 	const now = time.Minute
 
+	// Guards against a group that gives a voter up before it has another.
+	It("keeps a lost voter while no learner has caught up", func() {
+		g := group(now)
+		offer(g, member(3, "a"), now-2*reconfig.VoterTimeout)
+		offer(g, member(6, "a"), now)
+		g.Learners = []reconfig.Member{member(6, "a")}
+		Expect(reconfig.Decide(now, g).Kind).To(Equal(reconfig.None))
+		offer(g, member(2, "b"), now)
+		g.Learners = append(g.Learners, member(2, "b"))
+		Expect(reconfig.Decide(now, g).Kind).To(Equal(reconfig.None))
+	})
+
+	// Guards against a learner that can't catch up and holds up another that has.
+	It("replaces a lost voter by the learner that has caught up", func() {
+		g := group(now)
+		offer(g, member(3, "a"), now-2*reconfig.VoterTimeout)
+		offer(g, member(6, "a"), now)
+		offer(g, member(7, "a"), now)
+		g.Learners = []reconfig.Member{member(6, "a")}
+		addCaughtUp(&g, member(7, "a"))
+		Expect(reconfig.Decide(now, g)).To(Equal(reconfig.Change{
+			Kind: reconfig.ReplaceVoter, Old: member(3, "a"), New: member(7, "a"), Reason: "the voter timed out",
+		}))
+	})
+
+	// Guards against a replacement in progress that keeps other disks out of the group.
+	It("adds every live disk as a learner before any other change", func() {
+		g := group(now)
+		offer(g, member(3, "a"), now-2*reconfig.VoterTimeout)
+		offer(g, member(6, "a"), now)
+		offer(g, member(7, "a"), now)
+		offer(g, member(2, "b"), now)
+		addCaughtUp(&g, member(6, "a"))
+		var added []reconfig.Member
+		for c := reconfig.Decide(now, g); c.Kind == reconfig.AddLearner; c = reconfig.Decide(now, g) {
+			added = append(added, c.New)
+			g.Learners = append(g.Learners, c.New)
+		}
+		Expect(added).To(ConsistOf(member(7, "a"), member(2, "b")))
+	})
+
+	It("replaces two voters whose disks were lost at once, whichever new disk has caught up first", func() {
+		g := group(now)
+		offer(g, member(2, "b"), now)
+		offer(g, member(4, "b"), now)
+		g.Learners = []reconfig.Member{member(2, "b")}
+		addCaughtUp(&g, member(4, "b"))
+		Expect(reconfig.Decide(now, g)).To(And(HaveField("Old", member(4, "a")), HaveField("New", member(4, "b"))))
+	})
+
+	// Guards against a replacement that stays half done: the leader failed after the lost
+	// voter was removed.
+	It("promotes a learner if an earlier leader has removed the lost voter", func() {
+		g := group(now)
+		g.Voters = g.Voters[:4]
+		g.Offers = map[model.InstanceID]reconfig.Offer{}
+		g.ListeningSince = now
+		offer(g, member(6, "a"), now)
+		addCaughtUp(&g, member(6, "a"))
+		Expect(reconfig.Decide(now, g)).To(And(HaveField("Kind", reconfig.Promote), HaveField("New", member(6, "a"))))
+	})
+
+	// Guards against an even group, which tolerates no more losses than without the lost
+	// voter.
+	It("removes a lost voter of an even group although no learner has caught up", func() {
+		g := group(now)
+		g.Voters = append(g.Voters, member(6, "a"))
+		offer(g, member(6, "a"), now)
+		offer(g, member(1, "a"), now-2*reconfig.VoterTimeout)
+		Expect(reconfig.Decide(now, g)).To(And(HaveField("Kind", reconfig.RemoveVoter), HaveField("Old", member(1, "a"))))
+
+		g.Voters = g.Voters[:4]
+		g.Learners = []reconfig.Member{member(5, "a"), member(6, "a")}
+		Expect(reconfig.Decide(now, g)).To(And(HaveField("Kind", reconfig.RemoveVoter), HaveField("Old", member(1, "a"))))
+		g.Voters = g.Voters[:2]
+		g.Learners = append(g.Learners, member(3, "a"), member(4, "a"))
+		Expect(reconfig.Decide(now, g).Kind).To(Equal(reconfig.None))
+	})
+
+	// Guards against a group that grows by one with each leader that fails after the
+	// promotion.
+	It("removes the leaving voter if an earlier leader has promoted its replacement", func() {
+		g := group(now)
+		g.Voters = append(g.Voters, member(6, "a"))
+		offer(g, member(6, "a"), now)
+		offer(g, member(7, "a"), now)
+		addCaughtUp(&g, member(7, "a"))
+		g.Offers["10.0.0.4"] = reconfig.Offer{Member: member(4, "a"), ReceivedAt: now, Leaving: true}
+		Expect(reconfig.Decide(now, g)).To(And(HaveField("Kind", reconfig.RemoveVoter), HaveField("Old", member(4, "a"))))
+	})
+
+	It("keeps a leaving voter of an even group until a learner has caught up", func() {
+		g := group(now)
+		g.Voters = g.Voters[:4]
+		g.Learners = []reconfig.Member{member(5, "a")}
+		g.Offers["10.0.0.4"] = reconfig.Offer{Member: member(4, "a"), ReceivedAt: now, Leaving: true}
+		Expect(reconfig.Decide(now, g).Kind).To(Equal(reconfig.None))
+		g.CaughtUp = g.Learners
+		Expect(reconfig.Decide(now, g)).To(And(HaveField("Old", member(4, "a")), HaveField("New", member(5, "a"))))
+	})
+
 	It("makes no change to a complete group", func() {
 		Expect(reconfig.Decide(now, group(now)).Kind).To(Equal(reconfig.None))
 	})
@@ -46,17 +152,24 @@
 	It("grows from the initial voters to the desired number, learners first", func() {
 		g := group(now)
 		g.Voters = g.Voters[:3]
-		first := reconfig.Decide(now, g)
-		Expect(first.Kind).To(Equal(reconfig.AddLearner))
-		g.Learners = append(g.Learners, first.New)
-		second := reconfig.Decide(now, g)
-		Expect(second).To(HaveField("Kind", reconfig.Promote))
-		Expect(second.New).To(Equal(first.New))
+		for n := 4; n <= 5; n++ {
+			c := reconfig.Decide(now, g)
+			Expect(c).To(HaveField("Kind", reconfig.AddLearner))
+			Expect(c.New).To(Equal(member(n, "a")))
+			g.Learners = append(g.Learners, c.New)
+		}
+		Expect(reconfig.Decide(now, g).Kind).To(Equal(reconfig.None))
+		g.CaughtUp = []reconfig.Member{member(5, "a")}
+		c := reconfig.Decide(now, g)
+		Expect(c).To(HaveField("Kind", reconfig.Promote))
+		Expect(c.New).To(Equal(member(5, "a")))
 	})
 
 	It("replaces a voter that returned with a new disk by the new member", func() {
 		g := group(now)
 		offer(g, member(2, "b"), now)
+		Expect(reconfig.Decide(now, g)).To(And(HaveField("Kind", reconfig.AddLearner), HaveField("New", member(2, "b"))))
+		addCaughtUp(&g, member(2, "b"))
 		c := reconfig.Decide(now, g)
 		Expect(c).To(HaveField("Kind", reconfig.ReplaceVoter))
 		Expect(c.Old).To(Equal(member(2, "a")))
@@ -66,6 +179,8 @@
 	It("replaces a voter that timed out only by a live instance", func() {
 		g := group(now)
 		offer(g, member(3, "a"), now-2*reconfig.VoterTimeout)
+		addCaughtUp(&g, member(6, "a"))
+		offer(g, member(6, "a"), now-2*reconfig.VoterTimeout)
 		Expect(reconfig.Decide(now, g).Kind).To(Equal(reconfig.None))
 		offer(g, member(6, "a"), now)
 		c := reconfig.Decide(now, g)
@@ -85,7 +200,7 @@
 	It("replaces a leaving voter at once", func() {
 		g := group(now)
 		offer(g, member(6, "a"), now)
-		g.Learners = []reconfig.Member{member(6, "a")}
+		addCaughtUp(&g, member(6, "a"))
 		o := g.Offers["10.0.0.4"]
 		o.Leaving = true
 		g.Offers["10.0.0.4"] = o
