CONSENSUS: a learner that lacks more than one message holds has not caught up

A learner counted as caught up while it lacked up to 64 entries, of whatever size. With entries that hold a whole table these are many megabytes, and as a voter it then answers only once it has them, which over a slow path takes minutes. What it lacks must now also fit into one message.

--- a/pkg/consensus/membership.go
+++ b/pkg/consensus/membership.go
@@ -22,7 +22,8 @@
 	Member Member
 }
 
-// maxPromotionLag is the number of entries that a learner may lack when it is promoted.
+// maxPromotionLag is the number of entries that a learner may lack when it is promoted; see
+// isShortLag.
 const maxPromotionLag = 64
 
 // ProposeChange appends the membership that results from change and returns its
@@ -118,7 +119,20 @@
 // voter.
 func (r *Raft) hasCaughtUp(now time.Duration, m Member) bool {
 	p := r.progress[m]
-	return p != nil && r.isActive(now, m) && p.state == streaming && p.match+maxPromotionLag >= r.log.lastIndex()
+	return p != nil && r.isActive(now, m) && p.state == streaming && r.isShortLag(p.match)
+}
+
+// isShortLag reports whether the entries after index are at most maxPromotionLag and fit
+// into one message.
+func (r *Raft) isShortLag(index uint64) bool {
+	if index < r.log.base || index+maxPromotionLag < r.log.lastIndex() {
+		return false
+	}
+	bytes := 0
+	for i := index + 1; i <= r.log.lastIndex(); i++ {
+		bytes += r.log.at(i).size()
+	}
+	return bytes <= r.cfg.MaxAppendBytes
 }
 
 // LearnerProgress is how far a learner has come.
