Soak: empty disks at all seeds never become members again; fails

Three voters led within 0.5 s, but the two empty processes know no member but the seeds, which are themselves and the one that is gone. They never offer their disks, answer each operator's call with "no leader answered: ... does not lead" and version 0, and the next loss of disks leaves two of five voters.

--- a/soak/replacement_test.go
+++ b/soak/replacement_test.go
@@ -42,13 +42,13 @@
 	f.fixedRoutes = largeTable
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer cancel()
-	replacement := f.newRemoteMember()
+	replacement := f.newMember(remoteMeshPort)
 	path := f.startRelay(seed, f.instances, []*instance{replacement})
 	path.setFault(fault)
 	for range changesBefore {
 		f.replaceConfiguration(ctx)
 	}
-	f.awaitVoters(ctx, controlCount)
+	f.awaitVoters(ctx, f.instances[:controlCount])
 	stopChanges := f.startChanges(ctx)
 
 	f.instances[0].stop()
@@ -76,10 +76,9 @@
 	}
 }
 
-// newRemoteMember returns a further control instance, whose process is not started yet,
-// with another mesh port than all others.
-func (f *fleet) newRemoteMember() *instance {
-	n := &instance{fleet: f, ip: instanceIP(len(f.instances)), member: true, meshPort: remoteMeshPort}
+// newMember returns a further control instance, whose process is not started yet.
+func (f *fleet) newMember(meshPort int) *instance {
+	n := &instance{fleet: f, ip: instanceIP(len(f.instances)), member: true, meshPort: meshPort}
 	f.t.Cleanup(n.stop)
 	return n
 }
@@ -116,23 +115,39 @@
 	}
 }
 
-// awaitVoters waits until a leader reports a number of voters.
-func (f *fleet) awaitVoters(ctx context.Context, count int) {
-	for {
-		for _, n := range f.instances[:controlCount] {
-			if s := n.status(ctx); s.Role == "leader" && len(s.Voters) == count {
-				return
-			}
-		}
+// awaitVoters waits until the voters are exactly the given members, with their disks.
+func (f *fleet) awaitVoters(ctx context.Context, members []*instance) {
+	for !f.areVoters(ctx, members) {
 		f.must(ctx.Err())
 		time.Sleep(50 * time.Millisecond)
 	}
 }
 
+// areVoters reports whether one of the members leads a group whose voters are the members.
+func (f *fleet) areVoters(ctx context.Context, members []*instance) bool {
+	var disks, voters []diskStatus
+	for _, n := range members {
+		s := n.status(ctx)
+		disks = append(disks, s.Self)
+		if s.Role == "leader" {
+			voters = s.Voters
+		}
+	}
+	isMissing := func(d diskStatus) bool { return !slices.Contains(voters, d) }
+	return len(voters) == len(members) && !slices.ContainsFunc(disks, isMissing)
+}
+
 // memberStatus is what a control instance tells of the control group.
 type memberStatus struct {
-	Role   string            `json:"role"`
-	Voters []json.RawMessage `json:"voters"`
+	Self   diskStatus   `json:"self"`
+	Role   string       `json:"role"`
+	Voters []diskStatus `json:"voters"`
+}
+
+// diskStatus is a member of the control group: an instance and its disk.
+type diskStatus struct {
+	Instance string `json:"instance"`
+	Disk     string `json:"disk"`
 }
 
 // status returns the status of a control instance, or an empty one if it does not answer.
