--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -127,6 +127,9 @@
 	for _, n := range f.instances {
 		n.stop()
 	}
+	for _, n := range f.instances {
+		n.awaitExit()
+	}
 	for _, l := range f.targets {
 		l.proxy.stop()
 		_ = l.server.Close()
--- a/soak/replacement_test.go
+++ b/soak/replacement_test.go
@@ -79,7 +79,10 @@
 // newMember returns a further control instance, whose process is not started yet.
 func (f *fleet) newMember(meshPort int) *instance {
 	n := &instance{fleet: f, ip: instanceIP(len(f.instances)), member: true, meshPort: meshPort}
-	f.t.Cleanup(n.stop)
+	f.t.Cleanup(func() {
+		n.stop()
+		n.awaitExit()
+	})
 	return n
 }
 
