Replica: an empty disk finds the group through messages to the former one

Callers heard "no leader answered" from two members without end, although three others led: a seed had been replaced at another address, the two other seeds had lost their disks at once, and the empty processes knew no instance but the seeds. They never offered their new disks, so the next loss of two disks left two of five voters.

Cause: an empty member took the instances of its settings for all that it can ask. Voters go on sending to the disk that was lost, so the member at that address now remembers who they are and asks them for the leader.

--- a/pkg/control/server/module.go
+++ b/pkg/control/server/module.go
@@ -215,12 +215,13 @@
 }
 
 // members returns the instances that may lead, possibly with duplicates: those
-// from the settings, and the voters that this instance knows.
+// from the settings, the voters that this instance knows, and the members that know
+// this instance.
 func (s *Server) members() []model.InstanceID {
 	s.mu.Lock()
 	listed := slices.Clone(s.configuredMembers)
 	s.mu.Unlock()
-	return append(listed, s.voters()...)
+	return slices.Concat(listed, s.voters(), s.group.Status().Contacts)
 }
 
 // voters returns the voters of the control group that this instance knows.
--- a/pkg/replica/node.go
+++ b/pkg/replica/node.go
@@ -98,6 +98,7 @@
 	// leaderless spaces the events about a missing leader.
 	leaderless events.Recurrence
 	learners   learnerTracker
+	contacts   contacts
 	// lossLog spaces the events about the losses of voters that the group tolerates.
 	lossLog lossLog
 }
@@ -225,6 +226,7 @@
 func (n *Node) handleMessages(messages []consensus.Message) {
 	now := n.options.Clock()
 	n.metrics.countRefusals(messages)
+	n.contacts = n.contacts.record(n.self, messages)
 	for _, m := range messages {
 		n.raft.Step(now, m)
 	}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -7,6 +7,7 @@
 	"context"
 
 	"radishturn.example/radishturn/pkg/consensus"
+	"radishturn.example/radishturn/pkg/model"
 )
 
 // StateMachine is the state that the log replicates. The replica calls it from
@@ -57,6 +58,9 @@
 	// LossesTolerated is how many of the voters that answer the leader may be lost before
 	// the group has no majority. It is nil at other members.
 	LossesTolerated *int `json:"lossesTolerated,omitempty"`
+	// Contacts are instances that take this one for a member with another disk, such as
+	// the disk that it has lost. They are members of the group.
+	Contacts []model.InstanceID `json:"contacts,omitempty"`
 }
 
 // LearnerProgress is how far a learner has come, as the leader knows it.
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -66,6 +66,18 @@
 		g.expectEverywhere(numbered(0, 13))
 	})
 
+	// Guards against an empty member that never finds the group, since all instances in its
+	// settings have lost their disks or are gone.
+	It("learns who is in the group from messages to the disk that it has lost", func() {
+		g := newGroup("a", "b", "c")
+		g.start("a", "b", "c")
+		lost := g.followers()[0].Status().Self
+		g.loseDisk(lost.Instance)
+		leader := g.leader().Status().Self.Instance
+		contacts := func() []model.InstanceID { return g.members[lost.Instance].Status().Contacts }
+		Eventually(contacts, waitTimeout, heartbeat).Should(ContainElement(leader))
+	})
+
 	It("never lets an instance that lost its disk vote or form a second group", func() {
 		g := newGroup("a", "b", "c")
 		g.start("a", "b", "c")
--- a/pkg/replica/status.go
+++ b/pkg/replica/status.go
@@ -45,6 +45,7 @@
 		LearnerProgress: n.learners.observe(now, n.raft.LearnerProgress(now)),
 		TermStart:       s.TermStart,
 		LossesTolerated: n.lossesTolerated(now, s),
+		Contacts:        n.contacts,
 	})
 	n.report(s)
 	n.reportMissingLeader(now, s)
