Soak: a replacement over a slow path never catches up either; fails

The same course as over the lossy path, at 1,000,000 and 200,000 bytes a second and without loss. At the first rate the path carried 9.8 MB in 22 s, of which the learner kept not one entry (RT3012 with index 1 after the restart); the log is 3 MB.

--- a/soak/replacement_test.go
+++ b/soak/replacement_test.go
@@ -28,12 +28,29 @@
 	leaderBound = 20 * time.Second
 )
 
+// bytesPerSecondOfSlowPaths are rates at which the whole log arrives long before the last
+// disks are lost.
+var bytesPerSecondOfSlowPaths = []int{1_000_000, 200_000}
+
 // Guards against the loss of the quorum when two disks are lost at once: the group had
 // removed a lost voter long before, and the voter in its place never caught up.
 func TestLostDisksStopAGroupWithAnUnfinishedReplacement(t *testing.T) {
 	runUnfinishedReplacement(t, 1, pathFault{lossShare: 0.2})
 }
 
+// Guards against the same over a path without loss that is slower than the pace at which
+// entries count as lost. It runs only if SOAK_SEEDS is set.
+func TestLostDisksStopAGroupWithAReplacementOverASlowPath(t *testing.T) {
+	if envInt("SOAK_SEEDS", 0) == 0 {
+		return
+	}
+	for _, rate := range bytesPerSecondOfSlowPaths {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			runUnfinishedReplacement(t, 1, pathFault{bytesPerSecond: rate})
+		})
+	}
+}
+
 // runUnfinishedReplacement replaces a voter by one behind a faulty path, lets a second
 // member lose its disk and, later, two more in a loss of power.
 func runUnfinishedReplacement(t *testing.T, seed uint64, fault pathFault) {
