--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -16,6 +16,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -86,7 +87,9 @@
 	starts      int
 }
 
-func newFleet(t *testing.T, seed uint64) *fleet {
+// newFleet starts the instances of a fleet. Remote are the indexes of those with the mesh
+// port remoteMeshPort, which others reach through a relay.
+func newFleet(t *testing.T, seed uint64, remote ...int) *fleet {
 	folder := t.TempDir()
 	f := &fleet{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), folder: folder, checker: newChecker(newContact(t, folder)),
@@ -110,6 +113,9 @@
 	}
 	for i := range controlCount + entryCount {
 		n := &instance{fleet: f, ip: instanceIP(i), member: i < controlCount, bootstrap: true, meshPort: meshPort}
+		if slices.Contains(remote, i) {
+			n.meshPort = remoteMeshPort
+		}
 		f.instances = append(f.instances, n)
 		n.start()
 	}
--- a/soak/power_test.go
+++ b/soak/power_test.go
@@ -144,18 +144,22 @@
 	{"leader stopped, successor killed", func(o *outage, ctx context.Context) { o.stopLeader(ctx) }},
 }
 
-// runRound runs one kind of outage on members in a random order, and waits until the group
-// has its five voters again.
+// runRound runs one kind of outage on members in a random order.
 func (o *outage) runRound(ctx context.Context, round int) {
-	f := o.fleet
 	o.rng.Shuffle(len(o.members), func(i, j int) { o.members[i], o.members[j] = o.members[j], o.members[i] })
 	kind := outageKinds[o.rng.IntN(len(outageKinds))]
-	f.checker.contact.log("round %d: %s", round, kind.name)
+	o.playRound(ctx, round, kind.name, func() { kind.run(o, ctx) })
+}
+
+// playRound runs a round, and waits until the group has its five voters again.
+func (o *outage) playRound(ctx context.Context, round int, name string, run func()) {
+	f := o.fleet
+	f.checker.contact.log("round %d: %s", round, name)
 	o.wait(time.Second)
-	kind.run(o, ctx)
+	run()
 	served := f.awaitLeader(ctx)
 	restored := o.awaitFiveVoters(ctx)
-	f.t.Logf("round %d, %s: a leader after %d ms, five voters after %d ms", round, kind.name, served.Milliseconds(), restored.Milliseconds())
+	f.t.Logf("round %d, %s: a leader after %d ms, five voters after %d ms", round, name, served.Milliseconds(), restored.Milliseconds())
 }
 
 // awaitFiveVoters waits until the members are the voters, and returns how long that took.
