--- a/pkg/journal/crash_test.go
+++ b/pkg/journal/crash_test.go
@@ -32,6 +32,8 @@
 type writeOperation struct {
 	run   func(*journal.Journal) error
 	after modelState
+	// mustRepeat is set if no other write may follow journal.ErrFull.
+	mustRepeat bool
 }
 
 func randomOperation(r *rand.Rand, m modelState) writeOperation {
@@ -39,14 +41,15 @@
 	case p == 0 && m.lastIndex() > m.snapshot:
 		index := m.snapshot + 1 + r.Uint64N(m.lastIndex()-m.snapshot)
 		return writeOperation{
-			run:   func(j *journal.Journal) error { return takeSnapshot(j, snapshot(index, 1)) },
+			run:   func(j *journal.Journal) error { return abandonIfFull(j, snapshot(index, 1)) },
 			after: m.withSnapshot(index),
 		}
 	case p == 1:
 		s, h := snapshot(m.lastIndex()+r.Uint64N(5)+1, m.hardState.Term), *hardState(m.hardState.Term + 1)
 		return writeOperation{
-			run:   func(j *journal.Journal) error { return j.Install(s, h) },
-			after: modelState{hardState: h, snapshot: s.Meta.Index},
+			run:        func(j *journal.Journal) error { return j.Install(s, h) },
+			after:      modelState{hardState: h, snapshot: s.Meta.Index},
+			mustRepeat: true,
 		}
 	}
 	h := *hardState(m.hardState.Term + 1)
--- a/pkg/journal/errors.go
+++ b/pkg/journal/errors.go
@@ -9,6 +9,17 @@
 	"radishturn.example/radishturn/pkg/failure"
 )
 
+// ErrFull is returned for a write that found the disk or the quota full. The journal is
+// as it was before the call, which may be repeated.
+var ErrFull = errors.New("the data folder is full, and the write was undone")
+
+// errFull returns ErrFull with its cause.
+func errFull(cause error) error { return fmt.Errorf("%w: %w", ErrFull, cause) }
+
+func isNoSpace(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
+
 // wrapFailure adds the step, the folder and a code. The codes distinguish the
 // failures that an operator fixes in different ways.
 func wrapFailure(step, folder string, err error) error {
@@ -26,7 +37,7 @@
 	switch {
 	case errors.As(err, &known):
 		return known.Code
-	case errors.Is(err, syscall.ENOSPC), errors.Is(err, syscall.EDQUOT):
+	case isNoSpace(err):
 		return failure.DataFolderFull
 	case errors.Is(err, fs.ErrPermission), errors.Is(err, syscall.EROFS):
 		return failure.DataFolderReadOnly
--- a/pkg/journal/files.go
+++ b/pkg/journal/files.go
@@ -114,16 +114,27 @@
 }
 
 // writeFile writes and syncs a new file; an existing file of this name is removed
-// first.
+// first. A file that finds the disk full is removed, so that it does not keep it full.
 func writeFile(files FileSystem, name string, content []byte) error {
-	if err := files.Remove(name); err != nil && !errors.Is(err, fs.ErrNotExist) {
+	err := files.Remove(name)
+	if isNoSpace(err) {
+		return errFull(fmt.Errorf("remove %s: %w", name, err))
+	}
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return fmt.Errorf("remove %s: %w", name, err)
 	}
 	f, err := files.OpenForAppend(name)
+	if isNoSpace(err) {
+		return errFull(fmt.Errorf("create %s: %w", name, err))
+	}
 	if err != nil {
 		return fmt.Errorf("create %s: %w", name, err)
 	}
-	if _, err := f.Write(content); err != nil {
+	_, err = f.Write(content)
+	if isNoSpace(err) {
+		return removePartialFile(files, f, name, err)
+	}
+	if err != nil {
 		return errors.Join(fmt.Errorf("write %s: %w", name, err), f.Close())
 	}
 	if err := f.Sync(); err != nil {
@@ -132,9 +143,26 @@
 	return f.Close()
 }
 
+// removePartialFile removes a file whose write found the disk full. If that needs space
+// as well, the next writeFile removes it.
+func removePartialFile(files FileSystem, f File, name string, cause error) error {
+	cause = fmt.Errorf("write %s: %w", name, cause)
+	if err := f.Close(); err != nil {
+		return errors.Join(cause, err)
+	}
+	if err := files.Remove(name); err != nil && !isNoSpace(err) {
+		return errors.Join(cause, err)
+	}
+	return errFull(cause)
+}
+
 // renameDurably renames a synced file and syncs the folder.
 func renameDurably(files FileSystem, folder, from, to string) error {
-	if err := files.Rename(filepath.Join(folder, from), filepath.Join(folder, to)); err != nil {
+	err := files.Rename(filepath.Join(folder, from), filepath.Join(folder, to))
+	if isNoSpace(err) {
+		return errFull(fmt.Errorf("rename %s: %w", from, err))
+	}
+	if err != nil {
 		return fmt.Errorf("rename %s: %w", from, err)
 	}
 	if err := files.SyncFolder(folder); err != nil {
--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -4,7 +4,8 @@
 // Each write is synced before the next begins, so a crash can tear only the end
 // of the last segment; that end was never acknowledged and is truncated at start.
 // Any other inconsistency is an error. After a failed write or sync nothing more
-// is written, because the page cache and the disk may then differ.
+// is written, because the page cache and the disk may then differ. The exception is a
+// write that finds the disk full: it is undone and may be repeated, see ErrFull.
 package journal
 
 import (
@@ -53,15 +54,23 @@
 	disk         model.DiskID
 
 	// segments are the segments in use, oldest first; the last one is open.
-	segments  []segment
-	file      File
-	offset    int64
+	segments []segment
+	// obsolete are the sequences of segments out of use whose files are still there.
+	obsolete []uint64
+	file     File
+	// offset is where the next frame is written; it is 0 until the segment has a header.
+	offset int64
+	// headerEnd is the offset after the header of the last segment.
+	headerEnd int64
 	hardState consensus.HardState
 	// snapshotIndex is the index of the current snapshot.
 	snapshotIndex uint64
 	// logBytes is the size of the log written since the newest snapshot was begun.
 	logBytes int64
-	writeErr error
+	// snapshotAbandoned is set while the segments before the last one can be removed by a
+	// snapshot that could not be written.
+	snapshotAbandoned bool
+	writeErr          error
 }
 
 type segment struct {
@@ -87,16 +96,20 @@
 func (j *Journal) LogBytes() int64 { return j.logBytes }
 
 // Append writes entries and the hard state, either of which may be nil, and
-// syncs them with one call.
+// syncs them with one call. After ErrFull nothing was written and Append may be
+// called again.
 func (j *Journal) Append(h *consensus.HardState, entries []consensus.Entry) error {
 	if j.writeErr != nil {
 		return j.writeErr
 	}
 	if j.offset >= j.segmentBytes {
-		if err := j.rotate(); err != nil {
+		if err := j.openNextSegment(); err != nil {
 			return j.fail("begin segment", err)
 		}
 	}
+	if err := j.writeHeader(); err != nil {
+		return j.fail("begin segment", err)
+	}
 	if err := j.write(&record{HardState: h, Entries: entries}); err != nil {
 		return j.fail("append", err)
 	}
@@ -118,7 +131,7 @@
 	}
 	frame := appendFrame(nil, j.offset, payload)
 	if _, err := j.file.Write(frame); err != nil {
-		return err
+		return j.undoWrite(err)
 	}
 	if err := j.file.Sync(); err != nil {
 		return err
@@ -128,42 +141,78 @@
 	return nil
 }
 
-// rotate starts a new segment. The segment begins with a copy of the hard state,
-// so that older segments can be removed.
-func (j *Journal) rotate() error {
-	if j.file != nil {
-		if err := j.file.Close(); err != nil {
-			return err
-		}
-		j.file = nil
+// undoWrite removes the part of a frame that a full disk left. It is synced, because
+// parts of two different frames at one offset would read as damage after a crash.
+func (j *Journal) undoWrite(cause error) error {
+	if !isNoSpace(cause) {
+		return cause
+	}
+	if err := errors.Join(j.file.Truncate(j.offset), j.file.Sync()); err != nil {
+		return errors.Join(cause, err)
 	}
+	return errFull(cause)
+}
+
+// openNextSegment creates a new segment. Its header is written by writeHeader.
+func (j *Journal) openNextSegment() error {
 	sequence := uint64(firstSegmentSequence)
 	if n := len(j.segments); n > 0 {
 		sequence = j.segments[n-1].sequence + 1
 	}
 	f, err := j.fileSystem.OpenForAppend(j.path(segmentName(sequence)))
+	if isNoSpace(err) {
+		return errFull(err)
+	}
 	if err != nil {
 		return err
 	}
-	j.file, j.offset = f, 0
+	previous := j.file
+	j.file, j.offset, j.headerEnd = f, 0, 0
 	j.segments = append(j.segments, segment{sequence: sequence})
-	header := &segmentHeader{Format: formatVersion, Sequence: sequence, Disk: j.disk}
+	if previous == nil {
+		return nil
+	}
+	return previous.Close()
+}
+
+// writeHeader writes the header of the last segment unless it has one. The header
+// holds a copy of the hard state, so that older segments can be removed.
+func (j *Journal) writeHeader() error {
+	if j.offset > 0 {
+		return nil
+	}
+	current := j.segments[len(j.segments)-1]
+	header := &segmentHeader{Format: formatVersion, Sequence: current.sequence, Disk: j.disk}
 	if err := j.write(&record{Segment: header, HardState: &j.hardState}); err != nil {
 		return err
 	}
+	j.headerEnd = j.offset
 	return j.fileSystem.SyncFolder(j.folder)
 }
 
+// rotate starts a new segment, unless the last one has only a header, or not even that.
+func (j *Journal) rotate() error {
+	if j.offset > j.headerEnd {
+		if err := j.openNextSegment(); err != nil {
+			return err
+		}
+	}
+	return j.writeHeader()
+}
+
 func segmentName(sequence uint64) string {
 	return fmt.Sprintf("%s%0*x", segmentPrefix, segmentNameDigits, sequence)
 }
 
 func (j *Journal) path(name string) string { return filepath.Join(j.folder, name) }
 
-// fail makes every later write return err.
+// fail makes every later write return err, unless it is ErrFull.
 func (j *Journal) fail(step string, err error) error {
-	j.writeErr = wrapFailure(step, j.folder, err)
-	return j.writeErr
+	failed := wrapFailure(step, j.folder, err)
+	if !errors.Is(err, ErrFull) {
+		j.writeErr = failed
+	}
+	return failed
 }
 
 // Close releases the folder for other processes. It writes nothing.
--- a/pkg/journal/journaltest/disk.go
+++ b/pkg/journal/journaltest/disk.go
@@ -48,6 +48,8 @@
 type file struct {
 	data   []byte
 	synced []byte
+	// stale are the bytes that Truncate cut off after the synced ones since the last sync.
+	stale []byte
 }
 
 // SetFault sets a function that decides whether an operation fails. A failed
@@ -58,13 +60,21 @@
 	d.fault = f
 }
 
-// LimitSpace limits the bytes that can still be written to the disk.
+// LimitSpace limits the bytes that can still be written to the disk. Truncate and Remove
+// give space back. No file can be created without space.
 func (d *Disk) LimitSpace(bytes int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.spaceLimited, d.freeBytes = true, bytes
 }
 
+// UnlimitSpace ends the effect of LimitSpace.
+func (d *Disk) UnlimitSpace() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.spaceLimited = false
+}
+
 // Crash discards unsynced data. Keep returns what remains of the unsynced end of a
 // file; if it is nil, nothing remains.
 func (d *Disk) Crash(keep func(unsynced []byte) []byte) {
@@ -78,6 +88,9 @@
 		if keep != nil && len(f.data) > len(f.synced) {
 			data = append(data, keep(bytes.Clone(f.data[len(f.synced):]))...)
 		}
+		if survived := len(data) - len(f.synced); keep != nil && survived < len(f.stale) {
+			data = append(data, f.stale[survived:]...)
+		}
 		recovered := &file{data: data, synced: bytes.Clone(data)}
 		d.live[name], d.durable[name] = recovered, recovered
 	}
@@ -184,6 +197,9 @@
 		return nil, err
 	}
 	f, ok := d.live[name]
+	if !ok && d.spaceLimited && d.freeBytes <= 0 {
+		return nil, &fs.PathError{Op: "open", Path: name, Err: syscall.ENOSPC}
+	}
 	if !ok {
 		f = &file{}
 		d.live[name] = f
@@ -210,9 +226,11 @@
 	if err != nil {
 		return err
 	}
-	if _, ok := d.live[name]; !ok {
+	f, ok := d.live[name]
+	if !ok {
 		return fs.ErrNotExist
 	}
+	d.freeBytes += len(f.data)
 	delete(d.live, name)
 	return nil
 }
@@ -282,17 +300,20 @@
 	if err != nil {
 		return err
 	}
-	h.file.synced = bytes.Clone(h.file.data)
+	h.file.synced, h.file.stale = bytes.Clone(h.file.data), nil
 	return nil
 }
 
-// Truncate shortens the file.
+// Truncate shortens the file. The bytes that it cuts off may come back in a crash until
+// the file is synced.
 func (h *openFile) Truncate(size int64) error {
 	unlock, err := h.disk.lockForOperation(Truncate, h.name)
 	defer unlock()
 	if err != nil {
 		return err
 	}
+	h.disk.freeBytes += len(h.file.data) - int(size)
+	h.file.stale = bytes.Clone(h.file.data[size:])
 	h.file.data = h.file.data[:size]
 	h.file.synced = h.file.synced[:min(int64(len(h.file.synced)), size)]
 	return nil
--- a/pkg/journal/open.go
+++ b/pkg/journal/open.go
@@ -72,7 +72,7 @@
 	for _, name := range names {
 		switch {
 		case strings.HasSuffix(name, tempSuffix):
-			if err := j.fileSystem.Remove(j.path(name)); err != nil {
+			if err := j.fileSystem.Remove(j.path(name)); err != nil && !isNoSpace(err) {
 				return nil, fmt.Errorf("remove %s: %w", name, err)
 			}
 		case name == diskName:
@@ -201,9 +201,7 @@
 	next := first
 	for i, sequence := range sequences {
 		if sequence < first {
-			if err := j.fileSystem.Remove(j.path(segmentName(sequence))); err != nil {
-				return nil, fmt.Errorf("remove %s: %w", segmentName(sequence), err)
-			}
+			j.obsolete = append(j.obsolete, sequence)
 			continue
 		}
 		if sequence != next {
@@ -217,6 +215,9 @@
 	if len(j.segments) == 0 || next != sequences[len(sequences)-1]+1 {
 		return nil, errDamaged(segmentName(next), "the segment is missing")
 	}
+	if err := j.removeObsoleteSegments(); err != nil {
+		return nil, err
+	}
 	return r, nil
 }
 
@@ -232,6 +233,7 @@
 	if err != nil {
 		return errDamaged(name, "%w", err)
 	}
+	j.headerEnd = s.headerEnd
 	torn := end < int64(len(content))
 	if !last && (torn || end == 0) {
 		return errDamaged(name, "the segment ends at offset %d but is not the last one", end)
@@ -251,6 +253,7 @@
 	replay     *replay
 	segment    segment
 	headerSeen bool
+	headerEnd  int64
 }
 
 func (s *segmentReader) handleRecord(payload []byte) error {
@@ -264,6 +267,7 @@
 			return errors.New("segment header does not match the file or the disk")
 		}
 		s.headerSeen = true
+		s.headerEnd = frameBytes(int64(len(payload)))
 	}
 	for _, e := range rec.Entries {
 		s.segment.lastIndex = max(s.segment.lastIndex, e.Index)
@@ -271,7 +275,8 @@
 	return s.replay.applyRecord(rec)
 }
 
-// openForAppend opens the last segment for appending and truncates a torn end.
+// openForAppend opens the last segment for appending and truncates a torn end. It needs
+// no space on the disk: a header that a crash interrupted is written by the next write.
 func (j *Journal) openForAppend(name string, end int64, torn bool) error {
 	f, err := j.fileSystem.OpenForAppend(j.path(name))
 	if err != nil {
@@ -284,15 +289,5 @@
 		}
 		events.Emit(events.JournalTruncated, name, end)
 	}
-	if end > 0 {
-		return nil
-	}
-	return j.writeHeader()
-}
-
-// writeHeader writes the header of a segment whose creation a crash interrupted.
-func (j *Journal) writeHeader() error {
-	current := j.segments[len(j.segments)-1]
-	header := &segmentHeader{Format: formatVersion, Sequence: current.sequence, Disk: j.disk}
-	return j.write(&record{Segment: header, HardState: &j.hardState})
+	return nil
 }
