replica: suspend a member whose disk is full instead of ending it

Here a member ended with RT3005, was started again, and ended again with data-folder-full until there was space, each time with all other roles of its process.

Now the event loop holds the effects that it could not write, repeats the write after 0.1 to 1 s, and meanwhile rejects messages and proposals, publishes no leadership and answers the waiting proposals with outcome-unknown. The others see a member that answers nothing and elect another leader. The wait is not reported as a slow step, since RecordStep would extend the timeouts by twice its length.

RT3020 to RT3022, radishturn_control_disk_full and two counters, and diskFull in the status tell of it.

A founder whose disk is full when it alone writes the founding set holds up the forming of the group until it has space: the others see that it takes part in a group.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -57,6 +57,9 @@
 	NoLeader               Number = 3016
 	LossesToleratedFell    Number = 3017
 	LossesToleratedUsual   Number = 3018
+	DataFolderFull         Number = 3020
+	DataFolderHasSpace     Number = 3021
+	SnapshotPostponed      Number = 3022
 	LeaderReady            Number = 3101
 	LeaderNotReady         Number = 3102
 
@@ -218,6 +221,9 @@
 	{NoLeader, warnLevel, "no leader of the control group is known", []string{"self", "role", "term", "milliseconds", "canCampaign", "lastIndex", "lastTerm", "voters", "learners", "answers"}},
 	{LossesToleratedFell, warnLevel, "control group tolerates the loss of fewer voters than usual", []string{"tolerated", "usual", "voters", "silent", "learners"}},
 	{LossesToleratedUsual, infoLevel, "control group tolerates the loss of as many voters as usual", []string{"tolerated", "voters"}},
+	{DataFolderFull, errorLevel, "disk is full; this member is suspended until there is space", []string{"error"}},
+	{DataFolderHasSpace, infoLevel, "disk has space again; this member goes on", []string{"milliseconds"}},
+	{SnapshotPostponed, warnLevel, "snapshot postponed because the disk is full", []string{"error"}},
 	{LeaderReady, infoLevel, "leader is ready to serve", []string{"term"}},
 	{LeaderNotReady, warnLevel, "leader is not ready to serve yet", []string{"term", "error"}},
 	{MembershipChanging, infoLevel, "membership change of the control group started", []string{"old", "new", "reason"}},
--- a/pkg/replica/bootstrap.go
+++ b/pkg/replica/bootstrap.go
@@ -254,11 +254,11 @@
 
 // writeInitialMembers makes the set of initial members durable, in the event loop.
 func (b *bootstrapper) writeInitialMembers(ctx context.Context, members []Member, acceptedGeneration uint64) {
-	request := func(now time.Duration) {
+	request := func(time.Duration) {
 		if hasGroupState(b.node.raft.Status()) || !b.finalize(members, acceptedGeneration) {
 			return
 		}
-		b.node.bootstrapGroup(now, members)
+		b.node.bootstrapGroup(ctx, members)
 	}
 	select {
 	case b.node.loopCalls <- request:
@@ -279,14 +279,15 @@
 }
 
 // bootstrapGroup writes the initial snapshot and starts as a voter of the group.
-func (n *Node) bootstrapGroup(now time.Duration, members []Member) {
+func (n *Node) bootstrapGroup(ctx context.Context, members []Member) {
 	snapshot := consensus.BootstrapSnapshot(members)
 	hard := consensus.HardState{Term: consensus.BootstrapTerm, Commit: consensus.BootstrapIndex}
-	if err := n.journal.Install(snapshot, hard); err != nil {
+	err := n.writeWhenSpace(ctx, func() error { return n.journal.Install(snapshot, hard) })
+	if err != nil {
 		n.fatalErr = err
 		return
 	}
-	n.raft = consensus.New(n.raftConfig(), consensus.PersistentState{HardState: hard, Snapshot: snapshot.Meta}, now)
+	n.raft = consensus.New(n.raftConfig(), consensus.PersistentState{HardState: hard, Snapshot: snapshot.Meta}, n.options.Clock())
 	events.Emit(events.GroupFormed, members)
 }
 
--- a/pkg/replica/group_test.go
+++ b/pkg/replica/group_test.go
@@ -27,6 +27,8 @@
 	*replica.Node
 	machine *listMachine
 	stop    func() error
+	// ended reports whether the node has ended by itself.
+	ended func() bool
 }
 
 // group runs nodes over a network, each with a folder of its own.
@@ -79,10 +81,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- n.Run(ctx) }()
-	g.members[id] = &member{Node: n, machine: machine, stop: func() error {
-		cancel()
-		return errors.Join(<-done, n.Close())
-	}}
+	g.members[id] = &member{
+		Node:    n,
+		machine: machine,
+		stop: func() error {
+			cancel()
+			return errors.Join(<-done, n.Close())
+		},
+		ended: func() bool { return len(done) > 0 },
+	}
 }
 
 func (g *group) stop(id model.InstanceID) {
--- a/pkg/replica/metrics.go
+++ b/pkg/replica/metrics.go
@@ -23,19 +23,26 @@
 	withoutLeader *metrics.Gauge
 	// lossesTolerated is NaN unless this member is the leader.
 	lossesTolerated *metrics.Gauge
+	// diskFull is 1 while the event loop waits for space on the disk.
+	diskFull           *metrics.Gauge
+	diskFullWaits      *metrics.Counter
+	snapshotsAbandoned *metrics.Counter
 }
 
 func newMetrics() *nodeMetrics {
 	return &nodeMetrics{
-		syncs:            metrics.GetOrCreateHistogram("radishturn_control_sync_seconds"),
-		batches:          metrics.GetOrCreateCounter("radishturn_control_batches_total"),
-		commandsApplied:  metrics.GetOrCreateCounter("radishturn_control_commands_applied_total"),
-		leadersSeen:      metrics.GetOrCreateCounter("radishturn_control_leaders_total"),
-		leadershipLosses: metrics.GetOrCreateCounter("radishturn_control_leadership_losses_total"),
-		snapshots:        metrics.GetOrCreateCounter("radishturn_control_snapshots_total"),
-		droppedMessages:  metrics.GetOrCreateCounter("radishturn_control_messages_dropped_total"),
-		lossesTolerated:  metrics.GetOrCreateGauge("radishturn_control_losses_tolerated", nil),
-		withoutLeader:    metrics.GetOrCreateGauge("radishturn_control_seconds_without_leader", nil),
+		syncs:              metrics.GetOrCreateHistogram("radishturn_control_sync_seconds"),
+		batches:            metrics.GetOrCreateCounter("radishturn_control_batches_total"),
+		commandsApplied:    metrics.GetOrCreateCounter("radishturn_control_commands_applied_total"),
+		leadersSeen:        metrics.GetOrCreateCounter("radishturn_control_leaders_total"),
+		leadershipLosses:   metrics.GetOrCreateCounter("radishturn_control_leadership_losses_total"),
+		snapshots:          metrics.GetOrCreateCounter("radishturn_control_snapshots_total"),
+		droppedMessages:    metrics.GetOrCreateCounter("radishturn_control_messages_dropped_total"),
+		lossesTolerated:    metrics.GetOrCreateGauge("radishturn_control_losses_tolerated", nil),
+		diskFull:           metrics.GetOrCreateGauge("radishturn_control_disk_full", nil),
+		diskFullWaits:      metrics.GetOrCreateCounter("radishturn_control_disk_full_total"),
+		snapshotsAbandoned: metrics.GetOrCreateCounter("radishturn_control_snapshots_abandoned_total"),
+		withoutLeader:      metrics.GetOrCreateGauge("radishturn_control_seconds_without_leader", nil),
 	}
 }
 
--- a/pkg/replica/node.go
+++ b/pkg/replica/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -87,7 +88,13 @@
 	metrics      *nodeMetrics
 	// snapshotInProgress is set while a snapshot is being written.
 	snapshotInProgress bool
-	snapshotWriters    sync.WaitGroup
+	// nextSnapshot is the earliest time of the next snapshot after one that found the
+	// disk full.
+	nextSnapshot time.Duration
+	// suspendedFor is how long the event loop waited for space on the disk while it
+	// executed the latest effects.
+	suspendedFor    time.Duration
+	snapshotWriters sync.WaitGroup
 	// fatalErr stops the event loop.
 	fatalErr error
 
@@ -171,7 +178,8 @@
 }
 
 // Run participates in the group until ctx is done. An error means that the
-// journal can no longer be relied on and the process must stop.
+// journal can no longer be relied on and the process must stop. A full disk is no such
+// error; see writeWhenSpace.
 func (n *Node) Run(ctx context.Context) error {
 	defer n.snapshotWriters.Wait()
 	defer n.transport.stop()
@@ -185,13 +193,19 @@
 			return nil
 		}
 		began := n.options.Clock()
-		if err := n.processEffects(); err != nil {
+		n.suspendedFor = 0
+		err := n.processEffects(ctx)
+		if err != nil && ctx.Err() != nil && errors.Is(err, journal.ErrFull) {
+			return nil
+		}
+		if err != nil {
 			events.Emit(events.JournalFailed, err)
 			n.waiters.failAfter(0, errUnknown("propose", "", err))
 			return err
 		}
 		now := n.options.Clock()
-		n.raft.RecordStep(now, now-began)
+		// Peers do not wait for a member whose disk is full, unlike for one that is slow.
+		n.raft.RecordStep(now, now-began-n.suspendedFor)
 		timer.Reset(max(0, n.raft.Deadline()-now))
 	}
 }
@@ -249,10 +263,10 @@
 func (n *Node) tick() { n.raft.Tick(n.options.Clock()) }
 
 // processEffects executes effects until none are left.
-func (n *Node) processEffects() error {
+func (n *Node) processEffects(ctx context.Context) error {
 	n.publish(n.options.Clock())
 	for n.fatalErr == nil && n.raft.HasEffects() {
-		if err := n.executeEffects(n.raft.TakeEffects()); err != nil {
+		if err := n.executeEffects(ctx, n.raft.TakeEffects()); err != nil {
 			return err
 		}
 	}
@@ -262,9 +276,9 @@
 
 // executeEffects keeps the order that Effects require: no message that
 // acknowledges a write is sent before the write is synced.
-func (n *Node) executeEffects(e consensus.Effects) error {
+func (n *Node) executeEffects(ctx context.Context, e consensus.Effects) error {
 	n.transport.send(e.EarlyMessages)
-	if err := n.persist(&e); err != nil {
+	if err := n.persist(ctx, &e); err != nil {
 		return err
 	}
 	n.transport.send(e.Messages)
@@ -278,22 +292,27 @@
 	return n.snapshotIfDue()
 }
 
-func (n *Node) persist(e *consensus.Effects) error {
+func (n *Node) persist(ctx context.Context, e *consensus.Effects) error {
 	if e.MustSync() {
 		n.bootstrapper.markInGroup()
 	}
 	if e.Snapshot != nil {
-		if err := n.journal.Install(*e.Snapshot, *e.HardState); err != nil {
+		err := n.writeWhenSpace(ctx, func() error { return n.journal.Install(*e.Snapshot, *e.HardState) })
+		if err != nil {
 			return err
 		}
 	}
 	if len(e.Entries) == 0 && e.HardState == nil {
 		return nil
 	}
-	began := n.options.Clock()
-	err := n.journal.Append(e.HardState, e.Entries)
-	n.metrics.observeSync(n.options.Clock() - began)
-	return err
+	return n.writeWhenSpace(ctx, func() error {
+		began := n.options.Clock()
+		err := n.journal.Append(e.HardState, e.Entries)
+		if err == nil {
+			n.metrics.observeSync(n.options.Clock() - began)
+		}
+		return err
+	})
 }
 
 func (n *Node) apply(entries []consensus.Entry) {
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -61,6 +61,9 @@
 	// Contacts are instances that take this one for a member with another disk, such as
 	// the disk that it has lost. They are members of the group.
 	Contacts []model.InstanceID `json:"contacts,omitempty"`
+	// DiskFull is set while this member waits for space on its disk and takes no part in
+	// the group.
+	DiskFull bool `json:"diskFull,omitempty"`
 }
 
 // LearnerProgress is how far a learner has come, as the leader knows it.
--- a/pkg/replica/snapshots.go
+++ b/pkg/replica/snapshots.go
@@ -17,7 +17,7 @@
 // snapshotIfDue takes a snapshot of the state in the event loop and writes it in
 // the background.
 func (n *Node) snapshotIfDue() error {
-	if n.snapshotInProgress || !n.snapshotDue() {
+	if n.snapshotInProgress || !n.snapshotDue() || n.options.Clock() < n.nextSnapshot {
 		return nil
 	}
 	data, err := n.options.StateMachine.Snapshot()
@@ -25,6 +25,9 @@
 		return fmt.Errorf("take snapshot: %w", err)
 	}
 	pending, err := n.journal.PrepareSnapshot(consensus.Snapshot{Meta: n.raft.SnapshotMeta(), Data: data})
+	if n.postponeSnapshot(err) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -71,6 +74,10 @@
 	if s.err == nil {
 		s.err = n.journal.CommitSnapshot(s.prepared)
 	}
+	if n.postponeSnapshot(s.err) {
+		n.journal.AbandonSnapshot(s.prepared)
+		return
+	}
 	if s.err != nil {
 		n.fatalErr = s.err
 		return
--- a/pkg/replica/transport.go
+++ b/pkg/replica/transport.go
@@ -91,6 +91,9 @@
 			return nil, failure.New(failure.Unauthorized, failure.NotRun, "step", string(from), "message is from %s", m.From)
 		}
 	}
+	if t.node.Status().DiskFull {
+		return nil, errDiskFull("step", from)
+	}
 	select {
 	case t.node.inbound <- r.Messages:
 		return &stepReply{}, nil
