--- a/pkg/replica/lossy_test.go
+++ b/pkg/replica/lossy_test.go
@@ -119,7 +119,6 @@
 		seed         = 37
 		lossPercent  = 20
 		delay        = 2 * time.Millisecond
-		commands     = 300
 		commandBytes = 10_000
 		// catchUpBound is the time within which the learner is promoted: replacing a member
 		// is to take seconds.
@@ -127,7 +126,7 @@
 	)
 	names := []model.InstanceID{"a", "b", "c", "d"}
 
-	It("catches up and is promoted", func() {
+	DescribeTable("catches up and is promoted", func(commands, snapshotEvery int) {
 		folder := GinkgoT().TempDir()
 		g := newGroup(names[:3]...)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -148,6 +147,7 @@
 				Journal:         journal.Options{Folder: filepath.Join(folder, fmt.Sprint("data-", i))},
 				ElectionTimeout: 350 * time.Millisecond,
 				Heartbeat:       50 * time.Millisecond,
+				SnapshotEvery:   snapshotEvery,
 			})
 			Expect(err).NotTo(HaveOccurred())
 			g.run(names[i], n, machine)
@@ -169,7 +169,10 @@
 		err = leader.Promote(bounded, next)
 		AddReportEntry("time until the promotion", time.Since(began).String())
 		Expect(err).NotTo(HaveOccurred(), "applied by the learner: %d of %d", g.members["d"].Status().Applied, leader.Status().Applied)
-	})
+	},
+		Entry("from an early snapshot and many entries", 300, 0),
+		Entry("from a late snapshot", 200, 60),
+	)
 })
 
 func meshOf(meshes []*mesh.QUIC, id model.InstanceID) *mesh.QUIC {
