Consensus: a leader on slow disks does not step down while followers write

A leader allowed two of its own latest steps for an exchange. A message waits for the step that the receiver is in, takes a step there, and the reply waits for the step that the leader is in by then; and the time of a sync varies, so a short one was followed by a limit that the next exchange could not meet. A follower waited an election timeout for a leader whose sync takes longer.

Three steps count now, of the longest recent one, and a follower waits a step longer after a message of the leader.

--- a/pkg/consensus/election.go
+++ b/pkg/consensus/election.go
@@ -28,7 +28,8 @@
 	}
 	r.lastLeaderContact = now
 	r.electionAttempts = 0
-	r.resetElectionDeadline(now)
+	// The leader sends nothing during its steps, which are assumed to be as slow.
+	r.waitForElection(now, r.electionTimeout()+r.stepTime)
 }
 
 // startPreVote asks the voters whether they would elect this member. The term is
--- a/pkg/consensus/raft.go
+++ b/pkg/consensus/raft.go
@@ -111,8 +111,8 @@
 	// electionAttempts counts the elections started since the last contact with a leader.
 	electionAttempts int
 	nextHeartbeat    time.Duration
-	// stepTime is how long the driver's latest slow step took, until the exchange that
-	// it delayed has had time to complete; stepEnd is when the step ended.
+	// stepTime is how long the driver's slow steps take at most, until the exchange that
+	// the latest delayed has had time to complete; stepEnd is when that one ended.
 	stepTime, stepEnd time.Duration
 
 	votes map[Member]bool
@@ -182,10 +182,10 @@
 		}
 		return
 	}
-	r.stepTime, r.stepEnd = took, now
+	r.stepTime, r.stepEnd = max(took, r.stepTime-r.stepTime/stepTimeDecay), now
 	switch r.role {
 	case Follower:
-		r.resetElectionDeadline(now)
+		r.waitForElection(now, max(r.electionDeadline-now, r.electionTimeout()))
 	case PreCandidate, Candidate:
 		// The time is added to the start of the wait: were it added to the deadline, steps
 		// that follow each other would move the deadline further than they take.
@@ -194,8 +194,13 @@
 	}
 }
 
-// stepsPerExchange is how many steps an exchange takes: one of each side.
-const stepsPerExchange = 2
+// stepTimeDecay is the part of the longest step time that each shorter slow step takes off.
+// The time of a sync varies, so the latest step alone says little about the next.
+const stepTimeDecay = 16
+
+// stepsPerExchange is how many steps an exchange takes at most: the one that the receiver is
+// in, the one in which it answers, and the one that the sender is in by then.
+const stepsPerExchange = 3
 
 // Deadline returns when Tick is due next.
 func (r *Raft) Deadline() time.Duration {
@@ -206,7 +211,12 @@
 }
 
 func (r *Raft) resetElectionDeadline(now time.Duration) {
-	r.waitForElection(now, r.cfg.ElectionTimeout+r.cfg.Jitter(r.cfg.ElectionTimeout/jitterDivisor))
+	r.waitForElection(now, r.electionTimeout())
+}
+
+// electionTimeout returns a random election timeout.
+func (r *Raft) electionTimeout() time.Duration {
+	return r.cfg.ElectionTimeout + r.cfg.Jitter(r.cfg.ElectionTimeout/jitterDivisor)
 }
 
 // waitForElection sets the election deadline to a time from now on.
