Consensus: an acknowledgement no longer hides a later message that was lost

After the driver had reported the second of two messages as lost, the acknowledgement of the first counted the rest as on its way again, and the rejection that asks for it was ignored until its time had passed. The new spec fails on the code before (no entry sent again).

--- a/pkg/consensus/progress.go
+++ b/pkg/consensus/progress.go
@@ -123,7 +123,7 @@
 	p.inFlight = slices.DeleteFunc(p.inFlight, func(s sentEntries) bool { return s.last <= index })
 	if len(p.inFlight) == 0 {
 		p.arriveBy = 0
-	} else if len(p.inFlight) < before {
+	} else if len(p.inFlight) < before && p.arriveBy > 0 {
 		p.arriveBy = now + latency + p.path.transferTime(p.unacknowledged())
 	}
 	if index <= p.match {
--- a/pkg/consensus/transfer_test.go
+++ b/pkg/consensus/transfer_test.go
@@ -176,6 +176,45 @@
 	ginkgo.Entry("is sent the entries if the snapshot is not much smaller", 300_000, 0),
 )
 
+var _ = ginkgo.Describe("A leader whose driver reports the second of two messages as lost", func() {
+	// Guards against an acknowledgement of the first that makes the second count as on its
+	// way again.
+	ginkgo.It("sends it again once the member lacks it, although the first arrived since", func() {
+		r := electLeader(bootstrapState(), lateTime)
+		r.TakeEffects()
+		r.Step(lateTime, appendReply("b", r.term, r.log.lastIndex(), lateTime))
+		r.TakeEffects()
+		var sent []Message
+		for i := range 2 {
+			at := lateTime + time.Duration(i)
+			_, _, err := r.Propose(at, [][]byte{make([]byte, 1000)})
+			Expect(err).NotTo(HaveOccurred())
+			for _, m := range r.TakeEffects().EarlyMessages {
+				if m.To == memberOf("b") {
+					sent = append(sent, m)
+				}
+			}
+		}
+		Expect(sent).To(HaveLen(2))
+		r.ReportLost(sent[1])
+		first := sent[0].Append.Entries[0].Index
+		r.Step(lateTime+2, appendReply("b", r.term, first, sent[0].Append.SentAt))
+		r.TakeEffects()
+		now := lateTime + testHeartbeat
+		r.Tick(now)
+		r.TakeEffects()
+		rejection := appendReply("b", r.term, first+1, now)
+		rejection.AppendReply.Rejected, rejection.AppendReply.Hint = true, first
+		r.Step(now, rejection)
+		var resent []Entry
+		for _, m := range r.TakeEffects().EarlyMessages {
+			resent = append(resent, m.Append.Entries...)
+		}
+		Expect(resent).To(HaveLen(1))
+		Expect(resent[0].Index).To(Equal(first + 1))
+	})
+})
+
 func snapshotsOf(e Effects) []Message {
 	var sent []Message
 	for _, m := range append(e.EarlyMessages, e.Messages...) {
