--- a/pkg/consensus/leader.go
+++ b/pkg/consensus/leader.go
@@ -12,8 +12,8 @@
 	// latencyDivisor sets the time that a message without entries may take, and that a
 	// window of entries may take besides: an election timeout divided by it.
 	latencyDivisor = 2
-	// minSnapshotSaving is how many times larger than a snapshot the entries must be that
-	// it is sent in place of.
+	// minSnapshotSaving is the least ratio of the size of entries to that of the snapshot
+	// which covers them at which the snapshot is sent in their place.
 	minSnapshotSaving = 2
 )
 
@@ -99,8 +99,9 @@
 	}
 }
 
-// needsSnapshot reports whether the member needs entries that were discarded, or more
-// entries than the window holds that a much smaller snapshot replaces.
+// needsSnapshot reports whether the snapshot is to be sent in place of entries: if the
+// member needs entries that were discarded, or if it lacks more entries than fit in the
+// window and the snapshot is much smaller than those that it covers.
 func (r *Raft) needsSnapshot(p *progress) bool {
 	if _, ok := r.log.term(p.next - 1); !ok {
 		return true
