--- a/pkg/consensus/replication_path_test.go
+++ b/pkg/consensus/replication_path_test.go
@@ -240,3 +240,30 @@
 		ginkgo.Entry("of 100 kB/s, with commands that each take longer than an election timeout", slowPath{bytesPerSecond: 100_000}, 70, 50_000),
 	)
 })
+
+// Guards against an estimate that stays low once the path is fast again.
+var _ = ginkgo.Describe("A member whose slow path becomes fast", func() {
+	ginkgo.It("catches up at the new pace", func() {
+		const (
+			seed     = 37
+			slow     = 20_000
+			fast     = 10_000_000
+			commands = 400
+			bound    = 5 * time.Second
+		)
+		path := slowPath{member: memberOf("b"), bytesPerSecond: slow}
+		g := newPathGroup(seed, path)
+		g.runUntil("no leader", catchUpBound, func() bool { return g.leader() != nil && g.leader().cfg.Self != path.member })
+		for range commands {
+			g.propose(10_000)
+		}
+		end := g.now + catchUpBound
+		g.runUntil("slow", 2*catchUpBound, func() bool { return g.now >= end })
+		// What is on the slow path still takes its time.
+		g.path.bytesPerSecond = fast
+		g.path.busyUntil = g.now
+		g.runUntil("not caught up", bound, func() bool {
+			return g.leader() != nil && g.rafts[path.member].log.lastIndex() == g.leader().log.lastIndex()
+		})
+	})
+})
