--- a/pkg/control/server/learners.go
+++ b/pkg/control/server/learners.go
@@ -43,7 +43,7 @@
 }
 
 func waitingTexts(waiting []reconfig.VoterToReplace) []string {
-	var texts []string
+	texts := []string{}
 	for _, w := range waiting {
 		texts = append(texts, w.Voter.String()+": "+w.Reason)
 	}
