RECONFIG: no voters wait for a replacement where operators manage the members

RT3113 would have named every voter as timed out in a group without control.voters, since no instance offers its disk there. The spec failed before with all five voters and passes now.

--- a/pkg/reconfig/reconfig.go
+++ b/pkg/reconfig/reconfig.go
@@ -1,8 +1,9 @@
 // Package reconfig decides on automatic membership changes of the control group: it
 // adds each live instance with a disk as a learner, adds voters up to the desired number,
-// and replaces voters that are lost, that leave, or whose disk was replaced. Each instance regularly offers the leader its disk
-// for a copy of the replicated log. The decision is a pure function of the offers that
-// the leader has received.
+// and replaces voters that are lost, that leave, or whose disk was replaced. Each
+// instance regularly offers the leader its disk for a copy of the replicated log. The
+// decision is a pure function of the offers that the leader has received, and of the
+// learners that have caught up.
 package reconfig
 
 import (
@@ -127,8 +128,12 @@
 }
 
 // VotersToReplace returns the voters that should be replaced: first those whose disk was
-// replaced, then those that timed out, then those that leave.
+// replaced, then those that timed out, then those that leave. There are none if operators
+// manage the members, since no instance offers its disk then.
 func VotersToReplace(now time.Duration, g Input) []VoterToReplace {
+	if g.DesiredVoters == 0 {
+		return nil
+	}
 	var newDisk, timedOut, leaving []VoterToReplace
 	for _, v := range g.Voters {
 		o := g.Offers[v.Instance]
--- a/pkg/reconfig/reconfig_test.go
+++ b/pkg/reconfig/reconfig_test.go
@@ -227,5 +227,7 @@
 		g.DesiredVoters = 0
 		offer(g, member(6, "a"), now)
 		Expect(reconfig.Decide(now, g).Kind).To(Equal(reconfig.None))
+		g.Offers = nil
+		Expect(reconfig.VotersToReplace(now, g)).To(BeEmpty())
 	})
 })
