Consensus: one very long step puts off a campaign by a bounded time

Timeouts are extended by a multiple of the time that a member's last slow step took, however long that was. After a stall of 20 s, such as of a machine that starts, a candidate campaigned 60 s later, and a follower waited 20 s for a leader that had gone. Members that all stood still at once had no leader for as long.

The step time counts up to ten election timeouts now.

--- a/pkg/consensus/raft.go
+++ b/pkg/consensus/raft.go
@@ -184,6 +184,7 @@
 		}
 		return
 	}
+	took = min(took, maxStepTimeouts*r.cfg.ElectionTimeout)
 	r.stepTime, r.stepEnd = max(took, r.stepTime-r.stepTime/stepTimeDecay), now
 	switch r.role {
 	case Follower:
@@ -200,6 +201,11 @@
 // The time of a sync varies, so the latest step alone says little about the next.
 const stepTimeDecay = 16
 
+// maxStepTimeouts is the greatest step time, in election timeouts, by which timeouts are
+// extended. A longer step is rather a single stall, after which nobody should wait for a
+// multiple of it.
+const maxStepTimeouts = 10
+
 // stepsPerExchange is how many steps an exchange takes at most: the one that the receiver is
 // in, the one in which it answers, and the one that the sender is in by then.
 const stepsPerExchange = 3
--- a/pkg/consensus/raft_test.go
+++ b/pkg/consensus/raft_test.go
@@ -116,6 +116,24 @@
 		Expect(r.role).To(Equal(PreCandidate))
 	})
 
+	// Guards against members that all stood still once, such as during the start of their
+	// machines, and then wait for a multiple of that time before anyone campaigns.
+	ginkgo.It("campaigns soon after a single step that took very long", func() {
+		const stall = 200 * testElectionTimeout
+		candidate := startMember(bootstrapState(), 0)
+		candidate.Tick(2 * testElectionTimeout)
+		Expect(candidate.role).To(Equal(PreCandidate))
+		now := 2*testElectionTimeout + stall
+		candidate.RecordStep(now, stall)
+		Expect(candidate.Deadline()).To(BeNumerically("<=", now+testElectionTimeout))
+
+		follower := startMember(bootstrapState(), 0)
+		follower.RecordStep(now, stall)
+		heartbeat := &AppendRequest{PrevIndex: BootstrapIndex, PrevTerm: BootstrapTerm}
+		follower.Step(now, Message{From: memberOf("b"), To: memberOf("a"), Term: BootstrapTerm, Append: heartbeat})
+		Expect(follower.Deadline()).To(BeNumerically("<=", now+stall/10))
+	})
+
 	// Guards against a deadline that each slow step moves further away than the step took.
 	ginkgo.It("campaigns again although one slow step follows the other", func() {
 		const step = 4 * testElectionTimeout
