HTTPSERVER: count the lines of a head against the memory

300 clients with whole heads of many short lines took 51,364 kB of an entry with 48 MiB stated, 49,192 kB of a control member and 49,696 kB of a standalone instance. A head was accounted for with twice its bytes, but each distinct line holds up to 125 bytes more than that once it is decoded (its entry in a map, which doubles as it grows, its name, its list of values): a head of 53 kB held 728 kB.

The guarded connection now counts the lines of a head as they are read and accounts for 256 bytes each. It does so before the head is decoded; the decoded head is compared with that when its request begins, since a part of it may have been read together with the request before it. HTTP/2 counts each field in the same way.

--- a/pkg/httpserver/guard.go
+++ b/pkg/httpserver/guard.go
@@ -20,8 +20,13 @@
 	tlsBytes, http2Bytes = 32 << 10, 48 << 10
 	// bufferBytes of a head take no memory in addition to the connection's buffer.
 	bufferBytes = 4 << 10
-	// headFactor times the length of a head is what the head holds while it is read.
+	// headFactor times the size of a head is what the head holds.
 	headFactor = 2
+	// lineBytes is the size of a header line besides its bytes: its entry in a map, which
+	// grows by doubling, its name and its list of values.
+	lineBytes = 128
+	// maxHeadStep limits what is accounted for in advance of a head.
+	maxHeadStep = 32 << 10
 	// clientsDivisor is the part of the memory for messages that connections may take;
 	// the rest is left for bodies.
 	clientsDivisor = 2
--- a/pkg/httpserver/guarded_conn.go
+++ b/pkg/httpserver/guarded_conn.go
@@ -41,8 +41,12 @@
 	// requests counts the requests of HTTP/2 in progress.
 	requests atomic.Int64
 	http2    atomic.Bool
-	// head counts the bytes since the last request, of which allowed are accounted for.
+	// head counts the bytes since the last request. allowed is the size of a head that is
+	// accounted for.
 	head, allowed atomic.Int64
+	// lines counts the lines of the head; begun is set once another head may begin.
+	lines lineCounter
+	begun atomic.Bool
 	// matched counts the bytes of http2Preface read so far; -1 if others came.
 	matched int
 	// partial is set once a part of a head was read.
@@ -69,7 +73,10 @@
 	if err != nil && head > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		c.guard.report.headRefused(headTimeout)
 	}
-	if head > c.allowed.Load() && !c.growHead(head) {
+	if before := head - int64(n); before <= c.guard.maxHead && head > c.guard.maxHead && !c.http2.Load() {
+		c.guard.report.headRefused(headTooLong)
+	}
+	if !c.growHead(c.headSize(head, p[:n])) {
 		_ = c.Close()
 		return 0, errEvicted
 	}
@@ -98,26 +105,38 @@
 	}
 }
 
-// growHead accounts for a head of n bytes and reports whether there was room. It counts
-// a head that is too long once; the HTTP server refuses it.
-func (c *guardedConn) growHead(n int64) bool {
+// headSize returns the size of a head of n bytes, of which p are the last. The HTTP
+// server refuses a head that is too long.
+func (c *guardedConn) headSize(n int64, p []byte) int64 {
+	size := min(n, c.guard.maxHead)
+	if c.http2.Load() {
+		return size
+	}
+	if c.begun.Swap(false) {
+		c.lines = lineCounter{}
+	}
+	return size + lineBytes*c.lines.count(p)
+}
+
+// growHead accounts for a head of a size and reports whether there was room.
+func (c *guardedConn) growHead(size int64) bool {
 	allowed := c.allowed.Load()
-	if allowed >= c.guard.maxHead {
+	if size <= allowed {
 		return true
 	}
 	next := allowed
-	for next < n {
-		next *= 2
+	for next < size {
+		next += min(next, maxHeadStep)
 	}
-	next = min(next, c.guard.maxHead)
 	if c.http2.Load() {
 		// Fewer bytes are those of control frames.
 		c.notePartial()
-	} else if n > c.guard.maxHead {
-		c.guard.report.headRefused(headTooLong)
+	}
+	if !c.grow(headFactor * (next - allowed)) {
+		return false
 	}
 	c.allowed.Store(next)
-	return c.grow(headFactor * (next - allowed))
+	return true
 }
 
 // grow accounts for n more bytes and reports whether there was room.
@@ -135,11 +154,16 @@
 func (c *guardedConn) begin(whole bool) (ok bool) {
 	c.inRequest.Store(true)
 	c.partial.Store(false)
-	c.head.Store(0)
+	c.resetHead()
 	c.guard.update(func(t *clientlimit.Table) { ok = t.Begin(c.entry, whole) })
 	return ok
 }
 
+func (c *guardedConn) resetHead() {
+	c.head.Store(0)
+	c.begun.Store(true)
+}
+
 // complete notes that the whole request has arrived.
 func (c *guardedConn) complete() {
 	c.guard.update(func(t *clientlimit.Table) { t.Complete(c.entry) })
@@ -158,7 +182,7 @@
 		}
 		c.inRequest.Store(false)
 		c.partial.Store(false)
-		c.head.Store(0)
+		c.resetHead()
 		c.allowed.Store(bufferBytes)
 		t.Idle(c.entry, base)
 	})
--- a/pkg/httpserver/guarded_request.go
+++ b/pkg/httpserver/guarded_request.go
@@ -18,8 +18,6 @@
 	http2BodyBytes = 64 << 10
 	// maxHTTP2Requests is how many requests one connection may have in progress.
 	maxHTTP2Requests = 100
-	// fieldBytes is what a header field holds besides its name and value.
-	fieldBytes = 64
 	// retryAfterSeconds is the Retry-After of a request that was refused for memory.
 	retryAfterSeconds = "1"
 )
@@ -52,9 +50,15 @@
 
 func (c *guardedConn) serveHTTP1(h http.Handler, w http.ResponseWriter, r *http.Request) {
 	whole := r.ContentLength == 0
+	size := headSize(r)
 	if !c.begin(whole) {
 		panic(http.ErrAbortHandler)
 	}
+	// A part of the head may have been read together with the request before it.
+	if !c.growHead(size) {
+		c.refuse(w)
+		return
+	}
 	if !whole {
 		r.Body = &guardedBody{ReadCloser: r.Body, conn: c, allowed: bufferBytes}
 	}
@@ -62,7 +66,7 @@
 }
 
 func (c *guardedConn) serveHTTP2(h http.Handler, w http.ResponseWriter, r *http.Request) {
-	n := headerBytes(r)
+	n := headFactor * headSize(r)
 	if r.ContentLength != 0 {
 		n += http2BodyBytes
 	}
@@ -72,9 +76,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if !c.grow(n) {
-		c.guard.report.requestRefused()
-		w.Header().Set("Retry-After", retryAfterSeconds)
-		w.WriteHeader(http.StatusServiceUnavailable)
+		c.refuse(w)
 		return
 	}
 	defer c.shrink(n)
@@ -87,12 +89,19 @@
 	}
 }
 
-// headerBytes returns about what the head of a request holds.
-func headerBytes(r *http.Request) int64 {
-	n := len(r.RequestURI) + fieldBytes
+// refuse answers a request for which there is no room, and which has not run.
+func (c *guardedConn) refuse(w http.ResponseWriter) {
+	c.guard.report.requestRefused()
+	w.Header().Set("Retry-After", retryAfterSeconds)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// headSize returns the size of the head of a request.
+func headSize(r *http.Request) int64 {
+	n := len(r.RequestURI)
 	for name, values := range r.Header {
 		for _, v := range values {
-			n += len(name) + len(v) + fieldBytes
+			n += len(name) + len(v) + lineBytes
 		}
 	}
 	return int64(n)
