HTTPSERVER: account for the requests of HTTP/2 and their bodies

A request of HTTP/2 counted its head only, so clients that do not read answers could hold any number of goroutines and buffers (at least 11 KiB each, measured with an answer that waits for its window): 300 clients with 20 requests each took 51,356 kB of an entry with 48 MiB stated. It now counts 16 KiB besides its head until it ends.

Bodies over HTTP/2 were not counted as they were read, and each request with a body reserved the window of the whole connection, so few clients took all the memory. Bodies now count as over HTTP/1.1, and the window once for each connection.

A connection of HTTP/2 was busy, and so never evicted, as soon as a head had arrived. With bodies that did not come it kept others out until the request timed out: ordinary requests at the callers' listener waited some 25 s, and the case "empty header values over HTTP/2" took 52.6 s.

--- a/pkg/httpserver/guarded_conn.go
+++ b/pkg/httpserver/guarded_conn.go
@@ -41,6 +41,10 @@
 	// requests counts the requests of HTTP/2 in progress.
 	requests atomic.Int64
 	http2    atomic.Bool
+	// arrived counts those of them that have arrived whole, and windowHeld is set once
+	// the window for bodies is accounted for. The guard's lock protects both.
+	arrived    int
+	windowHeld bool
 	// head counts the bytes since the last request. allowed is the size of a head that is
 	// accounted for.
 	head, allowed atomic.Int64
@@ -149,14 +153,19 @@
 	c.guard.update(func(t *clientlimit.Table) { t.Shrink(c.entry, n) })
 }
 
-// begin notes that the head of a request has arrived, and whether all of it has. It
-// fails if the connection was evicted before.
+// begin notes that the head of a request of HTTP/1.1 has arrived, and whether all of the
+// request has. It fails if the connection was evicted before.
 func (c *guardedConn) begin(whole bool) (ok bool) {
+	c.beginHead()
+	c.guard.update(func(t *clientlimit.Table) { ok = t.Begin(c.entry, whole) })
+	return ok
+}
+
+// beginHead notes that the next bytes are not those of the head that has arrived.
+func (c *guardedConn) beginHead() {
 	c.inRequest.Store(true)
 	c.partial.Store(false)
 	c.resetHead()
-	c.guard.update(func(t *clientlimit.Table) { ok = t.Begin(c.entry, whole) })
-	return ok
 }
 
 func (c *guardedConn) resetHead() {
@@ -184,6 +193,7 @@
 		c.partial.Store(false)
 		c.resetHead()
 		c.allowed.Store(bufferBytes)
+		c.windowHeld = false
 		t.Idle(c.entry, base)
 	})
 }
--- a/pkg/httpserver/guarded_request.go
+++ b/pkg/httpserver/guarded_request.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -18,6 +15,9 @@
 	http2BodyBytes = 64 << 10
 	// maxHTTP2Requests is how many requests one connection may have in progress.
 	maxHTTP2Requests = 100
+	// streamBytes is what a request of HTTP/2 holds besides its head: its goroutine,
+	// buffers and contexts.
+	streamBytes = 16 << 10
 	// retryAfterSeconds is the Retry-After of a request that was refused for memory.
 	retryAfterSeconds = "1"
 )
@@ -60,26 +60,30 @@
 		return
 	}
 	if !whole {
-		r.Body = &guardedBody{ReadCloser: r.Body, conn: c, allowed: bufferBytes}
+		r.Body = newGuardedBody(r.Body, c, c.complete)
 	}
 	h.ServeHTTP(w, r)
 }
 
 func (c *guardedConn) serveHTTP2(h http.Handler, w http.ResponseWriter, r *http.Request) {
-	n := headFactor * headSize(r)
-	if r.ContentLength != 0 {
-		n += http2BodyBytes
-	}
 	c.requests.Add(1)
-	defer c.endHTTP2()
-	if !c.begin(true) {
+	s := &stream{conn: c}
+	defer s.end()
+	whole := r.ContentLength == 0
+	if !s.begin(whole) {
 		panic(http.ErrAbortHandler)
 	}
-	if !c.grow(n) {
+	n := streamBytes + headFactor*headSize(r)
+	if !c.grow(n) || !whole && !c.holdWindow() {
 		c.refuse(w)
 		return
 	}
 	defer c.shrink(n)
+	if !whole {
+		body := newGuardedBody(r.Body, c, s.complete)
+		defer body.release()
+		r.Body = body
+	}
 	h.ServeHTTP(&deadlineWriter{ResponseWriter: w}, r)
 }
 
@@ -139,25 +143,6 @@
 	return w.ResponseWriter.Write(p)
 }
 
-// guardedBody notes when the body of a request has arrived, or is cut.
-type guardedBody struct {
-	io.ReadCloser
-	conn *guardedConn
-	done atomic.Bool
-	// read counts the bytes, of which allowed are accounted for until the request ends.
-	read, allowed int64
-}
-
-// grow accounts for the bytes read and reports whether there was room. A handler that
-// collects them holds up to twice as many.
-func (b *guardedBody) grow() bool {
-	before := b.allowed
-	for b.allowed < b.read {
-		b.allowed *= 2
-	}
-	return b.allowed == before || b.conn.grow(b.allowed-before)
-}
-
 // Hold accounts for n bytes that are held for the client of the request with this
 // context, such as a page that is being sent, until release is called. It reports whether
 // there is room; if not, the request is refused.
@@ -173,23 +158,3 @@
 	}
 	return func() { guarded.shrink(int64(n)) }, true
 }
-
-// Read implements io.Reader.
-func (b *guardedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	b.read += int64(n)
-	if !b.grow() {
-		return 0, errEvicted
-	}
-	if err != nil && !b.done.Swap(true) {
-		if errors.Is(err, io.EOF) {
-			b.conn.complete()
-			if !b.conn.guard.keepBodies {
-				b.conn.shrink(b.allowed - bufferBytes)
-			}
-		} else {
-			b.conn.guard.report.bodyRefused(err)
-		}
-	}
-	return n, err
-}
