HTTPSERVER: count requests of HTTP/2 until their answers are written

net/http writes a short answer after its handler has ended, and waits there for the client's window. The request counted only until the handler had ended, so clients without a window held 100 goroutines with their buffers on each connection that counted as idle.

The answer is written while the request counts, within the time that answers have.

Ordinary requests at that listener wait for up to 10 s, until the clients' time is over.

--- a/flood/requests_test.go
+++ b/flood/requests_test.go
@@ -24,6 +24,8 @@
 	clientsPerKind = 300
 	// http2Streams is how many requests one client of HTTP/2 sends at a time.
 	http2Streams = 20
+	// maxStreams is how many requests a client of HTTP/2 may send at a time.
+	maxStreams = 100
 	// pipelined is how many requests a client of HTTP/1.1 sends before it reads.
 	pipelined = 20
 	// announcedBytes is the length that the longest body states.
@@ -72,6 +74,7 @@
 	{"bodies without an end over HTTP/2", sendHTTP2Body(-1)},
 	{"long answers read slowly over HTTP/1.1", readSlowly},
 	{"long answers read slowly over HTTP/2", readSlowlyHTTP2},
+	{"short answers without a window over HTTP/2", takeNoAnswer},
 }
 
 // TestAbusiveClients guards against a process that ends, or answers nobody, because of clients
@@ -335,6 +338,17 @@
 	go readBytes(c)
 }
 
+// takeNoAnswer asks for short answers, none of which has a window.
+func takeNoAnswer(l listener, c net.Conn) {
+	r := newHTTP2(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0})
+	for i := range uint32(maxStreams) {
+		r.begin(http.MethodGet, "/unknown")
+		r.end(2*i+1, false)
+	}
+	_, _ = c.Write(r.sent.Bytes())
+	go readBytes(c)
+}
+
 // readBytes reads a byte now and then until the connection is closed.
 func readBytes(c net.Conn) {
 	_ = c.SetDeadline(time.Time{})
--- a/pkg/httpserver/guarded_request.go
+++ b/pkg/httpserver/guarded_request.go
@@ -84,7 +84,11 @@
 		defer body.release()
 		r.Body = body
 	}
-	h.ServeHTTP(&deadlineWriter{ResponseWriter: w}, r)
+	answer := &deadlineWriter{ResponseWriter: w}
+	h.ServeHTTP(answer, r)
+	// The HTTP server would write the rest of the answer when the request no longer counts.
+	// An error means that the client has left.
+	_ = http.NewResponseController(answer).Flush()
 }
 
 func (c *guardedConn) endHTTP2() {
--- a/pkg/httpserver/stream_test.go
+++ b/pkg/httpserver/stream_test.go
@@ -1,13 +1,19 @@
 package httpserver
 
 import (
+	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
 
 	"radishturn.example/radishturn/pkg/membudget"
 )
@@ -80,4 +86,46 @@
 		}), httptest.NewRecorder(), r)
 		Expect(g.budget.Used() - before).To(BeEquivalentTo(http2Bytes))
 	})
+
+	// Guards against requests that hold buffers, and count nothing, until their clients
+	// take a short answer.
+	It("count until a short answer is taken", func() {
+		const streams = 50
+		limits := DefaultLimits.With(ShareMain, membudget.New(64<<20))
+		var ended atomic.Int64
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		s := New("test", l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "short")
+			ended.Add(1)
+		}), limits)
+		go func() { _ = s.Run(GinkgoT().Context()) }()
+		DeferCleanup(s.Close)
+		client, err := net.Dial("tcp4", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		_, err = client.Write(requestsWithoutWindow(streams))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(ended.Load).Should(BeEquivalentTo(streams))
+		Consistently(limits.Memory.Used).Should(BeNumerically(">", streams*streamBytes))
+		Expect(client.Close()).To(Succeed())
+		Eventually(limits.Memory.Used, 5*time.Second).Should(BeZero())
+	})
 })
+
+// requestsWithoutWindow returns the bytes of a client of HTTP/2 that takes no answers.
+func requestsWithoutWindow(n int) []byte {
+	var sent, fields bytes.Buffer
+	_, _ = sent.WriteString(http2.ClientPreface)
+	framer := http2.NewFramer(&sent, nil)
+	Expect(framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0})).To(Succeed())
+	encoder := hpack.NewEncoder(&fields)
+	for i := range uint32(n) {
+		fields.Reset()
+		for _, f := range []hpack.HeaderField{{Name: ":method", Value: "GET"}, {Name: ":scheme", Value: "http"}, {Name: ":authority", Value: "a"}, {Name: ":path", Value: "/"}} {
+			Expect(encoder.WriteField(f)).To(Succeed())
+		}
+		head := http2.HeadersFrameParam{StreamID: 2*i + 1, BlockFragment: fields.Bytes(), EndStream: true, EndHeaders: true}
+		Expect(framer.WriteHeaders(head)).To(Succeed())
+	}
+	return sent.Bytes()
+}
