ENTRYAPI: count answers and metrics that are being sent against the memory

Answers to queries and pages of metrics of a standalone instance were held until their clients took them, and counted against nothing but the number of connections. Both now count against the memory for clients, as elsewhere. An answer without room closes its connection, since the query has run; a page without room gets 503.

The fake services of the specs can return hits, and their instance can state its memory.

--- a/pkg/entryapi/entryapi_test.go
+++ b/pkg/entryapi/entryapi_test.go
@@ -20,10 +20,12 @@
 	"radishturn.example/radishturn/pkg/entryapi"
 	"radishturn.example/radishturn/pkg/failure"
 	"radishturn.example/radishturn/pkg/fanout"
+	"radishturn.example/radishturn/pkg/membudget"
 	"radishturn.example/radishturn/pkg/order"
 	"radishturn.example/radishturn/pkg/problem"
 	"radishturn.example/radishturn/pkg/query"
 	"radishturn.example/radishturn/pkg/settings"
+	"radishturn.example/radishturn/pkg/targetproto"
 	"radishturn.example/radishturn/pkg/view"
 )
 
@@ -37,6 +39,7 @@
 	lease   view.LeaseState
 	query   query.Request
 	order   order.Request
+	hits    []targetproto.Hit
 	failure error
 }
 
@@ -48,7 +51,7 @@
 
 func (b *fakeServices) Query(_ context.Context, r query.Request) (*query.Answer, error) {
 	b.query = r
-	return &query.Answer{RequestID: r.ID, Snapshot: "s1"}, b.failure
+	return &query.Answer{RequestID: r.ID, Snapshot: "s1", Hits: b.hits}, b.failure
 }
 
 func (b *fakeServices) Place(_ context.Context, r order.Request) (*order.Result, error) {
@@ -58,10 +61,17 @@
 
 // serve runs the module on a free port until the spec ends.
 func serve(b *fakeServices) string {
+	GinkgoHelper()
+	url, _ := serveWithMemory(b, 0)
+	return url
+}
+
+// serveWithMemory is serve with the memory that the settings state, and returns the budget.
+func serveWithMemory(b *fakeServices, memoryMB int) (url string, budget *membudget.Budget) {
 	GinkgoHelper()
 	address := freeAddress()
 	c := radishturn.NewContext(&settings.Settings{
-		Instance:    settings.Instance{ID: "e1", CallerListen: address},
+		Instance:    settings.Instance{ID: "e1", CallerListen: address, MemoryMB: memoryMB},
 		Collections: []settings.Collection{{ID: "shopfront", Deadline: settings.Duration(time.Second)}},
 	})
 	Expect(radishturn.Provide[view.Source](c, b)).To(Succeed())
@@ -82,7 +92,7 @@
 		cancel()
 		<-done
 	})
-	return "http://" + address.String()
+	return "http://" + address.String(), c.Memory
 }
 
 func freeAddress() netip.AddrPort {
--- a/pkg/entryapi/handlers.go
+++ b/pkg/entryapi/handlers.go
@@ -5,7 +5,6 @@
 	"strconv"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 
@@ -67,7 +66,7 @@
 	if err != nil {
 		return problem.Write(c, err, id)
 	}
-	return c.JSON(http.StatusOK, answer)
+	return sendAnswer(c, answer)
 }
 
 func (m *Module) readQuery(c echo.Context, id model.RequestID, started time.Time) (query.Request, error) {
@@ -200,9 +199,3 @@
 	}
 	return c.String(http.StatusOK, "ready\n")
 }
-
-func (m *Module) metrics(c echo.Context) error {
-	c.Response().Header().Set(echo.HeaderContentType, "text/plain; charset=utf-8")
-	metrics.WritePrometheus(c.Response(), true)
-	return nil
-}
