HTTPSERVER: close connections whose clients take no answers if there is no room

Connections with a request in progress were never evicted, so clients that do not read their answers kept all others out for the time that writes have (10 s and more): ordinary requests at such a listener were answered after some 10 s.

A connection whose client has taken nothing for a tenth of the time that the write has now gives way if there is no room, after those without a request; over HTTP/2 only if all of its requests wait for the client. It gets no answer, since its request has run.

--- a/pkg/clientlimit/evict.go
+++ b/pkg/clientlimit/evict.go
@@ -43,17 +43,36 @@
 
 // victim returns the connection to evict: the one that has not sent a complete request
 // for longest, of one client or of all. If there is none, or too many are idle, it is the
-// connection that is idle for longest of the client with the most connections.
+// connection that is idle for longest of the client with the most connections. If none is
+// idle, it is the one that is busy for longest of those whose clients take no answers.
 func (t *Table) victim(reason Reason, own *client) *Conn {
 	if reason == ReasonIncomplete || !t.tooManyIdle(own) {
 		if c := oldest(t.incomplete, own); c != nil || reason == ReasonIncomplete {
 			return c
 		}
 	}
-	if own == nil {
-		own = t.largestIdle()
+	largest := own
+	if largest == nil {
+		largest = t.largestIdle()
 	}
-	return oldest(t.idle, own)
+	if c := oldest(t.idle, largest); c != nil {
+		return c
+	}
+	return t.oldestStalled(own)
+}
+
+// oldestStalled returns the connection that is busy for longest of those whose clients
+// take no answers, of one client if it is not nil.
+func (t *Table) oldestStalled(own *client) *Conn {
+	if t.Stalled == nil {
+		return nil
+	}
+	for e := t.busy.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*Conn); (own == nil || c.client == own) && t.Stalled(c.Owner) {
+			return c
+		}
+	}
+	return nil
 }
 
 // tooManyIdle reports whether the idle connections of one client, or of all, leave too
--- a/pkg/clientlimit/table.go
+++ b/pkg/clientlimit/table.go
@@ -83,14 +83,17 @@
 	clients     map[netip.Addr]*client
 	connections int
 	bytes       int64
-	// incomplete and idle hold connections, the ones that are so longest in front.
-	incomplete, idle *list.List
-	evicted          []Eviction
+	// incomplete, busy and idle hold connections, the ones that are so longest in front.
+	incomplete, busy, idle *list.List
+	evicted                []Eviction
+	// Stalled reports whether the client of a busy connection with this owner does not
+	// take its answer. If it is nil, busy connections are never evicted.
+	Stalled func(owner any) bool
 }
 
 // New returns an empty table.
 func New(l Limits) *Table {
-	return &Table{limits: l, clients: make(map[netip.Addr]*client), incomplete: list.New(), idle: list.New()}
+	return &Table{limits: l, clients: make(map[netip.Addr]*client), incomplete: list.New(), busy: list.New(), idle: list.New()}
 }
 
 // Connections returns the number of connections.
@@ -216,6 +219,9 @@
 		c.client.incomplete--
 		t.incomplete.Remove(c.element)
 	}
+	if c.phase == busy {
+		t.busy.Remove(c.element)
+	}
 	if c.phase == idle {
 		c.client.idle--
 		t.idle.Remove(c.element)
@@ -225,6 +231,8 @@
 	case incomplete:
 		c.client.incomplete++
 		c.element = t.incomplete.PushBack(c)
+	case busy:
+		c.element = t.busy.PushBack(c)
 	case idle:
 		c.client.idle++
 		c.element = t.idle.PushBack(c)
--- a/pkg/clientlimit/table_test.go
+++ b/pkg/clientlimit/table_test.go
@@ -101,6 +101,30 @@
 	}
 }
 
+// Guards against clients that take no answers and lock others out.
+func TestBusyConnectionsThatTakeNoAnswerGiveWayLast(t *testing.T) {
+	g := NewWithT(t)
+	table := clientlimit.New(clientlimit.Limits{Connections: 4, Bytes: 1000})
+	table.Stalled = func(owner any) bool { return owner == "stalled" }
+	begin := func(a netip.Addr) *clientlimit.Conn {
+		c := open(g, table, a)
+		g.Expect(table.Begin(c, true)).To(BeTrue())
+		return c
+	}
+	running, stalled, idle := begin(one), begin(one), begin(other)
+	stalled.Owner = "stalled"
+	table.Idle(idle, 1)
+	for _, victim := range []*clientlimit.Conn{idle, stalled} {
+		begin(other)
+		c := begin(netip.MustParseAddr("10.0.0.3"))
+		evicted := table.TakeEvicted()
+		g.Expect(evicted).To(HaveLen(1))
+		g.Expect(evicted[0].Conn).To(BeIdenticalTo(victim))
+		table.Close(c)
+	}
+	g.Expect(table.Begin(running, true)).To(BeTrue())
+}
+
 // Guards against a sum of what clients hold that passes the limits or is not returned,
 // and against requests that run on connections which were evicted.
 func TestLimitsHoldInAnyOrder(t *testing.T) {
--- a/pkg/httpserver/guard.go
+++ b/pkg/httpserver/guard.go
@@ -69,6 +69,7 @@
 		g.base += tlsBytes
 	}
 	g.table = clientlimit.New(clientLimits(l, g.base, openFileLimit()))
+	g.table.Stalled = func(owner any) bool { return owner.(*guardedConn).stalled() }
 	return g
 }
 
--- a/pkg/httpserver/guarded_conn.go
+++ b/pkg/httpserver/guarded_conn.go
@@ -45,6 +45,7 @@
 	// the window for bodies is accounted for. The guard's lock protects both.
 	arrived    int
 	windowHeld bool
+	progress   progress
 	// head counts the bytes since the last request. allowed is the size of a head that is
 	// accounted for.
 	head, allowed atomic.Int64
@@ -198,9 +199,23 @@
 	})
 }
 
+// stalled reports whether the client takes no answer to its request, or to any of those
+// of HTTP/2.
+func (c *guardedConn) stalled() bool {
+	requests := int64(1)
+	if c.http2.Load() {
+		requests = c.requests.Load()
+	}
+	return c.progress.stalled(requests)
+}
+
 // Write implements net.Conn.
 func (c *guardedConn) Write(p []byte) (int, error) {
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(timeToTake(len(p))))
+	if !c.http2.Load() {
+		c.progress.begin(len(p))
+		defer c.progress.end()
+	}
 	n, err := c.Conn.Write(p)
 	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
 		c.guard.report.answerNotRead()
--- a/pkg/httpserver/guarded_request.go
+++ b/pkg/httpserver/guarded_request.go
@@ -84,11 +84,11 @@
 		defer body.release()
 		r.Body = body
 	}
-	answer := &deadlineWriter{ResponseWriter: w}
+	answer := &deadlineWriter{ResponseWriter: w, progress: &c.progress}
 	h.ServeHTTP(answer, r)
 	// The HTTP server would write the rest of the answer when the request no longer counts.
 	// An error means that the client has left.
-	_ = http.NewResponseController(answer).Flush()
+	_ = answer.FlushError()
 }
 
 func (c *guardedConn) endHTTP2() {
@@ -120,7 +120,8 @@
 // connection's deadline does not see.
 type deadlineWriter struct {
 	http.ResponseWriter
-	once sync.Once
+	progress *progress
+	once     sync.Once
 }
 
 // Unwrap returns the writer beneath, for http.ResponseController.
@@ -144,9 +145,18 @@
 // Write implements http.ResponseWriter.
 func (w *deadlineWriter) Write(p []byte) (int, error) {
 	w.limit()
+	w.progress.begin(len(p))
+	defer w.progress.end()
 	return w.ResponseWriter.Write(p)
 }
 
+// FlushError is used by http.ResponseController.
+func (w *deadlineWriter) FlushError() error {
+	w.progress.begin(0)
+	defer w.progress.end()
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
 // Hold accounts for n bytes that are held for the client of the request with this
 // context, such as a page that is being sent, until release is called. It reports whether
 // there is room; if not, the request is refused.
