HTTPSERVER: count requests of HTTP/2 as they are read

net/http answers a request whose header list is over the limit by itself, and waits for the client's window to send the text of its 431.

The guarded connection now reads the heads of frames and accounts for each request when its first frame arrives. A request that begins takes over what was accounted for; what begins no request stays until the connection is idle or closed. A request for which there was no room is refused with 503 when it begins, as before. Trailers are told by their stream IDs.

--- a/flood/requests_test.go
+++ b/flood/requests_test.go
@@ -75,6 +75,7 @@
 	{"long answers read slowly over HTTP/1.1", readSlowly},
 	{"long answers read slowly over HTTP/2", readSlowlyHTTP2},
 	{"short answers without a window over HTTP/2", takeNoAnswer},
+	{"heads over the limit without a window over HTTP/2", sendLongHeads},
 }
 
 // TestAbusiveClients guards against a process that ends, or answers nobody, because of clients
@@ -349,6 +350,22 @@
 	go readBytes(c)
 }
 
+// sendLongHeads sends heads that are short on the wire and over the limit decoded. Their
+// answers have no window.
+func sendLongHeads(l listener, c net.Conn) {
+	const valueBytes = 3 << 10
+	r := newHTTP2(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0})
+	for i := range uint32(maxStreams) {
+		r.begin(http.MethodGet, "/unknown")
+		for size := 0; size < 2*l.maxHead; size += valueBytes {
+			_ = r.encoder.WriteField(hpack.HeaderField{Name: "a", Value: strings.Repeat("b", valueBytes)})
+		}
+		r.end(2*i+1, false)
+	}
+	_, _ = c.Write(r.sent.Bytes())
+	go readBytes(c)
+}
+
 // readBytes reads a byte now and then until the connection is closed.
 func readBytes(c net.Conn) {
 	_ = c.SetDeadline(time.Time{})
--- a/pkg/httpserver/guard.go
+++ b/pkg/httpserver/guard.go
@@ -118,7 +118,7 @@
 
 // admit returns a guarded connection, or closes it and returns nil.
 func (g *guard) admit(c net.Conn) *guardedConn {
-	guarded := &guardedConn{Conn: c, guard: g}
+	guarded := &guardedConn{Conn: c, guard: g, frames: newFrameCounter()}
 	guarded.allowed.Store(bufferBytes)
 	var refused clientlimit.Reason
 	g.update(func(t *clientlimit.Table) {
--- a/pkg/httpserver/guarded_conn.go
+++ b/pkg/httpserver/guarded_conn.go
@@ -45,7 +45,11 @@
 	// the window for bodies is accounted for. The guard's lock protects both.
 	arrived    int
 	windowHeld bool
-	progress   progress
+	// frames counts the requests of HTTP/2 as they are read. reserved is the number of
+	// those that are accounted for and have not begun; the guard's lock protects it.
+	frames   frameCounter
+	reserved int64
+	progress progress
 	// head counts the bytes since the last request. allowed is the size of a head that is
 	// accounted for.
 	head, allowed atomic.Int64
@@ -74,6 +78,9 @@
 	if c.matched >= 0 && c.matched < len(http2Preface) {
 		c.matchPreface(p[:n])
 	}
+	if c.matched >= 0 {
+		c.reserveStreams(c.frames.count(p[:n]))
+	}
 	head := c.head.Add(int64(n))
 	if err != nil && head > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		c.guard.report.headRefused(headTimeout)
@@ -195,6 +202,7 @@
 		c.resetHead()
 		c.allowed.Store(bufferBytes)
 		c.windowHeld = false
+		c.reserved = 0
 		t.Idle(c.entry, base)
 	})
 }
--- a/pkg/httpserver/guarded_request.go
+++ b/pkg/httpserver/guarded_request.go
@@ -74,11 +74,16 @@
 		panic(http.ErrAbortHandler)
 	}
 	n := streamBytes + headFactor*headSize(r)
-	if !c.grow(n) || !whole && !c.holdWindow() {
+	if !c.grow(n - s.reserved) {
+		c.shrink(s.reserved)
 		c.refuse(w)
 		return
 	}
 	defer c.shrink(n)
+	if !whole && !c.holdWindow() {
+		c.refuse(w)
+		return
+	}
 	if !whole {
 		body := newGuardedBody(r.Body, c, s.complete)
 		defer body.release()
--- a/pkg/httpserver/stream.go
+++ b/pkg/httpserver/stream.go
@@ -8,6 +8,8 @@
 	conn *guardedConn
 	// arrived is set once the whole request has arrived; the guard's lock protects it.
 	arrived bool
+	// reserved is what was accounted for when its first frame was read.
+	reserved int64
 }
 
 // begin notes that the head of the request has arrived, and whether all of it has. It
@@ -19,6 +21,10 @@
 		if whole {
 			s.countArrived(1)
 		}
+		if c.reserved > 0 {
+			c.reserved--
+			s.reserved = streamBytes
+		}
 		ok = t.Begin(c.entry, c.arrived > 0)
 	})
 	return ok
@@ -53,6 +59,19 @@
 	s.conn.arrived += n
 }
 
+// reserveStreams accounts for n requests whose first frames were read. Those for which
+// there is no room are refused when they begin.
+func (c *guardedConn) reserveStreams(n int64) {
+	if n == 0 {
+		return
+	}
+	c.guard.update(func(t *clientlimit.Table) {
+		if t.Grow(c.entry, n*streamBytes) {
+			c.reserved += n
+		}
+	})
+}
+
 // holdWindow accounts for the bytes of bodies that the HTTP server holds for one
 // connection, until it is idle, and reports whether there was room.
 func (c *guardedConn) holdWindow() (ok bool) {
--- a/pkg/httpserver/stream_test.go
+++ b/pkg/httpserver/stream_test.go
@@ -87,12 +87,9 @@
 		Expect(g.budget.Used() - before).To(BeEquivalentTo(http2Bytes))
 	})
 
-	// Guards against requests that hold buffers, and count nothing, until their clients
-	// take a short answer.
-	It("count until a short answer is taken", func() {
-		const streams = 50
-		limits := DefaultLimits.With(ShareMain, membudget.New(64<<20))
-		var ended atomic.Int64
+	// serveShort serves short answers and counts the handlers that have ended.
+	serveShort := func(limits Limits) (client net.Conn, ended *atomic.Int64) {
+		ended = new(atomic.Int64)
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		s := New("test", l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -101,19 +98,65 @@
 		}), limits)
 		go func() { _ = s.Run(GinkgoT().Context()) }()
 		DeferCleanup(s.Close)
-		client, err := net.Dial("tcp4", l.Addr().String())
+		client, err = net.Dial("tcp4", l.Addr().String())
 		Expect(err).NotTo(HaveOccurred())
-		_, err = client.Write(requestsWithoutWindow(streams))
+		return client, ended
+	}
+
+	const streams = 50
+
+	// Guards against requests that hold buffers, and count nothing, until their clients
+	// take a short answer.
+	It("count until a short answer is taken", func() {
+		limits := DefaultLimits.With(ShareMain, membudget.New(64<<20))
+		client, ended := serveShort(limits)
+		_, err := client.Write(requestsWithoutWindow(streams, 0))
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(ended.Load).Should(BeEquivalentTo(streams))
 		Consistently(limits.Memory.Used).Should(BeNumerically(">", streams*streamBytes))
 		Expect(client.Close()).To(Succeed())
 		Eventually(limits.Memory.Used, 5*time.Second).Should(BeZero())
 	})
+
+	// Guards against answers of the HTTP server itself, which hold as much and have no handler.
+	It("count if they are refused for the length of their heads", func() {
+		limits := DefaultLimits.With(ShareMain, membudget.New(64<<20))
+		client, ended := serveShort(limits)
+		_, err := client.Write(requestsWithoutWindow(streams, 2*limits.MaxHeaderBytes))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(limits.Memory.Used).Should(BeNumerically(">", streams*streamBytes))
+		Consistently(limits.Memory.Used).Should(BeNumerically(">", streams*streamBytes))
+		Expect(ended.Load()).To(BeZero())
+		Expect(client.Close()).To(Succeed())
+		Eventually(limits.Memory.Used, 5*time.Second).Should(BeZero())
+	})
 })
 
+var _ = DescribeTable("The requests of a connection of HTTP/2 are counted as they are read", func(step int) {
+	const streamCount = 5
+	sent := requestsWithoutWindow(streamCount, 100)
+	// The head of a trailer is not that of a request.
+	trailer := bytes.NewBuffer(nil)
+	Expect(http2.NewFramer(trailer, nil).WriteHeaders(http2.HeadersFrameParam{StreamID: 1, EndStream: true, EndHeaders: true})).To(Succeed())
+	sent = append(sent, trailer.Bytes()...)
+	f := newFrameCounter()
+	var n int64
+	for len(sent) > 0 {
+		part := sent[:min(step, len(sent))]
+		n += f.count(part)
+		sent = sent[len(part):]
+	}
+	Expect(n).To(BeEquivalentTo(streamCount))
+},
+	Entry("byte by byte", 1),
+	Entry("in parts of frames", 7),
+	Entry("at once", 1<<20),
+)
+
 // requestsWithoutWindow returns the bytes of a client of HTTP/2 that takes no answers.
-func requestsWithoutWindow(n int) []byte {
+// Each has a header list that is longBytes longer, in few bytes.
+func requestsWithoutWindow(n, longBytes int) []byte {
+	const valueBytes = 1 << 10
 	var sent, fields bytes.Buffer
 	_, _ = sent.WriteString(http2.ClientPreface)
 	framer := http2.NewFramer(&sent, nil)
@@ -124,6 +167,9 @@
 		for _, f := range []hpack.HeaderField{{Name: ":method", Value: "GET"}, {Name: ":scheme", Value: "http"}, {Name: ":authority", Value: "a"}, {Name: ":path", Value: "/"}} {
 			Expect(encoder.WriteField(f)).To(Succeed())
 		}
+		for size := 0; size < longBytes; size += valueBytes {
+			Expect(encoder.WriteField(hpack.HeaderField{Name: "a", Value: strings.Repeat("b", valueBytes)})).To(Succeed())
+		}
 		head := http2.HeadersFrameParam{StreamID: 2*i + 1, BlockFragment: fields.Bytes(), EndStream: true, EndHeaders: true}
 		Expect(framer.WriteHeaders(head)).To(Succeed())
 	}
