HTTPSERVER: answer before the rest of a long body arrives

The body of a request was replaced in the request that net/http itself uses. net/http no longer knew its length then, and read up to 256 KiB of an unread body before it sent the answer. A client that announced a long body and sent none of it got its 413 only at the time-out, and held the connection until then. The handler now gets a copy of the request.

--- a/pkg/httpserver/guarded_request.go
+++ b/pkg/httpserver/guarded_request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -60,7 +61,7 @@
 		return
 	}
 	if !whole {
-		r.Body = newGuardedBody(r.Body, c, c.complete)
+		r = withBody(r, newGuardedBody(r.Body, c, c.complete))
 	}
 	h.ServeHTTP(w, r)
 }
@@ -87,7 +88,7 @@
 	if !whole {
 		body := newGuardedBody(r.Body, c, s.complete)
 		defer body.release()
-		r.Body = body
+		r = withBody(r, body)
 	}
 	answer := &deadlineWriter{ResponseWriter: w, progress: &c.progress}
 	h.ServeHTTP(answer, r)
@@ -96,6 +97,14 @@
 	_ = answer.FlushError()
 }
 
+// withBody returns a copy of a request with another body. The HTTP server needs its own
+// body to answer a request before the rest of a long body arrives.
+func withBody(r *http.Request, body io.ReadCloser) *http.Request {
+	r = r.WithContext(r.Context())
+	r.Body = body
+	return r
+}
+
 func (c *guardedConn) endHTTP2() {
 	if c.requests.Add(-1) == 0 {
 		c.becomeIdle()
