ENTRYAPI, OPERATOR: refuse bodies by their announced length

Bodies of queries and orders, and routing tables, were refused only once more than the limit had arrived: a client that announced gigabytes was read for 1 or 3 MiB, or waited for. They are now refused before they are read, with the same status.

--- a/pkg/entryapi/answer_test.go
+++ b/pkg/entryapi/answer_test.go
@@ -1,6 +1,9 @@
 package entryapi_test
 
 import (
+	"bufio"
+	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -36,3 +39,20 @@
 		Eventually(budget.Used, 15*time.Second).Should(BeNumerically("<", answerBytes))
 	})
 })
+
+// Guards against callers that hold a request with a body that the limit excludes.
+var _ = Describe("A body that is announced over the limit", func() {
+	It("is refused before it arrives", func() {
+		url := serve(&fakeServices{lease: view.LeaseHeld})
+		c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		Expect(c.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		_, err = fmt.Fprintf(c, "POST /v1/collections/shopfront/query HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", 8<<30)
+		Expect(err).NotTo(HaveOccurred())
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Body.Close()).To(Succeed())
+		Expect(response.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+	})
+})
--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -140,6 +140,9 @@
 // Decode reads a JSON body of at most limit bytes into the value that into
 // points to. It rejects unknown fields and trailing data.
 func Decode(c echo.Context, limit int64, into any) error {
+	if c.Request().ContentLength > limit {
+		return decodeFailure(&http.MaxBytesError{Limit: limit})
+	}
 	r := http.MaxBytesReader(c.Response(), c.Request().Body, limit)
 	decoder := json.NewDecoder(r)
 	decoder.DisallowUnknownFields()
