HTTPSERVER: keep counting refused requests of HTTP/2 on idle connections

A connection of HTTP/2 became idle when its last request with a handler had ended, and then counted no request that net/http answers itself, also if its client takes no answer: one ordinary request hid 99 others. They now count until the connection is closed, up to the 100 that may be in progress on it.

--- a/pkg/httpserver/guarded_conn.go
+++ b/pkg/httpserver/guarded_conn.go
@@ -46,7 +46,8 @@
 	arrived    int
 	windowHeld bool
 	// frames counts the requests of HTTP/2 as they are read. reserved is the number of
-	// those that are accounted for and have not begun; the guard's lock protects it.
+	// those that are accounted for and have not begun, or never will, since the HTTP server
+	// answers them itself; the guard's lock protects it.
 	frames   frameCounter
 	reserved int64
 	progress progress
@@ -202,8 +203,7 @@
 		c.resetHead()
 		c.allowed.Store(bufferBytes)
 		c.windowHeld = false
-		c.reserved = 0
-		t.Idle(c.entry, base)
+		t.Idle(c.entry, base+c.reserved*streamBytes)
 	})
 }
 
--- a/pkg/httpserver/stream.go
+++ b/pkg/httpserver/stream.go
@@ -59,13 +59,14 @@
 	s.conn.arrived += n
 }
 
-// reserveStreams accounts for n requests whose first frames were read. Those for which
-// there is no room are refused when they begin.
+// reserveStreams accounts for n requests whose first frames were read, up to the number
+// that may be in progress. Those for which there is no room are refused when they begin.
 func (c *guardedConn) reserveStreams(n int64) {
 	if n == 0 {
 		return
 	}
 	c.guard.update(func(t *clientlimit.Table) {
+		n = min(n, maxHTTP2Requests-c.reserved)
 		if t.Grow(c.entry, n*streamBytes) {
 			c.reserved += n
 		}
--- a/pkg/httpserver/stream_test.go
+++ b/pkg/httpserver/stream_test.go
@@ -127,6 +127,11 @@
 		Eventually(limits.Memory.Used).Should(BeNumerically(">", streams*streamBytes))
 		Consistently(limits.Memory.Used).Should(BeNumerically(">", streams*streamBytes))
 		Expect(ended.Load()).To(BeZero())
+		// They still count when another request has ended, and the connection is idle.
+		_, err = client.Write(requestWithoutBody(2*streams + 1))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(ended.Load).Should(BeEquivalentTo(1))
+		Consistently(limits.Memory.Used).Should(BeNumerically(">", streams*streamBytes))
 		Expect(client.Close()).To(Succeed())
 		Eventually(limits.Memory.Used, 5*time.Second).Should(BeZero())
 	})
@@ -153,6 +158,18 @@
 	Entry("at once", 1<<20),
 )
 
+// requestWithoutBody returns the bytes of a request whose answer has no body.
+func requestWithoutBody(streamID uint32) []byte {
+	var sent, fields bytes.Buffer
+	encoder := hpack.NewEncoder(&fields)
+	for _, f := range []hpack.HeaderField{{Name: ":method", Value: "HEAD"}, {Name: ":scheme", Value: "http"}, {Name: ":authority", Value: "a"}, {Name: ":path", Value: "/"}} {
+		Expect(encoder.WriteField(f)).To(Succeed())
+	}
+	head := http2.HeadersFrameParam{StreamID: streamID, BlockFragment: fields.Bytes(), EndStream: true, EndHeaders: true}
+	Expect(http2.NewFramer(&sent, nil).WriteHeaders(head)).To(Succeed())
+	return sent.Bytes()
+}
+
 // requestsWithoutWindow returns the bytes of a client of HTTP/2 that takes no answers.
 // Each has a header list that is longBytes longer, in few bytes.
 func requestsWithoutWindow(n, longBytes int) []byte {
