--- a/pkg/httpserver/guarded_conn.go
+++ b/pkg/httpserver/guarded_conn.go
@@ -41,8 +41,22 @@
 	// requests counts the requests of HTTP/2 in progress.
 	requests atomic.Int64
 	http2    atomic.Bool
-	// head counts the bytes since the last request, of which allowed are accounted for.
+	// arrived counts those of them that have arrived whole, and windowHeld is set once
+	// the window for bodies is accounted for. The guard's lock protects both.
+	arrived    int
+	windowHeld bool
+	// frames counts the requests of HTTP/2 as they are read. reserved is the number of
+	// those that are accounted for and have not begun, or never will, since the HTTP server
+	// answers them itself; the guard's lock protects it.
+	frames   frameCounter
+	reserved int64
+	progress progress
+	// head counts the bytes since the last request. allowed is the size of a head that is
+	// accounted for.
 	head, allowed atomic.Int64
+	// lines counts the lines of the head; begun is set once another head may begin.
+	lines lineCounter
+	begun atomic.Bool
 	// matched counts the bytes of http2Preface read so far; -1 if others came.
 	matched int
 	// partial is set once a part of a head was read.
@@ -65,11 +79,17 @@
 	if c.matched >= 0 && c.matched < len(http2Preface) {
 		c.matchPreface(p[:n])
 	}
+	if c.matched >= 0 {
+		c.reserveStreams(c.frames.count(p[:n]))
+	}
 	head := c.head.Add(int64(n))
 	if err != nil && head > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		c.guard.report.headRefused(headTimeout)
 	}
-	if head > c.allowed.Load() && !c.growHead(head) {
+	if before := head - int64(n); before <= c.guard.maxHead && head > c.guard.maxHead && !c.http2.Load() {
+		c.guard.report.headRefused(headTooLong)
+	}
+	if !c.growHead(c.headSize(head, p[:n])) {
 		_ = c.Close()
 		return 0, errEvicted
 	}
@@ -98,26 +118,38 @@
 	}
 }
 
-// growHead accounts for a head of n bytes and reports whether there was room. It counts
-// a head that is too long once; the HTTP server refuses it.
-func (c *guardedConn) growHead(n int64) bool {
+// headSize returns the size of a head of n bytes, of which p are the last. The HTTP
+// server refuses a head that is too long.
+func (c *guardedConn) headSize(n int64, p []byte) int64 {
+	size := min(n, c.guard.maxHead)
+	if c.http2.Load() {
+		return size
+	}
+	if c.begun.Swap(false) {
+		c.lines = lineCounter{}
+	}
+	return size + lineBytes*c.lines.count(p)
+}
+
+// growHead accounts for a head of a size and reports whether there was room.
+func (c *guardedConn) growHead(size int64) bool {
 	allowed := c.allowed.Load()
-	if allowed >= c.guard.maxHead {
+	if size <= allowed {
 		return true
 	}
 	next := allowed
-	for next < n {
-		next *= 2
+	for next < size {
+		next += min(next, maxHeadStep)
 	}
-	next = min(next, c.guard.maxHead)
 	if c.http2.Load() {
 		// Fewer bytes are those of control frames.
 		c.notePartial()
-	} else if n > c.guard.maxHead {
-		c.guard.report.headRefused(headTooLong)
+	}
+	if !c.grow(headFactor * (next - allowed)) {
+		return false
 	}
 	c.allowed.Store(next)
-	return c.grow(headFactor * (next - allowed))
+	return true
 }
 
 // grow accounts for n more bytes and reports whether there was room.
@@ -130,14 +162,24 @@
 	c.guard.update(func(t *clientlimit.Table) { t.Shrink(c.entry, n) })
 }
 
-// begin notes that the head of a request has arrived, and whether all of it has. It
-// fails if the connection was evicted before.
+// begin notes that the head of a request of HTTP/1.1 has arrived, and whether all of the
+// request has. It fails if the connection was evicted before.
 func (c *guardedConn) begin(whole bool) (ok bool) {
+	c.beginHead()
+	c.guard.update(func(t *clientlimit.Table) { ok = t.Begin(c.entry, whole) })
+	return ok
+}
+
+// beginHead notes that the next bytes are not those of the head that has arrived.
+func (c *guardedConn) beginHead() {
 	c.inRequest.Store(true)
 	c.partial.Store(false)
+	c.resetHead()
+}
+
+func (c *guardedConn) resetHead() {
 	c.head.Store(0)
-	c.guard.update(func(t *clientlimit.Table) { ok = t.Begin(c.entry, whole) })
-	return ok
+	c.begun.Store(true)
 }
 
 // complete notes that the whole request has arrived.
@@ -158,15 +200,30 @@
 		}
 		c.inRequest.Store(false)
 		c.partial.Store(false)
-		c.head.Store(0)
+		c.resetHead()
 		c.allowed.Store(bufferBytes)
-		t.Idle(c.entry, base)
+		c.windowHeld = false
+		t.Idle(c.entry, base+c.reserved*streamBytes)
 	})
 }
 
+// stalled reports whether the client takes no answer to its request, or to any of those
+// of HTTP/2.
+func (c *guardedConn) stalled() bool {
+	requests := int64(1)
+	if c.http2.Load() {
+		requests = c.requests.Load()
+	}
+	return c.progress.stalled(requests)
+}
+
 // Write implements net.Conn.
 func (c *guardedConn) Write(p []byte) (int, error) {
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(timeToTake(len(p))))
+	if !c.http2.Load() {
+		c.progress.begin(len(p))
+		defer c.progress.end()
+	}
 	n, err := c.Conn.Write(p)
 	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
 		c.guard.report.answerNotRead()
--- a/pkg/httpserver/guarded_request.go
+++ b/pkg/httpserver/guarded_request.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -18,8 +16,9 @@
 	http2BodyBytes = 64 << 10
 	// maxHTTP2Requests is how many requests one connection may have in progress.
 	maxHTTP2Requests = 100
-	// fieldBytes is what a header field holds besides its name and value.
-	fieldBytes = 64
+	// streamBytes is what a request of HTTP/2 holds besides its head: its goroutine,
+	// buffers and contexts.
+	streamBytes = 16 << 10
 	// retryAfterSeconds is the Retry-After of a request that was refused for memory.
 	retryAfterSeconds = "1"
 )
@@ -52,33 +51,58 @@
 
 func (c *guardedConn) serveHTTP1(h http.Handler, w http.ResponseWriter, r *http.Request) {
 	whole := r.ContentLength == 0
+	size := headSize(r)
 	if !c.begin(whole) {
 		panic(http.ErrAbortHandler)
 	}
+	// A part of the head may have been read together with the request before it.
+	if !c.growHead(size) {
+		c.refuse(w)
+		return
+	}
 	if !whole {
-		r.Body = &guardedBody{ReadCloser: r.Body, conn: c, allowed: bufferBytes}
+		r = withBody(r, newGuardedBody(r.Body, c, c.complete))
 	}
 	h.ServeHTTP(w, r)
 }
 
 func (c *guardedConn) serveHTTP2(h http.Handler, w http.ResponseWriter, r *http.Request) {
-	n := headerBytes(r)
-	if r.ContentLength != 0 {
-		n += http2BodyBytes
-	}
 	c.requests.Add(1)
-	defer c.endHTTP2()
-	if !c.begin(true) {
+	s := &stream{conn: c}
+	defer s.end()
+	whole := r.ContentLength == 0
+	if !s.begin(whole) {
 		panic(http.ErrAbortHandler)
 	}
-	if !c.grow(n) {
-		c.guard.report.requestRefused()
-		w.Header().Set("Retry-After", retryAfterSeconds)
-		w.WriteHeader(http.StatusServiceUnavailable)
+	n := streamBytes + headFactor*headSize(r)
+	if !c.grow(n - s.reserved) {
+		c.shrink(s.reserved)
+		c.refuse(w)
 		return
 	}
 	defer c.shrink(n)
-	h.ServeHTTP(&deadlineWriter{ResponseWriter: w}, r)
+	if !whole && !c.holdWindow() {
+		c.refuse(w)
+		return
+	}
+	if !whole {
+		body := newGuardedBody(r.Body, c, s.complete)
+		defer body.release()
+		r = withBody(r, body)
+	}
+	answer := &deadlineWriter{ResponseWriter: w, progress: &c.progress}
+	h.ServeHTTP(answer, r)
+	// The HTTP server would write the rest of the answer when the request no longer counts.
+	// An error means that the client has left.
+	_ = answer.FlushError()
+}
+
+// withBody returns a copy of a request with another body. The HTTP server needs its own
+// body to answer a request before the rest of a long body arrives.
+func withBody(r *http.Request, body io.ReadCloser) *http.Request {
+	r = r.WithContext(r.Context())
+	r.Body = body
+	return r
 }
 
 func (c *guardedConn) endHTTP2() {
@@ -87,12 +111,19 @@
 	}
 }
 
-// headerBytes returns about what the head of a request holds.
-func headerBytes(r *http.Request) int64 {
-	n := len(r.RequestURI) + fieldBytes
+// refuse answers a request for which there is no room, and which has not run.
+func (c *guardedConn) refuse(w http.ResponseWriter) {
+	c.guard.report.requestRefused()
+	w.Header().Set("Retry-After", retryAfterSeconds)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// headSize returns the size of the head of a request.
+func headSize(r *http.Request) int64 {
+	n := len(r.RequestURI)
 	for name, values := range r.Header {
 		for _, v := range values {
-			n += len(name) + len(v) + fieldBytes
+			n += len(name) + len(v) + lineBytes
 		}
 	}
 	return int64(n)
@@ -103,7 +134,8 @@
 // connection's deadline does not see.
 type deadlineWriter struct {
 	http.ResponseWriter
-	once sync.Once
+	progress *progress
+	once     sync.Once
 }
 
 // Unwrap returns the writer beneath, for http.ResponseController.
@@ -127,26 +159,16 @@
 // Write implements http.ResponseWriter.
 func (w *deadlineWriter) Write(p []byte) (int, error) {
 	w.limit()
+	w.progress.begin(len(p))
+	defer w.progress.end()
 	return w.ResponseWriter.Write(p)
 }
 
-// guardedBody notes when the body of a request has arrived, or is cut.
-type guardedBody struct {
-	io.ReadCloser
-	conn *guardedConn
-	done atomic.Bool
-	// read counts the bytes, of which allowed are accounted for until the request ends.
-	read, allowed int64
-}
-
-// grow accounts for the bytes read and reports whether there was room. A handler that
-// collects them holds up to twice as many.
-func (b *guardedBody) grow() bool {
-	before := b.allowed
-	for b.allowed < b.read {
-		b.allowed *= 2
-	}
-	return b.allowed == before || b.conn.grow(b.allowed-before)
+// FlushError is used by http.ResponseController.
+func (w *deadlineWriter) FlushError() error {
+	w.progress.begin(0)
+	defer w.progress.end()
+	return http.NewResponseController(w.ResponseWriter).Flush()
 }
 
 // Hold accounts for n bytes that are held for the client of the request with this
@@ -164,23 +186,3 @@
 	}
 	return func() { guarded.shrink(int64(n)) }, true
 }
-
-// Read implements io.Reader.
-func (b *guardedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	b.read += int64(n)
-	if !b.grow() {
-		return 0, errEvicted
-	}
-	if err != nil && !b.done.Swap(true) {
-		if errors.Is(err, io.EOF) {
-			b.conn.complete()
-			if !b.conn.guard.keepBodies {
-				b.conn.shrink(b.allowed - bufferBytes)
-			}
-		} else {
-			b.conn.guard.report.bodyRefused(err)
-		}
-	}
-	return n, err
-}
