Consensus: small messages that arrive at once restore the estimate of a path

The estimate rose only with messages of half a window, so on a path that loses messages now and then it fell with each loss while commands are small, and each further loss was waited for longer.

A message that takes less than half of the time that the rate gives its bytes now doubles the rate.

--- a/pkg/consensus/path.go
+++ b/pkg/consensus/path.go
@@ -46,14 +46,28 @@
 	e.window = min(e.window, e.maxWindow())
 }
 
-// raise doubles the window, and the rate once the window has reached it. Fewer bytes than
-// half a window do not show that the path would carry more.
-func (e *pathEstimate) raise(bytes int) {
+// recordArrival raises the estimate if a number of bytes took less than half of the time
+// that they were given.
+func (e *pathEstimate) recordArrival(bytes int, took, latency time.Duration) {
+	transfer := e.transferTime(bytes)
+	if took < transfer/2 {
+		e.raiseRate()
+	}
+	if took < (latency+transfer)/2 {
+		e.raiseWindow(bytes)
+	}
+}
+
+func (e *pathEstimate) raiseRate() { e.rate = min(2*e.rate, e.maxRate) }
+
+// raiseWindow doubles the window, and the rate once the window has reached it. Fewer bytes
+// than half a window do not show that the path would carry more.
+func (e *pathEstimate) raiseWindow(bytes int) {
 	if 2*bytes < e.window {
 		return
 	}
 	if e.window >= e.maxWindow() {
-		e.rate = min(2*e.rate, e.maxRate)
+		e.raiseRate()
 	}
 	e.window = min(2*e.window, e.maxWindow())
 }
--- a/pkg/consensus/progress.go
+++ b/pkg/consensus/progress.go
@@ -81,13 +81,11 @@
 	return slices.ContainsFunc(p.inFlight, func(s sentEntries) bool { return s.sentAt == t })
 }
 
-// recordArrival raises the estimate of the path if the acknowledged message arrived in
-// less than half of the time that it was given.
+// recordArrival raises the estimate of the path if the acknowledged message arrived early.
 func (p *progress) recordArrival(now, latency time.Duration, reply *AppendReply) {
 	for _, s := range p.inFlight {
-		answered := s.last == reply.Index && s.sentAt == reply.SentAt
-		if answered && now-s.sentAt < (latency+p.path.transferTime(s.backlog))/2 {
-			p.path.raise(s.backlog)
+		if s.last == reply.Index && s.sentAt == reply.SentAt {
+			p.path.recordArrival(s.backlog, now-s.sentAt, latency)
 		}
 	}
 }
--- a/pkg/consensus/replication_path_test.go
+++ b/pkg/consensus/replication_path_test.go
@@ -267,3 +267,42 @@
 		})
 	})
 })
+
+// Guards against a lost message or reply that is waited for as if the path were slow.
+var _ = ginkgo.Describe("A group whose majority needs a member behind a lossy path", func() {
+	const (
+		seeds       = 40
+		commands    = 200
+		lossPercent = 20
+		fast        = 10_000_000
+		// commitBound is the time in which a change is to be in force.
+		commitBound = 4 * time.Second
+	)
+	behindPath := memberOf("b")
+	// stopTwo stops two voters, neither the leader nor the one behind the path.
+	stopTwo := func(g *pathGroup) {
+		stopped := 0
+		for _, m := range slices.Clone(g.order) {
+			if stopped < 2 && m != behindPath && m != g.leader().cfg.Self {
+				g.stop(m)
+				stopped++
+			}
+		}
+	}
+	ginkgo.It("commits each command soon", func() {
+		for seed := range uint64(seeds) {
+			g := newPathGroup(seed, slowPath{member: behindPath, bytesPerSecond: fast, lossPercent: lossPercent})
+			g.runUntil("no leader", catchUpBound, func() bool { return g.leader() != nil })
+			stopTwo(g)
+			for range commands {
+				g.runUntil("no leader", catchUpBound, func() bool { return g.leader() != nil })
+				leader := g.leader()
+				g.propose(10_000)
+				index := leader.log.lastIndex()
+				g.runUntil(fmt.Sprintf("seed %d: not committed", seed), commitBound, func() bool {
+					return leader.role != Leader || leader.commit >= index
+				})
+			}
+		}
+	})
+})
