Reconfig: members with full disks are not chosen, and replaced after 30 s

A member whose disk is full stays up now and goes on offering its disk. A standby in that state could be chosen as a voter again and again, and a voter was never replaced however long it waited. Before, its process ended, so that it counted as lost after 1.5 s, and a voter whose disk was full for a moment lost its place.

Offers say whether the disk is full. Such a member is neither added nor promoted, and a voter is replaced after 30 s, as it keeps its log and needs no copy once there is space. Leaders and members of earlier builds neither read nor send it. Two new specs.

--- a/pkg/control/server/offers.go
+++ b/pkg/control/server/offers.go
@@ -24,7 +24,8 @@
 // recordOffer stores the newest offer of an instance with a disk.
 func (n *leaderTerm) recordOffer(_ context.Context, o *wire.Offer) (*wire.OfferReply, error) {
 	n.termMu.Lock()
-	n.offers[o.Member.Instance] = reconfig.Offer{Member: o.Member, ReceivedAt: n.now(), Leaving: o.Leaving}
+	before := n.offers[o.Member.Instance]
+	n.offers[o.Member.Instance] = reconfig.NextOffer(before, n.now(), o.Member, o.Leaving, o.DiskFull)
 	n.termMu.Unlock()
 	return &wire.OfferReply{Voters: n.voters()}, nil
 }
@@ -129,7 +130,8 @@
 func (s *Server) offer(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, 2*offerInterval)
 	defer cancel()
-	request := &wire.Offer{Member: s.group.Status().Self, Leaving: s.leaving.Load()}
+	status := s.group.Status()
+	request := &wire.Offer{Member: status.Self, Leaving: s.leaving.Load(), DiskFull: status.DiskFull}
 	reply, err := route.Call[wire.Offer, wire.OfferReply](ctx, s.router, wire.KindOffer, request)
 	if err != nil {
 		events.Emit(events.MemberOfferFailed, err)
--- a/pkg/control/wire/wire.go
+++ b/pkg/control/wire/wire.go
@@ -268,6 +268,8 @@
 	Member replica.Member `cbor:"1,keyasint"`
 	// Leaving is set while the instance shuts down.
 	Leaving bool `cbor:"2,keyasint,omitempty"`
+	// DiskFull is set while the disk has no space.
+	DiskFull bool `cbor:"3,keyasint,omitempty"`
 }
 
 // OfferReply lists the voting control members.
--- a/pkg/reconfig/reconfig.go
+++ b/pkg/reconfig/reconfig.go
@@ -25,6 +25,22 @@
 	ReceivedAt time.Duration
 	// Leaving is set while the instance shuts down.
 	Leaving bool
+	// DiskFull is set while the disk has no space, and the member therefore takes no part
+	// in the group. FullSince is when the first such offer arrived.
+	DiskFull  bool
+	FullSince time.Duration
+}
+
+// NextOffer returns an offer that arrives now, after the one before from the same instance.
+func NextOffer(before Offer, now time.Duration, m Member, leaving, diskFull bool) Offer {
+	next := Offer{Member: m, ReceivedAt: now, Leaving: leaving, DiskFull: diskFull}
+	if diskFull {
+		next.FullSince = now
+	}
+	if diskFull && before.DiskFull {
+		next.FullSince = before.FullSince
+	}
+	return next
 }
 
 // Times without an offer after which an instance counts as lost.
@@ -35,6 +51,9 @@
 	VoterTimeout = 1500 * time.Millisecond
 	// LearnerTimeout is longer, since the loss of a learner has little effect.
 	LearnerTimeout = 30 * time.Second
+	// FullDiskTimeout is how long a voter whose disk is full is waited for. It is longer
+	// than VoterTimeout, since it keeps its log and needs no copy once there is space.
+	FullDiskTimeout = 30 * time.Second
 )
 
 // Input is the input of Decide: the group and the offers to the leader.
@@ -142,6 +161,8 @@
 			timedOut = append(timedOut, VoterToReplace{v, true, "the voter timed out"})
 		case o.Member.Instance != "" && o.Member != v:
 			newDisk = append(newDisk, VoterToReplace{v, true, "the disk of the voter was replaced"})
+		case o.DiskFull && now-o.FullSince > FullDiskTimeout:
+			timedOut = append(timedOut, VoterToReplace{v, true, "the disk of the voter is full"})
 		case o.Leaving:
 			leaving = append(leaving, VoterToReplace{v, false, "the voter is leaving"})
 		}
@@ -224,7 +245,7 @@
 	return ready
 }
 
-// isLive reports whether an instance offered its disk lately, and stays.
+// isLive reports whether an instance offered its disk lately, stays, and has space.
 func isLive(now time.Duration, o Offer) bool {
-	return !o.Leaving && now-o.ReceivedAt < VoterTimeout
+	return !o.Leaving && !o.DiskFull && now-o.ReceivedAt < VoterTimeout
 }
--- a/pkg/reconfig/reconfig_test.go
+++ b/pkg/reconfig/reconfig_test.go
@@ -222,6 +222,31 @@
 		Expect(reconfig.Decide(now, g)).To(HaveField("Kind", reconfig.RemoveLearner))
 	})
 
+	// Guards against a member without space that is chosen as a voter, which it cannot be.
+	It("neither adds nor promotes a member whose disk is full", func() {
+		g := group(now)
+		offer(g, member(3, "a"), now-2*reconfig.VoterTimeout)
+		g.Offers["10.0.0.6"] = reconfig.NextOffer(reconfig.Offer{}, now, member(6, "a"), false, true)
+		Expect(reconfig.Decide(now, g).Kind).To(Equal(reconfig.None))
+		addCaughtUp(&g, member(6, "a"))
+		Expect(reconfig.Decide(now, g).Kind).To(Equal(reconfig.None))
+	})
+
+	// Guards against voters that are replaced one after the other since their disks were
+	// full for a moment, and against one that is never replaced.
+	It("replaces a voter whose disk is full only after a longer time", func() {
+		g := group(now)
+		addCaughtUp(&g, member(6, "a"))
+		decideAfter := func(full time.Duration) reconfig.Change {
+			first := reconfig.NextOffer(reconfig.Offer{}, now-full, member(2, "a"), false, true)
+			g.Offers["10.0.0.2"] = reconfig.NextOffer(first, now, member(2, "a"), false, true)
+			offer(g, member(6, "a"), now)
+			return reconfig.Decide(now, g)
+		}
+		Expect(decideAfter(reconfig.FullDiskTimeout).Kind).To(Equal(reconfig.None))
+		Expect(decideAfter(reconfig.FullDiskTimeout + 1)).To(HaveField("Old", member(2, "a")))
+	})
+
 	It("makes no change if operators manage the membership", func() {
 		g := group(now)
 		g.DesiredVoters = 0
