--- a/pkg/reconfig/reconfig.go
+++ b/pkg/reconfig/reconfig.go
@@ -176,7 +176,8 @@
 	return Change{Kind: ReplaceVoter, Old: voters[0].Voter, New: learners[0], Reason: voters[0].Reason}, true
 }
 
-// minEvenVoters is the least number of voters of which removeVoterOfEvenGroup removes one.
+// minEvenVoters is the least number of voters of which removeVoterOfEvenGroup removes one:
+// a group of two would be left with a single copy of the log.
 const minEvenVoters = 4
 
 // removeVoterOfEvenGroup removes a lost voter without a replacement from a group with an
