Consensus: a message that a member lost after its arrival is sent again soon

A member that restarts, or whose disk is full, may lose a message that the transport has delivered. Nothing told the leader so, and it went on waiting for a transfer that was over; a group that needs this member committed nothing meanwhile.

Change: the transport reports messages that have arrived. Entries that have arrived do not lower the estimate of the path either.

--- a/pkg/consensus/leader.go
+++ b/pkg/consensus/leader.go
@@ -137,6 +137,26 @@
 	}
 }
 
+// ReportDelivered records that a message with entries or a snapshot has reached a member.
+// The reply is then due soon, however slow the path is: a member may lose a message that it
+// has received, since it stops or its disk is full.
+func (r *Raft) ReportDelivered(now time.Duration, m Message) {
+	p := r.progress[m.To]
+	if r.role != Leader || p == nil || m.Term != r.term {
+		return
+	}
+	if m.Snapshot != nil {
+		p.snapshotDelivered, p.snapshotDeliveredAt = true, now
+		return
+	}
+	p.recordDelivery(now, r.replyTimeout(), sentEntries{last: lastIndexOf(m.Append.Entries), sentAt: m.Append.SentAt})
+}
+
+// replyTimeout returns how long the leader waits for the reply to entries that have arrived.
+func (r *Raft) replyTimeout() time.Duration {
+	return r.cfg.ElectionTimeout + stepsPerExchange*r.stepTime
+}
+
 // heartbeat renews the lease and detects lost messages: it names the entry before
 // next, so a member that lacks this entry rejects the request and is probed again. While
 // entries are on their way, which it may overtake, a rejection is ignored.
@@ -149,7 +169,7 @@
 		r.inquire(now, m, p)
 		return
 	}
-	if p.arriveBy > 0 && r.isActive(now, m) {
+	if p.arriveBy > 0 && p.undelivered() > 0 && r.isActive(now, m) {
 		p.path.lower()
 	}
 	p.arriveBy = 0
@@ -177,8 +197,7 @@
 // heartbeatDuringSnapshot keeps the member from campaigning and retries a snapshot
 // that was not acknowledged in time.
 func (r *Raft) heartbeatDuringSnapshot(now time.Duration, m Member, p *progress) {
-	timeout := max(snapshotRetryTimeouts*r.cfg.ElectionTimeout, p.path.transferTime(r.snapshotBytes))
-	if p.snapshotFailed && r.isActive(now, m) || now-p.snapshotSentAt >= timeout {
+	if p.snapshotFailed && r.isActive(now, m) || now >= r.snapshotDue(p) {
 		p.probe(p.match + 1)
 		r.replicate(now, m, p)
 		return
@@ -186,6 +205,15 @@
 	r.sendEarly(Message{To: m, Append: &AppendRequest{SentAt: now}})
 }
 
+// snapshotDue returns when a snapshot that is not acknowledged is sent again.
+func (r *Raft) snapshotDue(p *progress) time.Duration {
+	timeout := snapshotRetryTimeouts * r.cfg.ElectionTimeout
+	if p.snapshotDelivered {
+		return p.snapshotDeliveredAt + timeout
+	}
+	return p.snapshotSentAt + max(timeout, p.path.transferTime(r.snapshotBytes))
+}
+
 func (r *Raft) sendAppend(now time.Duration, m Member, p *progress, entries []Entry) {
 	prev := p.next - 1
 	prevTerm, ok := r.log.term(prev)
@@ -197,14 +225,14 @@
 		PrevIndex: prev, PrevTerm: prevTerm, Entries: entries, Commit: r.commit, SentAt: now,
 	}})
 	if len(entries) > 0 {
-		sent := sentEntries{last: entries[len(entries)-1].Index, sentAt: now, bytes: totalSize(entries)}
+		sent := sentEntries{last: lastIndexOf(entries), sentAt: now, bytes: totalSize(entries)}
 		p.recordSent(now, r.messageLatency(), sent)
 	}
 	if p.state == probing {
 		p.paused = true
 		p.probeLast = 0
 		if len(entries) > 0 {
-			p.probeLast = entries[len(entries)-1].Index
+			p.probeLast = lastIndexOf(entries)
 		}
 		return
 	}
@@ -213,6 +241,8 @@
 	}
 }
 
+func lastIndexOf(entries []Entry) uint64 { return entries[len(entries)-1].Index }
+
 func totalSize(entries []Entry) int {
 	bytes := 0
 	for _, e := range entries {
@@ -224,6 +254,7 @@
 func (r *Raft) sendSnapshot(now time.Duration, m Member, p *progress) {
 	p.state = installing
 	p.snapshotSentAt, p.snapshotIndex, p.snapshotFailed = now, r.snapshot.Index, false
+	p.snapshotDelivered = false
 	p.inFlight, p.arriveBy = nil, 0
 	r.sendEarly(Message{To: m, Snapshot: &SnapshotRequest{Snapshot: Snapshot{Meta: r.snapshot}, SentAt: now}})
 }
--- a/pkg/consensus/progress.go
+++ b/pkg/consensus/progress.go
@@ -42,6 +42,9 @@
 	snapshotIndex  uint64
 	// snapshotFailed is set if the last snapshot is known not to have arrived.
 	snapshotFailed bool
+	// snapshotDelivered is set once the last snapshot has arrived, at snapshotDeliveredAt.
+	snapshotDelivered   bool
+	snapshotDeliveredAt time.Duration
 	// arriveBy is until when the entries that were sent are assumed to be on their way, 0
 	// without any. A heartbeat may overtake them.
 	arriveBy time.Duration
@@ -57,6 +60,8 @@
 	bytes  int
 	// backlog is the number of unacknowledged bytes once this message was sent.
 	backlog int
+	// delivered is set once the message has arrived, although it may not be durable yet.
+	delivered bool
 }
 
 // unacknowledged returns the number of bytes in messages that are not acknowledged.
@@ -68,6 +73,30 @@
 	return total
 }
 
+// undelivered returns the number of bytes in messages that are not known to have arrived.
+func (p *progress) undelivered() int {
+	total := 0
+	for _, s := range p.inFlight {
+		if !s.delivered {
+			total += s.bytes
+		}
+	}
+	return total
+}
+
+// recordDelivery records that a message with entries has arrived. Once all have, the reply
+// is waited for no longer than replyTimeout.
+func (p *progress) recordDelivery(now, replyTimeout time.Duration, message sentEntries) {
+	for i, s := range p.inFlight {
+		if s.last == message.last && s.sentAt == message.sentAt {
+			p.inFlight[i].delivered = true
+		}
+	}
+	if p.undelivered() == 0 {
+		p.arriveBy = min(p.arriveBy, now+replyTimeout)
+	}
+}
+
 // recordSent records a message with entries, and until when it counts as on its way.
 // latency is the time that a message without entries may take.
 func (p *progress) recordSent(now, latency time.Duration, s sentEntries) {
@@ -124,7 +153,7 @@
 	if len(p.inFlight) == 0 {
 		p.arriveBy = 0
 	} else if len(p.inFlight) < before && p.arriveBy > 0 {
-		p.arriveBy = now + latency + p.path.transferTime(p.unacknowledged())
+		p.arriveBy = now + latency + p.path.transferTime(p.undelivered())
 	}
 	if index <= p.match {
 		return false
--- a/pkg/consensus/replication_path_test.go
+++ b/pkg/consensus/replication_path_test.go
@@ -267,3 +267,65 @@
 		})
 	})
 })
+
+// Guards against a leader that waits for the transfer time of a slow path although the
+// message has arrived and the member has lost it, as one that restarts does.
+var _ = ginkgo.Describe("A member on a slow path that loses what it has received", func() {
+	const (
+		seed         = 37
+		slow         = 20_000
+		fast         = 10_000_000
+		commandBytes = 200_000
+		// resendBound is the time in which a change is to be in force.
+		resendBound = 4 * time.Second
+	)
+	isLarge := func(m Message) bool { return m.Snapshot != nil || m.Append != nil && len(m.Append.Entries) > 0 }
+	behindPath := memberOf("b")
+
+	// slowGroup returns a group whose leader has seen that the path to b is slow, and that has
+	// committed everything. The path is fast from now on.
+	slowGroup := func() *pathGroup {
+		g := newPathGroup(seed, slowPath{member: behindPath, bytesPerSecond: slow})
+		isReady := func() bool { return g.leader() != nil && g.leader().cfg.Self != behindPath }
+		g.runUntil("no leader", catchUpBound, isReady)
+		for range 5 {
+			g.propose(commandBytes)
+		}
+		path := &g.leader().progress[behindPath].path
+		g.runUntil("path not seen as slow", 2*catchUpBound, func() bool { return path.rate <= 2*slow })
+		g.path.bytesPerSecond, g.path.busyUntil = fast, g.now
+		return g
+	}
+	// loseFirst delivers and loses the first message with entries or a snapshot that was sent
+	// to b, and returns the time until the leader sends one again.
+	loseFirst := func(g *pathGroup) time.Duration {
+		leader := g.leader()
+		g.queue = slices.DeleteFunc(g.queue, func(a arriving) bool {
+			lost := a.m.To == behindPath && isLarge(a.m)
+			if lost {
+				leader.ReportDelivered(g.now, a.m)
+			}
+			return lost
+		})
+		lostAt := g.now
+		g.runUntil("not sent again", resendBound, func() bool {
+			return slices.ContainsFunc(g.queue, func(a arriving) bool { return a.m.To == behindPath && isLarge(a.m) })
+		})
+		return g.now - lostAt
+	}
+
+	ginkgo.It("is sent entries again soon", func() {
+		g := slowGroup()
+		Expect(loseFirst(g)).To(BeNumerically("<", resendBound))
+	})
+	ginkgo.It("is sent a snapshot again soon", func() {
+		g := slowGroup()
+		leader := g.leader()
+		leader.Compact(leader.SnapshotMeta(), commandBytes, 0)
+		leader.progress[behindPath].probe(1)
+		leader.replicate(g.now, behindPath, leader.progress[behindPath])
+		g.flush(leader)
+		Expect(leader.progress[behindPath].state).To(Equal(installing))
+		Expect(loseFirst(g)).To(BeNumerically("<", resendBound))
+	})
+})
--- a/pkg/replica/transport.go
+++ b/pkg/replica/transport.go
@@ -201,7 +201,7 @@
 }
 
 // sendLarge sends messages with entries or a snapshot. It takes as long as the call makes
-// progress, and reports the messages as lost if the call fails.
+// progress, and reports whether the messages have arrived.
 func (s *sender) sendLarge(messages []consensus.Message) {
 	ctx, cancel := context.WithCancel(s.transport.ctx)
 	defer cancel()
@@ -211,7 +211,9 @@
 	ctx = mesh.WithProgress(ctx, func() { stalled.Reset(timeout) })
 	if err := s.call(ctx, messages); err != nil {
 		s.reportLost(messages)
+		return
 	}
+	s.reportDelivered(messages)
 }
 
 func (s *sender) call(ctx context.Context, messages []consensus.Message) error {
@@ -221,14 +223,25 @@
 
 // reportLost tells the event loop that messages did not reach the peer.
 func (s *sender) reportLost(messages []consensus.Message) {
-	node := s.transport.node
-	report := func(time.Duration) {
+	s.report(func(time.Duration) {
 		for _, m := range messages {
-			node.raft.ReportLost(m)
+			s.transport.node.raft.ReportLost(m)
 		}
-	}
+	})
+}
+
+// reportDelivered tells the event loop that messages have reached the peer.
+func (s *sender) reportDelivered(messages []consensus.Message) {
+	s.report(func(now time.Duration) {
+		for _, m := range messages {
+			s.transport.node.raft.ReportDelivered(now, m)
+		}
+	})
+}
+
+func (s *sender) report(call func(now time.Duration)) {
 	select {
-	case node.loopCalls <- report:
+	case s.transport.node.loopCalls <- call:
 	case <-s.transport.ctx.Done():
 	}
 }
