Mesh: a handshake outlasts the calls that wait for it

Cause: a call dialed with its own context. A handshake that took longer than the call was abandoned with it, and the next call began another. Over a slow path, calls with short timeouts, such as those with votes, never connected.

Change: calls share the attempts to connect to a peer, which go on for handshakeTimeout. Callers that stop waiting no longer wait for a mutex either. A further attempt starts every 500 ms, since the pauses in which one attempt repeats its first packet grow.

--- a/pkg/mesh/peers.go
+++ b/pkg/mesh/peers.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/quic-go/quic-go"
 
@@ -14,36 +16,61 @@
 	"radishturn.example/radishturn/pkg/model"
 )
 
-// peer holds the connection to one instance. Its mutex is held while dialing, so
-// that concurrent requests share one dial.
+// peer holds the connection to one instance.
 type peer struct {
 	id model.InstanceID
 
 	mu      sync.Mutex
 	address netip.AddrPort
 	conn    *quic.Conn
+	// dials are the present attempts to connect, oldest first.
+	dials []*dial
+	// connected is closed and replaced when an attempt succeeds.
+	connected chan struct{}
 }
 
+func newPeer(id model.InstanceID, address netip.AddrPort) *peer {
+	return &peer{id: id, address: address, connected: make(chan struct{})}
+}
+
+// dial is an attempt to connect. Requests share it, and it outlasts those that stop
+// waiting: on a slow path a handshake may take longer than any of them waits.
+type dial struct {
+	began time.Time
+	// failed is closed once err is set.
+	failed chan struct{}
+	err    error
+}
+
+const (
+	// maxDials limits the attempts to connect to one peer at a time.
+	maxDials = int(handshakeTimeout / redialDelay)
+	// redialDelay is the time after which a request starts a further attempt. The pauses in
+	// which an attempt repeats its first packet grow, and the peer may have started since.
+	redialDelay = 500 * time.Millisecond
+)
+
 // SetPeer sets the address of an instance.
 func (m *QUIC) SetPeer(id model.InstanceID, address netip.AddrPort) {
 	m.mu.Lock()
 	p, ok := m.peers[id]
 	if !ok {
-		p = &peer{id: id, address: address}
+		p = newPeer(id, address)
 		m.peers[id] = p
 	}
 	m.mu.Unlock()
 	p.setAddress(address)
 }
 
-// setAddress closes the connection if the address has changed.
+// setAddress closes the connection, and gives up the present dials, if the address has
+// changed.
 func (p *peer) setAddress(address netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.address == address {
 		return
 	}
-	p.address = address
+	p.address, p.dials = address, nil
 	if p.conn != nil {
 		_ = p.conn.CloseWithError(closeNormal, "address changed")
 		p.conn = nil
@@ -73,7 +100,7 @@
 	if !ok {
 		return nil
 	}
-	p = &peer{id: id, address: address}
+	p = newPeer(id, address)
 	m.peers[id] = p
 	return p
 }
@@ -118,26 +145,94 @@
 	return stream, nil
 }
 
+// connect returns the connection to a peer, and establishes it if there is none.
 func (m *QUIC) connect(ctx context.Context, p *peer) (*quic.Conn, error) {
+	for {
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
+		conn, newest, connected := m.connectionOrDial(p)
+		if conn != nil {
+			return conn, nil
+		}
+		select {
+		case <-connected:
+		case <-newest.failed:
+			return nil, newest.err
+		case <-ctx.Done():
+		}
+	}
+}
+
+// connectionOrDial returns the connection to a peer. Without one it returns the newest
+// attempt to connect, which it starts if necessary, and a channel that is closed once any
+// attempt succeeds.
+func (m *QUIC) connectionOrDial(p *peer) (conn *quic.Conn, newest *dial, connected <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.conn != nil && p.conn.Context().Err() == nil {
-		return p.conn, nil
+	if p.isConnected() {
+		return p.conn, nil, nil
 	}
-	if err := ctx.Err(); err != nil {
-		return nil, err
+	if p.needsDial(time.Now()) {
+		d := &dial{began: time.Now(), failed: make(chan struct{})}
+		p.dials = append(p.dials, d)
+		go m.dial(p, d, p.address)
 	}
-	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	return nil, p.dials[len(p.dials)-1], p.connected
+}
+
+// isConnected reports whether the peer has a connection that works. The caller holds mu.
+func (p *peer) isConnected() bool { return p.conn != nil && p.conn.Context().Err() == nil }
+
+// needsDial reports whether an attempt to connect is to be started. The caller holds mu.
+func (p *peer) needsDial(now time.Time) bool {
+	n := len(p.dials)
+	return n == 0 || n < maxDials && now.Sub(p.dials[n-1].began) >= redialDelay
+}
+
+// dial attempts to connect. It ends early if the mesh is closed.
+func (m *QUIC) dial(p *peer, d *dial, address netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
 	client := m.credentials.ClientConfig([]string{alpnProtocol}, string(p.id))
-	conn, err := m.transport.Dial(ctx, net.UDPAddrFromAddrPort(p.address), client, quicConfig())
+	conn, err := m.transport.Dial(ctx, net.UDPAddrFromAddrPort(address), client, quicConfig())
 	if err != nil {
-		return nil, err
+		p.removeDial(d)
+		d.err = err
+		close(d.failed)
+		return
 	}
-	events.Emit(events.PeerConnected, p.id, p.address)
-	recordLoss(p.id, p.address, conn)
-	p.conn = conn
-	return conn, nil
+	if !p.finishDial(d, conn) {
+		_ = conn.CloseWithError(closeNormal, "not needed")
+		return
+	}
+	events.Emit(events.PeerConnected, p.id, address)
+	recordLoss(p.id, address, conn)
+}
+
+// finishDial makes conn the current connection. It returns false if there is one already,
+// or if the address has changed since the attempt began.
+func (p *peer) finishDial(d *dial, conn *quic.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !slices.Contains(p.dials, d) || p.isConnected() {
+		p.dials = without(p.dials, d)
+		return false
+	}
+	p.conn, p.dials = conn, without(p.dials, d)
+	close(p.connected)
+	p.connected = make(chan struct{})
+	return true
+}
+
+func (p *peer) removeDial(d *dial) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dials = without(p.dials, d)
+}
+
+func without(dials []*dial, d *dial) []*dial {
+	return slices.DeleteFunc(slices.Clone(dials), func(other *dial) bool { return other == d })
 }
 
 // dropConnection closes and removes a failed connection, unless it was replaced
