FLOOD: tests with heads begun behind other requests, resets and pings

Three more kinds of clients: heads without an end that are sent in one piece with the request before, expanded heads of HTTP/2 that are reset, and pings whose answers are not read.

--- a/flood/requests_test.go
+++ b/flood/requests_test.go
@@ -28,6 +28,9 @@
 	maxStreams = 100
 	// pipelined is how many requests a client of HTTP/1.1 sends before it reads.
 	pipelined = 20
+	// resetRequests is how many requests one client of HTTP/2 resets, and pings how many
+	// pings it sends.
+	resetRequests, pings = 480, 100_000
 	// announcedBytes is the length that the longest body states.
 	announcedBytes = 8 << 30
 	// bodyBytes is what a client sends of a body without an end.
@@ -68,6 +71,7 @@
 	{"odd characters in header lines over HTTP/1.1", sendHead(oddLines)},
 	{"odd characters in header lines over HTTP/2", sendHTTP2Heads(oddFields)},
 	{"headers that list header names over HTTP/1.1", sendHead(listedLines)},
+	{"heads begun behind other requests over HTTP/1.1", beginNextHead},
 	{"bodies announced over the limit over HTTP/1.1", sendBody(fmt.Sprintf("Content-Length: %d\r\n\r\n", announcedBytes), false)},
 	{"bodies announced over the limit over HTTP/2", sendHTTP2Body(announcedBytes)},
 	{"chunked bodies without an end over HTTP/1.1", sendBody("Transfer-Encoding: chunked\r\n\r\n", true)},
@@ -76,6 +80,8 @@
 	{"long answers read slowly over HTTP/2", readSlowlyHTTP2},
 	{"short answers without a window over HTTP/2", takeNoAnswer},
 	{"heads over the limit without a window over HTTP/2", sendLongHeads},
+	{"expanded heads that are reset over HTTP/2", resetExpandedHeads},
+	{"pings whose answers are not read over HTTP/2", sendPings},
 }
 
 // TestAbusiveClients guards against a process that ends, or answers nobody, because of clients
@@ -159,6 +165,17 @@
 	}
 }
 
+// beginNextHead sends a request and, in the same piece, short lines of a head without an end.
+func beginNextHead(_ listener, c net.Conn) {
+	const buffered = 4 << 10
+	head := []byte(requestStart(http.MethodGet, "/unknown") + "\r\n" + requestStart(http.MethodGet, "/unknown"))
+	for n := 0; len(head) < buffered-16; n++ {
+		head = append(head, emptyValues(n)...)
+	}
+	_, _ = c.Write(head)
+	go readBytes(c)
+}
+
 func shortLines(n int) string  { return fmt.Sprintf("%x:b\r\n", n) }
 func emptyValues(n int) string { return fmt.Sprintf("%x:\r\n", n) }
 func equalLines(int) string    { return "a:b\r\n" }
@@ -366,6 +383,33 @@
 	go readBytes(c)
 }
 
+// resetExpandedHeads sends heads within the limit that are short on the wire, and resets
+// their requests.
+func resetExpandedHeads(l listener, c net.Conn) {
+	const valueBytes = 3 << 10
+	r := newHTTP2()
+	for i := range uint32(resetRequests) {
+		r.begin(l.longMethod, l.longPath)
+		for size := valueBytes; size < l.maxHead; size += valueBytes {
+			_ = r.encoder.WriteField(hpack.HeaderField{Name: "cookie", Value: strings.Repeat("b", valueBytes-100)})
+		}
+		r.end(2*i+1, false)
+		_ = r.framer.WriteRSTStream(2*i+1, http2.ErrCodeCancel)
+	}
+	_, _ = c.Write(r.sent.Bytes())
+	go readBytes(c)
+}
+
+// sendPings sends pings and reads none of the answers.
+func sendPings(_ listener, c net.Conn) {
+	_ = c.(*net.TCPConn).SetReadBuffer(1)
+	r := newHTTP2()
+	for range pings {
+		_ = r.framer.WritePing(false, [8]byte{})
+	}
+	_, _ = c.Write(r.sent.Bytes())
+}
+
 // readBytes reads a byte now and then until the connection is closed.
 func readBytes(c net.Conn) {
 	_ = c.SetDeadline(time.Time{})
