Lease: a renewal is not abandoned while a large reply arrives

An entry behind a slow path never got a large configuration: a renewal ended after half of the lease, whatever had arrived of its reply, and the next one began with the whole table again.

Without a reply, or with a short one, nothing changes: a request that goes from member to member still ends after half a lease.

--- a/pkg/lease/renew.go
+++ b/pkg/lease/renew.go
@@ -119,7 +119,7 @@
 }
 
 func (m *Module) renew(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, m.settings.Duration.Std()/2)
+	ctx, cancel := withRenewalTimeout(ctx, m.settings.Duration.Std()/2)
 	defer cancel()
 	defer m.refresher.begin()()
 	request := m.nextRenewal()
--- a/pkg/mesh/messages.go
+++ b/pkg/mesh/messages.go
@@ -13,7 +13,8 @@
 )
 
 // exchange sends e and reads the reply, for whose bytes memory has to have room. It cancels
-// the stream when ctx is done, and reports progress as WithProgress describes.
+// the stream when ctx is done, and reports progress as WithProgress and
+// WithReceived describe.
 func exchange(ctx context.Context, stream *quic.Stream, e *requestMessage, memory *membudget.Budget) (*replyMessage, error) {
 	stop := context.AfterFunc(ctx, func() {
 		stream.CancelRead(streamCancelled)
@@ -27,7 +28,12 @@
 	r := new(replyMessage)
 	reserved := new(membudget.Reservation)
 	defer reserved.Release()
-	if err := readMessage(progressReader{stream, progress}, r, messageSpace(memory, reserved)); err != nil {
+	received := receivedOf(ctx)
+	reader := &progressReader{Reader: stream, progress: func(bytes int) {
+		progress()
+		received(bytes)
+	}}
+	if err := readMessage(reader, r, messageSpace(memory, reserved)); err != nil {
 		return nil, errors.Join(err, ctx.Err())
 	}
 	return r, nil
--- a/pkg/mesh/progress.go
+++ b/pkg/mesh/progress.go
@@ -27,16 +27,36 @@
 	return func() {}
 }
 
-// progressReader invokes progress after each read that returned data.
+type receivedKey struct{}
+
+// WithReceived returns a context for Call. Call invokes received, from its own goroutine,
+// with the number of bytes of the reply that have arrived, each time that there are more. A
+// caller can thereby wait longer for a large reply than for one that may never come.
+func WithReceived(ctx context.Context, received func(bytes int)) context.Context {
+	return context.WithValue(ctx, receivedKey{}, received)
+}
+
+// receivedOf returns the function that was set with WithReceived, or one that does nothing.
+func receivedOf(ctx context.Context) func(bytes int) {
+	if received, ok := ctx.Value(receivedKey{}).(func(bytes int)); ok {
+		return received
+	}
+	return func(int) {}
+}
+
+// progressReader invokes progress with the number of bytes read so far, after each read
+// that returned data.
 type progressReader struct {
 	io.Reader
-	progress func()
+	progress func(bytes int)
+	total    int
 }
 
-func (r progressReader) Read(p []byte) (int, error) {
+func (r *progressReader) Read(p []byte) (int, error) {
 	n, err := r.Reader.Read(p)
 	if n > 0 {
-		r.progress()
+		r.total += n
+		r.progress(r.total)
 	}
 	return n, err
 }
--- a/pkg/mesh/serve.go
+++ b/pkg/mesh/serve.go
@@ -50,7 +50,8 @@
 	e := new(requestMessage)
 	reserved := new(membudget.Reservation)
 	defer reserved.Release()
-	if err := readMessage(progressReader{stream, extendRead}, e, messageSpace(m.memory, reserved)); err != nil {
+	reader := &progressReader{Reader: stream, progress: func(int) { extendRead() }}
+	if err := readMessage(reader, e, messageSpace(m.memory, reserved)); err != nil {
 		m.recordRefused(from, err)
 		stream.CancelRead(streamCancelled)
 		stream.CancelWrite(streamCancelled)
