--- a/pkg/consensus/leader.go
+++ b/pkg/consensus/leader.go
@@ -5,17 +5,9 @@
 	"time"
 )
 
-const (
-	// snapshotRetryTimeouts is the number of election timeouts that the leader waits at
-	// least for the reply to a snapshot before it resends it.
-	snapshotRetryTimeouts = 10
-	// latencyDivisor sets the time that a message without entries may take, and that a
-	// window of entries may take besides: an election timeout divided by it.
-	latencyDivisor = 2
-	// minSnapshotSaving is the least ratio of the size of entries to that of the snapshot
-	// which covers them at which the snapshot is sent in their place.
-	minSnapshotSaving = 2
-)
+// latencyDivisor sets the time that a message without entries may take, and that a window of
+// entries may take besides: an election timeout divided by it.
+const latencyDivisor = 2
 
 // Propose appends commands to the leader's log and returns the term and the index
 // of the first one; the others have consecutive indexes.
@@ -99,17 +91,6 @@
 	}
 }
 
-// needsSnapshot reports whether the snapshot is to be sent in place of entries: if the
-// member needs entries that were discarded, or if it lacks more entries than fit in the
-// window and the snapshot is much smaller than those that it covers.
-func (r *Raft) needsSnapshot(p *progress) bool {
-	if _, ok := r.log.term(p.next - 1); !ok {
-		return true
-	}
-	limit := max(minSnapshotSaving*r.snapshotBytes, p.path.window)
-	return r.log.exceeds(p.next, r.snapshot.Index, limit)
-}
-
 // newProgress returns the progress of a member of which the leader knows nothing yet.
 func (r *Raft) newProgress() *progress {
 	path := newPathEstimate(r.cfg.MaxTransferRate, r.cfg.ElectionTimeout/latencyDivisor)
@@ -194,26 +175,6 @@
 	r.sendEarly(Message{To: m, Append: request})
 }
 
-// heartbeatDuringSnapshot keeps the member from campaigning and retries a snapshot
-// that was not acknowledged in time.
-func (r *Raft) heartbeatDuringSnapshot(now time.Duration, m Member, p *progress) {
-	if p.snapshotFailed && r.isActive(now, m) || now >= r.snapshotDue(p) {
-		p.probe(p.match + 1)
-		r.replicate(now, m, p)
-		return
-	}
-	r.sendEarly(Message{To: m, Append: &AppendRequest{SentAt: now}})
-}
-
-// snapshotDue returns when a snapshot that is not acknowledged is sent again.
-func (r *Raft) snapshotDue(p *progress) time.Duration {
-	timeout := snapshotRetryTimeouts * r.cfg.ElectionTimeout
-	if p.snapshotDelivered {
-		return p.snapshotDeliveredAt + timeout
-	}
-	return p.snapshotSentAt + max(timeout, p.path.transferTime(r.snapshotBytes))
-}
-
 func (r *Raft) sendAppend(now time.Duration, m Member, p *progress, entries []Entry) {
 	prev := p.next - 1
 	prevTerm, ok := r.log.term(prev)
@@ -251,14 +212,6 @@
 	return bytes
 }
 
-func (r *Raft) sendSnapshot(now time.Duration, m Member, p *progress) {
-	p.state = installing
-	p.snapshotSentAt, p.snapshotIndex, p.snapshotFailed = now, r.snapshot.Index, false
-	p.snapshotDelivered = false
-	p.inFlight, p.arriveBy = nil, 0
-	r.sendEarly(Message{To: m, Snapshot: &SnapshotRequest{Snapshot: Snapshot{Meta: r.snapshot}, SentAt: now}})
-}
-
 func (r *Raft) stepAppendReply(now time.Duration, m Message) {
 	p := r.progress[m.From]
 	if r.role != Leader || p == nil {
@@ -297,24 +250,6 @@
 	r.replicate(now, m, p)
 }
 
-func (r *Raft) stepSnapshotReply(now time.Duration, m Message) {
-	p := r.progress[m.From]
-	if r.role != Leader || p == nil {
-		return
-	}
-	p.ackedAt = max(p.ackedAt, m.SnapshotReply.SentAt)
-	advanced := p.recordAck(now, r.messageLatency(), m.SnapshotReply.Index)
-	if p.state == installing {
-		p.probe(p.match + 1)
-	}
-	if advanced {
-		r.advanceCommit(now)
-	}
-	if r.role == Leader {
-		r.replicate(now, m.From, p)
-	}
-}
-
 // advanceCommit advances the commit index to what a majority of voters holds.
 // Entries of earlier terms are committed only together with one of the current
 // term: a majority that holds them does not prevent a later leader from
