HTTPSERVER: an answer before the whole body is not lost with a reset

Since bodies are refused by their announced length, the rest of the body is unread when the connection is closed. net/http waits before it closes such a connection, but not if the client has asked for the close.

--- a/pkg/httpserver/guarded_conn.go
+++ b/pkg/httpserver/guarded_conn.go
@@ -68,6 +68,9 @@
 	// partial is set once a part of a head was read.
 	partial   atomic.Bool
 	closeOnce sync.Once
+	// unread is set if the last request was answered before its whole body was read, and the
+	// connection is to be closed after it.
+	unread atomic.Bool
 }
 
 // NetConn returns the connection beneath.
@@ -270,8 +273,16 @@
 	return nil
 }
 
+// closeDelay is how long a connection stays open for writing by the client after an answer
+// to a request that was not read to its end. Closing it at once would reset it, and the
+// client could lose the answer.
+const closeDelay = 500 * time.Millisecond
+
 // Close implements net.Conn.
 func (c *guardedConn) Close() error {
+	if c.unread.Swap(false) && c.CloseWrite() == nil {
+		time.Sleep(closeDelay)
+	}
 	c.closeOnce.Do(func() {
 		c.guard.update(func(t *clientlimit.Table) { t.Close(c.entry) })
 	})
--- a/pkg/httpserver/guarded_request.go
+++ b/pkg/httpserver/guarded_request.go
@@ -60,10 +60,14 @@
 		c.refuse(w)
 		return
 	}
-	if !whole {
-		r = withBody(r, newGuardedBody(r.Body, c, c.complete))
+	if whole {
+		h.ServeHTTP(w, r)
+		return
 	}
-	h.ServeHTTP(w, r)
+	body := newGuardedBody(r.Body, c, c.complete)
+	h.ServeHTTP(w, withBody(r, body))
+	// The HTTP server waits by itself before it closes a connection that was to stay open.
+	c.unread.Store(r.Close && !body.done)
 }
 
 func (c *guardedConn) serveHTTP2(h http.Handler, w http.ResponseWriter, r *http.Request) {
