--- a/review/tools-2/main.go
+++ b/review/tools-2/main.go
@@ -20,6 +20,7 @@
 // cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
 	"foreign": playForeign,
+	"gone":    playLostVersion,
 	"poison":  playPoison,
 	"rollout": playRollout,
 }
