--- a/review/tools-2/leaf.go
+++ b/review/tools-2/leaf.go
@@ -33,7 +33,7 @@
 	ids     int
 	// runs counts the runs of each request id.
 	runs map[string]int
-	// foreign are the entries of another writer, which come first.
+	// foreign are the entries of another writer, which stand behind the leafs' own ones.
 	foreign []map[string]any
 }
 
@@ -77,10 +77,11 @@
 
 // changed keeps the list as it is now. The caller holds the lock.
 func (p *platform) changed() {
-	entries := slices.Clone(p.foreign)
+	var entries []map[string]any
 	for _, id := range slices.Sorted(maps.Keys(p.leafs)) {
 		entries = append(entries, p.leafs[id].entry())
 	}
+	entries = append(entries, p.foreign...)
 	p.history = append(p.history, listing{from: time.Now(), entries: entries})
 }
 
@@ -93,14 +94,14 @@
 }
 
 // addForeign adds an entry of another writer for each leaf of a service. It differs from the
-// leaf's own one in the service alone, which no configuration names.
+// leaf's own one in the service, which no configuration names, and the state.
 func (p *platform) addForeign(service, named string) (added int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, id := range slices.Sorted(maps.Keys(p.leafs)) {
 		if l := p.leafs[id]; l.service == service {
 			e := l.entry()
-			e["service"] = named
+			e["service"], e["state"] = named, "draining"
 			p.foreign = append(p.foreign, e)
 		}
 	}
