--- a/review/tools-2/foreign.go
+++ b/review/tools-2/foreign.go
@@ -91,6 +91,12 @@
 		r.say("trouble: %d entries of another writer, of a service that is not named", p.addForeign("board", "board-archive"))
 	}
 	time.Sleep(5 * time.Second)
+	return countLaterRoute(r, f, c)
+}
+
+// countLaterRoute adds a route to board and counts requests in steady state. It reports
+// whether the rule on routes that were added later is broken.
+func countLaterRoute(r *record, f *fleet, c *clients) (bool, error) {
 	if status, _ := f.order("POST", "/Configuration.Replace", twoServices(9, "safe"), 10*time.Second); status != 200 {
 		return false, fmt.Errorf("the second configuration was not acknowledged (%d)", status)
 	}
--- a/review/tools-2/leaf.go
+++ b/review/tools-2/leaf.go
@@ -127,6 +127,8 @@
 	poison  string
 	crashed func(id string)
 	downFor time.Duration
+	// failing is the share of the requests that fail.
+	failing float64
 	// losing is the share of the requests whose answer is lost after they ran.
 	losing float64
 }
@@ -198,6 +200,7 @@
 	l.running++
 	waits := max(0, l.running-l.slots)
 	lost := rand.Float64() < l.losing
+	failed := rand.Float64() < l.failing
 	poisoned := l.poison != "" && r.URL.Path == l.poison
 	l.mu.Unlock()
 	defer func() {
@@ -219,11 +222,23 @@
 		reset(w)
 		return
 	}
-	body := records(l.id, id)
+	body, status := records(l.id, id), http.StatusOK
+	if failed {
+		body, status = []byte("failed"), http.StatusInternalServerError
+		l.platform.record.note("leaf %s (%s) fails %s", l.id, l.version, id)
+	}
 	w.Header().Set("X-Radishturn-Server-Signature", signature(l.id, id, body))
+	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
 
+// fail has a share of the requests fail.
+func (l *leaf) fail(share float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failing = share
+}
+
 // crash ends the leaf with all its connections. It starts again under the same id at the
 // same address after downFor.
 func (l *leaf) crash(id string) {
--- a/review/tools-2/main.go
+++ b/review/tools-2/main.go
@@ -19,6 +19,7 @@
 
 // cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
+	"bad":     playBadVersion,
 	"foreign": playForeign,
 	"gone":    playLostVersion,
 	"poison":  playPoison,
--- a/review/tools-2/rollout.go
+++ b/review/tools-2/rollout.go
@@ -76,7 +76,7 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("the roll-out of a good version is %q", reply.State)
+	return fmt.Errorf("the roll-out is %q", reply.State)
 }
 
 // shards is a small deployment whose index has 20 shards of two leafs.
