--- a/review/tools-2/client.go
+++ b/review/tools-2/client.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -19,8 +18,6 @@
 	sent   time.Time
 	status int
 	served bool
-	// missing is the number of parts that an answer lacks.
-	missing int
 }
 
 // clients send requests at a steady rate to the entries and keep what was answered.
@@ -91,9 +88,8 @@
 		_ = response.Body.Close()
 		a.status = response.StatusCode
 		a.served = readErr == nil && a.status/100 == 2 && len(body) > 0 &&
-			(response.Header.Get("X-Radishturn-Server-Signature") != "" || response.Header.Get("X-Radishturn-Part-Signatures") != "")
-		a.missing, _ = strconv.Atoi(response.Header.Get("X-Radishturn-Missing-Parts"))
-		c.record.note("client gets %d for %s, missing parts %d", a.status, id, a.missing)
+			response.Header.Get("X-Radishturn-Server-Signature") != ""
+		c.record.note("client gets %d for %s", a.status, id)
 	} else {
 		c.record.note("client gets no answer for %s", id)
 	}
@@ -122,16 +118,3 @@
 	}
 	return sent, served
 }
-
-// incomplete returns how many answers of a route lack parts.
-func (c *clients) incomplete(route string, from, to time.Time) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n := 0
-	for _, a := range c.attempts {
-		if a.route == route && a.served && a.missing > 0 && !a.sent.Before(from) && a.sent.Before(to) {
-			n++
-		}
-	}
-	return n
-}
--- a/review/tools-2/leaf.go
+++ b/review/tools-2/leaf.go
@@ -127,10 +127,9 @@
 	poison  string
 	crashed func(id string)
 	downFor time.Duration
-	// failing is the share of the requests that fail.
+	// failing is the share of the requests that fail; ran, if it is set, is told of each run.
 	failing float64
-	// losing is the share of the requests whose answer is lost after they ran.
-	losing float64
+	ran     func(failed bool)
 }
 
 func (p *platform) startLeaf(service, zone, version string, slots int, work time.Duration) (*leaf, error) {
@@ -161,14 +160,6 @@
 	_ = l.server.Close()
 }
 
-// lose has the answers of a share of the requests lost: they run, and then their connection
-// is reset.
-func (l *leaf) lose(share float64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.losing = share
-}
-
 func (l *leaf) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	l.mu.Lock()
 	w.Header().Set("X-Radishturn-Server-Load", fmt.Sprintf("%d,%d,%d", min(l.running, l.slots), max(0, l.running-l.slots), l.slots))
@@ -199,8 +190,7 @@
 	}
 	l.running++
 	waits := max(0, l.running-l.slots)
-	lost := rand.Float64() < l.losing
-	failed := rand.Float64() < l.failing
+	failed, ran := rand.Float64() < l.failing, l.ran
 	poisoned := l.poison != "" && r.URL.Path == l.poison
 	l.mu.Unlock()
 	defer func() {
@@ -212,16 +202,14 @@
 	l.platform.runs[id]++
 	l.platform.mu.Unlock()
 	l.platform.record.note("leaf %s (%s %s) runs %s", l.id, l.service, l.version, id)
+	if ran != nil {
+		ran(failed)
+	}
 	if poisoned {
 		l.crash(id)
 		panic(http.ErrAbortHandler)
 	}
 	time.Sleep(l.work * time.Duration(1+waits/max(1, l.slots)))
-	if lost {
-		l.platform.record.note("leaf %s has run %s; the answer is lost", l.id, id)
-		reset(w)
-		return
-	}
 	body, status := records(l.id, id), http.StatusOK
 	if failed {
 		body, status = []byte("failed"), http.StatusInternalServerError
@@ -272,18 +260,6 @@
 	}()
 }
 
-// reset resets the connection of a request.
-func reset(w http.ResponseWriter) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
-}
-
 // records returns twelve records of 16 bytes.
 func records(leafID, id string) []byte {
 	var body []byte
--- a/review/tools-2/main.go
+++ b/review/tools-2/main.go
@@ -21,9 +21,7 @@
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
 	"bad":     playBadVersion,
 	"foreign": playForeign,
-	"gone":    playLostVersion,
 	"poison":  playPoison,
-	"rollout": playRollout,
 }
 
 func main() { os.Exit(run()) }
